--- /dev/null
+++ b/src/fescuemill/decide/call.c
@@ -0,0 +1,47 @@
+/*
+ * Call types: the fixed names of outcomes and reasons, as they stand in headers, logs and counters.
+ */
+#include "fescuemill/decide/call_defs.h"
+
+static const char *const outcome_names[OUTCOME_COUNT] = {"answered", "not-run", "unknown"};
+
+static const char *const reason_names[REASON_COUNT] = {
+	[REASON_NONE] = "none",
+	[REASON_OVERLOAD] = "overload",
+	[REASON_DRAINING] = "draining",
+	[REASON_EXPIRED] = "expired",
+	[REASON_NO_BACKEND] = "no-backend-server",
+	[REASON_SHED] = "shed",
+	[REASON_CANCELLED] = "cancelled",
+	[REASON_BAD_REQUEST] = "bad-request",
+	[REASON_UNKNOWN_SERVICE] = "unknown-service",
+	[REASON_UNKNOWN_CLASS] = "unknown-class",
+	[REASON_TOO_LARGE] = "too-large",
+	[REASON_TOO_DEEP] = "too-deep",
+	[REASON_RETRY_BUDGET] = "retry-budget",
+	[REASON_INCARNATION] = "incarnation",
+	[REASON_STALE_EPOCH] = "stale-epoch",
+	[REASON_CONNECTION_LOST] = "connection-lost",
+	[REASON_KEY_RUNNING] = "key-running",
+	[REASON_KEY_HISTORY] = "key-history",
+	[REASON_NOT_READY] = "not-ready",
+};
+
+/* Gives the name of an outcome as it stands in the outcome header. */
+const char *call_outcome_name(enum call_outcome outcome)
+{
+	return (unsigned int)outcome < OUTCOME_COUNT ? outcome_names[outcome] : "invalid";
+}
+
+/* Gives the name of a reason as it stands in the reason header. */
+const char *call_reason_name(enum call_reason reason)
+{
+	return (unsigned int)reason < REASON_COUNT ? reason_names[reason] : "invalid";
+}
+
+/* Tells whether two attempt identities are the same. */
+bool attempt_id_equal(const struct attempt_id *a, const struct attempt_id *b)
+{
+	return a->entry.node_id == b->entry.node_id &&
+	       a->entry.incarnation == b->entry.incarnation && a->sequence == b->sequence;
+}
