--- /dev/null
+++ b/src/fescuemill/wire/message_defs.h
@@ -0,0 +1,127 @@
+/*
+ * Messages that nodes send each other over a channel. A decoded message borrows its bytes from the
+ * buffer it was decoded from.
+ */
+#ifndef FESCUEMILL_WIRE_MESSAGE_DEFS_H
+#define FESCUEMILL_WIRE_MESSAGE_DEFS_H
+
+#include "fescuemill/decide/call_defs.h"
+
+#define WIRE_VERSION	      1
+#define WIRE_HEADERS_MAX      32
+#define WIRE_MESSAGE_BYTES    (CALL_BODY_BYTES_MAX + 64U * 1024)
+#define WIRE_SMALL_BODY_BYTES (64U * 1024) /* larger bodies travel on the bulk link */
+
+enum message_type {
+	MESSAGE_CALL = 1,    /* entry to gate: run this attempt */
+	MESSAGE_ANSWER,	     /* gate to entry: the outcome of an attempt */
+	MESSAGE_HELD,	     /* gate to entry: the answer is large; ask on the bulk link */
+	MESSAGE_ACK,	     /* entry to gate: the attempt may be forgotten */
+	MESSAGE_ASK,	     /* entry to gate: what became of this attempt? */
+	MESSAGE_PENDING,     /* gate to entry: the attempt waits or runs */
+	MESSAGE_CANCEL,	     /* entry to gate: stop this attempt */
+	MESSAGE_PING,	     /* either way: answer with a pong */
+	MESSAGE_PONG,	     /* the answer to a ping, with the gate's load */
+	MESSAGE_CONFIG_PULL, /* give me the services newer than these versions */
+	MESSAGE_CONFIG_BODY, /* one service's configuration as JSON text */
+	MESSAGE_TYPE_END,
+};
+
+struct wire_bytes {
+	const uint8_t *data;
+	uint32_t size;
+};
+
+struct wire_header {
+	struct wire_bytes name;
+	struct wire_bytes value;
+};
+
+struct wire_headers {
+	uint32_t count;
+	struct wire_header list[WIRE_HEADERS_MAX];
+};
+
+/* The gate's state at the moment of sending; rides on answers and pongs. */
+struct gate_load {
+	uint32_t in_use;	  /* slots taken */
+	uint32_t limit;		  /* slots that the gate would use now */
+	uint32_t queued;	  /* attempts that wait */
+	uint32_t service_time_us; /* smoothed time of one attempt at the backend server */
+	uint32_t wait_us;	  /* expected wait of an attempt that arrives now */
+	uint8_t state;		  /* enum backend_state */
+};
+
+struct message_call {
+	uint64_t gate_incarnation; /* 0: the entry does not know it */
+	char service[SERVICE_NAME_BYTES];
+	char class_name[CLASS_NAME_BYTES];
+	uint64_t time_left_us;
+	uint32_t depth;
+	uint32_t retries_left;
+	bool idempotent;
+	struct wire_bytes key; /* idempotency key; size 0 when there is none */
+	struct wire_bytes method;
+	struct wire_bytes path;
+	struct wire_headers headers;
+	struct wire_bytes body;
+};
+
+struct message_answer {
+	enum call_outcome outcome;
+	enum call_reason reason;
+	uint64_t gate_incarnation;
+	struct gate_load load;
+	uint32_t status;	/* HTTP status of the backend server, 0 when it did not answer */
+	uint32_t server_us;	/* time at the backend server */
+	uint32_t gate_queue_us; /* time waiting at the gate */
+	struct wire_headers headers;
+	struct wire_bytes body;
+};
+
+struct message_held {
+	uint64_t gate_incarnation;
+	uint32_t body_size;
+};
+
+struct message_ask {
+	uint64_t gate_incarnation;
+};
+
+struct message_pong {
+	uint64_t gate_incarnation;
+	struct gate_load load;
+};
+
+#define CONFIG_PULL_MAX 16
+
+struct message_config_pull {
+	uint32_t count;
+	struct {
+		char service[SERVICE_NAME_BYTES];
+		uint64_t version; /* the version that the asker has; 0 for none */
+	} want[CONFIG_PULL_MAX];
+};
+
+struct message_config_body {
+	char service[SERVICE_NAME_BYTES];
+	uint64_t version;
+	struct wire_bytes json;
+};
+
+struct message {
+	enum message_type type;
+	uint32_t epoch;	      /* connection epoch of the sender's link */
+	struct attempt_id id; /* zero for messages that are not about an attempt */
+	union {
+		struct message_call call;
+		struct message_answer answer;
+		struct message_held held;
+		struct message_ask ask;
+		struct message_pong pong;
+		struct message_config_pull config_pull;
+		struct message_config_body config_body;
+	};
+};
+
+#endif
