--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -29,3 +29,4 @@
 	-D_GNU_SOURCE -DH2O_USE_LIBUV=1 -I src -j "$(nproc)" "${product[@]}"
 printf '%s\n' "${product[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build/release \
 	2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
+scripts/embed-charts.sh --check
--- /dev/null
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -0,0 +1,279 @@
+/*
+ * One call at the entry. The outcome "not run" is told only while every attempt that was sent is
+ * known not to have run: by its gate's word, or because it never reached the socket.
+ */
+#include "fescuemill/decide/attempt_entry.h"
+
+#include "fescuemill/chart/chart.h"
+
+#include <string.h>
+
+/* Moves the call along its chart. */
+static int entry_move(struct attempt_entry *call, enum attempt_entry_input input, struct error *err)
+{
+	uint32_t next;
+
+	if (chart_next(CHART_ATTEMPT_ENTRY, call->state, input, &next, err))
+		return -1;
+	call->state = (uint8_t)next;
+	return 0;
+}
+
+/* Adds an action about the present attempt. */
+static struct attempt_entry_action *entry_emit(const struct attempt_entry *call,
+					       struct attempt_entry_actions *out,
+					       enum attempt_entry_action_type type)
+{
+	struct attempt_entry_action *action = &out->list[out->count++];
+
+	memset(action, 0, sizeof(*action));
+	action->type = type;
+	action->target = call->target;
+	return action;
+}
+
+/* Tells whether an attempt was sent whose end is not known. */
+static bool entry_is_outstanding(const struct attempt_entry *call)
+{
+	return call->state == ENTRY_SENT || call->state == ENTRY_ASKING ||
+	       call->state == ENTRY_FETCHING;
+}
+
+/* Tells the caller. "Not run" becomes "unknown" when an abandoned attempt may have run. */
+static int entry_finish(struct attempt_entry *call, enum call_outcome outcome,
+			enum call_reason reason, struct attempt_entry_actions *out,
+			struct error *err)
+{
+	struct attempt_entry_action *action;
+
+	if (entry_move(call, ENTRY_INPUT_FINISH, err))
+		return -1;
+	action = entry_emit(call, out, ENTRY_ACTION_FINISH);
+	if (outcome == OUTCOME_NOT_RUN && call->may_have_run)
+		outcome = OUTCOME_UNKNOWN;
+	action->outcome = outcome;
+	action->reason = reason;
+	return 0;
+}
+
+/* Ends the call while an attempt may be outstanding, which is cancelled. */
+static int entry_abandon(struct attempt_entry *call, enum call_reason reason,
+			 struct attempt_entry_actions *out, struct error *err)
+{
+	if (entry_is_outstanding(call)) {
+		call->may_have_run = true;
+		entry_emit(call, out, ENTRY_ACTION_SEND_CANCEL);
+	}
+	return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
+}
+
+/* Goes back to choosing a gate. The old attempt's identity is dropped, so that its late answer
+ * cannot be taken for the next attempt's. */
+static int entry_choose_again(struct attempt_entry *call, struct attempt_entry_actions *out,
+			      struct error *err)
+{
+	if (entry_move(call, ENTRY_INPUT_RETRY, err))
+		return -1;
+	memset(&call->target, 0, sizeof(call->target));
+	entry_emit(call, out, ENTRY_ACTION_CHOOSE);
+	return 0;
+}
+
+/* Keeps the present gate out of the next choice. */
+static void entry_exclude(struct attempt_entry *call)
+{
+	if (call->excluded_count < ENTRY_EXCLUDED_MAX)
+		call->excluded[call->excluded_count++] = call->target.gate.node_id;
+}
+
+/* Tells whether another gate may do better after a refusal. */
+static bool entry_reason_is_retryable(enum call_reason reason)
+{
+	switch (reason) {
+	case REASON_OVERLOAD:
+	case REASON_DRAINING:
+	case REASON_NO_BACKEND:
+	case REASON_SHED:
+	case REASON_INCARNATION:
+	case REASON_STALE_EPOCH:
+	case REASON_CONNECTION_LOST:
+	case REASON_NOT_READY:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* The present attempt certainly did not run and never will: try elsewhere, within the budgets. A
+ * keyed call has one home only, which it tries again only after its restart. */
+static int entry_not_run(struct attempt_entry *call, struct retry_bucket *bucket,
+			 enum call_reason reason, struct attempt_entry_actions *out,
+			 struct error *err)
+{
+	bool may_retry = entry_reason_is_retryable(reason);
+
+	if (call->keyed && reason != REASON_INCARNATION)
+		may_retry = false;
+	retry_tree_return(&call->retries);
+	call->last_reason = (uint8_t)reason;
+	if (!may_retry || !retry_take(bucket, &call->retries))
+		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
+	if (reason != REASON_INCARNATION)
+		entry_exclude(call);
+	return entry_choose_again(call, out, err);
+}
+
+/* The present attempt may have run and its answer cannot be had. */
+static int entry_lost(struct attempt_entry *call, struct retry_bucket *bucket,
+		      enum call_reason reason, struct attempt_entry_actions *out, struct error *err)
+{
+	call->may_have_run = true;
+	call->last_reason = (uint8_t)reason;
+	if (!call->idempotent || !retry_take(bucket, &call->retries))
+		return entry_finish(call, OUTCOME_UNKNOWN, reason, out, err);
+	entry_exclude(call);
+	return entry_choose_again(call, out, err);
+}
+
+/* Sends the first or next attempt to the chosen gate. */
+static int entry_send(struct attempt_entry *call, const struct attempt_target *target,
+		      uint64_t now_us, struct attempt_entry_actions *out, struct error *err)
+{
+	uint64_t left_us = call->deadline_us - now_us;
+	uint64_t margin_us = call->answer_margin_us;
+	struct attempt_entry_action *action;
+
+	if (entry_move(call, ENTRY_INPUT_CHOSEN, err))
+		return -1;
+	if (margin_us > left_us / 2)
+		margin_us = left_us / 2;
+	call->target = *target;
+	call->attempts++;
+	action = entry_emit(call, out, ENTRY_ACTION_SEND_CALL);
+	action->time_left_us = left_us - margin_us;
+	action->retries_passed = retry_tree_pass(&call->retries, call->idempotent);
+	return 0;
+}
+
+/* Takes an answer message. One for another attempt is acknowledged and otherwise ignored. */
+static int entry_answer(struct attempt_entry *call, const struct attempt_entry_event *event,
+			struct retry_bucket *bucket, struct attempt_entry_actions *out,
+			struct error *err)
+{
+	entry_emit(call, out, ENTRY_ACTION_SEND_ACK)->target.id = event->answer.id;
+	if (!entry_is_outstanding(call) || !attempt_id_equal(&event->answer.id, &call->target.id))
+		return 0;
+	switch (event->answer.outcome) {
+	case OUTCOME_ANSWERED:
+		return entry_finish(call, OUTCOME_ANSWERED, event->answer.reason, out, err);
+	case OUTCOME_NOT_RUN:
+		return entry_not_run(call, bucket, event->answer.reason, out, err);
+	default:
+		return entry_lost(call, bucket, event->answer.reason, out, err);
+	}
+}
+
+/* Takes a pending or held message. */
+static int entry_progress(struct attempt_entry *call, const struct attempt_entry_event *event,
+			  struct attempt_entry_actions *out, struct error *err)
+{
+	bool was_fetching = call->state == ENTRY_FETCHING;
+
+	if (!entry_is_outstanding(call) || !attempt_id_equal(&event->about.id, &call->target.id))
+		return 0;
+	if (event->type == ENTRY_EVENT_PENDING)
+		return entry_move(call, ENTRY_INPUT_PENDING, err);
+	if (entry_move(call, ENTRY_INPUT_HELD, err))
+		return -1;
+	if (!was_fetching)
+		entry_emit(call, out, ENTRY_ACTION_ASK_BULK);
+	return 0;
+}
+
+/* Asks again over the link that took the place of a silent one. */
+static int entry_ask_again(struct attempt_entry *call, uint32_t epoch,
+			   struct attempt_entry_actions *out, struct error *err)
+{
+	bool is_same_kind = link_kind_of(epoch) == link_kind_of(call->target.epoch);
+
+	if (!entry_is_outstanding(call))
+		return 0;
+	if (!is_same_kind && call->state != ENTRY_FETCHING)
+		return 0;
+	if (entry_move(call, ENTRY_INPUT_LINK_REPLACED, err))
+		return -1;
+	if (is_same_kind)
+		call->target.epoch = epoch;
+	entry_emit(call, out,
+		   call->state == ENTRY_FETCHING ? ENTRY_ACTION_ASK_BULK : ENTRY_ACTION_SEND_ASK);
+	return 0;
+}
+
+/* Takes an event after the outcome was told: a late answer is acknowledged, so that its gate can
+ * forget it. */
+static void entry_after_done(struct attempt_entry *call, const struct attempt_entry_event *event,
+			     struct attempt_entry_actions *out)
+{
+	if (event->type == ENTRY_EVENT_ANSWER)
+		entry_emit(call, out, ENTRY_ACTION_SEND_ACK)->target.id = event->answer.id;
+	if (event->type == ENTRY_EVENT_HELD)
+		entry_emit(call, out, ENTRY_ACTION_SEND_ACK)->target.id = event->about.id;
+}
+
+/* Starts a call; nothing happens before ENTRY_EVENT_START. */
+void attempt_entry_init(struct attempt_entry *call, const struct attempt_entry_settings *settings)
+{
+	memset(call, 0, sizeof(*call));
+	call->deadline_us = settings->deadline_us;
+	call->answer_margin_us = settings->answer_margin_us;
+	call->idempotent = settings->idempotent;
+	call->keyed = settings->keyed;
+	call->state = ENTRY_CHOOSING;
+	retry_tree_init(&call->retries, settings->retries_stated, settings->retry_budget);
+}
+
+/* Takes one event and fills the actions to do in their order. The bucket is the service's at this
+ * entry. At or after the deadline every event ends the call. Errors: ERROR_STATE when the chart
+ * does not allow the event; then there is no action and the call is unchanged. */
+int attempt_entry_step(struct attempt_entry *call, const struct attempt_entry_event *event,
+		       struct retry_bucket *bucket, uint64_t now_us,
+		       struct attempt_entry_actions *out, struct error *err)
+{
+	out->count = 0;
+	if (call->state == ENTRY_DONE) {
+		entry_after_done(call, event, out);
+		return 0;
+	}
+	if (now_us >= call->deadline_us)
+		return entry_abandon(call, REASON_EXPIRED, out, err);
+	switch (event->type) {
+	case ENTRY_EVENT_START:
+		retry_bucket_first_attempt(bucket);
+		entry_emit(call, out, ENTRY_ACTION_CHOOSE);
+		return 0;
+	case ENTRY_EVENT_CHOSEN:
+		return entry_send(call, &event->chosen, now_us, out, err);
+	case ENTRY_EVENT_NO_GATE:
+		return entry_finish(call, OUTCOME_NOT_RUN, event->no_gate.reason, out, err);
+	case ENTRY_EVENT_SEND_FAILED:
+		if (call->state != ENTRY_SENT)
+			return error_set(err, ERROR_STATE, "send failed, but none was tried");
+		return entry_not_run(call, bucket, REASON_CONNECTION_LOST, out, err);
+	case ENTRY_EVENT_ANSWER:
+		return entry_answer(call, event, bucket, out, err);
+	case ENTRY_EVENT_PENDING:
+	case ENTRY_EVENT_HELD:
+		return entry_progress(call, event, out, err);
+	case ENTRY_EVENT_LINK_REPLACED:
+		return entry_ask_again(call, event->link_replaced.epoch, out, err);
+	case ENTRY_EVENT_GATE_GONE:
+		if (!entry_is_outstanding(call))
+			return 0;
+		return entry_lost(call, bucket, REASON_CONNECTION_LOST, out, err);
+	case ENTRY_EVENT_CALLER_GONE:
+		return entry_abandon(call, REASON_CANCELLED, out, err);
+	case ENTRY_EVENT_TICK:
+		return 0;
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/fescuemill/decide/choice.h
@@ -0,0 +1,26 @@
+/*
+ * Choice of a gate among the members of one service, at one entry. Pure: members, results, time
+ * and random state come in as arguments.
+ */
+#ifndef FESCUEMILL_DECIDE_CHOICE_H
+#define FESCUEMILL_DECIDE_CHOICE_H
+
+#include "fescuemill/base/error.h"
+#include "fescuemill/base/random.h"
+#include "fescuemill/decide/choice_defs.h"
+
+void choice_default_settings(struct choice_settings *settings);
+int choice_create(struct choice **out, const struct choice_settings *settings, struct error *err);
+void choice_destroy(struct choice *choice);
+void choice_set_members(struct choice *choice, const struct choice_member *members, uint32_t count);
+bool choice_pick(struct choice *choice, const struct choice_query *query, struct random *rng,
+		 uint64_t now_us, struct node_life *picked);
+void choice_sent(struct choice *choice, uint64_t node_id, uint64_t now_us);
+void choice_done(struct choice *choice, uint64_t node_id, const struct choice_result *result,
+		 uint64_t now_us);
+void choice_load_seen(struct choice *choice, uint64_t node_id, const struct gate_load *load,
+		      uint64_t now_us);
+uint32_t choice_gate_count(const struct choice *choice);
+uint64_t choice_bytes(const struct choice *choice);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/decide/choice_defs.h
@@ -0,0 +1,75 @@
+/*
+ * Types of the choice of a gate, shared by the choice and its baselines.
+ */
+#ifndef FESCUEMILL_DECIDE_CHOICE_DEFS_H
+#define FESCUEMILL_DECIDE_CHOICE_DEFS_H
+
+#include "fescuemill/base/random.h"
+#include "fescuemill/decide/call_defs.h"
+#include "fescuemill/wire/message_defs.h"
+
+enum choice_policy {
+	CHOICE_EXPECTED, /* the product's: expected completion */
+	CHOICE_RANDOM,
+	CHOICE_ROUND_ROBIN,
+	CHOICE_LEAST_IN_FLIGHT, /* of this entry */
+	CHOICE_TWO_RANDOM,	/* the less busy of two, by in-flight of this entry */
+	CHOICE_POLICY_COUNT,
+};
+
+/* How far a gate is from this entry, in steps that cost more each time. */
+enum choice_distance {
+	DISTANCE_DOMAIN,
+	DISTANCE_REGION,
+	DISTANCE_OTHER_REGION,
+	DISTANCE_COUNT,
+};
+
+struct choice_settings {
+	enum choice_policy policy;
+	uint64_t own_id;			/* of this node, for the subset */
+	uint32_t gates_per_domain;		/* gates kept per failure domain */
+	uint32_t round_trip_us[DISTANCE_COUNT]; /* before one was measured */
+	uint32_t step_us[DISTANCE_COUNT];	/* must be won by this much over nearer gates */
+	uint32_t candidates;			/* gates compared by expected completion */
+	uint32_t service_time_us;		/* before one was seen */
+	uint32_t load_age_us;			/* after this long a seen queue counts for 1/e */
+	uint32_t error_penalty_us;		/* expected cost of an attempt that fails */
+};
+
+#define CHOICE_GATES_MAX 256
+
+/* One gate that may be chosen. The shell fills it from the fleet's members. */
+struct choice_member {
+	struct node_life life;
+	uint32_t domain; /* any number that names the failure domain */
+	uint32_t slots;
+	uint8_t distance; /* enum choice_distance */
+	bool usable;	  /* alive, not suspect, leaving or dead; backend server ready */
+};
+
+struct choice_query {
+	const uint64_t *excluded; /* node ids */
+	uint32_t excluded_count;
+};
+
+enum choice_result_kind {
+	CHOICE_RESULT_ANSWERED, /* with a status below 500 */
+	CHOICE_RESULT_FAILED,	/* with a status of 500 or more */
+	CHOICE_RESULT_REFUSED,	/* not run */
+	CHOICE_RESULT_LOST,	/* unknown, gone or timed out */
+	CHOICE_RESULT_CANCELLED,
+};
+
+struct choice_result {
+	enum choice_result_kind kind;
+	bool has_load;
+	struct gate_load load;
+	uint32_t elapsed_us;	/* from sending to the answer */
+	uint32_t gate_queue_us; /* of it waiting at the gate */
+	uint32_t server_us;	/* of it at the backend server */
+};
+
+struct choice;
+
+#endif
--- /dev/null
+++ b/src/fescuemill/decide/peer.c
@@ -0,0 +1,110 @@
+/*
+ * Link state. A heartbeat is sent only while answers are due, so an idle fleet sends none. A
+ * connection can be dead for good while it looks open, so silence replaces it, and one that was
+ * long unused is replaced before it carries a call.
+ */
+#include "fescuemill/decide/peer.h"
+
+#include <string.h>
+
+#define PEER_QUIET_US	  100000
+#define PEER_PING_WAIT_US 150000
+#define PEER_IDLE_MAX_US  30000000
+
+const struct peer_settings peer_default_settings = {
+	.quiet_us = PEER_QUIET_US,
+	.ping_wait_us = PEER_PING_WAIT_US,
+	.idle_max_us = PEER_IDLE_MAX_US,
+};
+
+/* Starts a link of a kind that has never been open. */
+void peer_init(struct peer *peer, enum link_kind kind)
+{
+	memset(peer, 0, sizeof(*peer));
+	peer->kind = (uint8_t)kind;
+	peer->state = PEER_CLOSED;
+}
+
+/* Notes that a connection was opened, anew or in place of one; returns its epoch, which is higher
+ * than that of every earlier one. */
+uint32_t peer_opened(struct peer *peer, uint64_t now_us)
+{
+	uint32_t nth = peer->epoch / LINK_KIND_COUNT + 1;
+
+	peer->epoch = link_epoch((enum link_kind)peer->kind, nth);
+	peer->state = PEER_OPEN;
+	peer->heard_us = now_us;
+	peer->used_us = now_us;
+	peer->waits_us = now_us;
+	return peer->epoch;
+}
+
+/* Notes that the connection was closed and not replaced. */
+void peer_closed(struct peer *peer)
+{
+	peer->state = PEER_CLOSED;
+}
+
+/* Notes a message from the gate over the present connection. */
+void peer_heard(struct peer *peer, uint64_t now_us)
+{
+	peer->heard_us = now_us;
+	if (peer->state == PEER_PINGED)
+		peer->state = PEER_OPEN;
+}
+
+/* Notes that an attempt was sent; an answer is due. */
+void peer_attempt_sent(struct peer *peer, uint64_t now_us)
+{
+	if (peer->outstanding == 0)
+		peer->waits_us = now_us;
+	peer->outstanding++;
+	peer->used_us = now_us;
+}
+
+/* Notes that an attempt's answer is no longer due. */
+void peer_attempt_done(struct peer *peer)
+{
+	if (peer->outstanding > 0)
+		peer->outstanding--;
+}
+
+/* Tells whether the link must be replaced (or first opened) before it carries an attempt. */
+enum peer_action peer_before_use(const struct peer *peer, const struct peer_settings *settings,
+				 uint64_t now_us)
+{
+	if (peer->state == PEER_CLOSED)
+		return PEER_REPLACE;
+	if (peer->outstanding == 0 && now_us >= peer->used_us + settings->idle_max_us)
+		return PEER_REPLACE;
+	return PEER_NOTHING;
+}
+
+/* Gives the time from which the present silence counts, in microseconds. */
+static uint64_t peer_silent_since_us(const struct peer *peer)
+{
+	return peer->heard_us > peer->waits_us ? peer->heard_us : peer->waits_us;
+}
+
+/* Tells what is due now: a ping after silence, a replacement after an unanswered ping. */
+enum peer_action peer_tick(struct peer *peer, const struct peer_settings *settings, uint64_t now_us)
+{
+	if (now_us < peer_next_due_us(peer, settings))
+		return PEER_NOTHING;
+	if (peer->state == PEER_PINGED)
+		return PEER_REPLACE;
+	peer->state = PEER_PINGED;
+	peer->pinged_us = now_us;
+	peer->used_us = now_us;
+	return PEER_PING;
+}
+
+/* Gives the time of the next action, UINT64_MAX when none is due. */
+uint64_t peer_next_due_us(const struct peer *peer, const struct peer_settings *settings)
+{
+	if (peer->state == PEER_CLOSED || peer->outstanding == 0)
+		return UINT64_MAX;
+	if (peer->state == PEER_PINGED)
+		return peer->pinged_us + settings->ping_wait_us;
+	return peer_silent_since_us(peer) + settings->quiet_us;
+}
--- /dev/null
+++ b/src/fescuemill/decide/peer.h
@@ -0,0 +1,47 @@
+/*
+ * A link to a gate: when it is pinged, found silent and replaced. Pure.
+ */
+#ifndef FESCUEMILL_DECIDE_PEER_H
+#define FESCUEMILL_DECIDE_PEER_H
+
+#include "fescuemill/chart/chart_defs.h"
+#include "fescuemill/decide/attempt_defs.h"
+
+struct peer_settings {
+	uint64_t quiet_us;     /* silent for so long with work outstanding: ping */
+	uint64_t ping_wait_us; /* no answer to the ping for so long: replace */
+	uint64_t idle_max_us;  /* unused for so long: replace before the next use */
+};
+
+enum peer_action {
+	PEER_NOTHING,
+	PEER_PING,    /* send a ping */
+	PEER_REPLACE, /* close the link, open a new one, peer_opened, ask again for every attempt */
+};
+
+struct peer {
+	uint64_t heard_us;  /* last message from the gate */
+	uint64_t used_us;   /* last message to the gate, pings included */
+	uint64_t waits_us;  /* since when an answer is due */
+	uint64_t pinged_us; /* when the present ping was sent */
+	uint32_t epoch;	    /* of the open link; 0 before the first */
+	uint32_t outstanding;
+	uint8_t kind;  /* enum link_kind */
+	uint8_t state; /* enum peer_state */
+};
+
+extern const struct peer_settings peer_default_settings;
+
+void peer_init(struct peer *peer, enum link_kind kind);
+uint32_t peer_opened(struct peer *peer, uint64_t now_us);
+void peer_closed(struct peer *peer);
+void peer_heard(struct peer *peer, uint64_t now_us);
+void peer_attempt_sent(struct peer *peer, uint64_t now_us);
+void peer_attempt_done(struct peer *peer);
+enum peer_action peer_before_use(const struct peer *peer, const struct peer_settings *settings,
+				 uint64_t now_us);
+enum peer_action peer_tick(struct peer *peer, const struct peer_settings *settings,
+			   uint64_t now_us);
+uint64_t peer_next_due_us(const struct peer *peer, const struct peer_settings *settings);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/decide/retry.c
@@ -0,0 +1,69 @@
+/*
+ * Retries. The tree's budget is split, never copied: what goes down with an attempt that may have
+ * run is spent, and only an attempt that certainly did not run gives its part back. A path from
+ * the root of a call tree to a leaf therefore holds at most budget retries, whatever its depth.
+ * The service's bucket bounds the fleet-wide share in an outage: first attempts fill it, retries
+ * empty it.
+ */
+#include "fescuemill/decide/retry.h"
+
+#include <stddef.h>
+
+#define RETRY_TOKEN_MILLI      1000U
+#define RETRY_PER_FIRST_MILLI  100U
+#define RETRY_BUCKET_MAX_MILLI (10 * RETRY_TOKEN_MILLI)
+
+/* Starts a call's part of the tree's budget from its header, or from the default when the header
+ * states none. Larger budgets are cut to RETRY_TREE_MAX. */
+void retry_tree_init(struct retry_tree *tree, bool stated, uint32_t budget)
+{
+	tree->left = stated ? budget : RETRY_TREE_DEFAULT;
+	tree->passed = 0;
+	if (tree->left > RETRY_TREE_MAX)
+		tree->left = RETRY_TREE_MAX;
+}
+
+/* Gives the part of the budget that goes down with the attempt about to be sent. An idempotent
+ * call keeps one retry back, to use if the attempt is lost after it may have run. */
+uint32_t retry_tree_pass(struct retry_tree *tree, bool idempotent)
+{
+	uint32_t kept = idempotent && tree->left > 0 ? 1 : 0;
+
+	tree->passed = tree->left - kept;
+	tree->left = kept;
+	return tree->passed;
+}
+
+/* Takes back what went down with an attempt that certainly did not run. */
+void retry_tree_return(struct retry_tree *tree)
+{
+	tree->left += tree->passed;
+	tree->passed = 0;
+}
+
+/* Starts a service's budget with one retry in hand, so that a rarely called service can retry. */
+void retry_bucket_init(struct retry_bucket *bucket)
+{
+	bucket->tokens_milli = RETRY_TOKEN_MILLI;
+}
+
+/* Adds a first attempt's fraction of a retry. */
+void retry_bucket_first_attempt(struct retry_bucket *bucket)
+{
+	bucket->tokens_milli += RETRY_PER_FIRST_MILLI;
+	if (bucket->tokens_milli > RETRY_BUCKET_MAX_MILLI)
+		bucket->tokens_milli = RETRY_BUCKET_MAX_MILLI;
+}
+
+/* Takes one retry out of both budgets, or out of neither. The bucket may be NULL: unbounded. */
+bool retry_take(struct retry_bucket *bucket, struct retry_tree *tree)
+{
+	if (tree->left == 0)
+		return false;
+	if (bucket && bucket->tokens_milli < RETRY_TOKEN_MILLI)
+		return false;
+	if (bucket)
+		bucket->tokens_milli -= RETRY_TOKEN_MILLI;
+	tree->left--;
+	return true;
+}
