Choose a gate by expected completion, with baselines

Change: decide/choice compares a few gates at each distance by round trip, aged queue, own attempts since, service time and the cost of errors; choice_baseline holds random, round robin, least in flight and two random choices behind an enum; choice_member keeps a rendezvous subset of gates for each failure domain.

--- a/src/fescuemill/decide/choice.h
+++ b/src/fescuemill/decide/choice.h
@@ -12,7 +12,8 @@
 void choice_default_settings(struct choice_settings *settings);
 int choice_create(struct choice **out, const struct choice_settings *settings, struct error *err);
 void choice_destroy(struct choice *choice);
-void choice_set_members(struct choice *choice, const struct choice_member *members, uint32_t count);
+int choice_set_members(struct choice *choice, const struct choice_member *members, uint32_t count,
+		       struct error *err);
 bool choice_pick(struct choice *choice, const struct choice_query *query, struct random *rng,
 		 uint64_t now_us, struct node_life *picked);
 void choice_sent(struct choice *choice, uint64_t node_id, uint64_t now_us);
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -29,11 +29,13 @@
 	enum choice_policy policy;
 	uint64_t own_id;			/* of this node, for the subset */
 	uint32_t gates_per_domain;		/* gates kept per failure domain */
+	uint32_t candidates;			/* gates compared at each distance */
 	uint32_t round_trip_us[DISTANCE_COUNT]; /* before one was measured */
-	uint32_t step_us[DISTANCE_COUNT];	/* must be won by this much over nearer gates */
-	uint32_t candidates;			/* gates compared by expected completion */
+	uint32_t step_us[DISTANCE_COUNT];	/* by how much a gate there must win */
 	uint32_t service_time_us;		/* before one was seen */
-	uint32_t load_age_us;			/* after this long a seen queue counts for 1/e */
+	uint32_t load_age_us;			/* a seen queue this old counts for 1/e */
+	uint32_t service_age_us;		/* likewise for a seen service time */
+	uint32_t error_age_us;			/* likewise for a seen error */
 	uint32_t error_penalty_us;		/* expected cost of an attempt that fails */
 };
 
--- /dev/null
+++ b/src/fescuemill/decide/choice_table.h
@@ -0,0 +1,39 @@
+/*
+ * The gates that one choice knows, shared by the choice and its baselines only.
+ */
+#ifndef FESCUEMILL_DECIDE_CHOICE_TABLE_H
+#define FESCUEMILL_DECIDE_CHOICE_TABLE_H
+
+#include "fescuemill/decide/choice_defs.h"
+
+/* What this entry knows of one gate. Times are on this node's clock. */
+struct choice_gate {
+	struct choice_member member;
+	uint64_t load_us;     /* when the load was seen; 0: never */
+	uint64_t service_us;  /* when the service time was seen; 0: never */
+	uint64_t error_us;    /* when error_rate was last changed */
+	uint64_t progress_us; /* last answer, or first attempt after none was in flight */
+	uint32_t in_flight;   /* attempts of this entry */
+	uint32_t sent_since;  /* of them sent since the load was seen */
+	uint32_t occupancy;   /* slots in use and attempts queued, as seen */
+	uint32_t limit;	      /* slots that the gate uses, as seen */
+	float service_time_us;
+	float round_trip_us;
+	float error_rate; /* 0 to 1 */
+};
+
+struct choice {
+	struct choice_settings settings;
+	float typical_service_us; /* of the answers to this entry */
+	uint32_t cursor;	  /* of round robin */
+	uint32_t count;
+	uint32_t starts[DISTANCE_COUNT + 1];	    /* where each distance begins in order */
+	uint16_t order[CHOICE_GATES_MAX];	    /* gates grouped by distance */
+	struct choice_gate gates[CHOICE_GATES_MAX]; /* sorted by distance, then domain */
+};
+
+bool choice_may_pick(const struct choice_gate *gate, const struct choice_query *query);
+int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
+			 struct random *rng);
+
+#endif
