Move the gate's table of attempts into a file of its own

Change: records and entry nodes live in attempt_gate_table.c; the steps stay. The forgotten sequence is raised for the call's own kind of link only: a large call on the bulk link may arrive after a later small one was refused.

--- a/src/fescuemill/decide/attempt_gate.c
+++ b/src/fescuemill/decide/attempt_gate.c
@@ -8,48 +8,12 @@
 #include "fescuemill/decide/attempt_gate.h"
 
 #include "fescuemill/chart/chart.h"
-#include "fescuemill/decide/due_heap.h"
-#include "fescuemill/decide/slot_map.h"
+#include "fescuemill/decide/attempt_gate_table.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #define REFUSED_KEEP_US 10000000ULL /* for a refusal whose deadline is not known */
 
-struct record {
-	struct attempt_id id;
-	void *user;
-	uint64_t deadline_us;
-	uint64_t bytes;
-	uint32_t epoch; /* of the latest message about it */
-	uint8_t state;	/* enum attempt_gate_state */
-	uint8_t outcome;
-	uint8_t reason;
-	bool has_answer;   /* the shell holds the answer's bytes */
-	bool came_by_call; /* the call itself was seen, by the link kind of call_kind */
-	uint8_t call_kind;
-};
-
-/* What is remembered of one entry node. */
-struct entry_peer {
-	struct node_life life;
-	uint64_t seen_us;
-	uint32_t records;
-	uint32_t epochs[LINK_KIND_COUNT];    /* highest seen */
-	uint64_t forgotten[LINK_KIND_COUNT]; /* highest sequence that left the table */
-};
-
-struct attempt_gate {
-	struct attempt_gate_settings settings;
-	struct slot_map record_map;
-	struct record *records;
-	struct due_heap due;
-	struct slot_map peer_map;
-	struct entry_peer *peers;
-	uint64_t bytes;
-	uint32_t live;
-};
-
 /* The arguments of one step, passed down together. */
 struct step {
 	struct attempt_gate *gate;
@@ -59,78 +23,6 @@
 	struct error *err;
 };
 
-static uint64_t record_hash(const struct attempt_id *id)
-{
-	return slot_hash(id->entry.node_id ^ id->entry.incarnation, id->sequence);
-}
-
-/* Finds an attempt; NULL when it is not in the table. */
-static struct record *record_find(struct attempt_gate *gate, const struct attempt_id *id)
-{
-	uint32_t slot = slot_map_first(&gate->record_map, record_hash(id));
-
-	for (; slot != SLOT_NONE; slot = slot_map_next(&gate->record_map, slot)) {
-		if (attempt_id_equal(&gate->records[slot].id, id))
-			return &gate->records[slot];
-	}
-	return NULL;
-}
-
-static uint32_t record_slot(const struct attempt_gate *gate, const struct record *rec)
-{
-	return (uint32_t)(rec - gate->records);
-}
-
-/* Finds what is remembered of an entry node; NULL when nothing is. */
-static struct entry_peer *peer_find(struct attempt_gate *gate, uint64_t node_id)
-{
-	uint32_t slot = slot_map_first(&gate->peer_map, slot_hash(node_id, 0));
-
-	for (; slot != SLOT_NONE; slot = slot_map_next(&gate->peer_map, slot)) {
-		if (gate->peers[slot].life.node_id == node_id)
-			return &gate->peers[slot];
-	}
-	return NULL;
-}
-
-/* Makes room in a full table of entry nodes: drops the one that was silent longest, if it has no
- * attempt here and was silent for longer than any deadline. */
-static bool peer_evict(struct attempt_gate *gate, uint64_t now_us)
-{
-	struct entry_peer *oldest = NULL;
-
-	for (uint32_t i = 0; i < gate->settings.entries_max; i++) {
-		struct entry_peer *peer = &gate->peers[i];
-
-		if (peer->records == 0 && (!oldest || peer->seen_us < oldest->seen_us))
-			oldest = peer;
-	}
-	if (!oldest || now_us < oldest->seen_us + CALL_DEADLINE_US_MAX)
-		return false;
-	slot_map_remove(&gate->peer_map, slot_hash(oldest->life.node_id, 0),
-			(uint32_t)(oldest - gate->peers));
-	return true;
-}
-
-/* Gives what is remembered of an entry node, starting anew for one not seen before; NULL when
- * there is no room. */
-static struct entry_peer *peer_get(struct attempt_gate *gate, const struct node_life *life,
-				   uint64_t now_us)
-{
-	struct entry_peer *peer = peer_find(gate, life->node_id);
-	uint32_t slot;
-
-	if (peer)
-		return peer;
-	if (gate->peer_map.count == gate->peer_map.capacity && !peer_evict(gate, now_us))
-		return NULL;
-	slot = slot_map_insert(&gate->peer_map, slot_hash(life->node_id, 0));
-	peer = &gate->peers[slot];
-	memset(peer, 0, sizeof(*peer));
-	peer->life = *life;
-	return peer;
-}
-
 /* Adds an action about an attempt. */
 static struct attempt_gate_action *emit(struct step *st, enum attempt_gate_action_type type,
 					const struct record *rec)
@@ -188,68 +80,11 @@
 	return 0;
 }
 
-/* Sets the bytes that the shell holds for a record. */
-static void record_set_bytes(struct attempt_gate *gate, struct record *rec, uint64_t bytes)
-{
-	gate->bytes += bytes - rec->bytes;
-	rec->bytes = bytes;
-}
-
-/* Raises the forgotten sequence of one link kind. */
-static void forgotten_raise(struct entry_peer *peer, uint32_t kind, uint64_t sequence)
-{
-	if (peer->forgotten[kind] < sequence)
-		peer->forgotten[kind] = sequence;
-}
-
-/* Notes that an attempt left the table. When its call was not seen, it may still come by either
- * kind of link. */
-static void forget_sequence(struct entry_peer *peer, const struct record *rec)
-{
-	if (peer->life.incarnation != rec->id.entry.incarnation)
-		return;
-	for (uint32_t kind = 0; kind < LINK_KIND_COUNT; kind++) {
-		if (!rec->came_by_call || rec->call_kind == kind)
-			forgotten_raise(peer, kind, rec->id.sequence);
-	}
-}
-
 /* Removes a record that reached the end of its chart. */
-static void record_remove(struct step *st, struct record *rec)
+static void record_end(struct step *st, struct record *rec)
 {
-	struct attempt_gate *gate = st->gate;
-	struct entry_peer *peer = peer_find(gate, rec->id.entry.node_id);
-	uint32_t slot = record_slot(gate, rec);
-
 	emit(st, GATE_ACTION_FREE, rec);
-	record_set_bytes(gate, rec, 0);
-	due_heap_remove(&gate->due, slot);
-	if (peer) {
-		forget_sequence(peer, rec);
-		peer->records--;
-	}
-	slot_map_remove(&gate->record_map, record_hash(&rec->id), slot);
-}
-
-/* Adds a record for the attempt of the event; NULL when the table is full. */
-static struct record *record_add(struct step *st, struct entry_peer *peer)
-{
-	struct attempt_gate *gate = st->gate;
-	uint32_t slot = slot_map_insert(&gate->record_map, record_hash(&st->event->id));
-	struct record *rec;
-
-	if (slot == SLOT_NONE)
-		return NULL;
-	rec = &gate->records[slot];
-	memset(rec, 0, sizeof(*rec));
-	rec->id = st->event->id;
-	rec->epoch = st->event->epoch;
-	rec->state = GATE_ATTEMPT_NEW;
-	rec->call_kind = (uint8_t)link_kind_of(st->event->epoch);
-	rec->came_by_call = st->event->type == GATE_EVENT_CALL;
-	rec->outcome = OUTCOME_UNKNOWN;
-	peer->records++;
-	return rec;
+	record_remove(st->gate, rec);
 }
 
 /* Gives when a record is to be forgotten if no acknowledgement comes. */
@@ -264,7 +99,7 @@
 	rec->outcome = OUTCOME_NOT_RUN;
 	rec->reason = (uint8_t)reason;
 	record_set_bytes(st->gate, rec, 0);
-	due_heap_set(&st->gate->due, record_slot(st->gate, rec), record_end_us(st, rec));
+	record_set_due(st->gate, rec, record_end_us(st, rec));
 }
 
 /* Refuses an attempt that is not in the table. A record keeps the refusal for repeats of the call;
@@ -273,11 +108,10 @@
 static int refuse_new(struct step *st, struct entry_peer *peer, enum attempt_gate_input input,
 		      enum call_reason reason, uint64_t deadline_us)
 {
-	struct record *rec = record_add(st, peer);
+	struct record *rec = record_add(st->gate, peer, &st->event->id, st->event->epoch);
 
 	if (!rec) {
-		for (uint32_t kind = 0; kind < LINK_KIND_COUNT; kind++)
-			forgotten_raise(peer, kind, st->event->id.sequence);
+		entry_peer_forget(peer, link_kind_of(st->event->epoch), st->event->id.sequence);
 		return reply_without_record(st, OUTCOME_NOT_RUN, reason);
 	}
 	if (record_move(st, rec, input))
@@ -330,12 +164,12 @@
 		left_us = CALL_DEADLINE_US_MAX;
 	if (reason != REASON_NONE)
 		return refuse_new(st, peer, GATE_INPUT_REFUSED, reason, st->now_us + left_us);
-	rec = record_add(st, peer);
+	rec = record_add(st->gate, peer, &st->event->id, st->event->epoch);
 	if (record_move(st, rec, GATE_INPUT_CALL))
 		return -1;
 	rec->deadline_us = st->now_us + left_us;
 	record_set_bytes(st->gate, rec, st->event->call.bytes);
-	due_heap_set(&st->gate->due, record_slot(st->gate, rec), rec->deadline_us);
+	record_set_due(st->gate, rec, rec->deadline_us);
 	emit(st, GATE_ACTION_OFFER, rec);
 	return 0;
 }
@@ -361,10 +195,8 @@
 		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_INCARNATION);
 	if (rec)
 		return reply_known(st, rec, GATE_INPUT_ASK);
-	for (uint32_t kind = 0; kind < LINK_KIND_COUNT; kind++) {
-		if (st->event->id.sequence <= peer->forgotten[kind])
-			return reply_without_record(st, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST);
-	}
+	if (entry_peer_forgot_any(peer, st->event->id.sequence))
+		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST);
 	return refuse_new(st, peer, GATE_INPUT_ASK, REASON_CONNECTION_LOST,
 			  st->now_us + REFUSED_KEEP_US);
 }
@@ -399,7 +231,7 @@
 	if (record_move(st, rec, GATE_INPUT_ACK))
 		return -1;
 	if (rec->state == GATE_ATTEMPT_FORGOTTEN)
-		record_remove(st, rec);
+		record_end(st, rec);
 	return 0;
 }
 
@@ -407,7 +239,7 @@
 static int on_message(struct step *st)
 {
 	const struct attempt_id *id = &st->event->id;
-	struct entry_peer *peer = peer_get(st->gate, &id->entry, st->now_us);
+	struct entry_peer *peer = entry_peer_get(st->gate, &id->entry, st->now_us);
 	enum link_kind kind = link_kind_of(st->event->epoch);
 	struct record *rec;
 
@@ -416,9 +248,7 @@
 	if (id->entry.incarnation < peer->life.incarnation)
 		return drop(st, REASON_INCARNATION);
 	if (id->entry.incarnation > peer->life.incarnation) {
-		peer->life.incarnation = id->entry.incarnation;
-		memset(peer->epochs, 0, sizeof(peer->epochs));
-		memset(peer->forgotten, 0, sizeof(peer->forgotten));
+		entry_peer_restarted(peer, id->entry.incarnation);
 	}
 	if (st->event->epoch < peer->epochs[kind])
 		return drop(st, REASON_STALE_EPOCH);
@@ -469,7 +299,7 @@
 	rec->outcome = (uint8_t)st->event->finished.outcome;
 	rec->reason = (uint8_t)st->event->finished.reason;
 	record_set_bytes(st->gate, rec, 0);
-	due_heap_set(&st->gate->due, record_slot(st->gate, rec), record_end_us(st, rec));
+	record_set_due(st->gate, rec, record_end_us(st, rec));
 	emit(st, is_answered ? GATE_ACTION_REPLY_ANSWER : GATE_ACTION_REPLY_OUTCOME, rec);
 	if (!is_answered)
 		return 0;
@@ -493,13 +323,13 @@
 	if (!is_running && rec->state != GATE_ATTEMPT_WAITING) {
 		if (record_move(st, rec, GATE_INPUT_EXPIRE))
 			return -1;
-		record_remove(st, rec);
+		record_end(st, rec);
 		return 0;
 	}
 	if (record_move(st, rec, GATE_INPUT_DEADLINE))
 		return -1;
 	if (is_running) {
-		due_heap_set(&st->gate->due, record_slot(st->gate, rec), record_end_us(st, rec));
+		record_set_due(st->gate, rec, record_end_us(st, rec));
 		emit(st, GATE_ACTION_CANCEL_RUN, rec);
 		return 0;
 	}
@@ -525,49 +355,6 @@
 	return 0;
 }
 
-/* Makes an empty table. Errors: ERROR_MEMORY, ERROR_RANGE for a live_max above records_max, and
- * those of charts_load. */
-int attempt_gate_create(struct attempt_gate **out, const struct attempt_gate_settings *settings,
-			struct error *err)
-{
-	struct attempt_gate *gate;
-
-	if (charts_load(err))
-		return -1;
-	if (settings->live_max > settings->records_max || settings->entries_max == 0)
-		return error_set(err, ERROR_RANGE, "live_max %u, records_max %u, entries_max %u",
-				 settings->live_max, settings->records_max, settings->entries_max);
-	gate = calloc(1, sizeof(*gate));
-	if (!gate)
-		return error_set(err, ERROR_MEMORY, "attempt table");
-	gate->settings = *settings;
-	gate->records = calloc(settings->records_max + 1, sizeof(*gate->records));
-	gate->peers = calloc(settings->entries_max, sizeof(*gate->peers));
-	if (!gate->records || !gate->peers ||
-	    slot_map_init(&gate->record_map, settings->records_max, err) ||
-	    slot_map_init(&gate->peer_map, settings->entries_max, err) ||
-	    due_heap_init(&gate->due, settings->records_max, err)) {
-		attempt_gate_destroy(gate);
-		return error_set(err, ERROR_MEMORY, "attempt table of %u records",
-				 settings->records_max);
-	}
-	*out = gate;
-	return 0;
-}
-
-/* Frees the table. What user pointers hold is the shell's to free. */
-void attempt_gate_destroy(struct attempt_gate *gate)
-{
-	if (!gate)
-		return;
-	slot_map_release(&gate->record_map);
-	slot_map_release(&gate->peer_map);
-	due_heap_release(&gate->due);
-	free(gate->records);
-	free(gate->peers);
-	free(gate);
-}
-
 /* Takes one event and fills the actions to do in their order. Errors: ERROR_STATE when the chart
  * does not allow the event for its attempt; then there is no action. */
 int attempt_gate_step(struct attempt_gate *gate, const struct attempt_gate_event *event,
--- /dev/null
+++ b/src/fescuemill/decide/attempt_gate_table.c
@@ -0,0 +1,199 @@
+/*
+ * The table behind the attempts at the gate. All memory is taken at the start.
+ */
+#include "fescuemill/decide/attempt_gate_table.h"
+
+#include "fescuemill/chart/chart.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Hashes an attempt identity. */
+static uint64_t record_hash(const struct attempt_id *id)
+{
+	return slot_hash(id->entry.node_id ^ id->entry.incarnation, id->sequence);
+}
+
+/* Finds an attempt; NULL when it is not in the table. */
+struct record *record_find(struct attempt_gate *gate, const struct attempt_id *id)
+{
+	uint32_t slot = slot_map_first(&gate->record_map, record_hash(id));
+
+	for (; slot != SLOT_NONE; slot = slot_map_next(&gate->record_map, slot)) {
+		if (attempt_id_equal(&gate->records[slot].id, id))
+			return &gate->records[slot];
+	}
+	return NULL;
+}
+
+/* Gives the number of a record. */
+uint32_t record_slot(const struct attempt_gate *gate, const struct record *rec)
+{
+	return (uint32_t)(rec - gate->records);
+}
+
+/* Finds what is remembered of an entry node; NULL when nothing is. */
+static struct entry_peer *peer_find(struct attempt_gate *gate, uint64_t node_id)
+{
+	uint32_t slot = slot_map_first(&gate->peer_map, slot_hash(node_id, 0));
+
+	for (; slot != SLOT_NONE; slot = slot_map_next(&gate->peer_map, slot)) {
+		if (gate->peers[slot].life.node_id == node_id)
+			return &gate->peers[slot];
+	}
+	return NULL;
+}
+
+/* Makes room in a full table of entry nodes: drops the one that was silent longest, if it has no
+ * attempt here and was silent for longer than any deadline. */
+static bool peer_evict(struct attempt_gate *gate, uint64_t now_us)
+{
+	struct entry_peer *oldest = NULL;
+
+	for (uint32_t i = 0; i < gate->settings.entries_max; i++) {
+		struct entry_peer *peer = &gate->peers[i];
+
+		if (peer->records == 0 && (!oldest || peer->seen_us < oldest->seen_us))
+			oldest = peer;
+	}
+	if (!oldest || now_us < oldest->seen_us + CALL_DEADLINE_US_MAX)
+		return false;
+	slot_map_remove(&gate->peer_map, slot_hash(oldest->life.node_id, 0),
+			(uint32_t)(oldest - gate->peers));
+	return true;
+}
+
+/* Gives what is remembered of an entry node, starting anew for one not seen before; NULL when
+ * there is no room. */
+struct entry_peer *entry_peer_get(struct attempt_gate *gate, const struct node_life *life,
+				  uint64_t now_us)
+{
+	struct entry_peer *peer = peer_find(gate, life->node_id);
+	uint32_t slot;
+
+	if (peer)
+		return peer;
+	if (gate->peer_map.count == gate->peer_map.capacity && !peer_evict(gate, now_us))
+		return NULL;
+	slot = slot_map_insert(&gate->peer_map, slot_hash(life->node_id, 0));
+	peer = &gate->peers[slot];
+	memset(peer, 0, sizeof(*peer));
+	peer->life = *life;
+	return peer;
+}
+
+/* Sets the bytes that the shell holds for a record. */
+void record_set_bytes(struct attempt_gate *gate, struct record *rec, uint64_t bytes)
+{
+	gate->bytes += bytes - rec->bytes;
+	rec->bytes = bytes;
+}
+
+/* Notes a sequence as forgotten on one kind of link. */
+void entry_peer_forget(struct entry_peer *peer, enum link_kind kind, uint64_t sequence)
+{
+	if (peer->forgotten[kind] < sequence)
+		peer->forgotten[kind] = sequence;
+}
+
+/* Adds a record for an attempt; NULL when the table is full. */
+struct record *record_add(struct attempt_gate *gate, struct entry_peer *peer,
+			  const struct attempt_id *id, uint32_t epoch)
+{
+	uint32_t slot = slot_map_insert(&gate->record_map, record_hash(id));
+	struct record *rec;
+
+	if (slot == SLOT_NONE)
+		return NULL;
+	rec = &gate->records[slot];
+	memset(rec, 0, sizeof(*rec));
+	rec->id = *id;
+	rec->epoch = epoch;
+	rec->state = GATE_ATTEMPT_NEW;
+	rec->call_kind = (uint8_t)link_kind_of(epoch);
+	rec->outcome = OUTCOME_UNKNOWN;
+	peer->records++;
+	return rec;
+}
+
+/* Takes a record out of the table and notes its sequence as forgotten. */
+void record_remove(struct attempt_gate *gate, struct record *rec)
+{
+	struct entry_peer *peer = peer_find(gate, rec->id.entry.node_id);
+	uint32_t slot = record_slot(gate, rec);
+
+	record_set_bytes(gate, rec, 0);
+	due_heap_remove(&gate->due, slot);
+	if (peer && peer->life.incarnation == rec->id.entry.incarnation)
+		entry_peer_forget(peer, (enum link_kind)rec->call_kind, rec->id.sequence);
+	if (peer)
+		peer->records--;
+	slot_map_remove(&gate->record_map, record_hash(&rec->id), slot);
+}
+
+/* Sets when a record is due. */
+void record_set_due(struct attempt_gate *gate, const struct record *rec, uint64_t due_us)
+{
+	due_heap_set(&gate->due, record_slot(gate, rec), due_us);
+}
+
+/* Notes a later life of an entry node: its epochs and sequences begin anew. */
+void entry_peer_restarted(struct entry_peer *peer, uint64_t incarnation)
+{
+	peer->life.incarnation = incarnation;
+	memset(peer->epochs, 0, sizeof(peer->epochs));
+	memset(peer->forgotten, 0, sizeof(peer->forgotten));
+}
+
+/* Tells whether an attempt that is not in the table may have been here before. */
+bool entry_peer_forgot_any(const struct entry_peer *peer, uint64_t sequence)
+{
+	for (uint32_t kind = 0; kind < LINK_KIND_COUNT; kind++) {
+		if (sequence <= peer->forgotten[kind])
+			return true;
+	}
+	return false;
+}
+
+/* Makes an empty table. Errors: ERROR_MEMORY, ERROR_RANGE for a live_max above records_max, and
+ * those of charts_load. */
+int attempt_gate_create(struct attempt_gate **out, const struct attempt_gate_settings *settings,
+			struct error *err)
+{
+	struct attempt_gate *gate;
+
+	if (charts_load(err))
+		return -1;
+	if (settings->live_max > settings->records_max || settings->entries_max == 0)
+		return error_set(err, ERROR_RANGE, "live_max %u, records_max %u, entries_max %u",
+				 settings->live_max, settings->records_max, settings->entries_max);
+	gate = calloc(1, sizeof(*gate));
+	if (!gate)
+		return error_set(err, ERROR_MEMORY, "attempt table");
+	gate->settings = *settings;
+	gate->records = calloc(settings->records_max + 1, sizeof(*gate->records));
+	gate->peers = calloc(settings->entries_max, sizeof(*gate->peers));
+	if (!gate->records || !gate->peers ||
+	    slot_map_init(&gate->record_map, settings->records_max, err) ||
+	    slot_map_init(&gate->peer_map, settings->entries_max, err) ||
+	    due_heap_init(&gate->due, settings->records_max, err)) {
+		attempt_gate_destroy(gate);
+		return error_set(err, ERROR_MEMORY, "attempt table of %u records",
+				 settings->records_max);
+	}
+	*out = gate;
+	return 0;
+}
+
+/* Frees the table. What user pointers hold is the shell's to free. */
+void attempt_gate_destroy(struct attempt_gate *gate)
+{
+	if (!gate)
+		return;
+	slot_map_release(&gate->record_map);
+	slot_map_release(&gate->peer_map);
+	due_heap_release(&gate->due);
+	free(gate->records);
+	free(gate->peers);
+	free(gate);
+}
