--- a/src/fescuemill/decide/peer.c
+++ b/src/fescuemill/decide/peer.c
@@ -5,6 +5,8 @@
  */
 #include "fescuemill/decide/peer.h"
 
+#include "fescuemill/chart/chart.h"
+
 #include <string.h>
 
 #define PEER_QUIET_US	  100000
@@ -17,6 +19,16 @@
 	.idle_max_us = PEER_IDLE_MAX_US,
 };
 
+/* Moves the link along its chart. An event that the chart does not define in the present state, as
+ * a message from a closed connection, changes nothing. */
+static void peer_move(struct peer *peer, enum connection_input input)
+{
+	uint32_t next;
+
+	if (chart_next(CHART_CONNECTION, peer->state, input, &next, NULL) == 0)
+		peer->state = (uint8_t)next;
+}
+
 /* Starts a link of a kind that has never been open. */
 void peer_init(struct peer *peer, enum link_kind kind)
 {
@@ -32,7 +44,7 @@
 	uint32_t nth = peer->epoch / LINK_KIND_COUNT + 1;
 
 	peer->epoch = link_epoch((enum link_kind)peer->kind, nth);
-	peer->state = PEER_OPEN;
+	peer_move(peer, CONNECTION_INPUT_OPENED);
 	peer->heard_us = now_us;
 	peer->used_us = now_us;
 	peer->waits_us = now_us;
@@ -42,15 +54,14 @@
 /* Notes that the connection was closed and not replaced. */
 void peer_closed(struct peer *peer)
 {
-	peer->state = PEER_CLOSED;
+	peer_move(peer, CONNECTION_INPUT_CLOSED);
 }
 
 /* Notes a message from the gate over the present connection. */
 void peer_heard(struct peer *peer, uint64_t now_us)
 {
 	peer->heard_us = now_us;
-	if (peer->state == PEER_PINGED)
-		peer->state = PEER_OPEN;
+	peer_move(peer, CONNECTION_INPUT_HEARD);
 }
 
 /* Notes that an attempt was sent; an answer is due. */
@@ -86,14 +97,22 @@
 	return peer->heard_us > peer->waits_us ? peer->heard_us : peer->waits_us;
 }
 
+/* Tells whether this process slept through the wait for the answer to its ping, which may then
+ * have been answered without being read yet. */
+static bool peer_overslept(const struct peer *peer, const struct peer_settings *settings,
+			   uint64_t now_us)
+{
+	return now_us >= peer->pinged_us + 2 * settings->ping_wait_us;
+}
+
 /* Tells what is due now: a ping after silence, a replacement after an unanswered ping. */
 enum peer_action peer_tick(struct peer *peer, const struct peer_settings *settings, uint64_t now_us)
 {
 	if (now_us < peer_next_due_us(peer, settings))
 		return PEER_NOTHING;
-	if (peer->state == PEER_PINGED)
+	if (peer->state == PEER_PINGED && !peer_overslept(peer, settings, now_us))
 		return PEER_REPLACE;
-	peer->state = PEER_PINGED;
+	peer_move(peer, CONNECTION_INPUT_QUIET);
 	peer->pinged_us = now_us;
 	peer->used_us = now_us;
 	return PEER_PING;
--- /dev/null
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -0,0 +1,235 @@
+// Unit tests of one call at the entry.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fescuemill/chart/chart.h"
+#include "fescuemill/decide/attempt_entry.h"
+}
+
+namespace
+{
+constexpr uint64_t DEADLINE_US = 10000;
+
+class AttemptEntry : public ::testing::Test
+{
+      protected:
+	attempt_entry call;
+	retry_bucket bucket;
+	attempt_entry_actions out;
+	error err;
+	uint64_t sequence = 0;
+
+	void SetUp() override
+	{
+		ASSERT_EQ(0, charts_load(&err)) << err.detail;
+		retry_bucket_init(&bucket);
+		begin(true);
+	}
+
+	void begin(bool idempotent, bool keyed = false)
+	{
+		attempt_entry_settings settings = {DEADLINE_US, 1000, idempotent, keyed, false, 0};
+
+		attempt_entry_init(&call, &settings);
+		EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_START));
+	}
+
+	// Steps, and returns the type of the last action, or -1 when there are none.
+	int step(const attempt_entry_event &event, uint64_t now_us = 100)
+	{
+		EXPECT_EQ(0, attempt_entry_step(&call, &event, &bucket, now_us, &out, &err))
+			<< err.detail;
+		return out.count ? (int)out.list[out.count - 1].type : -1;
+	}
+
+	int step(attempt_entry_event_type type, uint64_t now_us = 100)
+	{
+		attempt_entry_event event = {};
+
+		event.type = type;
+		return step(event, now_us);
+	}
+
+	int choose(uint64_t gate, uint64_t now_us = 100)
+	{
+		attempt_entry_event event = {};
+
+		event.type = ENTRY_EVENT_CHOSEN;
+		event.chosen.gate = {gate, 1};
+		event.chosen.id = {{1, 1}, ++sequence};
+		event.chosen.epoch = link_epoch(LINK_CALLS, 1);
+		return step(event, now_us);
+	}
+
+	int answer(uint64_t of, call_outcome outcome, call_reason reason = REASON_NONE,
+		   uint64_t now_us = 100)
+	{
+		attempt_entry_event event = {};
+
+		event.type = ENTRY_EVENT_ANSWER;
+		event.answer.id = {{1, 1}, of};
+		event.answer.outcome = outcome;
+		event.answer.reason = reason;
+		return step(event, now_us);
+	}
+
+	int replaced(uint32_t epoch)
+	{
+		attempt_entry_event event = {};
+
+		event.type = ENTRY_EVENT_LINK_REPLACED;
+		event.link_replaced.epoch = epoch;
+		return step(event);
+	}
+
+	void expect_told(call_outcome outcome, call_reason reason)
+	{
+		ASSERT_GT(out.count, 0U);
+		EXPECT_EQ(ENTRY_ACTION_FINISH, out.list[out.count - 1].type);
+		EXPECT_EQ(outcome, out.list[out.count - 1].outcome);
+		EXPECT_EQ(reason, out.list[out.count - 1].reason);
+	}
+};
+} // namespace
+
+TEST_F(AttemptEntry, AnswerIsAcknowledgedAndTold)
+{
+	EXPECT_EQ(ENTRY_ACTION_SEND_CALL, choose(5));
+	EXPECT_EQ(DEADLINE_US - 100 - 1000, out.list[0].time_left_us);
+	EXPECT_EQ(ENTRY_ACTION_FINISH, answer(1, OUTCOME_ANSWERED));
+	EXPECT_EQ(ENTRY_ACTION_SEND_ACK, out.list[0].type);
+	expect_told(OUTCOME_ANSWERED, REASON_NONE);
+	EXPECT_EQ(ENTRY_ACTION_SEND_ACK, answer(1, OUTCOME_ANSWERED));
+	EXPECT_EQ(-1, step(ENTRY_EVENT_TICK, DEADLINE_US));
+}
+
+TEST_F(AttemptEntry, RefusalIsRetriedElsewhereWithinTheBudget)
+{
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(1, OUTCOME_NOT_RUN, REASON_OVERLOAD));
+	EXPECT_EQ(1, call.excluded_count);
+	EXPECT_EQ(5U, call.excluded[0]);
+	choose(6);
+	answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	expect_told(OUTCOME_NOT_RUN, REASON_OVERLOAD);
+}
+
+TEST_F(AttemptEntry, NonIdempotentIsRetriedAfterARefusalToo)
+{
+	begin(false);
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(1, OUTCOME_NOT_RUN, REASON_SHED));
+}
+
+TEST_F(AttemptEntry, BadRequestIsNotRetried)
+{
+	choose(5);
+	answer(1, OUTCOME_NOT_RUN, REASON_UNKNOWN_CLASS);
+	expect_told(OUTCOME_NOT_RUN, REASON_UNKNOWN_CLASS);
+}
+
+TEST_F(AttemptEntry, LostIdempotentAttemptIsRetriedAndNotRunIsNeverSaidAfterIt)
+{
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_GATE_GONE));
+	choose(6);
+	answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	expect_told(OUTCOME_UNKNOWN, REASON_OVERLOAD);
+}
+
+TEST_F(AttemptEntry, LostNonIdempotentAttemptIsUnknown)
+{
+	begin(false);
+	choose(5);
+	step(ENTRY_EVENT_GATE_GONE);
+	expect_told(OUTCOME_UNKNOWN, REASON_CONNECTION_LOST);
+}
+
+TEST_F(AttemptEntry, SilentLinkIsReplacedAndTheSameAttemptAskedAgain)
+{
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_SEND_ASK, replaced(link_epoch(LINK_CALLS, 2)));
+	EXPECT_EQ(1U, out.list[0].target.id.sequence);
+	EXPECT_EQ(link_epoch(LINK_CALLS, 2), out.list[0].target.epoch);
+	EXPECT_EQ(-1, replaced(link_epoch(LINK_BULK, 2)));
+	EXPECT_EQ(ENTRY_ACTION_SEND_ASK, replaced(link_epoch(LINK_CALLS, 3)));
+	answer(1, OUTCOME_ANSWERED);
+	expect_told(OUTCOME_ANSWERED, REASON_NONE);
+}
+
+TEST_F(AttemptEntry, HeldAnswerIsFetchedOverTheBulkLink)
+{
+	attempt_entry_event held = {};
+
+	choose(5);
+	held.type = ENTRY_EVENT_HELD;
+	held.about.id = {{1, 1}, 1};
+	EXPECT_EQ(ENTRY_ACTION_ASK_BULK, step(held));
+	EXPECT_EQ(-1, step(held));
+	EXPECT_EQ(ENTRY_ACTION_ASK_BULK, replaced(link_epoch(LINK_BULK, 2)));
+	answer(1, OUTCOME_ANSWERED);
+	expect_told(OUTCOME_ANSWERED, REASON_NONE);
+}
+
+TEST_F(AttemptEntry, LateAnswerOfAnAbandonedAttemptIsNotTaken)
+{
+	choose(5);
+	step(ENTRY_EVENT_GATE_GONE);
+	EXPECT_EQ(ENTRY_ACTION_SEND_ACK, answer(1, OUTCOME_ANSWERED));
+	choose(6);
+	EXPECT_EQ(ENTRY_ACTION_SEND_ACK, answer(1, OUTCOME_ANSWERED));
+	EXPECT_EQ(ENTRY_SENT, call.state);
+}
+
+TEST_F(AttemptEntry, DeadlineTellsNotRunOnlyWhileNothingWasSent)
+{
+	step(ENTRY_EVENT_TICK, DEADLINE_US);
+	expect_told(OUTCOME_NOT_RUN, REASON_EXPIRED);
+	begin(true);
+	choose(5);
+	answer(1, OUTCOME_NOT_RUN, REASON_EXPIRED, DEADLINE_US);
+	expect_told(OUTCOME_UNKNOWN, REASON_EXPIRED);
+	EXPECT_EQ(ENTRY_ACTION_SEND_CANCEL, out.list[0].type);
+}
+
+TEST_F(AttemptEntry, CallerGoneCancelsTheAttempt)
+{
+	choose(5);
+	step(ENTRY_EVENT_CALLER_GONE);
+	EXPECT_EQ(ENTRY_ACTION_SEND_CANCEL, out.list[0].type);
+	expect_told(OUTCOME_UNKNOWN, REASON_CANCELLED);
+}
+
+TEST_F(AttemptEntry, SendFailureIsNotRun)
+{
+	begin(false);
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_SEND_FAILED));
+	attempt_entry_event none = {};
+	none.type = ENTRY_EVENT_NO_GATE;
+	none.no_gate.reason = REASON_NO_BACKEND;
+	step(none);
+	expect_told(OUTCOME_NOT_RUN, REASON_NO_BACKEND);
+}
+
+TEST_F(AttemptEntry, KeyedCallStaysAtItsHome)
+{
+	begin(false, true);
+	choose(5);
+	answer(1, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	expect_told(OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	begin(false, true);
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(2, OUTCOME_NOT_RUN, REASON_INCARNATION));
+	EXPECT_EQ(0, call.excluded_count);
+}
+
+TEST_F(AttemptEntry, EventThatTheChartForbidsIsATypedError)
+{
+	attempt_entry_event failed = {};
+
+	failed.type = ENTRY_EVENT_SEND_FAILED;
+	EXPECT_EQ(-1, attempt_entry_step(&call, &failed, &bucket, 100, &out, &err));
+	EXPECT_EQ(ERROR_STATE, err.kind);
+	EXPECT_EQ(0U, out.count);
+}
--- /dev/null
+++ b/test/unit/decide/peer_test.cc
@@ -0,0 +1,81 @@
+// Unit tests of the link state.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fescuemill/chart/chart.h"
+#include "fescuemill/decide/peer.h"
+}
+
+namespace
+{
+const peer_settings settings = {100, 150, 10000};
+
+peer open_peer()
+{
+	peer peer;
+	error err;
+
+	EXPECT_EQ(0, charts_load(&err)) << err.detail;
+	peer_init(&peer, LINK_BULK);
+	EXPECT_EQ(PEER_REPLACE, peer_before_use(&peer, &settings, 0));
+	EXPECT_EQ(link_epoch(LINK_BULK, 1), peer_opened(&peer, 0));
+	return peer;
+}
+} // namespace
+
+TEST(Peer, AnIdleLinkIsNotPinged)
+{
+	peer peer = open_peer();
+
+	EXPECT_EQ(UINT64_MAX, peer_next_due_us(&peer, &settings));
+	EXPECT_EQ(PEER_NOTHING, peer_tick(&peer, &settings, 9999));
+}
+
+TEST(Peer, SilenceWhileAnAnswerIsDueIsPingedThenReplaced)
+{
+	peer peer = open_peer();
+
+	peer_attempt_sent(&peer, 50);
+	EXPECT_EQ(150U, peer_next_due_us(&peer, &settings));
+	EXPECT_EQ(PEER_NOTHING, peer_tick(&peer, &settings, 149));
+	EXPECT_EQ(PEER_PING, peer_tick(&peer, &settings, 150));
+	EXPECT_EQ(PEER_NOTHING, peer_tick(&peer, &settings, 299));
+	EXPECT_EQ(PEER_REPLACE, peer_tick(&peer, &settings, 300));
+	EXPECT_EQ(link_epoch(LINK_BULK, 2), peer_opened(&peer, 300));
+	EXPECT_EQ(PEER_NOTHING, peer_tick(&peer, &settings, 399));
+	EXPECT_EQ(PEER_PING, peer_tick(&peer, &settings, 400));
+}
+
+TEST(Peer, AnythingHeardEndsThePing)
+{
+	peer peer = open_peer();
+
+	peer_attempt_sent(&peer, 0);
+	EXPECT_EQ(PEER_PING, peer_tick(&peer, &settings, 100));
+	peer_heard(&peer, 120);
+	EXPECT_EQ(220U, peer_next_due_us(&peer, &settings));
+	peer_attempt_done(&peer);
+	EXPECT_EQ(UINT64_MAX, peer_next_due_us(&peer, &settings));
+}
+
+TEST(Peer, AnEntryThatWasPausedPingsAgainBeforeItReplaces)
+{
+	peer peer = open_peer();
+
+	peer_attempt_sent(&peer, 0);
+	EXPECT_EQ(PEER_PING, peer_tick(&peer, &settings, 100));
+	EXPECT_EQ(PEER_PING, peer_tick(&peer, &settings, 5000));
+	EXPECT_EQ(PEER_REPLACE, peer_tick(&peer, &settings, 5150));
+}
+
+TEST(Peer, ALongUnusedLinkIsReplacedBeforeUse)
+{
+	peer peer = open_peer();
+
+	EXPECT_EQ(PEER_NOTHING, peer_before_use(&peer, &settings, 9999));
+	EXPECT_EQ(PEER_REPLACE, peer_before_use(&peer, &settings, 10000));
+	peer_attempt_sent(&peer, 100);
+	EXPECT_EQ(PEER_NOTHING, peer_before_use(&peer, &settings, 10100));
+	peer_closed(&peer);
+	EXPECT_EQ(PEER_REPLACE, peer_before_use(&peer, &settings, 200));
+}
--- /dev/null
+++ b/test/unit/decide/retry_test.cc
@@ -0,0 +1,66 @@
+// Unit tests of the retry budgets.
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "fescuemill/decide/retry.h"
+}
+
+TEST(Retry, TreeBudgetComesFromTheHeaderAndIsCut)
+{
+	retry_tree tree;
+
+	retry_tree_init(&tree, false, 0);
+	EXPECT_EQ((uint32_t)RETRY_TREE_DEFAULT, tree.left);
+	retry_tree_init(&tree, true, 0);
+	EXPECT_EQ(0U, tree.left);
+	retry_tree_init(&tree, true, 1000);
+	EXPECT_EQ((uint32_t)RETRY_TREE_MAX, tree.left);
+}
+
+TEST(Retry, WhatGoesDownWithAnAttemptIsSpentUnlessItDidNotRun)
+{
+	retry_tree tree;
+
+	retry_tree_init(&tree, true, 3);
+	EXPECT_EQ(2U, retry_tree_pass(&tree, true));
+	EXPECT_EQ(1U, tree.left);
+	retry_tree_return(&tree);
+	EXPECT_EQ(3U, tree.left);
+	EXPECT_EQ(3U, retry_tree_pass(&tree, false));
+	EXPECT_FALSE(retry_take(nullptr, &tree));
+	retry_tree_return(&tree);
+	EXPECT_TRUE(retry_take(nullptr, &tree));
+	EXPECT_EQ(2U, tree.left);
+}
+
+TEST(Retry, BucketGivesATenthOfFirstAttempts)
+{
+	retry_bucket bucket;
+	retry_tree tree;
+	int taken = 0;
+
+	retry_bucket_init(&bucket);
+	for (int i = 0; i < 1000; i++) {
+		retry_tree_init(&tree, true, 3);
+		retry_bucket_first_attempt(&bucket);
+		taken += retry_take(&bucket, &tree);
+	}
+	EXPECT_GE(taken, 100);
+	EXPECT_LE(taken, 101);
+}
+
+TEST(Retry, BucketDoesNotFillWithoutBound)
+{
+	retry_bucket bucket;
+	retry_tree tree;
+	int taken = 0;
+
+	retry_bucket_init(&bucket);
+	for (int i = 0; i < 100000; i++)
+		retry_bucket_first_attempt(&bucket);
+	for (int i = 0; i < 100; i++) {
+		retry_tree_init(&tree, true, 3);
+		taken += retry_take(&bucket, &tree);
+	}
+	EXPECT_EQ(10, taken);
+}
