--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -27,5 +27,5 @@
 cppcheck --quiet --error-exitcode=1 --enable=warning,performance,portability --std=c11 \
 	--inline-suppr --suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
 	-D_GNU_SOURCE -DH2O_USE_LIBUV=1 -I src -j "$(nproc)" "${product[@]}"
-printf '%s\n' "${product[@]}" | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build/release \
+printf '%s\n' "${product[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build/release \
 	2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
--- a/src/fescuemill/decide/call_defs.h
+++ b/src/fescuemill/decide/call_defs.h
@@ -17,7 +17,7 @@
 
 #define CLASSES_PER_SERVICE_MAX 16
 #define CALL_DEPTH_MAX		20
-#define CALL_BODY_BYTES_MAX	(8U * 1024 * 1024)
+#define CALL_BODY_BYTES_MAX	(8U << 20)
 #define CALL_DEADLINE_US_MAX	(600ULL * 1000 * 1000)
 
 /* The process life of one node: a new one for each start, never reused. */
--- /dev/null
+++ b/src/fescuemill/wire/bounds.h
@@ -0,0 +1,19 @@
+/*
+ * Bounds: checks msgpack bytes before they are unpacked, so that a length field cannot make the
+ * unpacker reserve memory that the bytes do not justify.
+ */
+#ifndef FESCUEMILL_WIRE_BOUNDS_H
+#define FESCUEMILL_WIRE_BOUNDS_H
+
+#include "fescuemill/base/error.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define BOUNDS_ITEMS_MAX 1024
+
+/* Accepts exactly one msgpack value of at most BOUNDS_ITEMS_MAX items that fills the bytes.
+ * Errors: ERROR_TRUNCATED, ERROR_SYNTAX, ERROR_TOO_LARGE. */
+int bounds_check(const uint8_t *data, size_t size, struct error *err);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/wire/codec.c
@@ -0,0 +1,428 @@
+/*
+ * Codec of node messages. A message is [version, type, epoch, entry id, entry incarnation,
+ * sequence, [fields...]]. Fields are appended only: a reader ignores those that it does not know.
+ */
+#include "fescuemill/wire/codec.h"
+
+#include "fescuemill/wire/bounds.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define ENVELOPE_ITEMS 7
+
+/* Packs one string of bounded size that ends with NUL. */
+static void pack_name(msgpack_packer *pk, const char *name)
+{
+	msgpack_pack_str_with_body(pk, name, strlen(name));
+}
+
+/* Packs borrowed bytes. */
+static void pack_bytes(msgpack_packer *pk, const struct wire_bytes *bytes)
+{
+	msgpack_pack_bin_with_body(pk, bytes->data, bytes->size);
+}
+
+/* Packs a list of headers as one flat array of names and values. */
+static void pack_headers(msgpack_packer *pk, const struct wire_headers *headers)
+{
+	msgpack_pack_array(pk, 2 * (size_t)headers->count);
+	for (uint32_t i = 0; i < headers->count; i++) {
+		pack_bytes(pk, &headers->list[i].name);
+		pack_bytes(pk, &headers->list[i].value);
+	}
+}
+
+/* Packs a gate's load. */
+static void pack_load(msgpack_packer *pk, const struct gate_load *load)
+{
+	msgpack_pack_array(pk, 6);
+	msgpack_pack_uint32(pk, load->in_use);
+	msgpack_pack_uint32(pk, load->limit);
+	msgpack_pack_uint32(pk, load->queued);
+	msgpack_pack_uint32(pk, load->service_time_us);
+	msgpack_pack_uint32(pk, load->wait_us);
+	msgpack_pack_uint8(pk, load->state);
+}
+
+/* Packs the fields of a call. */
+static void pack_call(msgpack_packer *pk, const struct message_call *call)
+{
+	msgpack_pack_array(pk, 12);
+	msgpack_pack_uint64(pk, call->gate_incarnation);
+	pack_name(pk, call->service);
+	pack_name(pk, call->class_name);
+	msgpack_pack_uint64(pk, call->time_left_us);
+	msgpack_pack_uint32(pk, call->depth);
+	msgpack_pack_uint32(pk, call->retries_left);
+	msgpack_pack_uint8(pk, call->idempotent);
+	pack_bytes(pk, &call->key);
+	pack_bytes(pk, &call->method);
+	pack_bytes(pk, &call->path);
+	pack_headers(pk, &call->headers);
+	pack_bytes(pk, &call->body);
+}
+
+/* Packs the fields of an answer. */
+static void pack_answer(msgpack_packer *pk, const struct message_answer *answer)
+{
+	msgpack_pack_array(pk, 9);
+	msgpack_pack_uint8(pk, (uint8_t)answer->outcome);
+	msgpack_pack_uint8(pk, (uint8_t)answer->reason);
+	msgpack_pack_uint64(pk, answer->gate_incarnation);
+	pack_load(pk, &answer->load);
+	msgpack_pack_uint32(pk, answer->status);
+	msgpack_pack_uint32(pk, answer->server_us);
+	msgpack_pack_uint32(pk, answer->gate_queue_us);
+	pack_headers(pk, &answer->headers);
+	pack_bytes(pk, &answer->body);
+}
+
+/* Packs a pull of configurations as one flat array. */
+static void pack_config_pull(msgpack_packer *pk, const struct message_config_pull *pull)
+{
+	msgpack_pack_array(pk, 2 * (size_t)pull->count);
+	for (uint32_t i = 0; i < pull->count; i++) {
+		pack_name(pk, pull->want[i].service);
+		msgpack_pack_uint64(pk, pull->want[i].version);
+	}
+}
+
+/* Packs the fields that belong to the message's type. */
+static void pack_fields(msgpack_packer *pk, const struct message *msg)
+{
+	switch (msg->type) {
+	case MESSAGE_CALL:
+		pack_call(pk, &msg->call);
+		break;
+	case MESSAGE_ANSWER:
+		pack_answer(pk, &msg->answer);
+		break;
+	case MESSAGE_HELD:
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, msg->held.gate_incarnation);
+		msgpack_pack_uint32(pk, msg->held.body_size);
+		break;
+	case MESSAGE_ASK:
+		msgpack_pack_array(pk, 1);
+		msgpack_pack_uint64(pk, msg->ask.gate_incarnation);
+		break;
+	case MESSAGE_PONG:
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, msg->pong.gate_incarnation);
+		pack_load(pk, &msg->pong.load);
+		break;
+	case MESSAGE_CONFIG_PULL:
+		pack_config_pull(pk, &msg->config_pull);
+		break;
+	case MESSAGE_CONFIG_BODY:
+		msgpack_pack_array(pk, 3);
+		pack_name(pk, msg->config_body.service);
+		msgpack_pack_uint64(pk, msg->config_body.version);
+		pack_bytes(pk, &msg->config_body.json);
+		break;
+	default:
+		msgpack_pack_array(pk, 0);
+		break;
+	}
+}
+
+/* Refuses what a decoder would refuse, so that a fault shows where it was made. */
+static int check_sizes(const struct message *msg, struct error *err)
+{
+	if (msg->type == MESSAGE_CALL && (msg->call.body.size > CALL_BODY_BYTES_MAX ||
+					  msg->call.headers.count > WIRE_HEADERS_MAX))
+		return error_set(err, ERROR_TOO_LARGE, "call body of %u bytes",
+				 msg->call.body.size);
+	if (msg->type == MESSAGE_ANSWER && (msg->answer.body.size > CALL_BODY_BYTES_MAX ||
+					    msg->answer.headers.count > WIRE_HEADERS_MAX))
+		return error_set(err, ERROR_TOO_LARGE, "answer body of %u bytes",
+				 msg->answer.body.size);
+	if (msg->type == MESSAGE_CONFIG_PULL && msg->config_pull.count > CONFIG_PULL_MAX)
+		return error_set(err, ERROR_TOO_LARGE, "pull of %u services",
+				 msg->config_pull.count);
+	return 0;
+}
+
+/* Encodes a message into a malloc'ed buffer. */
+int codec_encode(const struct message *msg, uint8_t **data, size_t *size, struct error *err)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer pk;
+
+	if (check_sizes(msg, err))
+		return -1;
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, ENVELOPE_ITEMS);
+	msgpack_pack_uint8(&pk, WIRE_VERSION);
+	msgpack_pack_uint8(&pk, (uint8_t)msg->type);
+	msgpack_pack_uint32(&pk, msg->epoch);
+	msgpack_pack_uint64(&pk, msg->id.entry.node_id);
+	msgpack_pack_uint64(&pk, msg->id.entry.incarnation);
+	msgpack_pack_uint64(&pk, msg->id.sequence);
+	pack_fields(&pk, msg);
+	if (!buffer.data)
+		return error_set(err, ERROR_MEMORY, "no memory for a message");
+	*size = buffer.size;
+	*data = (uint8_t *)msgpack_sbuffer_release(&buffer);
+	return 0;
+}
+
+/* A walk over the items of one array. The first failure is kept in err; reads after it give zero.
+ */
+struct reader {
+	const msgpack_object_array *items;
+	uint32_t next;
+	bool failed;
+	struct error *err;
+};
+
+/* Records a failure of the reader. */
+static void reader_fail(struct reader *rd, enum error_kind kind, const char *what)
+{
+	if (rd->failed)
+		return;
+	rd->failed = true;
+	error_set(rd->err, kind, "field %u: %s", rd->next, what);
+}
+
+/* Gives the next item, or NULL when there is none. */
+static const msgpack_object *read_item(struct reader *rd)
+{
+	if (rd->failed)
+		return NULL;
+	if (rd->next >= rd->items->size) {
+		reader_fail(rd, ERROR_TRUNCATED, "missing");
+		return NULL;
+	}
+	return &rd->items->ptr[rd->next++];
+}
+
+/* Reads an unsigned number of at most max. */
+static uint64_t read_uint(struct reader *rd, uint64_t max)
+{
+	const msgpack_object *item = read_item(rd);
+
+	if (!item)
+		return 0;
+	if (item->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		reader_fail(rd, ERROR_TYPE, "not an unsigned number");
+		return 0;
+	}
+	if (item->via.u64 > max) {
+		reader_fail(rd, ERROR_RANGE, "number too large");
+		return 0;
+	}
+	return item->via.u64;
+}
+
+/* Reads bytes of at most max. */
+static struct wire_bytes read_bytes(struct reader *rd, uint32_t max)
+{
+	const msgpack_object *item = read_item(rd);
+	struct wire_bytes bytes = {NULL, 0};
+
+	if (!item)
+		return bytes;
+	if (item->type != MSGPACK_OBJECT_BIN) {
+		reader_fail(rd, ERROR_TYPE, "not bytes");
+		return bytes;
+	}
+	if (item->via.bin.size > max) {
+		reader_fail(rd, ERROR_TOO_LARGE, "too many bytes");
+		return bytes;
+	}
+	bytes.data = (const uint8_t *)item->via.bin.ptr;
+	bytes.size = item->via.bin.size;
+	return bytes;
+}
+
+/* Reads a name into a buffer of size bytes, NUL included. */
+static void read_name(struct reader *rd, char *name, size_t size)
+{
+	const msgpack_object *item = read_item(rd);
+
+	name[0] = '\0';
+	if (!item)
+		return;
+	if (item->type != MSGPACK_OBJECT_STR) {
+		reader_fail(rd, ERROR_TYPE, "not a name");
+		return;
+	}
+	if (item->via.str.size >= size || memchr(item->via.str.ptr, 0, item->via.str.size)) {
+		reader_fail(rd, ERROR_RANGE, "name too long or with a NUL byte");
+		return;
+	}
+	memcpy(name, item->via.str.ptr, item->via.str.size);
+	name[item->via.str.size] = '\0';
+}
+
+/* Starts a reader on the next item, which must be an array. */
+static struct reader read_array(struct reader *rd)
+{
+	static const msgpack_object_array none;
+	const msgpack_object *item = read_item(rd);
+	struct reader inner = {.items = &none, .err = rd->err};
+
+	if (item && item->type != MSGPACK_OBJECT_ARRAY)
+		reader_fail(rd, ERROR_TYPE, "not an array");
+	else if (item)
+		inner.items = &item->via.array;
+	inner.failed = rd->failed;
+	return inner;
+}
+
+/* Reads a flat array of header names and values. */
+static void read_headers(struct reader *rd, struct wire_headers *headers)
+{
+	struct reader inner = read_array(rd);
+
+	if (inner.items->size % 2 || inner.items->size / 2 > WIRE_HEADERS_MAX) {
+		reader_fail(rd, ERROR_RANGE, "bad number of headers");
+		return;
+	}
+	headers->count = inner.items->size / 2;
+	for (uint32_t i = 0; i < headers->count; i++) {
+		headers->list[i].name = read_bytes(&inner, CALL_BODY_BYTES_MAX);
+		headers->list[i].value = read_bytes(&inner, CALL_BODY_BYTES_MAX);
+	}
+	rd->failed = rd->failed || inner.failed;
+}
+
+/* Reads a gate's load. */
+static void read_load(struct reader *rd, struct gate_load *load)
+{
+	struct reader inner = read_array(rd);
+
+	load->in_use = (uint32_t)read_uint(&inner, UINT32_MAX);
+	load->limit = (uint32_t)read_uint(&inner, UINT32_MAX);
+	load->queued = (uint32_t)read_uint(&inner, UINT32_MAX);
+	load->service_time_us = (uint32_t)read_uint(&inner, UINT32_MAX);
+	load->wait_us = (uint32_t)read_uint(&inner, UINT32_MAX);
+	load->state = (uint8_t)read_uint(&inner, UINT8_MAX);
+	rd->failed = rd->failed || inner.failed;
+}
+
+/* Reads the fields of a call. */
+static void read_call(struct reader *rd, struct message_call *call)
+{
+	call->gate_incarnation = read_uint(rd, UINT64_MAX);
+	read_name(rd, call->service, sizeof(call->service));
+	read_name(rd, call->class_name, sizeof(call->class_name));
+	call->time_left_us = read_uint(rd, CALL_DEADLINE_US_MAX);
+	call->depth = (uint32_t)read_uint(rd, CALL_DEPTH_MAX);
+	call->retries_left = (uint32_t)read_uint(rd, UINT32_MAX);
+	call->idempotent = read_uint(rd, 1) != 0;
+	call->key = read_bytes(rd, KEY_BYTES - 1);
+	call->method = read_bytes(rd, UINT16_MAX);
+	call->path = read_bytes(rd, UINT16_MAX);
+	read_headers(rd, &call->headers);
+	call->body = read_bytes(rd, CALL_BODY_BYTES_MAX);
+}
+
+/* Reads the fields of an answer. */
+static void read_answer(struct reader *rd, struct message_answer *answer)
+{
+	answer->outcome = (enum call_outcome)read_uint(rd, OUTCOME_COUNT - 1);
+	answer->reason = (enum call_reason)read_uint(rd, REASON_COUNT - 1);
+	answer->gate_incarnation = read_uint(rd, UINT64_MAX);
+	read_load(rd, &answer->load);
+	answer->status = (uint32_t)read_uint(rd, 999);
+	answer->server_us = (uint32_t)read_uint(rd, UINT32_MAX);
+	answer->gate_queue_us = (uint32_t)read_uint(rd, UINT32_MAX);
+	read_headers(rd, &answer->headers);
+	answer->body = read_bytes(rd, CALL_BODY_BYTES_MAX);
+}
+
+/* Reads a pull of configurations. */
+static void read_config_pull(struct reader *rd, struct message_config_pull *pull)
+{
+	if (rd->items->size % 2 || rd->items->size / 2 > CONFIG_PULL_MAX) {
+		reader_fail(rd, ERROR_RANGE, "bad number of services");
+		return;
+	}
+	pull->count = rd->items->size / 2;
+	for (uint32_t i = 0; i < pull->count; i++) {
+		read_name(rd, pull->want[i].service, sizeof(pull->want[i].service));
+		pull->want[i].version = read_uint(rd, UINT64_MAX);
+	}
+}
+
+/* Reads the fields that belong to the message's type. */
+static void read_fields(struct reader *rd, struct message *msg)
+{
+	switch (msg->type) {
+	case MESSAGE_CALL:
+		read_call(rd, &msg->call);
+		break;
+	case MESSAGE_ANSWER:
+		read_answer(rd, &msg->answer);
+		break;
+	case MESSAGE_HELD:
+		msg->held.gate_incarnation = read_uint(rd, UINT64_MAX);
+		msg->held.body_size = (uint32_t)read_uint(rd, CALL_BODY_BYTES_MAX);
+		break;
+	case MESSAGE_ASK:
+		msg->ask.gate_incarnation = read_uint(rd, UINT64_MAX);
+		break;
+	case MESSAGE_PONG:
+		msg->pong.gate_incarnation = read_uint(rd, UINT64_MAX);
+		read_load(rd, &msg->pong.load);
+		break;
+	case MESSAGE_CONFIG_PULL:
+		read_config_pull(rd, &msg->config_pull);
+		break;
+	case MESSAGE_CONFIG_BODY:
+		read_name(rd, msg->config_body.service, sizeof(msg->config_body.service));
+		msg->config_body.version = read_uint(rd, UINT64_MAX);
+		msg->config_body.json = read_bytes(rd, CALL_BODY_BYTES_MAX);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Reads version, type and identity, then the fields. */
+static int read_envelope(const msgpack_object *root, struct message *msg, struct error *err)
+{
+	struct reader rd = {.err = err};
+	struct reader fields;
+
+	if (root->type != MSGPACK_OBJECT_ARRAY)
+		return error_set(err, ERROR_TYPE, "message is not an array");
+	rd.items = &root->via.array;
+	if (read_uint(&rd, UINT8_MAX) != WIRE_VERSION && !rd.failed)
+		return error_set(err, ERROR_VERSION, "message of an unknown version");
+	msg->type = (enum message_type)read_uint(&rd, UINT8_MAX);
+	if (!rd.failed && (msg->type < MESSAGE_CALL || msg->type >= MESSAGE_TYPE_END))
+		return error_set(err, ERROR_VERSION, "message of unknown type %d", msg->type);
+	msg->epoch = (uint32_t)read_uint(&rd, UINT32_MAX);
+	msg->id.entry.node_id = read_uint(&rd, UINT64_MAX);
+	msg->id.entry.incarnation = read_uint(&rd, UINT64_MAX);
+	msg->id.sequence = read_uint(&rd, UINT64_MAX);
+	fields = read_array(&rd);
+	read_fields(&fields, msg);
+	return rd.failed || fields.failed ? -1 : 0;
+}
+
+/* Decodes a message that borrows from data. */
+int codec_decode(const uint8_t *data, size_t size, struct message *msg, struct error *err)
+{
+	msgpack_unpacked unpacked;
+	int result;
+
+	memset(msg, 0, sizeof(*msg));
+	if (size > WIRE_MESSAGE_BYTES)
+		return error_set(err, ERROR_TOO_LARGE, "message of %zu bytes", size);
+	if (bounds_check(data, size, err))
+		return -1;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, (const char *)data, size, NULL) !=
+	    MSGPACK_UNPACK_SUCCESS)
+		result = error_set(err, ERROR_SYNTAX, "message does not unpack");
+	else
+		result = read_envelope(&unpacked.data, msg, err);
+	msgpack_unpacked_destroy(&unpacked);
+	return result;
+}
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -9,8 +9,8 @@
 
 #define WIRE_VERSION	      1
 #define WIRE_HEADERS_MAX      32
-#define WIRE_MESSAGE_BYTES    (CALL_BODY_BYTES_MAX + 64U * 1024)
-#define WIRE_SMALL_BODY_BYTES (64U * 1024) /* larger bodies travel on the bulk link */
+#define WIRE_MESSAGE_BYTES    (CALL_BODY_BYTES_MAX + (64U << 10))
+#define WIRE_SMALL_BODY_BYTES (64U << 10) /* larger bodies travel on the bulk link */
 
 enum message_type {
 	MESSAGE_CALL = 1,    /* entry to gate: run this attempt */
--- /dev/null
+++ b/test/unit/wire/codec_test.cc
@@ -0,0 +1,171 @@
+// Unit tests of the node message codec: whole round trips and every kind of bad input.
+#include <cstring>
+#include <gtest/gtest.h>
+#include <msgpack.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "fescuemill/wire/codec.h"
+}
+
+namespace
+{
+wire_bytes bytes_of(const std::string &text)
+{
+	return {(const uint8_t *)text.data(), (uint32_t)text.size()};
+}
+
+std::vector<uint8_t> encode(const struct message &msg)
+{
+	uint8_t *data = nullptr;
+	size_t size = 0;
+	struct error err;
+
+	EXPECT_EQ(0, codec_encode(&msg, &data, &size, &err));
+	std::vector<uint8_t> out(data, data + size);
+	free(data);
+	return out;
+}
+
+struct message sample_call(const std::string &body)
+{
+	static const std::string name = "content-type", value = "text/plain", path = "/lots?x=1",
+				 method = "POST", key = "purchase-1";
+	struct message msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.type = MESSAGE_CALL;
+	msg.epoch = 3;
+	msg.id = {{11, 22}, 33};
+	msg.call.gate_incarnation = 44;
+	strcpy(msg.call.service, "ledger");
+	strcpy(msg.call.class_name, "purchase");
+	msg.call.time_left_us = 1500;
+	msg.call.depth = 20;
+	msg.call.retries_left = 2;
+	msg.call.key = bytes_of(key);
+	msg.call.method = bytes_of(method);
+	msg.call.path = bytes_of(path);
+	msg.call.headers.count = 1;
+	msg.call.headers.list[0] = {bytes_of(name), bytes_of(value)};
+	msg.call.body = bytes_of(body);
+	return msg;
+}
+
+std::string text_of(const wire_bytes &bytes)
+{
+	return std::string((const char *)bytes.data, bytes.size);
+}
+
+enum error_kind decode_kind(const std::vector<uint8_t> &data)
+{
+	struct message msg;
+	struct error err;
+
+	error_clear(&err);
+	return codec_decode(data.data(), data.size(), &msg, &err) ? err.kind : ERROR_NONE;
+}
+} // namespace
+
+TEST(Codec, CallComesBackWhole)
+{
+	std::string body("a\0b", 3);
+	std::vector<uint8_t> data = encode(sample_call(body));
+	struct message msg;
+	struct error err;
+
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &msg, &err)) << err.detail;
+	EXPECT_EQ(MESSAGE_CALL, msg.type);
+	EXPECT_EQ(3u, msg.epoch);
+	EXPECT_EQ(33u, msg.id.sequence);
+	EXPECT_STREQ("ledger", msg.call.service);
+	EXPECT_EQ(20u, msg.call.depth);
+	EXPECT_FALSE(msg.call.idempotent);
+	EXPECT_EQ("purchase-1", text_of(msg.call.key));
+	EXPECT_EQ("/lots?x=1", text_of(msg.call.path));
+	ASSERT_EQ(1u, msg.call.headers.count);
+	EXPECT_EQ("text/plain", text_of(msg.call.headers.list[0].value));
+	EXPECT_EQ(body, text_of(msg.call.body));
+}
+
+TEST(Codec, EveryTruncationIsRefused)
+{
+	std::vector<uint8_t> data = encode(sample_call("body"));
+
+	for (size_t size = 0; size < data.size(); size++)
+		EXPECT_EQ(ERROR_TRUNCATED,
+			  decode_kind(std::vector<uint8_t>(data.begin(), data.begin() + size)))
+			<< size;
+}
+
+TEST(Codec, UnknownVersionAndTypeAreRefused)
+{
+	std::vector<uint8_t> version = encode(sample_call("body"));
+	version[1] = 9;
+	EXPECT_EQ(ERROR_VERSION, decode_kind(version));
+	std::vector<uint8_t> type = encode(sample_call("body"));
+	type[2] = 99;
+	EXPECT_EQ(ERROR_VERSION, decode_kind(type));
+}
+
+TEST(Codec, HugeArrayLengthReservesNothing)
+{
+	EXPECT_EQ(ERROR_TOO_LARGE, decode_kind({0xdd, 0xff, 0xff, 0xff, 0xff, 0x01}));
+	EXPECT_EQ(ERROR_TRUNCATED, decode_kind({0xdd, 0x00, 0x00, 0x01, 0x00, 0x01}));
+}
+
+TEST(Codec, BytesBehindTheMessageAreRefused)
+{
+	std::vector<uint8_t> data = encode(sample_call("body"));
+
+	data.push_back(0);
+	EXPECT_EQ(ERROR_SYNTAX, decode_kind(data));
+}
+
+TEST(Codec, WrongFieldTypeIsRefused)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 7);
+	for (int i = 0; i < 6; i++)
+		msgpack_pack_int(&pk, 1);
+	msgpack_pack_nil(&pk);
+	EXPECT_EQ(ERROR_TYPE,
+		  decode_kind(std::vector<uint8_t>(buffer.data, buffer.data + buffer.size)));
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+TEST(Codec, FieldsOfALaterVersionAreIgnored)
+{
+	struct message msg;
+	struct error err;
+	std::vector<uint8_t> data = encode([] {
+		struct message m;
+		memset(&m, 0, sizeof(m));
+		m.type = MESSAGE_ASK;
+		m.ask.gate_incarnation = 5;
+		return m;
+	}());
+
+	// The last two bytes are the array head of one field and the field itself.
+	data[data.size() - 2] = 0x92;
+	data.push_back(0x07);
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &msg, &err)) << err.detail;
+	EXPECT_EQ(5u, msg.ask.gate_incarnation);
+}
+
+TEST(Codec, OversizedBodyIsRefusedAtTheSender)
+{
+	std::string body(CALL_BODY_BYTES_MAX + 1, 'x');
+	struct message msg = sample_call(body);
+	uint8_t *data = nullptr;
+	size_t size = 0;
+	struct error err;
+
+	EXPECT_EQ(-1, codec_encode(&msg, &data, &size, &err));
+	EXPECT_EQ(ERROR_TOO_LARGE, err.kind);
+}
