Configuration messages carry a batch after one version

Cause: the configuration store's digest is one platform version, so a pull names one number and the body is one batch. Ruled out: a list of versions by service, 150 entries a pull.

--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -78,16 +78,6 @@
 	pack_bytes(pk, &answer->body);
 }
 
-/* Packs a pull of configurations as one flat array. */
-static void pack_config_pull(msgpack_packer *pk, const struct message_config_pull *pull)
-{
-	msgpack_pack_array(pk, 2 * (size_t)pull->count);
-	for (uint32_t i = 0; i < pull->count; i++) {
-		pack_name(pk, pull->want[i].service);
-		msgpack_pack_uint64(pk, pull->want[i].version);
-	}
-}
-
 /* Packs the fields that belong to the message's type. */
 static void pack_fields(msgpack_packer *pk, const struct message *msg)
 {
@@ -113,12 +103,11 @@
 		pack_load(pk, &msg->pong.load);
 		break;
 	case MESSAGE_CONFIG_PULL:
-		pack_config_pull(pk, &msg->config_pull);
+		msgpack_pack_array(pk, 1);
+		msgpack_pack_uint64(pk, msg->config_pull.after);
 		break;
 	case MESSAGE_CONFIG_BODY:
-		msgpack_pack_array(pk, 3);
-		pack_name(pk, msg->config_body.service);
-		msgpack_pack_uint64(pk, msg->config_body.version);
+		msgpack_pack_array(pk, 1);
 		pack_bytes(pk, &msg->config_body.json);
 		break;
 	default:
@@ -138,9 +127,6 @@
 					    msg->answer.headers.count > WIRE_HEADERS_MAX))
 		return error_set(err, ERROR_TOO_LARGE, "answer body of %u bytes",
 				 msg->answer.body.size);
-	if (msg->type == MESSAGE_CONFIG_PULL && msg->config_pull.count > CONFIG_PULL_MAX)
-		return error_set(err, ERROR_TOO_LARGE, "pull of %u services",
-				 msg->config_pull.count);
 	return 0;
 }
 
@@ -335,20 +321,6 @@
 	answer->body = read_bytes(rd, CALL_BODY_BYTES_MAX);
 }
 
-/* Reads a pull of configurations. */
-static void read_config_pull(struct reader *rd, struct message_config_pull *pull)
-{
-	if (rd->items->size % 2 || rd->items->size / 2 > CONFIG_PULL_MAX) {
-		reader_fail(rd, ERROR_RANGE, "bad number of services");
-		return;
-	}
-	pull->count = rd->items->size / 2;
-	for (uint32_t i = 0; i < pull->count; i++) {
-		read_name(rd, pull->want[i].service, sizeof(pull->want[i].service));
-		pull->want[i].version = read_uint(rd, UINT64_MAX);
-	}
-}
-
 /* Reads the fields that belong to the message's type. */
 static void read_fields(struct reader *rd, struct message *msg)
 {
@@ -371,11 +343,9 @@
 		read_load(rd, &msg->pong.load);
 		break;
 	case MESSAGE_CONFIG_PULL:
-		read_config_pull(rd, &msg->config_pull);
+		msg->config_pull.after = read_uint(rd, UINT64_MAX);
 		break;
 	case MESSAGE_CONFIG_BODY:
-		read_name(rd, msg->config_body.service, sizeof(msg->config_body.service));
-		msg->config_body.version = read_uint(rd, UINT64_MAX);
 		msg->config_body.json = read_bytes(rd, CALL_BODY_BYTES_MAX);
 		break;
 	default:
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -22,8 +22,8 @@
 	MESSAGE_CANCEL,	     /* entry to gate: stop this attempt */
 	MESSAGE_PING,	     /* either way: answer with a pong */
 	MESSAGE_PONG,	     /* the answer to a ping, with the gate's load */
-	MESSAGE_CONFIG_PULL, /* give me the services newer than these versions */
-	MESSAGE_CONFIG_BODY, /* one service's configuration as JSON text */
+	MESSAGE_CONFIG_PULL, /* give me the configurations newer than this version */
+	MESSAGE_CONFIG_BODY, /* configurations as JSON text */
 	MESSAGE_TYPE_END,
 };
 
@@ -93,20 +93,13 @@
 	struct gate_load load;
 };
 
-#define CONFIG_PULL_MAX 16
-
 struct message_config_pull {
-	uint32_t count;
-	struct {
-		char service[SERVICE_NAME_BYTES];
-		uint64_t version; /* the version that the asker has; 0 for none */
-	} want[CONFIG_PULL_MAX];
+	uint64_t
+		after; /* the platform version through which the asker has everything; 0 for none */
 };
 
 struct message_config_body {
-	char service[SERVICE_NAME_BYTES];
-	uint64_t version;
-	struct wire_bytes json;
+	struct wire_bytes json; /* a batch as config_write_batch makes it */
 };
 
 struct message {
