--- /dev/null
+++ b/src/fescuemill/fleet/config.h
@@ -0,0 +1,69 @@
+/*
+ * Config: the store of accepted service configurations. Whatever the order or the source of
+ * deliveries, the version in force of a service never goes down.
+ */
+#ifndef FESCUEMILL_FLEET_CONFIG_H
+#define FESCUEMILL_FLEET_CONFIG_H
+
+#include "fescuemill/base/error.h"
+#include "fescuemill/fleet/member.h"
+#include "fescuemill/fleet/service_json.h"
+
+#include <stddef.h>
+
+#define CONFIG_SERVICES_MAX 512 /* deleted ones that are still remembered included */
+#define CONFIG_KIND	    "service"
+#define CONFIG_WATCHERS	    2 /* nodes of a failure domain that watch the platform */
+
+enum config_source {
+	CONFIG_FROM_PLATFORM,
+	CONFIG_FROM_PEER,
+};
+
+struct config_store;
+
+int config_open(struct config_store **out, struct error *err);
+void config_close(struct config_store *store);
+
+/* The configuration in force, or NULL. Valid until the store is next changed. */
+const struct service_config *config_find(const struct config_store *store, const char *service);
+const struct class_target *config_class(const struct service_config *config, const char *name);
+/* The whole accepted object in force, with team and changes, or NULL. */
+const struct service_object *config_object(const struct config_store *store, const char *service);
+/* Services in force in no stated order: index below config_count(). */
+size_t config_count(const struct config_store *store);
+const struct service_object *config_at(const struct config_store *store, size_t index);
+/* Grows with every change in force. */
+uint64_t config_revision(const struct config_store *store);
+
+/* Takes an answer {"version","items"} of a list (from is 0), a watch or a peer. Objects that do
+ * not parse are logged once and counted, and leave the last good one in force.
+ * Errors: ERROR_SYNTAX, ERROR_MISSING, ERROR_TYPE: the batch itself is not understood; nothing was
+ * applied. */
+int config_apply_batch(struct config_store *store, enum config_source source, uint64_t from,
+		       const char *json, size_t size, struct error *err);
+/* Takes one accepted object, for instance from the writer's own accepted change. */
+int config_apply_object(struct config_store *store, const char *service, uint64_t version,
+			const char *json, size_t size, struct error *err);
+
+/* The platform version through which this node has everything: the digest that gossip spreads. */
+uint64_t config_version(const struct config_store *store);
+/* Notes a peer's digest; a node behind it should pull. */
+void config_note_version(struct config_store *store, uint64_t version);
+bool config_is_behind(const struct config_store *store);
+/* Not ready until a platform or a ready peer gave everything; never ready while behind. */
+bool config_is_ready(const struct config_store *store);
+/* After a pause of the process: not ready until the next whole answer. */
+void config_mark_stale(struct config_store *store);
+/* The answer to a peer that has everything up to a version: a malloc'ed JSON batch with its
+ * {"version","from","items"}. Errors: ERROR_STATE when this node is not ready, ERROR_MEMORY. */
+int config_write_batch(const struct config_store *store, uint64_t after, char **json, size_t *size,
+		       struct error *err);
+/* Reads "from" of a peer's batch and applies it. */
+int config_apply_peer_batch(struct config_store *store, const char *json, size_t size,
+			    struct error *err);
+
+/* Whether this node watches the platform; the others get changes from peers. */
+bool config_is_watcher(const struct member_table *members, const struct member *self);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/platform/platform.h
@@ -0,0 +1,66 @@
+/*
+ * Platform: the six calls of the platform's object API behind one narrow interface. The HTTP
+ * client (client.h) and the fake of the tests implement it.
+ */
+#ifndef FESCUEMILL_PLATFORM_PLATFORM_H
+#define FESCUEMILL_PLATFORM_PLATFORM_H
+
+#include "fescuemill/base/error.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define PLATFORM_NAME_BYTES  64
+#define PLATFORM_VALUE_BYTES (1024U * 1024)
+
+enum platform_call_type {
+	PLATFORM_GET,
+	PLATFORM_LIST,
+	PLATFORM_CREATE,
+	PLATFORM_UPDATE,
+	PLATFORM_DELETE,
+	PLATFORM_WATCH,
+	PLATFORM_CALL_COUNT,
+};
+
+/* One call. The strings need to live only until platform_start returns. */
+struct platform_request {
+	enum platform_call_type type;
+	const char *kind;
+	const char *name;  /* get, create, update, delete */
+	uint64_t version;  /* update, delete: the expected version; watch: newer than this */
+	uint32_t wait_ms;  /* watch: how long the platform may hold the call */
+	const char *value; /* create, update: JSON text */
+	size_t value_size;
+};
+
+/* The outcome of one call. */
+struct platform_result {
+	struct error err;    /* kind ERROR_NONE on success */
+	bool effect_unknown; /* a change that failed may still have taken or take effect */
+	uint64_t version; /* of the object; of the store for list and watch; current on conflict */
+	const char *body; /* get: the object's value; list and watch: {"version","items"} */
+	size_t body_size;
+};
+
+/* Called exactly once for each call that was started. The result is valid only during the call. */
+typedef void (*platform_done_fn)(void *user, const struct platform_result *result);
+
+struct platform;
+
+struct platform_ops {
+	void (*start)(struct platform *platform, const struct platform_request *request,
+		      platform_done_fn done, void *user);
+};
+
+/* The head of every implementation. */
+struct platform {
+	const struct platform_ops *ops;
+};
+
+void platform_start(struct platform *platform, const struct platform_request *request,
+		    platform_done_fn done, void *user);
+const char *platform_call_name(enum platform_call_type type);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/platform/session.h
@@ -0,0 +1,62 @@
+/*
+ * Session: the decisions of one follower of the platform: when to list, watch, back off and read
+ * again. Pure: no socket, no clock.
+ */
+#ifndef FESCUEMILL_PLATFORM_SESSION_H
+#define FESCUEMILL_PLATFORM_SESSION_H
+
+#include "fescuemill/base/random.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct session_limits {
+	uint64_t backoff_first_us;
+	uint64_t backoff_highest_us;
+	uint32_t calls_per_minute; /* of this node; watches count */
+	uint32_t watch_ms;
+};
+
+enum session_state {
+	SESSION_OFF,
+	SESSION_LISTING,
+	SESSION_WATCHING,
+	SESSION_WAITING, /* for the end of a back-off or for the call budget */
+};
+
+struct session {
+	struct session_limits limits;
+	enum session_state state;
+	bool on;
+	bool in_call;
+	bool list_needed;
+	uint64_t version;
+	uint32_t failures; /* in a row */
+	uint64_t not_before_us;
+	double tokens;
+	uint64_t tokens_at_us;
+	struct random rng;
+};
+
+enum session_action_type {
+	SESSION_DO_NOTHING,
+	SESSION_DO_LIST,
+	SESSION_DO_WATCH,
+	SESSION_DO_WAIT, /* ask again at wait_until_us */
+};
+
+struct session_action {
+	enum session_action_type type;
+	uint64_t after;
+	uint64_t wait_until_us;
+};
+
+void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
+		  uint64_t now_us);
+void session_set_on(struct session *session, bool on);
+void session_refresh(struct session *session);
+struct session_action session_next(struct session *session, uint64_t now_us);
+void session_succeeded(struct session *session, uint64_t version, uint64_t now_us);
+void session_failed(struct session *session, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/settings/settings_defs.h
@@ -0,0 +1,82 @@
+/*
+ * Settings of one node, as read from its JSON file.
+ */
+#ifndef FESCUEMILL_SETTINGS_SETTINGS_DEFS_H
+#define FESCUEMILL_SETTINGS_SETTINGS_DEFS_H
+
+#include "fescuemill/base/log.h"
+#include "fescuemill/decide/call_defs.h"
+#include "fescuemill/fleet/member_defs.h"
+
+#define PLATFORM_ENDPOINTS_MAX 4
+#define ADMIN_KEYS_MAX	       64
+#define TEAM_NAME_BYTES	       32
+#define ADMIN_KEY_BYTES	       65
+#define TEAM_SERVICES_MAX      32
+
+/* An IPv4 address and port to listen on or connect to; port 0 listens on any free port. */
+struct endpoint {
+	uint32_t ip; /* host byte order */
+	uint16_t port;
+};
+
+/* How an entry picks a gate; the others are there to be measured against. */
+enum choice_policy {
+	CHOICE_EXPECTED_COMPLETION,
+	CHOICE_RANDOM,
+	CHOICE_ROUND_ROBIN,
+	CHOICE_LEAST_IN_FLIGHT,
+	CHOICE_TWO_RANDOM,
+	CHOICE_POLICY_COUNT,
+};
+
+/* A key of the administration API and the team that holds it. */
+struct admin_key {
+	char team[TEAM_NAME_BYTES];
+	char key[ADMIN_KEY_BYTES];
+};
+
+/* The services that a team may create; "*" stands for any. */
+struct team_rights {
+	char team[TEAM_NAME_BYTES];
+	uint32_t service_count;
+	char services[TEAM_SERVICES_MAX][SERVICE_NAME_BYTES];
+};
+
+struct settings {
+	char name[NODE_NAME_BYTES];
+	char region[REGION_NAME_BYTES];
+	char failure_domain[DOMAIN_NAME_BYTES];
+	struct endpoint caller_address;
+	struct endpoint node_address;
+	struct endpoint gossip_address;
+	struct endpoint backend_address;
+	struct endpoint admin_address;
+	uint32_t external_ip; /* 0 when nodes of other regions use the internal address */
+	uint32_t external_node_port;
+	uint32_t external_gossip_port;
+	uint32_t platform_count;
+	struct endpoint platform[PLATFORM_ENDPOINTS_MAX];
+	enum log_level log_level;
+	enum choice_policy choice_policy;
+	uint32_t body_limit_bytes;
+	uint64_t memory_limit_bytes;
+	uint32_t stop_limit_ms;
+	uint32_t heartbeat_ms;
+	uint32_t silence_ms;
+	uint32_t retry_share_permille;
+	uint32_t own_domain_distance_us;
+	uint32_t own_region_distance_us;
+	uint32_t other_region_distance_us;
+	uint32_t node_bytes_per_s;
+	uint32_t region_link_bytes_per_s;
+	uint32_t platform_calls_per_minute;
+	uint32_t platform_timeout_ms;
+	uint32_t platform_watch_ms;
+	uint32_t admin_key_count;
+	struct admin_key admin_keys[ADMIN_KEYS_MAX];
+	uint32_t team_rights_count;
+	struct team_rights team_rights[ADMIN_KEYS_MAX];
+};
+
+#endif
