--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -25,7 +25,22 @@
 	  "node connections replaced after silence")                                               \
 	X(GOSSIP_BAD_PACKETS, "gossip_bad_packets", "packets", "gossip that does not decode")      \
 	X(CONFIG_REJECTED, "config_objects_rejected", "objects",                                   \
-	  "platform objects that do not parse")
+	  "platform objects that do not parse")                                                    \
+	X(CONFIG_APPLIED, "config_changes_applied", "changes", "changes of services put in force") \
+	X(CONFIG_VERSION, "config_version", "version", "version through which all is known")       \
+	X(CONFIG_READY, "config_ready", "flag", "1 when the accepted configuration is known")      \
+	X(PLATFORM_CALLS, "platform_calls", "calls", "calls sent to the platform")                 \
+	X(PLATFORM_FAILURES, "platform_calls_failed", "calls", "platform calls that failed")       \
+	X(PLATFORM_WATCHES_SILENT, "platform_watches_silent", "calls",                             \
+	  "watches replaced after silence")                                                        \
+	X(PLATFORM_BUDGET_WAITS, "platform_budget_waits", "waits",                                 \
+	  "platform calls put off by the call budget")                                             \
+	X(ROSTER_WRITES, "roster_writes", "writes", "accepted writes of the roster")               \
+	X(ROSTER_CONFLICTS, "roster_conflicts", "writes", "roster writes lost to another writer")  \
+	X(ROSTER_REJECTED, "roster_objects_rejected", "objects", "rosters that do not parse")      \
+	X(ADMIN_REQUESTS, "admin_requests", "requests", "requests to the administration API")      \
+	X(ADMIN_REFUSED, "admin_requests_refused", "requests",                                     \
+	  "administration requests answered with an error")
 
 enum counter {
 #define COUNTER_ENUM(symbol, name, unit, help) COUNTER_##symbol,
--- /dev/null
+++ b/src/fescuemill/fleet/config.c
@@ -0,0 +1,570 @@
+/*
+ * Config: for each service the newest version of each kind that was ever delivered: in force,
+ * deleted, not understood. What is in force is a maximum over deliveries, so that their order,
+ * number and source do not matter. Pure.
+ */
+#include "fescuemill/fleet/config.h"
+
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/settings/value.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct config_entry {
+	char name[SERVICE_NAME_BYTES];
+	bool in_force;
+	struct service_object object; /* its config.version is the version in force */
+	json_t *value;		      /* the object in force as it was delivered */
+	uint64_t deleted_version;
+	uint64_t rejected_version;
+	json_t *rejected; /* newer than what is in force but not understood here */
+};
+
+struct config_store {
+	uint32_t entry_count;
+	struct config_entry *entries[CONFIG_SERVICES_MAX];
+	uint64_t revision;
+	uint64_t through;	 /* everything up to this version was delivered */
+	uint64_t complete;	 /* version of the newest change up to `through` */
+	uint64_t noted;		 /* highest digest heard from a peer */
+	uint64_t pruned_version; /* deletions up to this version may be forgotten */
+	uint64_t ticket;
+	bool ready;
+};
+
+/* One delivered object: a value or, when json is NULL, a deletion. */
+struct delivery {
+	const char *name;
+	uint64_t version;
+	json_t *json;
+};
+
+/* Opens an empty store, which is not ready. Errors: ERROR_MEMORY. */
+int config_open(struct config_store **out, struct error *err)
+{
+	*out = calloc(1, sizeof(**out));
+	if (!*out)
+		return error_set(err, ERROR_MEMORY, "no memory for the configuration store");
+	(*out)->ticket = 1;
+	return 0;
+}
+
+static void entry_free(struct config_entry *entry)
+{
+	json_decref(entry->value);
+	json_decref(entry->rejected);
+	free(entry);
+}
+
+/* Frees a store. */
+void config_close(struct config_store *store)
+{
+	if (!store)
+		return;
+	for (uint32_t i = 0; i < store->entry_count; i++)
+		entry_free(store->entries[i]);
+	free(store);
+}
+
+static struct config_entry *find_entry(const struct config_store *store, const char *name)
+{
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		if (strcmp(store->entries[i]->name, name) == 0)
+			return store->entries[i];
+	}
+	return NULL;
+}
+
+/* Gives the newest version of any kind that was delivered for an entry. */
+static uint64_t entry_newest(const struct config_entry *entry)
+{
+	uint64_t newest = entry->object.config.version;
+
+	if (entry->deleted_version > newest)
+		newest = entry->deleted_version;
+	return entry->rejected_version > newest ? entry->rejected_version : newest;
+}
+
+/* Forgets the oldest deletion to make room; returns whether there was one. */
+static bool prune_oldest(struct config_store *store)
+{
+	uint32_t oldest = store->entry_count;
+
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		const struct config_entry *entry = store->entries[i];
+
+		if (entry->in_force || entry->rejected)
+			continue;
+		if (oldest == store->entry_count ||
+		    entry->deleted_version < store->entries[oldest]->deleted_version)
+			oldest = i;
+	}
+	if (oldest == store->entry_count)
+		return false;
+	if (store->entries[oldest]->deleted_version > store->pruned_version)
+		store->pruned_version = store->entries[oldest]->deleted_version;
+	entry_free(store->entries[oldest]);
+	store->entries[oldest] = store->entries[--store->entry_count];
+	return true;
+}
+
+/* Finds or adds an entry. A version that may be older than a forgotten deletion adds none. */
+static struct config_entry *entry_for(struct config_store *store, const char *name,
+				      uint64_t version)
+{
+	struct config_entry *entry = find_entry(store, name);
+
+	if (entry)
+		return entry;
+	if (store->entry_count == CONFIG_SERVICES_MAX && !prune_oldest(store))
+		return NULL;
+	if (version <= store->pruned_version)
+		return NULL;
+	entry = calloc(1, sizeof(*entry));
+	if (!entry)
+		return NULL;
+	strncpy(entry->name, name, sizeof(entry->name) - 1);
+	store->entries[store->entry_count++] = entry;
+	return entry;
+}
+
+/* Ends what a newer version in force or deletion supersedes. */
+static void drop_rejected(struct config_entry *entry, uint64_t version)
+{
+	if (entry->rejected && entry->rejected_version < version) {
+		json_decref(entry->rejected);
+		entry->rejected = NULL;
+	}
+}
+
+static void apply_deletion(struct config_store *store, struct config_entry *entry, uint64_t version)
+{
+	if (version <= entry->deleted_version)
+		return;
+	entry->deleted_version = version;
+	drop_rejected(entry, version);
+	if (!entry->in_force || entry->object.config.version > version)
+		return;
+	entry->in_force = false;
+	json_decref(entry->value);
+	entry->value = NULL;
+	store->revision++;
+	counter_add(COUNTER_CONFIG_APPLIED, 1);
+	log_write(LOG_INFO, LOG_PART_CONFIG, "Service deleted.", "service=%s version=%" PRIu64,
+		  entry->name, version);
+}
+
+/* Remembers an object that is not understood; the last good one stays in force. */
+static void apply_rejected(struct config_entry *entry, const struct delivery *delivery,
+			   const struct error *err)
+{
+	if (delivery->version <= entry->rejected_version)
+		return;
+	entry->rejected_version = delivery->version;
+	json_decref(entry->rejected);
+	entry->rejected = json_incref(delivery->json);
+	counter_add(COUNTER_CONFIG_REJECTED, 1);
+	log_failure(LOG_WARNING, LOG_PART_CONFIG,
+		    "Service object not understood; the last good one stays in force.", err);
+}
+
+static void put_in_force(struct config_store *store, struct config_entry *entry,
+			 const struct delivery *delivery, const struct service_object *object)
+{
+	entry->object = *object;
+	entry->object.config.version = delivery->version;
+	json_decref(entry->value);
+	entry->value = json_incref(delivery->json);
+	entry->in_force = true;
+	drop_rejected(entry, delivery->version);
+	store->revision++;
+	counter_add(COUNTER_CONFIG_APPLIED, 1);
+	log_write(LOG_INFO, LOG_PART_CONFIG, "Service in force.", "service=%s version=%" PRIu64,
+		  entry->name, delivery->version);
+}
+
+static int read_object(const struct delivery *delivery, struct service_object *out,
+		       struct error *err)
+{
+	if (service_read(delivery->json, out, err))
+		return -1;
+	if (strcmp(out->config.service, delivery->name) != 0)
+		return error_set(err, ERROR_RANGE, "$.service: found \"%s\", allowed \"%s\"",
+				 out->config.service, delivery->name);
+	return 0;
+}
+
+/* Applies one delivery. Errors: ERROR_MEMORY when there is no room for another service, and why an
+ * object was not understood. */
+static int apply_delivery(struct config_store *store, const struct delivery *delivery,
+			  struct error *err)
+{
+	struct config_entry *entry = entry_for(store, delivery->name, delivery->version);
+	struct service_object object;
+	struct error fault;
+
+	if (!entry)
+		return error_set(err, ERROR_MEMORY, "no room for service %s", delivery->name);
+	if (!delivery->json) {
+		apply_deletion(store, entry, delivery->version);
+		return 0;
+	}
+	if (delivery->version <= entry->object.config.version ||
+	    delivery->version <= entry->deleted_version)
+		return 0;
+	if (read_object(delivery, &object, &fault)) {
+		apply_rejected(entry, delivery, &fault);
+		if (err)
+			*err = fault;
+		return -1;
+	}
+	put_in_force(store, entry, delivery, &object);
+	return 0;
+}
+
+/* Reads one item of a batch. */
+static int read_item(const struct value *item, struct delivery *out, struct error *err)
+{
+	struct value name;
+	struct value version;
+	char text[SERVICE_NAME_BYTES];
+
+	if (value_member(item, "name", &name, err) || value_member(item, "version", &version, err))
+		return -1;
+	if (value_text(&name, text, sizeof(text), 1, err) ||
+	    value_number(&version, 1, INT64_MAX, "", &out->version, err))
+		return -1;
+	out->name = json_string_value(name.json);
+	out->json = json_object_get(item->json, "value");
+	if (!out->json && !json_is_true(json_object_get(item->json, "deleted")))
+		return value_error(item, ERROR_MISSING, err, "\"value\" or \"deleted\":true");
+	return 0;
+}
+
+/* Walks the items of a batch: checks them all, or applies them all. */
+static int walk_items(struct config_store *store, const struct value *items, bool apply,
+		      struct error *err)
+{
+	uint32_t count = (uint32_t)json_array_size(items->json);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct value item = value_item(items, i);
+		struct delivery delivery;
+
+		if (read_item(&item, &delivery, err))
+			return -1;
+		if (apply)
+			apply_delivery(store, &delivery, NULL);
+	}
+	return 0;
+}
+
+/* Tells whether a batch names a service. */
+static bool batch_has(const json_t *items, const char *name)
+{
+	size_t index;
+	json_t *item;
+
+	json_array_foreach(items, index, item)
+	{
+		const char *text = json_string_value(json_object_get(item, "name"));
+
+		if (text && strcmp(text, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Deletes what a batch of everything through `version` does not name. */
+static void delete_absent(struct config_store *store, const json_t *items, uint64_t version)
+{
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		struct config_entry *entry = store->entries[i];
+
+		if ((entry->in_force || entry->rejected) &&
+		    (!entry->in_force || entry->object.config.version <= version) &&
+		    (!entry->rejected || entry->rejected_version <= version) &&
+		    !batch_has(items, entry->name))
+			apply_deletion(store, entry, version);
+	}
+}
+
+/* Raises what this node knows to have everything through. */
+static void raise_complete(struct config_store *store, uint64_t through)
+{
+	if (through > store->through)
+		store->through = through;
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		uint64_t newest = entry_newest(store->entries[i]);
+
+		if (newest <= store->through && newest > store->complete)
+			store->complete = newest;
+	}
+	counter_set(COUNTER_CONFIG_VERSION, store->complete);
+}
+
+static void become_ready(struct config_store *store)
+{
+	if (!store->ready)
+		log_write(LOG_INFO, LOG_PART_CONFIG, "Configuration caught up.", "version=%" PRIu64,
+			  store->complete);
+	store->ready = true;
+	counter_set(COUNTER_CONFIG_READY, 1);
+}
+
+struct batch {
+	json_t *root;
+	struct value items;
+	uint64_t version;
+	uint64_t from;
+};
+
+/* Reads the head of a batch and checks all items, so that a batch applies whole or not at all. */
+static int batch_read(struct batch *batch, bool peer, const char *json, size_t size,
+		      struct error *err)
+{
+	struct value root = {.source = "batch", .path = "$"};
+	struct value member;
+	json_error_t fault;
+
+	batch->root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
+	if (!batch->root)
+		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
+	root.json = batch->root;
+	if (value_member(&root, "version", &member, err) ||
+	    value_number(&member, 0, INT64_MAX, "", &batch->version, err))
+		goto fail;
+	if (peer && (value_member(&root, "from", &member, err) ||
+		     value_number(&member, 0, INT64_MAX, "", &batch->from, err)))
+		goto fail;
+	if (value_member(&root, "items", &batch->items, err))
+		goto fail;
+	if (!json_is_array(batch->items.json)) {
+		value_error(&batch->items, ERROR_TYPE, err, "a list");
+		goto fail;
+	}
+	if (walk_items(NULL, &batch->items, false, err))
+		goto fail;
+	return 0;
+fail:
+	json_decref(batch->root);
+	return -1;
+}
+
+/* Applies a batch; returns whether it joins on to what this node has. */
+static bool batch_apply(struct config_store *store, struct batch *batch)
+{
+	bool joins = batch->from <= store->through;
+
+	walk_items(store, &batch->items, true, NULL);
+	if (batch->from == 0)
+		delete_absent(store, batch->items.json, batch->version);
+	if (joins)
+		raise_complete(store, batch->version);
+	json_decref(batch->root);
+	return joins;
+}
+
+/* Takes the platform's answer to a list (from is 0) or a watch. Errors as the header says. */
+int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
+		       struct error *err)
+{
+	struct batch batch = {.from = from};
+
+	if (batch_read(&batch, false, json, size, err))
+		return -1;
+	if (!batch_apply(store, &batch))
+		return 0;
+	if (from == 0) {
+		/* The platform's word stands above a digest that no peer can back. */
+		store->noted = store->complete;
+		become_ready(store);
+	}
+	return 0;
+}
+
+/* Takes a peer's answer to a pull. Errors as the header says. */
+int config_apply_peer_batch(struct config_store *store, uint64_t ticket, const char *json,
+			    size_t size, struct error *err)
+{
+	struct batch batch = {0};
+
+	if (batch_read(&batch, true, json, size, err))
+		return -1;
+	if (!batch_apply(store, &batch))
+		return 0;
+	if (ticket == store->ticket && !config_is_behind(store))
+		become_ready(store);
+	return 0;
+}
+
+/* Takes one accepted object. Errors: why it was not understood, ERROR_MEMORY. */
+int config_apply_object(struct config_store *store, const char *service, uint64_t version,
+			const char *json, size_t size, struct error *err)
+{
+	json_error_t fault;
+	struct delivery delivery = {.name = service, .version = version};
+	int status;
+
+	if (strlen(service) >= SERVICE_NAME_BYTES)
+		return error_set(err, ERROR_RANGE, "service name of %zu bytes, allowed 1 to %d",
+				 strlen(service), SERVICE_NAME_BYTES - 1);
+	delivery.json = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
+	if (!delivery.json)
+		return error_set(err, ERROR_SYNTAX, "line %d: %s", fault.line, fault.text);
+	status = apply_delivery(store, &delivery, err);
+	json_decref(delivery.json);
+	return status;
+}
+
+/* Takes one accepted deletion. */
+void config_apply_deletion(struct config_store *store, const char *service, uint64_t version)
+{
+	struct delivery delivery = {.name = service, .version = version};
+
+	if (strlen(service) < SERVICE_NAME_BYTES)
+		apply_delivery(store, &delivery, NULL);
+}
+
+/* Gives the whole object in force, or NULL. */
+const struct service_object *config_object(const struct config_store *store, const char *service)
+{
+	const struct config_entry *entry = find_entry(store, service);
+
+	return entry && entry->in_force ? &entry->object : NULL;
+}
+
+/* Gives the configuration in force, or NULL. */
+const struct service_config *config_find(const struct config_store *store, const char *service)
+{
+	const struct service_object *object = config_object(store, service);
+
+	return object ? &object->config : NULL;
+}
+
+/* Gives a class of a configuration by its name, or NULL. */
+const struct class_target *config_class(const struct service_config *config, const char *name)
+{
+	for (uint32_t i = 0; i < config->class_count; i++) {
+		if (strcmp(config->classes[i].name, name) == 0)
+			return &config->classes[i];
+	}
+	return NULL;
+}
+
+/* Counts the services in force. */
+size_t config_count(const struct config_store *store)
+{
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < store->entry_count; i++)
+		count += store->entries[i]->in_force;
+	return count;
+}
+
+/* Gives the service in force at an index below config_count(), or NULL. */
+const struct service_object *config_at(const struct config_store *store, size_t index)
+{
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		if (store->entries[i]->in_force && index-- == 0)
+			return &store->entries[i]->object;
+	}
+	return NULL;
+}
+
+/* Gives a number that grows with every change in force. */
+uint64_t config_revision(const struct config_store *store)
+{
+	return store->revision;
+}
+
+/* Gives the digest that gossip spreads. */
+uint64_t config_version(const struct config_store *store)
+{
+	return store->complete;
+}
+
+/* Notes a peer's digest. */
+void config_note_version(struct config_store *store, uint64_t version)
+{
+	if (version > store->noted)
+		store->noted = version;
+}
+
+/* Tells whether a peer is known to have a newer change. */
+bool config_is_behind(const struct config_store *store)
+{
+	return store->noted > store->complete;
+}
+
+/* Tells whether the accepted configuration was caught up with. */
+bool config_is_ready(const struct config_store *store)
+{
+	return store->ready;
+}
+
+/* Ends readiness until a whole answer to a question asked from now on. */
+void config_mark_stale(struct config_store *store)
+{
+	store->ready = false;
+	store->ticket++;
+	counter_set(COUNTER_CONFIG_READY, 0);
+}
+
+/* Gives the ticket of a pull, which its answer must carry to count after a pause. */
+uint64_t config_ticket(const struct config_store *store)
+{
+	return store->ticket;
+}
+
+static void append_value(json_t *items, const char *name, uint64_t version, json_t *value)
+{
+	json_array_append_new(items, json_pack("{s:s, s:I, s:O}", "name", name, "version",
+					       (json_int_t)version, "value", value));
+}
+
+/* Appends what an entry has that is newer than a version, oldest first. */
+static void append_entry(json_t *items, const struct config_entry *entry, uint64_t after)
+{
+	if (entry->deleted_version > after)
+		json_array_append_new(items,
+				      json_pack("{s:s, s:I, s:b}", "name", entry->name, "version",
+						(json_int_t)entry->deleted_version, "deleted", 1));
+	if (entry->in_force && entry->object.config.version > after)
+		append_value(items, entry->name, entry->object.config.version, entry->value);
+	if (entry->rejected && entry->rejected_version > after)
+		append_value(items, entry->name, entry->rejected_version, entry->rejected);
+}
+
+/* Writes the answer to a peer's pull. Errors as the header says. */
+int config_write_batch(const struct config_store *store, uint64_t after, char **json, size_t *size,
+		       struct error *err)
+{
+	json_t *items;
+	json_t *root;
+
+	if (!store->ready)
+		return error_set(err, ERROR_STATE, "the configuration is not caught up");
+	if (after < store->pruned_version)
+		after = 0;
+	items = json_array();
+	for (uint32_t i = 0; i < store->entry_count; i++)
+		append_entry(items, store->entries[i], after);
+	root = json_pack("{s:I, s:I, s:o}", "from", (json_int_t)after, "version",
+			 (json_int_t)store->complete, "items", items);
+	*json = root ? json_dumps(root, JSON_COMPACT) : NULL;
+	json_decref(root);
+	if (!*json)
+		return error_set(err, ERROR_MEMORY, "no memory for a batch");
+	*size = strlen(*json);
+	return 0;
+}
+
+/* Tells whether this node watches the platform. */
+bool config_is_watcher(const struct member_table *members, const struct member *self)
+{
+	return member_is_chosen(members, self, CONFIG_KIND, CONFIG_WATCHERS);
+}
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -15,11 +15,6 @@
 #define CONFIG_KIND	    "service"
 #define CONFIG_WATCHERS	    2 /* nodes of a failure domain that watch the platform */
 
-enum config_source {
-	CONFIG_FROM_PLATFORM,
-	CONFIG_FROM_PEER,
-};
-
 struct config_store;
 
 int config_open(struct config_store **out, struct error *err);
@@ -36,32 +31,40 @@
 /* Grows with every change in force. */
 uint64_t config_revision(const struct config_store *store);
 
-/* Takes an answer {"version","items"} of a list (from is 0), a watch or a peer. Objects that do
- * not parse are logged once and counted, and leave the last good one in force.
- * Errors: ERROR_SYNTAX, ERROR_MISSING, ERROR_TYPE: the batch itself is not understood; nothing was
- * applied. */
-int config_apply_batch(struct config_store *store, enum config_source source, uint64_t from,
-		       const char *json, size_t size, struct error *err);
+/* Takes the platform's answer {"version","items"} of a list (from is 0, and everything that exists
+ * is in it) or of a watch after the version `from`. Objects that do not parse are logged once and
+ * counted, and leave the last good one in force. Errors: ERROR_SYNTAX, ERROR_MISSING, ERROR_TYPE,
+ * ERROR_RANGE: the answer itself is not understood; nothing was applied. */
+int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
+		       struct error *err);
 /* Takes one accepted object, for instance from the writer's own accepted change. */
 int config_apply_object(struct config_store *store, const char *service, uint64_t version,
 			const char *json, size_t size, struct error *err);
 
-/* The platform version through which this node has everything: the digest that gossip spreads. */
+/* Takes one accepted deletion. */
+void config_apply_deletion(struct config_store *store, const char *service, uint64_t version);
+
+/* The version of the newest change through which this node has everything: the digest that gossip
+ * spreads. */
 uint64_t config_version(const struct config_store *store);
 /* Notes a peer's digest; a node behind it should pull. */
 void config_note_version(struct config_store *store, uint64_t version);
 bool config_is_behind(const struct config_store *store);
-/* Not ready until a platform or a ready peer gave everything; never ready while behind. */
+/* Not ready until the platform or a ready peer gave everything that this node had heard of. Stays
+ * ready while later changes arrive. */
 bool config_is_ready(const struct config_store *store);
-/* After a pause of the process: not ready until the next whole answer. */
+/* After a pause of the process: not ready until a whole answer to a question asked after this. */
 void config_mark_stale(struct config_store *store);
-/* The answer to a peer that has everything up to a version: a malloc'ed JSON batch with its
- * {"version","from","items"}. Errors: ERROR_STATE when this node is not ready, ERROR_MEMORY. */
+/* Pulls: the asker sends its config_version() and ticket; a peer answers with config_write_batch()
+ * and the same ticket. A node that is behind or not ready pulls. */
+uint64_t config_ticket(const struct config_store *store);
+/* Writes a malloc'ed JSON batch {"from","version","items"} of what is newer than `after`.
+ * Errors: ERROR_STATE when this node is not ready itself, ERROR_MEMORY. */
 int config_write_batch(const struct config_store *store, uint64_t after, char **json, size_t *size,
 		       struct error *err);
-/* Reads "from" of a peer's batch and applies it. */
-int config_apply_peer_batch(struct config_store *store, const char *json, size_t size,
-			    struct error *err);
+/* Takes a peer's batch. Errors: those of config_apply_batch(). */
+int config_apply_peer_batch(struct config_store *store, uint64_t ticket, const char *json,
+			    size_t size, struct error *err);
 
 /* Whether this node watches the platform; the others get changes from peers. */
 bool config_is_watcher(const struct member_table *members, const struct member *self);
--- a/src/fescuemill/fleet/service_json.h
+++ b/src/fescuemill/fleet/service_json.h
@@ -7,6 +7,7 @@
 #include "fescuemill/base/error.h"
 #include "fescuemill/decide/call_defs.h"
 
+#include <jansson.h>
 #include <stddef.h>
 
 #define SERVICE_TEAM_BYTES  32
@@ -32,9 +33,13 @@
 /* Errors name the JSON path. ERROR_SYNTAX, ERROR_MISSING, ERROR_UNKNOWN_KEY, ERROR_TYPE,
  * ERROR_RANGE. The version is left at 0: it stands outside of the value. */
 int service_parse(const char *json, size_t size, struct service_object *out, struct error *err);
+/* The same from a JSON value. */
+int service_read(json_t *json, struct service_object *out, struct error *err);
 /* Writes a malloc'ed text. Errors: ERROR_MEMORY. */
 int service_write(const struct service_object *object, char **json, size_t *size,
 		  struct error *err);
+/* The object as a new JSON value, or NULL without memory. */
+json_t *service_pack(const struct service_object *object);
 /* Adds a change, forgetting the oldest when there are SERVICE_CHANGES_MAX. */
 void service_add_change(struct service_object *object, const struct service_change *change);
 bool service_has_change(const struct service_object *object, const char *id);
--- /dev/null
+++ b/src/fescuemill/platform/platform.c
@@ -0,0 +1,20 @@
+/*
+ * Platform: what all implementations of the interface share.
+ */
+#include "fescuemill/platform/platform.h"
+
+static const char *const call_names[PLATFORM_CALL_COUNT] = {"get",    "list",	"create",
+							    "update", "delete", "watch"};
+
+/* Starts a call; done is called exactly once, possibly before this returns. */
+void platform_start(struct platform *platform, const struct platform_request *request,
+		    platform_done_fn done, void *user)
+{
+	platform->ops->start(platform, request, done, user);
+}
+
+/* Gives the name of a kind of call, as it stands in logs. */
+const char *platform_call_name(enum platform_call_type type)
+{
+	return (unsigned int)type < PLATFORM_CALL_COUNT ? call_names[type] : "invalid";
+}
--- a/src/fescuemill/platform/platform.h
+++ b/src/fescuemill/platform/platform.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #define PLATFORM_NAME_BYTES  64
-#define PLATFORM_VALUE_BYTES (1024U * 1024)
+#define PLATFORM_VALUE_BYTES ((size_t)1024 * 1024)
 
 enum platform_call_type {
 	PLATFORM_GET,
--- /dev/null
+++ b/src/fescuemill/platform/session.c
@@ -0,0 +1,134 @@
+/*
+ * Session: list once, then watch from the version reached; exponential back-off with jitter after
+ * failures; a token bucket over all calls.
+ */
+#include "fescuemill/platform/session.h"
+
+#include "fescuemill/base/clock.h"
+
+#include <string.h>
+
+#define BURST_CALLS	      4.0
+#define SECONDS_PER_MINUTE    60.0
+#define RELIST_AFTER_FAILURES 3U /* an outage, after which a watch alone is not trusted */
+#define BACKOFF_SHIFT_MAX     16U
+
+/* Starts a session that is off and has nothing. */
+void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
+		  uint64_t now_us)
+{
+	memset(session, 0, sizeof(*session));
+	session->limits = *limits;
+	session->list_needed = true;
+	session->tokens = BURST_CALLS;
+	session->tokens_at_us = now_us;
+	random_seed(&session->rng, seed);
+}
+
+/* Switches the session on or off; a call that runs is not affected. */
+void session_set_on(struct session *session, bool on)
+{
+	if (on && !session->on)
+		session->list_needed = true;
+	session->on = on;
+}
+
+/* Makes the next call a list, without waiting for a back-off's end. */
+void session_refresh(struct session *session)
+{
+	session->list_needed = true;
+	session->failures = 0;
+	session->not_before_us = 0;
+}
+
+static void fill_tokens(struct session *session, uint64_t now_us)
+{
+	double rate = session->limits.calls_per_minute / SECONDS_PER_MINUTE / USEC_PER_SEC;
+
+	if (now_us > session->tokens_at_us)
+		session->tokens += (double)(now_us - session->tokens_at_us) * rate;
+	if (session->tokens > BURST_CALLS)
+		session->tokens = BURST_CALLS;
+	session->tokens_at_us = now_us;
+}
+
+/* Gives the time from now_us at which the bucket holds one call. */
+static uint64_t token_wait_us(const struct session *session)
+{
+	double rate = session->limits.calls_per_minute / SECONDS_PER_MINUTE / USEC_PER_SEC;
+
+	return rate > 0 ? (uint64_t)((1.0 - session->tokens) / rate) + 1 : USEC_PER_SEC;
+}
+
+/* Decides the next call. The caller starts it and reports its end by session_succeeded() or
+ * session_failed(). */
+struct session_action session_next(struct session *session, uint64_t now_us)
+{
+	struct session_action action = {.type = SESSION_DO_NOTHING};
+
+	if (session->in_call)
+		return action;
+	if (!session->on) {
+		session->state = SESSION_OFF;
+		return action;
+	}
+	fill_tokens(session, now_us);
+	if (now_us < session->not_before_us || session->tokens < 1.0) {
+		session->state = SESSION_WAITING;
+		action.type = SESSION_DO_WAIT;
+		action.over_budget = now_us >= session->not_before_us;
+		action.wait_until_us = action.over_budget ? now_us + token_wait_us(session)
+							  : session->not_before_us;
+		return action;
+	}
+	session->tokens -= 1.0;
+	session->in_call = true;
+	session->state = session->list_needed ? SESSION_LISTING : SESSION_WATCHING;
+	action.type = session->list_needed ? SESSION_DO_LIST : SESSION_DO_WATCH;
+	action.after = session->list_needed ? 0 : session->version;
+	session->list_needed = false;
+	return action;
+}
+
+/* Takes the end of a call that was answered; version is the store's. */
+void session_succeeded(struct session *session, uint64_t version, uint64_t now_us)
+{
+	(void)now_us;
+	session->in_call = false;
+	session->failures = 0;
+	session->not_before_us = 0;
+	if (session->state == SESSION_LISTING || version > session->version)
+		session->version = version;
+}
+
+/* Takes the end of a call that failed or whose answer was not understood. */
+void session_failed(struct session *session, uint64_t now_us)
+{
+	uint64_t backoff = session->limits.backoff_first_us;
+	uint32_t shift =
+		session->failures < BACKOFF_SHIFT_MAX ? session->failures : BACKOFF_SHIFT_MAX;
+
+	session->in_call = false;
+	session->failures++;
+	if (session->state == SESSION_LISTING || session->failures >= RELIST_AFTER_FAILURES)
+		session->list_needed = true;
+	backoff <<= shift;
+	if (backoff > session->limits.backoff_highest_us)
+		backoff = session->limits.backoff_highest_us;
+	session->not_before_us =
+		now_us + backoff / 2 + (uint64_t)(random_unit(&session->rng) * (double)backoff / 2);
+}
+
+/* Gives the limits of a session: the failure domain's calls are shared by the nodes that may call
+ * at the same time and by the sessions of a node. */
+struct session_limits session_limits_for(uint32_t domain_calls_per_minute, uint32_t sharing_nodes,
+					 uint32_t watch_ms)
+{
+	uint32_t share =
+		domain_calls_per_minute / (sharing_nodes ? sharing_nodes : 1) / SESSIONS_PER_NODE;
+
+	return (struct session_limits){.backoff_first_us = SESSION_BACKOFF_FIRST_US,
+				       .backoff_highest_us = SESSION_BACKOFF_HIGHEST_US,
+				       .calls_per_minute = share ? share : 1,
+				       .watch_ms = watch_ms};
+}
--- a/src/fescuemill/platform/session.h
+++ b/src/fescuemill/platform/session.h
@@ -10,6 +10,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define SESSION_BACKOFF_FIRST_US   (200ULL * 1000)
+#define SESSION_BACKOFF_HIGHEST_US (30ULL * 1000 * 1000)
+#define SESSIONS_PER_NODE	   3 /* services, rosters, this node's own writes */
+
 struct session_limits {
 	uint64_t backoff_first_us;
 	uint64_t backoff_highest_us;
@@ -49,8 +53,11 @@
 	enum session_action_type type;
 	uint64_t after;
 	uint64_t wait_until_us;
+	bool over_budget; /* the wait is for the call budget */
 };
 
+struct session_limits session_limits_for(uint32_t domain_calls_per_minute, uint32_t sharing_nodes,
+					 uint32_t watch_ms);
 void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
 		  uint64_t now_us);
 void session_set_on(struct session *session, bool on);
--- /dev/null
+++ b/src/fescuemill/settings/settings.c
@@ -0,0 +1,490 @@
+/*
+ * Settings: one table states every key with its type, range, unit and fallback; reading, checking
+ * and the operators' page all follow it.
+ */
+#include "fescuemill/settings/settings.h"
+
+#include "fescuemill/settings/value.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum value_type {
+	VALUE_TEXT,
+	VALUE_ENDPOINT,
+	VALUE_IP,
+	VALUE_NUMBER, /* uint32_t */
+	VALUE_LARGE,  /* uint64_t */
+	VALUE_LOG_LEVEL,
+	VALUE_CHOICE_POLICY,
+	VALUE_PLATFORM,
+	VALUE_ADMIN_KEYS,
+	VALUE_TEAM_RIGHTS,
+};
+
+struct key_rule {
+	const char *name;
+	enum value_type type;
+	size_t offset;
+	size_t size; /* of a text with its NUL */
+	uint64_t lowest;
+	uint64_t highest;
+	const char *unit;
+	const char *fallback;
+	const char *help;
+};
+
+#define TEXT_RULE(field)                                                                           \
+	VALUE_TEXT, offsetof(struct settings, field), sizeof(((struct settings *)0)->field), 1,    \
+		sizeof(((struct settings *)0)->field) - 1, "bytes"
+#define RULE(type, field, low, high, unit)                                                         \
+	type, offsetof(struct settings, field), 0, low, high, unit
+
+#define PORT_MAX	  65535
+#define MINUTE_MS	  60000
+#define GIBIBYTE	  (1024ULL * 1024 * 1024)
+#define DISTANCE_US_MAX	  10000000
+#define BYTES_PER_S_MAX	  1000000000
+#define CALLS_PER_MIN_MAX 100000
+
+static const struct key_rule rules[] = {
+	{"name", TEXT_RULE(name), NULL, "name of this node, unique in the fleet"},
+	{"region", TEXT_RULE(region), NULL, "region of this host"},
+	{"failure_domain", TEXT_RULE(failure_domain), NULL, "failure domain of this host"},
+	{"caller_address", RULE(VALUE_ENDPOINT, caller_address, 0, PORT_MAX, "port"), NULL,
+	 "where callers reach this node over HTTP"},
+	{"node_address", RULE(VALUE_ENDPOINT, node_address, 0, PORT_MAX, "port"), NULL,
+	 "where other nodes reach this node over ZeroMQ"},
+	{"gossip_address", RULE(VALUE_ENDPOINT, gossip_address, 0, PORT_MAX, "port"), NULL,
+	 "where gossip arrives over UDP"},
+	{"backend_address", RULE(VALUE_ENDPOINT, backend_address, 0, PORT_MAX, "port"), NULL,
+	 "where the backend server of this host announces itself"},
+	{"admin_address", RULE(VALUE_ENDPOINT, admin_address, 0, PORT_MAX, "port"), NULL,
+	 "where operators reach the administration API"},
+	{"external_address", RULE(VALUE_IP, external_ip, 0, 0, ""), "",
+	 "address for nodes of other regions; needs both external ports"},
+	{"external_node_port", RULE(VALUE_NUMBER, external_node_port, 0, PORT_MAX, "port"), "0",
+	 "port for nodes of other regions over ZeroMQ"},
+	{"external_gossip_port", RULE(VALUE_NUMBER, external_gossip_port, 0, PORT_MAX, "port"), "0",
+	 "port for gossip of other regions"},
+	{"platform", RULE(VALUE_PLATFORM, platform, 1, PLATFORM_ENDPOINTS_MAX, "entries"), NULL,
+	 "addresses of the platform's object API"},
+	{"log_level", RULE(VALUE_LOG_LEVEL, log_level, 0, 0, "error, warning, info, debug"), "info",
+	 "least severe level that is logged"},
+	{"choice_policy",
+	 RULE(VALUE_CHOICE_POLICY, choice_policy, 0, 0,
+	      "expected-completion, random, round-robin, least-in-flight, two-random"),
+	 "expected-completion", "how an entry picks a gate"},
+	{"body_limit_bytes",
+	 RULE(VALUE_NUMBER, body_limit_bytes, 1024, CALL_BODY_BYTES_MAX, "bytes"), "8388608",
+	 "largest body of a call or an answer"},
+	{"memory_limit_bytes",
+	 RULE(VALUE_LARGE, memory_limit_bytes, 32ULL * 1024 * 1024, 64 * GIBIBYTE, "bytes"),
+	 "268435456", "memory for bodies and held answers; above it calls are refused"},
+	{"stop_limit_ms", RULE(VALUE_NUMBER, stop_limit_ms, 1000, 60ULL * MINUTE_MS, "ms"), "30000",
+	 "longest time of a graceful stop"},
+	{"heartbeat_ms", RULE(VALUE_NUMBER, heartbeat_ms, 50, MINUTE_MS, "ms"), "500",
+	 "time between heartbeats of a node connection in use"},
+	{"silence_ms", RULE(VALUE_NUMBER, silence_ms, 100, MINUTE_MS, "ms"), "1500",
+	 "silence after which a connection is replaced; at least twice heartbeat_ms"},
+	{"retry_share_permille", RULE(VALUE_NUMBER, retry_share_permille, 0, 1000, "permille"),
+	 "100", "retries allowed for each thousand first attempts of a service"},
+	{"own_domain_distance_us",
+	 RULE(VALUE_NUMBER, own_domain_distance_us, 0, DISTANCE_US_MAX, "us"), "200",
+	 "starting value of the distance within the failure domain, one way"},
+	{"own_region_distance_us",
+	 RULE(VALUE_NUMBER, own_region_distance_us, 0, DISTANCE_US_MAX, "us"), "1500",
+	 "starting value of the distance to the region's other failure domains, one way"},
+	{"other_region_distance_us",
+	 RULE(VALUE_NUMBER, other_region_distance_us, 0, DISTANCE_US_MAX, "us"), "8000",
+	 "starting value of the distance to other regions, one way"},
+	{"node_bytes_per_s", RULE(VALUE_NUMBER, node_bytes_per_s, 100, BYTES_PER_S_MAX, "bytes/s"),
+	 "7000", "budget of this node for measuring, headers included"},
+	{"region_link_bytes_per_s",
+	 RULE(VALUE_NUMBER, region_link_bytes_per_s, 100, BYTES_PER_S_MAX, "bytes/s"), "37500",
+	 "budget of a region link for measuring, shared by the region's nodes"},
+	{"platform_calls_per_minute",
+	 RULE(VALUE_NUMBER, platform_calls_per_minute, 6, CALLS_PER_MIN_MAX, "calls/min"), "600",
+	 "budget of a failure domain for platform calls, watches included"},
+	{"platform_timeout_ms", RULE(VALUE_NUMBER, platform_timeout_ms, 50, MINUTE_MS, "ms"),
+	 "2000", "time-out of a platform call; a watch gets it on top of its wait"},
+	{"platform_watch_ms", RULE(VALUE_NUMBER, platform_watch_ms, 100, 5ULL * MINUTE_MS, "ms"),
+	 "25000", "how long the platform may hold a watch"},
+	{"admin_keys", RULE(VALUE_ADMIN_KEYS, admin_keys, 0, ADMIN_KEYS_MAX, "entries"), "[]",
+	 "keys of the administration API: {\"team\",\"key\"}, key of 16 to 64 bytes"},
+	{"team_rights", RULE(VALUE_TEAM_RIGHTS, team_rights, 0, ADMIN_KEYS_MAX, "entries"), "[]",
+	 "services that a team may create: {\"team\",\"services\"}, \"*\" for any"},
+};
+
+#define RULE_COUNT    (sizeof(rules) / sizeof(rules[0]))
+#define KEY_BYTES_MIN 16
+
+static const char *const policy_names[CHOICE_POLICY_COUNT] = {
+	"expected-completion", "random", "round-robin", "least-in-flight", "two-random"};
+
+static const char *const type_names[] = {
+	[VALUE_TEXT] = "text",
+	[VALUE_ENDPOINT] = "address",
+	[VALUE_IP] = "address",
+	[VALUE_NUMBER] = "number",
+	[VALUE_LARGE] = "number",
+	[VALUE_LOG_LEVEL] = "choice",
+	[VALUE_CHOICE_POLICY] = "choice",
+	[VALUE_PLATFORM] = "list",
+	[VALUE_ADMIN_KEYS] = "list",
+	[VALUE_TEAM_RIGHTS] = "list",
+};
+
+/* Gives the name of a choice policy as it stands in the settings. */
+const char *choice_policy_name(enum choice_policy policy)
+{
+	return (unsigned int)policy < CHOICE_POLICY_COUNT ? policy_names[policy] : "invalid";
+}
+
+/* Gives the number of keys that settings may have. */
+size_t settings_key_count(void)
+{
+	return RULE_COUNT;
+}
+
+/* Gives what the operators' page says of one key. */
+struct settings_key_info settings_key_at(size_t index)
+{
+	const struct key_rule *rule = &rules[index];
+
+	return (struct settings_key_info){.name = rule->name,
+					  .type = type_names[rule->type],
+					  .unit = rule->unit,
+					  .fallback = rule->fallback,
+					  .lowest = rule->lowest,
+					  .highest = rule->highest,
+					  .help = rule->help};
+}
+
+/* Reads "ip:port" with an IPv4 address. Errors: ERROR_RANGE. */
+int endpoint_parse(const char *text, struct endpoint *out, struct error *err)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[INET_ADDRSTRLEN];
+	struct in_addr address;
+	char *end;
+	unsigned long port;
+
+	if (!colon || colon == text || (size_t)(colon - text) >= sizeof(ip))
+		goto bad;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	if (inet_pton(AF_INET, ip, &address) != 1)
+		goto bad;
+	if (colon[1] < '0' || colon[1] > '9')
+		goto bad;
+	port = strtoul(colon + 1, &end, 10);
+	if (*end || port > PORT_MAX)
+		goto bad;
+	out->ip = ntohl(address.s_addr);
+	out->port = (uint16_t)port;
+	return 0;
+bad:
+	return error_set(err, ERROR_RANGE, "found \"%.40s\", allowed \"IPv4:port\"", text);
+}
+
+/* Reads an IPv4 address without a port; an empty text gives 0. */
+static int read_ip(const struct value *value, uint32_t *out, struct error *err)
+{
+	char text[INET_ADDRSTRLEN];
+	struct in_addr address;
+
+	if (value_text(value, text, sizeof(text), 0, err))
+		return -1;
+	*out = 0;
+	if (!text[0])
+		return 0;
+	if (inet_pton(AF_INET, text, &address) != 1)
+		return value_error(value, ERROR_RANGE, err, "an IPv4 address");
+	*out = ntohl(address.s_addr);
+	return 0;
+}
+
+static int read_endpoint(const struct value *value, struct endpoint *out, struct error *err)
+{
+	char text[64];
+
+	if (value_text(value, text, sizeof(text), 1, err))
+		return -1;
+	if (endpoint_parse(text, out, NULL))
+		return value_error(value, ERROR_RANGE, err, "\"IPv4:port\"");
+	return 0;
+}
+
+/* Reads one of the given names as its index. */
+static int read_choice(const struct value *value, const char *const *names, uint32_t count,
+		       const char *allowed, uint32_t *out, struct error *err)
+{
+	const char *text = json_string_value(value->json);
+
+	if (!text)
+		return value_error(value, ERROR_TYPE, err, allowed);
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(text, names[i]) == 0) {
+			*out = i;
+			return 0;
+		}
+	}
+	return value_error(value, ERROR_RANGE, err, allowed);
+}
+
+static int read_log_level(const struct value *value, enum log_level *out, struct error *err)
+{
+	const char *text = json_string_value(value->json);
+
+	if (!text)
+		return value_error(value, ERROR_TYPE, err, "error, warning, info, debug");
+	if (log_level_from_name(text, out))
+		return value_error(value, ERROR_RANGE, err, "error, warning, info, debug");
+	return 0;
+}
+
+static int read_platform(const struct value *value, struct settings *out, struct error *err)
+{
+	if (value_list(value, 1, PLATFORM_ENDPOINTS_MAX, &out->platform_count, err))
+		return -1;
+	for (uint32_t i = 0; i < out->platform_count; i++) {
+		struct value entry = value_item(value, i);
+
+		if (read_endpoint(&entry, &out->platform[i], err))
+			return -1;
+		if (!out->platform[i].port)
+			return value_error(&entry, ERROR_RANGE, err, "a port of 1 to 65535");
+	}
+	return 0;
+}
+
+static int read_admin_key(const struct value *entry, struct admin_key *out, struct error *err)
+{
+	static const char *const names[] = {"team", "key", NULL};
+	struct value team;
+	struct value key;
+
+	if (value_keys(entry, names, err) || value_member(entry, "team", &team, err) ||
+	    value_member(entry, "key", &key, err))
+		return -1;
+	if (value_text(&team, out->team, sizeof(out->team), 1, err))
+		return -1;
+	return value_secret(&key, out->key, sizeof(out->key), KEY_BYTES_MIN, err);
+}
+
+static int read_admin_keys(const struct value *value, struct settings *out, struct error *err)
+{
+	if (value_list(value, 0, ADMIN_KEYS_MAX, &out->admin_key_count, err))
+		return -1;
+	for (uint32_t i = 0; i < out->admin_key_count; i++) {
+		struct value entry = value_item(value, i);
+
+		if (read_admin_key(&entry, &out->admin_keys[i], err))
+			return -1;
+	}
+	return 0;
+}
+
+static int read_rights_entry(const struct value *entry, struct team_rights *out, struct error *err)
+{
+	static const char *const names[] = {"team", "services", NULL};
+	struct value team;
+	struct value services;
+
+	if (value_keys(entry, names, err) || value_member(entry, "team", &team, err) ||
+	    value_member(entry, "services", &services, err))
+		return -1;
+	if (value_text(&team, out->team, sizeof(out->team), 1, err) ||
+	    value_list(&services, 1, TEAM_SERVICES_MAX, &out->service_count, err))
+		return -1;
+	for (uint32_t i = 0; i < out->service_count; i++) {
+		struct value name = value_item(&services, i);
+
+		if (value_text(&name, out->services[i], sizeof(out->services[i]), 1, err))
+			return -1;
+	}
+	return 0;
+}
+
+static int read_team_rights(const struct value *value, struct settings *out, struct error *err)
+{
+	if (value_list(value, 0, ADMIN_KEYS_MAX, &out->team_rights_count, err))
+		return -1;
+	for (uint32_t i = 0; i < out->team_rights_count; i++) {
+		struct value entry = value_item(value, i);
+
+		if (read_rights_entry(&entry, &out->team_rights[i], err))
+			return -1;
+	}
+	return 0;
+}
+
+/* Reads one value by its rule into its field. */
+static int read_value(const struct key_rule *rule, const struct value *value, struct settings *out,
+		      struct error *err)
+{
+	void *field = (char *)out + rule->offset;
+	uint64_t number = 0;
+	uint32_t choice = 0;
+
+	switch (rule->type) {
+	case VALUE_TEXT:
+		return value_text(value, field, rule->size, 1, err);
+	case VALUE_ENDPOINT:
+		return read_endpoint(value, field, err);
+	case VALUE_IP:
+		return read_ip(value, field, err);
+	case VALUE_NUMBER:
+	case VALUE_LARGE:
+		if (value_number(value, rule->lowest, rule->highest, rule->unit, &number, err))
+			return -1;
+		if (rule->type == VALUE_LARGE)
+			*(uint64_t *)field = number;
+		else
+			*(uint32_t *)field = (uint32_t)number;
+		return 0;
+	case VALUE_LOG_LEVEL:
+		return read_log_level(value, field, err);
+	case VALUE_CHOICE_POLICY:
+		if (read_choice(value, policy_names, CHOICE_POLICY_COUNT, rule->unit, &choice, err))
+			return -1;
+		*(enum choice_policy *)field = (enum choice_policy)choice;
+		return 0;
+	case VALUE_PLATFORM:
+		return read_platform(value, out, err);
+	case VALUE_ADMIN_KEYS:
+		return read_admin_keys(value, out, err);
+	case VALUE_TEAM_RIGHTS:
+		return read_team_rights(value, out, err);
+	}
+	return error_set(err, ERROR_STATE, "no rule for %s", rule->name);
+}
+
+/* Reads the fallback of an absent key as if it stood in the file. */
+static int read_fallback(const struct key_rule *rule, const char *source, struct settings *out,
+			 struct error *err)
+{
+	struct value value = {.source = source};
+	bool number = rule->type == VALUE_NUMBER || rule->type == VALUE_LARGE;
+	bool list = rule->type == VALUE_ADMIN_KEYS || rule->type == VALUE_TEAM_RIGHTS;
+	int status;
+
+	snprintf(value.path, sizeof(value.path), "$.%s", rule->name);
+	if (!rule->fallback)
+		return error_set(err, ERROR_MISSING, "%s: %s: missing, required: %s",
+				 value_short_source(source), value.path, rule->help);
+	if (number)
+		value.json = json_integer((json_int_t)strtoull(rule->fallback, NULL, 10));
+	else if (list)
+		value.json = json_array();
+	else
+		value.json = json_string(rule->fallback);
+	status = read_value(rule, &value, out, err);
+	json_decref(value.json);
+	return status;
+}
+
+/* Checks that hold between keys. */
+static int check_together(const struct settings *out, const char *source, struct error *err)
+{
+	const char *file = value_short_source(source);
+
+	if (out->silence_ms < 2 * out->heartbeat_ms)
+		return error_set(err, ERROR_RANGE,
+				 "%s: $.silence_ms: found %" PRIu32
+				 ", allowed at least twice heartbeat_ms (%" PRIu32 ")",
+				 file, out->silence_ms, 2 * out->heartbeat_ms);
+	if (out->external_ip && (!out->external_node_port || !out->external_gossip_port))
+		return error_set(err, ERROR_MISSING,
+				 "%s: $.external_node_port, $.external_gossip_port: required with "
+				 "external_address",
+				 file);
+	return 0;
+}
+
+/* Tells whether a name is a key of the table. */
+static bool key_is_known(const char *name)
+{
+	for (size_t i = 0; i < RULE_COUNT; i++) {
+		if (strcmp(name, rules[i].name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static int check_keys(json_t *root, const char *source, struct error *err)
+{
+	const char *name;
+	json_t *unused;
+
+	json_object_foreach(root, name, unused)
+	{
+		if (!key_is_known(name))
+			return error_set(err, ERROR_UNKNOWN_KEY,
+					 "%s: $.%.60s: not a key of settings",
+					 value_short_source(source), name);
+	}
+	return 0;
+}
+
+static int read_root(json_t *root, const char *source, struct settings *out, struct error *err)
+{
+	if (!json_is_object(root))
+		return error_set(err, ERROR_TYPE, "%s: $: allowed: an object",
+				 value_short_source(source));
+	if (check_keys(root, source, err))
+		return -1;
+	for (size_t i = 0; i < RULE_COUNT; i++) {
+		struct value value = {.json = json_object_get(root, rules[i].name),
+				      .source = source};
+		int status;
+
+		snprintf(value.path, sizeof(value.path), "$.%s", rules[i].name);
+		if (value.json)
+			status = read_value(&rules[i], &value, out, err);
+		else
+			status = read_fallback(&rules[i], source, out, err);
+		if (status)
+			return -1;
+	}
+	return check_together(out, source, err);
+}
+
+/* Reads settings from a text; source names it in errors. Errors: ERROR_SYNTAX with the line;
+ * ERROR_UNKNOWN_KEY, ERROR_MISSING, ERROR_TYPE, ERROR_RANGE with the JSON path, what was found and
+ * what is allowed. */
+int settings_parse(const char *text, size_t size, const char *source, struct settings *out,
+		   struct error *err)
+{
+	json_error_t fault;
+	json_t *root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &fault);
+	int status;
+
+	memset(out, 0, sizeof(*out));
+	if (!root)
+		return error_set(err, ERROR_SYNTAX, "%s:%d:%d: %s", value_short_source(source),
+				 fault.line, fault.column, fault.text);
+	status = read_root(root, source, out, err);
+	json_decref(root);
+	return status;
+}
+
+/* Reads settings from a file. Errors: ERROR_SYSTEM, ERROR_TOO_LARGE and those of
+ * settings_parse(). */
+int settings_load(const char *path, struct settings *out, struct error *err)
+{
+	char *text;
+	size_t size;
+	int status;
+
+	if (value_read_file(path, &text, &size, err))
+		return -1;
+	status = settings_parse(text, size, path, out, err);
+	free(text);
+	return status;
+}
--- /dev/null
+++ b/test/unit/platform/session_test.cc
@@ -0,0 +1,172 @@
+// Unit tests of the platform session: what is called next, back-off, call budget, reading again.
+#include <gtest/gtest.h>
+#include <set>
+
+extern "C" {
+#include "fescuemill/platform/session.h"
+}
+
+static const uint64_t second_us = 1000000;
+
+class Session : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		session_limits limits = {200000, 30 * second_us, 60, 25000};
+
+		session_init(&session, &limits, 1, now);
+		session_set_on(&session, true);
+	}
+
+	session_action next()
+	{
+		return session_next(&session, now);
+	}
+
+	struct session session;
+	uint64_t now = 100 * second_us;
+};
+
+TEST_F(Session, ListsFirstThenWatchesFromTheVersionReached)
+{
+	EXPECT_EQ(SESSION_DO_LIST, next().type);
+	EXPECT_EQ(SESSION_DO_NOTHING, next().type);
+	session_succeeded(&session, 42, now);
+	session_action action = next();
+
+	EXPECT_EQ(SESSION_DO_WATCH, action.type);
+	EXPECT_EQ(42U, action.after);
+	session_succeeded(&session, 50, now);
+	EXPECT_EQ(50U, next().after);
+}
+
+TEST_F(Session, OffMakesNoCall)
+{
+	session_set_on(&session, false);
+	EXPECT_EQ(SESSION_DO_NOTHING, next().type);
+	EXPECT_EQ(SESSION_OFF, session.state);
+}
+
+TEST_F(Session, BackOffGrowsToItsLimitWithJitter)
+{
+	uint64_t last_wait = 0;
+
+	for (int i = 0; i < 12; i++) {
+		session_action action = next();
+
+		while (action.type == SESSION_DO_WAIT) {
+			now = action.wait_until_us;
+			action = next();
+		}
+		session_failed(&session, now);
+		last_wait = session.not_before_us - now;
+		EXPECT_GE(last_wait, std::min<uint64_t>(100000ULL << i, 15 * second_us));
+		EXPECT_LE(last_wait, 30 * second_us);
+	}
+	EXPECT_GE(last_wait, 15 * second_us);
+}
+
+TEST_F(Session, AfterAnOutageItListsAgain)
+{
+	next();
+	session_succeeded(&session, 42, now);
+	for (int i = 0; i < 3; i++) {
+		now += 60 * second_us;
+		EXPECT_EQ(SESSION_DO_WATCH, next().type);
+		session_failed(&session, now);
+	}
+	now += 60 * second_us;
+	EXPECT_EQ(SESSION_DO_LIST, next().type);
+}
+
+TEST_F(Session, OneFailedWatchGoesOnFromItsVersion)
+{
+	next();
+	session_succeeded(&session, 42, now);
+	next();
+	session_failed(&session, now);
+	now += 60 * second_us;
+	session_action action = next();
+
+	EXPECT_EQ(SESSION_DO_WATCH, action.type);
+	EXPECT_EQ(42U, action.after);
+}
+
+TEST_F(Session, AnswersAtOnceForeverStayWithinTheBudget)
+{
+	uint64_t end = now + 60 * second_us;
+	int calls = 0;
+
+	while (now < end) {
+		session_action action = next();
+
+		if (action.type == SESSION_DO_WAIT) {
+			EXPECT_TRUE(action.over_budget);
+			now = action.wait_until_us;
+			continue;
+		}
+		calls++;
+		session_succeeded(&session, 42, now);
+	}
+	EXPECT_LE(calls, 60 + 4 + 1);
+	EXPECT_GE(calls, 60);
+}
+
+TEST_F(Session, RefreshListsWithoutWaitingForTheBackOff)
+{
+	next();
+	session_succeeded(&session, 42, now);
+	next();
+	session_failed(&session, now);
+	EXPECT_EQ(SESSION_DO_WAIT, next().type);
+	session_refresh(&session);
+	EXPECT_EQ(SESSION_DO_LIST, next().type);
+}
+
+TEST_F(Session, RefreshDuringACallListsAfterIt)
+{
+	next();
+	session_refresh(&session);
+	session_succeeded(&session, 42, now);
+	EXPECT_EQ(SESSION_DO_LIST, next().type);
+}
+
+TEST(SessionLimits, TheDomainsCallsAreShared)
+{
+	EXPECT_EQ(100U, session_limits_for(600, 2, 25000).calls_per_minute);
+	EXPECT_EQ(1U, session_limits_for(60, 183, 25000).calls_per_minute);
+}
+
+// No stampede: after an outage the first calls of many sessions are spread over the back-off.
+TEST(SessionFleet, ReturnAfterAnOutageIsSpread)
+{
+	const int sessions = 3100;
+	std::multiset<uint64_t> returns;
+
+	for (int i = 0; i < sessions; i++) {
+		session_limits limits = session_limits_for(600, 2, 25000);
+		struct session s;
+		uint64_t now = second_us;
+
+		session_init(&s, &limits, (uint64_t)i + 1, now);
+		session_set_on(&s, true);
+		while (now < 600 * second_us) {
+			session_action action = session_next(&s, now);
+
+			if (action.type == SESSION_DO_WAIT)
+				now = action.wait_until_us;
+			else
+				session_failed(&s, now);
+		}
+		returns.insert(now);
+	}
+	size_t worst = 0;
+
+	for (uint64_t at : returns)
+		worst = std::max(worst, (size_t)std::distance(returns.lower_bound(at),
+							      returns.lower_bound(at + second_us)));
+	RecordProperty("worst_second", (int)worst);
+	// Even if every node followed, under the two thousand reads a second of the platform.
+	EXPECT_LE(worst, 400U);
+}
