Choose by slowness and errors against the typical, with bounded trials

Cause: the first choice compared service times themselves. In the loop of property-choice_compare (16 entries, 16 servers of 6 slots, 8,640 calls/s) p50 without a bad server was 4,607 us against 3,839 us of two random choices: differences that are only noise drew the work of all entries to whoever was lucky last. A server that had been slow got 0.22% of the calls three seconds after it was well again, against a fair 25%.

Ruled out: ageing the seen service time faster (100 ms: regains, but 2.06% of calls go to slowed servers and p99 is 40,959 us); the gate's own smoothed service time, which mixes classes and recovers only with many answers.

Change: a gate counts as slow from twice the typical time of the call's class, as failing from 25% above twice the typical error rate; below, all are equal but for queue and distance. A bad gate is tried again by at most 0.3% of the picks, one attempt at a time; a trial that goes well is not counted. Silence while attempts are in flight counts as slowness before the first answer.

--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -12,9 +12,17 @@
 #include <string.h>
 
 #define ROUND_TRIP_WEIGHT 0.1F
-#define SERVICE_WEIGHT	  0.3F
-#define TYPICAL_WEIGHT	  0.02F
-#define ERROR_WEIGHT	  0.3F
+#define SLOWNESS_WEIGHT	  0.2F
+#define ERROR_WEIGHT	  0.2F
+#define ERROR_DEAD_ZONE	  0.25F /* above twice the typical error rate */
+
+#define SLOW_FACTOR	    2.0F /* slowness from which a gate counts as slow */
+#define TRIAL_WEIGHT	    0.5F /* of an answer from a slow gate */
+#define TYPICAL_ANSWERS_MAX 64U
+
+#define TRIAL_COST	 1000U
+#define TRIAL_PER_PICK	 3U
+#define TRIAL_TOKENS_MAX TRIAL_COST
 
 /* Fills the settings that the node uses unless its own say otherwise. */
 void choice_default_settings(struct choice_settings *settings)
@@ -27,8 +35,8 @@
 		.step_us = {0, 200, 10000},
 		.service_time_us = 5000,
 		.load_age_us = 50000,
-		.service_age_us = 1000000,
-		.error_age_us = 1000000,
+		.trial_age_us = 1000000,
+		.error_trial_age_us = 5000000,
 		.error_penalty_us = 1000000,
 	};
 }
@@ -47,7 +55,7 @@
 	if (!choice)
 		return error_set(err, ERROR_MEMORY, "choice");
 	choice->settings = *settings;
-	choice->typical_service_us = (float)settings->service_time_us;
+	choice->typical_us = (float)settings->service_time_us;
 	*out = choice;
 	return 0;
 }
@@ -80,21 +88,60 @@
 	return expf(-(float)(now_us - seen_us) / (float)age_us);
 }
 
-/* Expected service time. A seen one is trusted less with time and gives way to the typical one, so
- * that a gate which was slow is tried again; and while attempts are in flight and none is
- * answered, it is at least that long, so that a stalled gate is noticed before its first answer. */
-static float expected_service_us(const struct choice *choice, const struct choice_gate *gate,
-				 uint64_t now_us)
+/* Tells whether a gate was last seen to be slow. Smaller differences are noise of the service
+ * times: to follow them would send the work of all entries to whoever was lucky last. */
+static bool is_slow(const struct choice_gate *gate)
+{
+	return gate->slowness > SLOW_FACTOR;
+}
+
+/* Gives by how much a gate fails more often than is typical. Single errors stay below. */
+static float error_excess(const struct choice *choice, const struct choice_gate *gate)
+{
+	float excess = gate->error_rate - 2 * choice->typical_error_rate - ERROR_DEAD_ZONE;
+
+	return excess > 0 ? excess : 0;
+}
+
+/* Tells whether a gate that was slow or failed may be tried as if it had not. Trials are a bounded
+ * share of the picks, one at a time for each gate, so that they do not show in the 99th
+ * percentile. */
+static bool is_on_trial(const struct choice *choice, const struct choice_gate *gate,
+			uint64_t now_us)
+{
+	bool is_failing = error_excess(choice, gate) > 0;
+	uint64_t age_us =
+		is_failing ? choice->settings.error_trial_age_us : choice->settings.trial_age_us;
+
+	if (!is_failing && !is_slow(gate))
+		return false;
+	return gate->in_flight == 0 && choice->trial_tokens >= TRIAL_COST &&
+	       now_us >= gate->tried_us + age_us;
+}
+
+/* Gives the typical service time of a class, or of all while the class has no answer. */
+static float class_typical_us(const struct choice *choice, uint32_t class_index)
+{
+	if (class_index >= CLASSES_PER_SERVICE_MAX || choice->class_answers[class_index] == 0)
+		return choice->typical_us;
+	return choice->class_typical_us[class_index];
+}
+
+/* Expected slowness of a gate. While attempts are in flight and none is answered for much longer
+ * than is typical, the time since then counts, so that a stalled gate is noticed before its first
+ * answer. */
+static float expected_slowness(const struct choice *choice, const struct choice_gate *gate,
+			       uint64_t now_us)
 {
-	float weight = aged_weight(gate->service_us, now_us, choice->settings.service_age_us);
-	float service = choice->typical_service_us +
-			weight * (gate->service_time_us - choice->typical_service_us);
+	float slowness = 1;
 	float stalled;
 
+	if (is_slow(gate) && !is_on_trial(choice, gate, now_us))
+		slowness = gate->slowness;
 	if (gate->in_flight == 0 || now_us <= gate->progress_us)
-		return service;
-	stalled = (float)(now_us - gate->progress_us) - gate->round_trip_us;
-	return stalled > service ? stalled : service;
+		return slowness;
+	stalled = ((float)(now_us - gate->progress_us) - gate->round_trip_us) / choice->typical_us;
+	return stalled > SLOW_FACTOR * slowness ? stalled : slowness;
 }
 
 /* Expected number of attempts at the gate: those last seen, aged, and this entry's own since; at
@@ -111,14 +158,14 @@
 /* Expected completion of an attempt sent now, in microseconds, with the cost of a likely error
  * and of the distance. */
 static float expected_completion_us(const struct choice *choice, const struct choice_gate *gate,
-				    uint64_t now_us)
+				    uint32_t class_index, uint64_t now_us)
 {
-	float service = expected_service_us(choice, gate, now_us);
+	float slowness = expected_slowness(choice, gate, now_us);
+	float service = slowness * class_typical_us(choice, class_index);
 	float limit = (float)gate->limit;
 	float excess = expected_occupancy(choice, gate, now_us) + 1 - limit;
-	float errors = gate->error_rate *
-		       aged_weight(gate->error_us, now_us, choice->settings.error_age_us);
-	float wait = excess > 0 ? service * excess / limit : 0;
+	float errors = is_on_trial(choice, gate, now_us) ? 0 : error_excess(choice, gate);
+	float wait = excess > 0 ? slowness * choice->typical_us * excess / limit : 0;
 
 	return gate->round_trip_us + wait + service +
 	       errors * (float)choice->settings.error_penalty_us +
@@ -143,7 +190,8 @@
 		if (!choice_may_pick(&choice->gates[number], query))
 			continue;
 		drawn++;
-		cost = expected_completion_us(choice, &choice->gates[number], now_us);
+		cost = expected_completion_us(choice, &choice->gates[number], query->class_index,
+					      now_us);
 		if (best >= 0 && cost >= *best_us)
 			continue;
 		best = number;
@@ -159,8 +207,13 @@
 	float best_us = 0;
 	int best = -1;
 
+	choice->trial_tokens += TRIAL_PER_PICK;
+	if (choice->trial_tokens > TRIAL_TOKENS_MAX)
+		choice->trial_tokens = TRIAL_TOKENS_MAX;
 	for (uint32_t d = 0; d < DISTANCE_COUNT; d++)
 		best = draw_best(choice, query, d, rng, now_us, best, &best_us);
+	if (best >= 0 && is_on_trial(choice, &choice->gates[best], now_us))
+		choice->trial_tokens -= TRIAL_COST;
 	return best;
 }
 
@@ -207,20 +260,15 @@
 	gate->sent_since++;
 }
 
-/* Takes in a gate's own word on its load. The service time that comes with a failure is left out:
- * fast failures shorten it. */
-static void gate_load_taken(struct choice_gate *gate, const struct gate_load *load, bool failed,
-			    uint64_t now_us)
+/* Takes in a gate's own word on its load. Its service time is left out: it mixes classes, and fast
+ * failures shorten it. */
+static void gate_load_taken(struct choice_gate *gate, const struct gate_load *load, uint64_t now_us)
 {
 	gate->load_us = now_us;
 	gate->occupancy = load->in_use + load->queued;
 	gate->sent_since = 0;
 	if (load->limit > 0)
 		gate->limit = load->limit;
-	if (failed || load->service_time_us == 0)
-		return;
-	gate->service_time_us = (float)load->service_time_us;
-	gate->service_us = now_us;
 }
 
 /* Moves a smoothed value towards a sample. */
@@ -229,9 +277,35 @@
 	return value + weight * (sample - value);
 }
 
-/* Takes in how long an answered attempt took. */
-static void gate_timing_taken(struct choice *choice, struct choice_gate *gate,
-			      const struct choice_result *result, uint64_t now_us)
+/* Moves the typical service times towards a sample; the first answers weigh more. */
+static void typical_taken(struct choice *choice, uint32_t class_index, float server_us)
+{
+	uint32_t *answers = &choice->class_answers[class_index];
+	float *typical = &choice->class_typical_us[class_index];
+
+	if (*answers < TYPICAL_ANSWERS_MAX)
+		(*answers)++;
+	*typical = smoothed(*typical, server_us, 1.0F / (float)*answers);
+	choice->typical_us = smoothed(choice->typical_us, server_us, 1.0F / TYPICAL_ANSWERS_MAX);
+}
+
+/* Takes in how slow an answer was for its class; tells whether it came in the usual time. */
+static bool gate_slowness_taken(struct choice *choice, struct choice_gate *gate,
+				const struct choice_result *result)
+{
+	uint32_t class_index = result->class_index % CLASSES_PER_SERVICE_MAX;
+	bool was_slow = is_slow(gate);
+	float ratio;
+
+	typical_taken(choice, class_index, (float)result->server_us);
+	ratio = (float)result->server_us / (choice->class_typical_us[class_index] + 1);
+	gate->slowness = smoothed(gate->slowness, ratio, was_slow ? TRIAL_WEIGHT : SLOWNESS_WEIGHT);
+	return ratio <= SLOW_FACTOR;
+}
+
+/* Takes in how long an answered attempt took; tells whether that was usual. */
+static bool gate_timing_taken(struct choice *choice, struct choice_gate *gate,
+			      const struct choice_result *result)
 {
 	uint32_t inside_us = result->gate_queue_us + result->server_us;
 
@@ -239,21 +313,35 @@
 		gate->round_trip_us =
 			smoothed(gate->round_trip_us, (float)(result->elapsed_us - inside_us),
 				 ROUND_TRIP_WEIGHT);
-	choice->typical_service_us =
-		smoothed(choice->typical_service_us, (float)result->server_us, TYPICAL_WEIGHT);
-	gate->service_time_us =
-		smoothed(gate->service_time_us, (float)result->server_us, SERVICE_WEIGHT);
-	gate->service_us = now_us;
+	return gate_slowness_taken(choice, gate, result);
 }
 
 /* Takes in whether an attempt failed. Fast failures must cost more than they save. */
-static void gate_error_taken(const struct choice *choice, struct choice_gate *gate, bool failed,
+static void gate_error_taken(struct choice *choice, struct choice_gate *gate, bool failed,
 			     uint64_t now_us)
 {
-	float weight = aged_weight(gate->error_us, now_us, choice->settings.error_age_us);
+	float sample = failed ? 1.0F : 0.0F;
+
+	choice->typical_error_rate =
+		smoothed(choice->typical_error_rate, sample, 1.0F / TYPICAL_ANSWERS_MAX);
+	gate->error_rate = smoothed(gate->error_rate, sample, ERROR_WEIGHT);
+	gate->tried_us = now_us;
+}
+
+/* Takes in an answer. A good one from a gate that was slow or failing lets it be tried again at
+ * once, and the trial is not counted. */
+static void gate_answer_taken(struct choice *choice, struct choice_gate *gate,
+			      const struct choice_result *result, uint64_t now_us)
+{
+	bool was_bad = is_slow(gate) || error_excess(choice, gate) > 0;
 
-	gate->error_rate = smoothed(gate->error_rate * weight, failed ? 1.0F : 0.0F, ERROR_WEIGHT);
-	gate->error_us = now_us;
+	gate->progress_us = now_us;
+	gate_error_taken(choice, gate, false, now_us);
+	if (!gate_timing_taken(choice, gate, result) || !was_bad)
+		return;
+	gate->error_rate *= 1 - TRIAL_WEIGHT;
+	gate->tried_us = 0;
+	choice->trial_tokens = TRIAL_TOKENS_MAX;
 }
 
 /* Notes how an attempt ended. A result for a gate without state is ignored. */
@@ -268,9 +356,7 @@
 		gate->in_flight--;
 	switch (result->kind) {
 	case CHOICE_RESULT_ANSWERED:
-		gate->progress_us = now_us;
-		gate_timing_taken(choice, gate, result, now_us);
-		gate_error_taken(choice, gate, false, now_us);
+		gate_answer_taken(choice, gate, result, now_us);
 		break;
 	case CHOICE_RESULT_FAILED:
 	case CHOICE_RESULT_REFUSED:
@@ -281,8 +367,7 @@
 		break;
 	}
 	if (result->has_load)
-		gate_load_taken(gate, &result->load, result->kind != CHOICE_RESULT_ANSWERED,
-				now_us);
+		gate_load_taken(gate, &result->load, now_us);
 }
 
 /* Takes in a load report that came by itself. */
@@ -292,7 +377,7 @@
 	struct choice_gate *gate = gate_find(choice, node_id);
 
 	if (gate)
-		gate_load_taken(gate, load, false, now_us);
+		gate_load_taken(gate, load, now_us);
 }
 
 /* Gives the number of gates that state is kept for. */
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -34,8 +34,8 @@
 	uint32_t step_us[DISTANCE_COUNT];	/* by how much a gate there must win */
 	uint32_t service_time_us;		/* before one was seen */
 	uint32_t load_age_us;			/* a seen queue this old counts for 1/e */
-	uint32_t service_age_us;		/* likewise for a seen service time */
-	uint32_t error_age_us;			/* likewise for a seen error */
+	uint32_t trial_age_us;			/* a slow gate is not tried again sooner */
+	uint32_t error_trial_age_us;		/* a failing gate is not tried again sooner */
 	uint32_t error_penalty_us;		/* expected cost of an attempt that fails */
 };
 
@@ -53,6 +53,7 @@
 struct choice_query {
 	const uint64_t *excluded; /* node ids */
 	uint32_t excluded_count;
+	uint8_t class_index; /* of the call in its service's list of classes */
 };
 
 enum choice_result_kind {
@@ -65,6 +66,7 @@
 
 struct choice_result {
 	enum choice_result_kind kind;
+	uint8_t class_index; /* as in the query */
 	bool has_load;
 	struct gate_load load;
 	uint32_t elapsed_us;	/* from sending to the answer */
--- a/src/fescuemill/decide/choice_member.c
+++ b/src/fescuemill/decide/choice_member.c
@@ -53,7 +53,7 @@
 	} else {
 		memset(gate, 0, sizeof(*gate));
 		gate->round_trip_us = (float)choice->settings.round_trip_us[member->distance];
-		gate->service_time_us = choice->typical_service_us;
+		gate->slowness = 1;
 	}
 	gate->member = *member;
 	if (gate->limit == 0)
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -10,22 +10,25 @@
 struct choice_gate {
 	struct choice_member member;
 	uint64_t load_us;     /* when the load was seen; 0: never */
-	uint64_t service_us;  /* when the service time was seen; 0: never */
-	uint64_t error_us;    /* when error_rate was last changed */
+	uint64_t tried_us;    /* last result, for the next trial of a slow or failing gate */
 	uint64_t progress_us; /* last answer, or first attempt after none was in flight */
 	uint32_t in_flight;   /* attempts of this entry */
 	uint32_t sent_since;  /* of them sent since the load was seen */
 	uint32_t occupancy;   /* slots in use and attempts queued, as seen */
 	uint32_t limit;	      /* slots that the gate uses, as seen */
-	float service_time_us;
+	float slowness;	      /* service time in relation to the typical one of the same class */
 	float round_trip_us;
 	float error_rate; /* 0 to 1 */
 };
 
 struct choice {
 	struct choice_settings settings;
-	float typical_service_us; /* of the answers to this entry */
-	uint32_t cursor;	  /* of round robin */
+	float typical_us; /* service time of the answers to this entry */
+	float typical_error_rate;
+	float class_typical_us[CLASSES_PER_SERVICE_MAX];
+	uint32_t class_answers[CLASSES_PER_SERVICE_MAX]; /* up to TYPICAL_ANSWERS_MAX */
+	uint32_t trial_tokens;				 /* in thousandths of a trial */
+	uint32_t cursor;				 /* of round robin */
 	uint32_t count;
 	uint32_t starts[DISTANCE_COUNT + 1];	    /* where each distance begins in order */
 	uint16_t order[CHOICE_GATES_MAX];	    /* gates grouped by distance */
--- /dev/null
+++ b/test/property/choice_compare_test.cc
@@ -0,0 +1,77 @@
+// The choice against its baselines, in one loop with one seed. Prints its figures.
+#include "property/choice_loop.h"
+
+using namespace choice_loop;
+
+namespace
+{
+Outcome run(Scenario setup, choice_policy policy)
+{
+	setup.policy = policy;
+	Outcome out = Loop(setup).run();
+	print_row(policy_name(policy), out);
+	return out;
+}
+} // namespace
+
+TEST(ChoiceCompare, OneInFourSlowedTenfold)
+{
+	Scenario setup;
+
+	setup.slow = 4;
+	print_header("one server in four slowed 10x, 8,640 calls/s, 16 entries, 16 servers");
+	Outcome outs[CHOICE_POLICY_COUNT];
+	for (int p = 0; p < CHOICE_POLICY_COUNT; p++)
+		outs[p] = run(setup, (choice_policy)p);
+	EXPECT_LE(histogram_quantile_us(&outs[CHOICE_EXPECTED].latency, 0.99) * 2,
+		  histogram_quantile_us(&outs[CHOICE_LEAST_IN_FLIGHT].latency, 0.99));
+}
+
+TEST(ChoiceCompare, OneFailingFastAttractsNothing)
+{
+	Scenario setup;
+
+	setup.failing = 1;
+	print_header("one server of 16 failing fast");
+	Outcome outs[CHOICE_POLICY_COUNT];
+	for (int p = 0; p < CHOICE_POLICY_COUNT; p++)
+		outs[p] = run(setup, (choice_policy)p);
+	EXPECT_LE(outs[CHOICE_EXPECTED].to_bad * setup.servers, outs[CHOICE_EXPECTED].calls);
+}
+
+TEST(ChoiceCompare, NobodyIsBad)
+{
+	Scenario setup;
+
+	print_header("no bad server");
+	Outcome outs[CHOICE_POLICY_COUNT];
+	for (int p = 0; p < CHOICE_POLICY_COUNT; p++)
+		outs[p] = run(setup, (choice_policy)p);
+	// One bucket of the histogram is 1/16.
+	EXPECT_LE(histogram_quantile_us(&outs[CHOICE_EXPECTED].latency, 0.99) * 16,
+		  histogram_quantile_us(&outs[CHOICE_RANDOM].latency, 0.99) * 17);
+}
+
+TEST(ChoiceCompare, CandidatesAndAges)
+{
+	Scenario setup;
+
+	setup.slow = 4;
+	print_header("candidates, one server in four slowed 10x");
+	for (uint32_t candidates : {1, 2, 3, 4, 5, 6, 8, 16}) {
+		setup.candidates = candidates;
+		print_row(std::to_string(candidates).c_str(), Loop(setup).run());
+	}
+	setup.candidates = 0;
+	print_header("trial age in ms, one server in four slowed 10x");
+	for (uint32_t age_ms : {100, 300, 1000, 3000}) {
+		setup.trial_age_us = age_ms * 1000;
+		print_row(std::to_string(age_ms).c_str(), Loop(setup).run());
+	}
+	setup.trial_age_us = 0;
+	print_header("load age in ms, one server in four slowed 10x");
+	for (uint32_t age_ms : {1, 5, 20, 50, 200}) {
+		setup.load_age_us = age_ms * 1000;
+		print_row(std::to_string(age_ms).c_str(), Loop(setup).run());
+	}
+}
