Membership by gossip, within a byte budget

Cause: a lease object for each node would take the platform's whole write allowance (3,100 / 10 s) and a full mesh the node's 7 KB/s, so liveness must cost a constant amount for each node. Change: probes along a ring of the own region and to one random member, indirect probes, suspicion and refutation, news pushed to three members every 100 ms while there is any, digests by 64 buckets to work off differences, the configuration version in every packet. One budget of bytes for the node and for its share of the link; acks are charged, not refused. Found by the split property and mended: with members of other regions suspected from here, both sides of a split buried each other, and on healing the news of that took the living out of choice. A region alone now decides which of its members live; from outside only the link is in doubt. Faults put in, and what failed: members of other regions suspected - SplitRegions...; no refutation - five properties; pause not noticed - PausedNodeIsNotJoined...; probes kept over a pause - PausedNodeWakesWithoutHarm; budget always allows - SendingStaysWithinTheBudget; no sync - six; an old life wins over a new one - RestartedNodes... Not shown by a test: fast news.

--- /dev/null
+++ b/src/fescuemill/decide/budget.h
@@ -0,0 +1,36 @@
+/*
+ * Budget: the bytes a second that measuring and control may cost, as token buckets for the node
+ * and for its share of the link to other regions. Calls are never charged.
+ */
+#ifndef FESCUEMILL_DECIDE_BUDGET_H
+#define FESCUEMILL_DECIDE_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define BUDGET_PACKET_HEADER_BYTES  28 /* IPv4 and UDP */
+#define BUDGET_SEGMENT_HEADER_BYTES 52 /* IPv4 and TCP with time stamps */
+
+/* A bucket may go below zero by what was received, since receiving cannot be refused. */
+struct budget_bucket {
+	uint64_t rate_bytes_per_s;
+	int64_t burst_bytes;
+	double tokens_bytes;
+	uint64_t refilled_us;
+	uint64_t spent_bytes;
+	uint64_t refused_bytes;
+};
+
+struct budget {
+	struct budget_bucket node;
+	struct budget_bucket link;
+	uint64_t link_total_bytes_per_s;
+};
+
+void budget_init(struct budget *bud, uint64_t node_bytes_per_s, uint64_t link_bytes_per_s,
+		 uint64_t now_us);
+void budget_share_link(struct budget *bud, uint32_t nodes);
+bool budget_take(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
+void budget_charge(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/fleet/digest.c
@@ -0,0 +1,43 @@
+/*
+ * Digest: each bucket is the exclusive or of its members' hashes, so that order does not matter.
+ */
+#include "fescuemill/fleet/digest.h"
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define BUCKET_SHIFT 58 /* the top 6 bits of a node id name one of GOSSIP_BUCKETS */
+
+/* Hashes what two nodes must agree on of one member. */
+static uint64_t member_hash(const struct member *member)
+{
+	uint64_t words[4] = {member->life.node_id, member->life.incarnation, member->revision,
+			     member->state};
+
+	return XXH3_64bits(words, sizeof(words));
+}
+
+/* Gives the bucket of a member. */
+uint32_t digest_bucket_of(uint64_t node_id)
+{
+	return (uint32_t)(node_id >> BUCKET_SHIFT);
+}
+
+/* Makes the hashes anew if the table has changed since. */
+void digest_update(struct digest *digest, const struct member_table *members)
+{
+	if (digest->revision == member_table_revision(members))
+		return;
+	memset(digest, 0, sizeof(*digest));
+	digest->revision = member_table_revision(members);
+	for (size_t i = 0; i < member_count(members); i++) {
+		const struct member *member = member_at(members, i);
+
+		if (member->state == MEMBER_DEAD)
+			continue;
+		digest->buckets[digest_bucket_of(member->life.node_id)] ^= member_hash(member);
+		digest->total ^= member_hash(member);
+	}
+}
--- /dev/null
+++ b/src/fescuemill/fleet/gossip_packet.c
@@ -0,0 +1,100 @@
+/*
+ * Gossip, sending side: packets are made in place, charged to the budget and handed to the
+ * socket.
+ */
+#include "fescuemill/fleet/gossip_codec.h"
+#include "fescuemill/fleet/gossip_state.h"
+
+#include "fescuemill/base/log.h"
+
+#include <string.h>
+
+/* Tells whether a packet to a member crosses a link between regions. */
+static bool crosses_link(const struct gossip *gsp, const struct member *to)
+{
+	return strcmp(gsp->self.region, to->region) != 0;
+}
+
+/* Gives the address under which a member is reached from this region. */
+static const struct node_address *address_of(const struct gossip *gsp, const struct member *to)
+{
+	bool external = crosses_link(gsp, to) && to->external.gossip_port;
+
+	return external ? &to->external : &to->internal;
+}
+
+/* Starts the packet with the envelope that every kind has. */
+void gossip_packet_start(struct gossip *gsp, enum gossip_kind kind, uint32_t seq)
+{
+	struct gossip_packet *packet = &gsp->packet;
+
+	memset(packet, 0, offsetof(struct gossip_packet, news));
+	packet->kind = kind;
+	packet->seq = seq;
+	packet->sender = gsp->self.life;
+	packet->config_version = gsp->config_version;
+	packet->table_hash = gsp->digest.total;
+}
+
+/* Encodes the packet; a packet that does not fit is a fault of this program. */
+static size_t encode(struct gossip *gsp, uint8_t *data)
+{
+	struct error err;
+	size_t size;
+
+	if (gossip_encode(&gsp->packet, data, &size, &err) == 0)
+		return size;
+	log_failure(LOG_ERROR, LOG_PART_GOSSIP, "A packet could not be made.", &err);
+	return 0;
+}
+
+/* Sends the packet to a member if the budget allows it. */
+bool gossip_packet_send(struct gossip *gsp, const struct member *to, uint64_t now_us)
+{
+	const struct node_address *address = address_of(gsp, to);
+	uint8_t data[GOSSIP_PACKET_BYTES];
+	size_t size = encode(gsp, data);
+	uint32_t cost = (uint32_t)size + BUDGET_PACKET_HEADER_BYTES;
+
+	if (!size || !budget_take(gsp->budget, cost, crosses_link(gsp, to), now_us))
+		return false;
+	gsp->io.send(gsp->io.user, address->ip, address->gossip_port, data, size);
+	return true;
+}
+
+/* Sends the packet to an address and charges it: an ack that waited would make this node look
+ * dead. */
+void gossip_packet_send_charged(struct gossip *gsp, uint32_t ip, uint16_t port, bool crosses,
+				uint64_t now_us)
+{
+	uint8_t data[GOSSIP_PACKET_BYTES];
+	size_t size = encode(gsp, data);
+
+	if (!size)
+		return;
+	budget_charge(gsp->budget, (uint32_t)size + BUDGET_PACKET_HEADER_BYTES, crosses, now_us);
+	gsp->io.send(gsp->io.user, ip, port, data, size);
+}
+
+/* Sends a packet with as much news as fits. */
+bool gossip_send_kind(struct gossip *gsp, const struct member *to, enum gossip_kind kind,
+		      uint32_t seq, uint64_t now_us)
+{
+	gossip_packet_start(gsp, kind, seq);
+	rumor_fill(&gsp->rumors, gsp->members, &gsp->packet);
+	if (!gossip_packet_send(gsp, to, now_us))
+		return false;
+	rumor_count_sent(&gsp->rumors, &gsp->packet);
+	return true;
+}
+
+/* Sends a packet that tells a member what this node believes of it. */
+bool gossip_send_about(struct gossip *gsp, const struct member *to, enum gossip_kind kind,
+		       uint64_t now_us)
+{
+	gossip_packet_start(gsp, kind, 0);
+	gsp->packet.news[0].whole = false;
+	gsp->packet.news[0].member = *to;
+	gsp->packet.news_count = 1;
+	return gossip_packet_send(gsp, to, now_us);
+}
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -4,9 +4,8 @@
  */
 #include "fescuemill/wire/codec.h"
 
-#include "fescuemill/wire/bounds.h"
+#include "fescuemill/wire/reader.h"
 
-#include <msgpack.h>
 #include <string.h>
 
 #define ENVELOPE_ITEMS 7
@@ -155,114 +154,10 @@
 	return 0;
 }
 
-/* A walk over the items of one array. The first failure is kept in err; reads after it give zero.
- */
-struct reader {
-	const msgpack_object_array *items;
-	uint32_t next;
-	bool failed;
-	struct error *err;
-};
-
-/* Records a failure of the reader. */
-static void reader_fail(struct reader *rd, enum error_kind kind, const char *what)
-{
-	if (rd->failed)
-		return;
-	rd->failed = true;
-	error_set(rd->err, kind, "field %u: %s", rd->next, what);
-}
-
-/* Gives the next item, or NULL when there is none. */
-static const msgpack_object *read_item(struct reader *rd)
-{
-	if (rd->failed)
-		return NULL;
-	if (rd->next >= rd->items->size) {
-		reader_fail(rd, ERROR_TRUNCATED, "missing");
-		return NULL;
-	}
-	return &rd->items->ptr[rd->next++];
-}
-
-/* Reads an unsigned number of at most max. */
-static uint64_t read_uint(struct reader *rd, uint64_t max)
-{
-	const msgpack_object *item = read_item(rd);
-
-	if (!item)
-		return 0;
-	if (item->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
-		reader_fail(rd, ERROR_TYPE, "not an unsigned number");
-		return 0;
-	}
-	if (item->via.u64 > max) {
-		reader_fail(rd, ERROR_RANGE, "number too large");
-		return 0;
-	}
-	return item->via.u64;
-}
-
-/* Reads bytes of at most max. */
-static struct wire_bytes read_bytes(struct reader *rd, uint32_t max)
-{
-	const msgpack_object *item = read_item(rd);
-	struct wire_bytes bytes = {NULL, 0};
-
-	if (!item)
-		return bytes;
-	if (item->type != MSGPACK_OBJECT_BIN) {
-		reader_fail(rd, ERROR_TYPE, "not bytes");
-		return bytes;
-	}
-	if (item->via.bin.size > max) {
-		reader_fail(rd, ERROR_TOO_LARGE, "too many bytes");
-		return bytes;
-	}
-	bytes.data = (const uint8_t *)item->via.bin.ptr;
-	bytes.size = item->via.bin.size;
-	return bytes;
-}
-
-/* Reads a name into a buffer of size bytes, NUL included. */
-static void read_name(struct reader *rd, char *name, size_t size)
-{
-	const msgpack_object *item = read_item(rd);
-
-	name[0] = '\0';
-	if (!item)
-		return;
-	if (item->type != MSGPACK_OBJECT_STR) {
-		reader_fail(rd, ERROR_TYPE, "not a name");
-		return;
-	}
-	if (item->via.str.size >= size || memchr(item->via.str.ptr, 0, item->via.str.size)) {
-		reader_fail(rd, ERROR_RANGE, "name too long or with a NUL byte");
-		return;
-	}
-	memcpy(name, item->via.str.ptr, item->via.str.size);
-	name[item->via.str.size] = '\0';
-}
-
-/* Starts a reader on the next item, which must be an array. */
-static struct reader read_array(struct reader *rd)
-{
-	static const msgpack_object_array none;
-	const msgpack_object *item = read_item(rd);
-	struct reader inner = {.items = &none, .err = rd->err};
-
-	if (item && item->type != MSGPACK_OBJECT_ARRAY)
-		reader_fail(rd, ERROR_TYPE, "not an array");
-	else if (item)
-		inner.items = &item->via.array;
-	inner.failed = rd->failed;
-	return inner;
-}
-
 /* Reads a flat array of header names and values. */
 static void read_headers(struct reader *rd, struct wire_headers *headers)
 {
-	struct reader inner = read_array(rd);
+	struct reader inner = reader_array(rd);
 
 	if (inner.items->size % 2 || inner.items->size / 2 > WIRE_HEADERS_MAX) {
 		reader_fail(rd, ERROR_RANGE, "bad number of headers");
@@ -270,8 +165,8 @@
 	}
 	headers->count = inner.items->size / 2;
 	for (uint32_t i = 0; i < headers->count; i++) {
-		headers->list[i].name = read_bytes(&inner, CALL_BODY_BYTES_MAX);
-		headers->list[i].value = read_bytes(&inner, CALL_BODY_BYTES_MAX);
+		headers->list[i].name = reader_bytes(&inner, CALL_BODY_BYTES_MAX);
+		headers->list[i].value = reader_bytes(&inner, CALL_BODY_BYTES_MAX);
 	}
 	rd->failed = rd->failed || inner.failed;
 }
@@ -279,46 +174,46 @@
 /* Reads a gate's load. */
 static void read_load(struct reader *rd, struct gate_load *load)
 {
-	struct reader inner = read_array(rd);
-
-	load->in_use = (uint32_t)read_uint(&inner, UINT32_MAX);
-	load->limit = (uint32_t)read_uint(&inner, UINT32_MAX);
-	load->queued = (uint32_t)read_uint(&inner, UINT32_MAX);
-	load->service_time_us = (uint32_t)read_uint(&inner, UINT32_MAX);
-	load->wait_us = (uint32_t)read_uint(&inner, UINT32_MAX);
-	load->state = (uint8_t)read_uint(&inner, UINT8_MAX);
+	struct reader inner = reader_array(rd);
+
+	load->in_use = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	load->limit = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	load->queued = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	load->service_time_us = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	load->wait_us = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	load->state = (uint8_t)reader_uint(&inner, UINT8_MAX);
 	rd->failed = rd->failed || inner.failed;
 }
 
 /* Reads the fields of a call. */
 static void read_call(struct reader *rd, struct message_call *call)
 {
-	call->gate_incarnation = read_uint(rd, UINT64_MAX);
-	read_name(rd, call->service, sizeof(call->service));
-	read_name(rd, call->class_name, sizeof(call->class_name));
-	call->time_left_us = read_uint(rd, CALL_DEADLINE_US_MAX);
-	call->depth = (uint32_t)read_uint(rd, CALL_DEPTH_MAX);
-	call->retries_left = (uint32_t)read_uint(rd, UINT32_MAX);
-	call->idempotent = read_uint(rd, 1) != 0;
-	call->key = read_bytes(rd, KEY_BYTES - 1);
-	call->method = read_bytes(rd, UINT16_MAX);
-	call->path = read_bytes(rd, UINT16_MAX);
+	call->gate_incarnation = reader_uint(rd, UINT64_MAX);
+	reader_name(rd, call->service, sizeof(call->service));
+	reader_name(rd, call->class_name, sizeof(call->class_name));
+	call->time_left_us = reader_uint(rd, CALL_DEADLINE_US_MAX);
+	call->depth = (uint32_t)reader_uint(rd, CALL_DEPTH_MAX);
+	call->retries_left = (uint32_t)reader_uint(rd, UINT32_MAX);
+	call->idempotent = reader_uint(rd, 1) != 0;
+	call->key = reader_bytes(rd, KEY_BYTES - 1);
+	call->method = reader_bytes(rd, UINT16_MAX);
+	call->path = reader_bytes(rd, UINT16_MAX);
 	read_headers(rd, &call->headers);
-	call->body = read_bytes(rd, CALL_BODY_BYTES_MAX);
+	call->body = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 }
 
 /* Reads the fields of an answer. */
 static void read_answer(struct reader *rd, struct message_answer *answer)
 {
-	answer->outcome = (enum call_outcome)read_uint(rd, OUTCOME_COUNT - 1);
-	answer->reason = (enum call_reason)read_uint(rd, REASON_COUNT - 1);
-	answer->gate_incarnation = read_uint(rd, UINT64_MAX);
+	answer->outcome = (enum call_outcome)reader_uint(rd, OUTCOME_COUNT - 1);
+	answer->reason = (enum call_reason)reader_uint(rd, REASON_COUNT - 1);
+	answer->gate_incarnation = reader_uint(rd, UINT64_MAX);
 	read_load(rd, &answer->load);
-	answer->status = (uint32_t)read_uint(rd, 999);
-	answer->server_us = (uint32_t)read_uint(rd, UINT32_MAX);
-	answer->gate_queue_us = (uint32_t)read_uint(rd, UINT32_MAX);
+	answer->status = (uint32_t)reader_uint(rd, 999);
+	answer->server_us = (uint32_t)reader_uint(rd, UINT32_MAX);
+	answer->gate_queue_us = (uint32_t)reader_uint(rd, UINT32_MAX);
 	read_headers(rd, &answer->headers);
-	answer->body = read_bytes(rd, CALL_BODY_BYTES_MAX);
+	answer->body = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 }
 
 /* Reads the fields that belong to the message's type. */
@@ -332,21 +227,21 @@
 		read_answer(rd, &msg->answer);
 		break;
 	case MESSAGE_HELD:
-		msg->held.gate_incarnation = read_uint(rd, UINT64_MAX);
-		msg->held.body_size = (uint32_t)read_uint(rd, CALL_BODY_BYTES_MAX);
+		msg->held.gate_incarnation = reader_uint(rd, UINT64_MAX);
+		msg->held.body_size = (uint32_t)reader_uint(rd, CALL_BODY_BYTES_MAX);
 		break;
 	case MESSAGE_ASK:
-		msg->ask.gate_incarnation = read_uint(rd, UINT64_MAX);
+		msg->ask.gate_incarnation = reader_uint(rd, UINT64_MAX);
 		break;
 	case MESSAGE_PONG:
-		msg->pong.gate_incarnation = read_uint(rd, UINT64_MAX);
+		msg->pong.gate_incarnation = reader_uint(rd, UINT64_MAX);
 		read_load(rd, &msg->pong.load);
 		break;
 	case MESSAGE_CONFIG_PULL:
-		msg->config_pull.after = read_uint(rd, UINT64_MAX);
+		msg->config_pull.after = reader_uint(rd, UINT64_MAX);
 		break;
 	case MESSAGE_CONFIG_BODY:
-		msg->config_body.json = read_bytes(rd, CALL_BODY_BYTES_MAX);
+		msg->config_body.json = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 		break;
 	default:
 		break;
@@ -356,22 +251,21 @@
 /* Reads version, type and identity, then the fields. */
 static int read_envelope(const msgpack_object *root, struct message *msg, struct error *err)
 {
-	struct reader rd = {.err = err};
+	struct reader rd;
 	struct reader fields;
 
-	if (root->type != MSGPACK_OBJECT_ARRAY)
-		return error_set(err, ERROR_TYPE, "message is not an array");
-	rd.items = &root->via.array;
-	if (read_uint(&rd, UINT8_MAX) != WIRE_VERSION && !rd.failed)
+	if (reader_start(&rd, root, err))
+		return -1;
+	if (reader_uint(&rd, UINT8_MAX) != WIRE_VERSION && !rd.failed)
 		return error_set(err, ERROR_VERSION, "message of an unknown version");
-	msg->type = (enum message_type)read_uint(&rd, UINT8_MAX);
+	msg->type = (enum message_type)reader_uint(&rd, UINT8_MAX);
 	if (!rd.failed && (msg->type < MESSAGE_CALL || msg->type >= MESSAGE_TYPE_END))
 		return error_set(err, ERROR_VERSION, "message of unknown type %d", msg->type);
-	msg->epoch = (uint32_t)read_uint(&rd, UINT32_MAX);
-	msg->id.entry.node_id = read_uint(&rd, UINT64_MAX);
-	msg->id.entry.incarnation = read_uint(&rd, UINT64_MAX);
-	msg->id.sequence = read_uint(&rd, UINT64_MAX);
-	fields = read_array(&rd);
+	msg->epoch = (uint32_t)reader_uint(&rd, UINT32_MAX);
+	msg->id.entry.node_id = reader_uint(&rd, UINT64_MAX);
+	msg->id.entry.incarnation = reader_uint(&rd, UINT64_MAX);
+	msg->id.sequence = reader_uint(&rd, UINT64_MAX);
+	fields = reader_array(&rd);
 	read_fields(&fields, msg);
 	return rd.failed || fields.failed ? -1 : 0;
 }
@@ -385,14 +279,9 @@
 	memset(msg, 0, sizeof(*msg));
 	if (size > WIRE_MESSAGE_BYTES)
 		return error_set(err, ERROR_TOO_LARGE, "message of %zu bytes", size);
-	if (bounds_check(data, size, err))
+	if (reader_unpack(data, size, &unpacked, err))
 		return -1;
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, (const char *)data, size, NULL) !=
-	    MSGPACK_UNPACK_SUCCESS)
-		result = error_set(err, ERROR_SYNTAX, "message does not unpack");
-	else
-		result = read_envelope(&unpacked.data, msg, err);
+	result = read_envelope(&unpacked.data, msg, err);
 	msgpack_unpacked_destroy(&unpacked);
 	return result;
 }
--- /dev/null
+++ b/src/fescuemill/wire/reader.h
@@ -0,0 +1,34 @@
+/*
+ * Reader: walks the items of an unpacked msgpack array with checks of type and range.
+ */
+#ifndef FESCUEMILL_WIRE_READER_H
+#define FESCUEMILL_WIRE_READER_H
+
+#include "fescuemill/base/error.h"
+#include "fescuemill/wire/message_defs.h"
+
+#include <msgpack.h>
+
+/* A walk over the items of one array. The first failure is kept in err; reads after it give zero.
+ */
+struct reader {
+	const msgpack_object_array *items;
+	uint32_t next;
+	bool failed;
+	struct error *err;
+};
+
+void reader_fail(struct reader *rd, enum error_kind kind, const char *what);
+uint64_t reader_uint(struct reader *rd, uint64_t max);
+struct wire_bytes reader_bytes(struct reader *rd, uint32_t max);
+void reader_name(struct reader *rd, char *name, size_t size);
+struct reader reader_array(struct reader *rd);
+bool reader_has_more(const struct reader *rd);
+
+/* Unpacks exactly one value that fills the bytes; the caller destroys unpacked after success.
+ * Errors: ERROR_SYNTAX, ERROR_TRUNCATED, ERROR_TOO_LARGE. */
+int reader_unpack(const uint8_t *data, size_t size, msgpack_unpacked *unpacked, struct error *err);
+/* Starts a reader on a value that must be an array. Errors: ERROR_TYPE. */
+int reader_start(struct reader *rd, const msgpack_object *root, struct error *err);
+
+#endif
--- /dev/null
+++ b/test/property/gossip_property_test.cc
@@ -0,0 +1,227 @@
+// Properties of membership over a lossy fake network, and the times that the brief states.
+#include "support/fake_fleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace
+{
+const uint64_t second_us = 1000000;
+const uint64_t join_limit_us = 30 * second_us;
+const uint64_t dead_limit_us = 5 * second_us;	 // A dead host is out of choice for all.
+const uint64_t leaving_limit_us = 3 * second_us; // A leaving host gets no new work.
+const uint64_t config_limit_us = 4 * second_us;	 // A change is in force everywhere.
+const uint32_t large_fleet = 300;
+
+FakeFleet::Options random_options()
+{
+	FakeFleet::Options options;
+
+	options.nodes = *rc::gen::inRange<uint32_t>(4, 32);
+	options.regions = *rc::gen::inRange<uint32_t>(1, 4);
+	options.loss = *rc::gen::inRange(0, 10) / 100.0;
+	options.seed = *rc::gen::arbitrary<uint64_t>();
+	return options;
+}
+
+FakeFleet::Options large_options()
+{
+	FakeFleet::Options options;
+
+	options.nodes = large_fleet;
+	options.regions = 5;
+	options.loss = 0.01;
+	options.full_tables = true;
+	return options;
+}
+
+bool joins(FakeFleet &fleet)
+{
+	return fleet.run_until(join_limit_us, [&] { return fleet.all_alive(); }) != UINT64_MAX;
+}
+} // namespace
+
+RC_GTEST_PROP(Gossip, EverybodyFindsEverybodyFromOneContact, ())
+{
+	FakeFleet fleet(random_options());
+
+	RC_ASSERT(joins(fleet));
+	fleet.run_for(6 * second_us);
+	RC_ASSERT(fleet.count_live([](const FakeFleet::Node &node) {
+		return gossip_is_joined(node.gossip);
+	}) == fleet.size());
+}
+
+RC_GTEST_PROP(Gossip, NobodyLiveStaysDeadUnderLoss, ())
+{
+	FakeFleet fleet(random_options());
+
+	fleet.run_for(20 * second_us);
+	RC_ASSERT(joins(fleet));
+}
+
+RC_GTEST_PROP(Gossip, RestartedNodesReplaceTheirOldLife, ())
+{
+	FakeFleet fleet(random_options());
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	bool dead_first = *rc::gen::arbitrary<bool>();
+
+	RC_ASSERT(joins(fleet));
+	fleet.kill(victim);
+	fleet.run_for(dead_first ? 10 * second_us : second_us / 2);
+	fleet.restart(victim, 2);
+	auto sees_new_life = [&](const FakeFleet::Node &node) {
+		return member_find(node.table, fleet.id_of(victim))->life.incarnation == 2;
+	};
+	RC_ASSERT(fleet.run_until(join_limit_us, [&] {
+		return fleet.all_alive() && fleet.count_live(sees_new_life) == fleet.size();
+	}) != UINT64_MAX);
+}
+
+RC_GTEST_PROP(Gossip, PausedNodeWakesWithoutHarm, ())
+{
+	FakeFleet::Options options = random_options();
+	options.loss = 0;
+	FakeFleet fleet(options);
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	uint64_t pause_us = *rc::gen::inRange<uint64_t>(2, 30) * second_us;
+	uint64_t offset_us = *rc::gen::inRange<uint64_t>(0, 50) * 10000;
+
+	RC_ASSERT(joins(fleet));
+	fleet.run_for(6 * second_us + offset_us);
+	fleet.pause(victim, true);
+	fleet.run_for(pause_us);
+	fleet.pause(victim, false);
+	// It must not doubt the others for acks that it could not read.
+	RC_ASSERT(fleet.run_until(second_us / 2, [&] {
+		const struct member_table *table = fleet.node(victim).table;
+
+		return member_count_state(table, MEMBER_DEAD) +
+			       member_count_state(table, MEMBER_SUSPECT) >
+		       0;
+	}) == UINT64_MAX);
+	RC_ASSERT(joins(fleet));
+}
+
+RC_GTEST_PROP(Gossip, PausedNodeIsNotJoinedBeforeItHasCaughtUp, ())
+{
+	FakeFleet fleet(random_options());
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	uint64_t pause_us = *rc::gen::inRange<uint64_t>(2, 30) * second_us;
+	auto has_caught_up = [&] {
+		const struct member *first = member_find(fleet.node(victim).table, fleet.id_of(0));
+
+		return first->state == MEMBER_LEAVING;
+	};
+
+	RC_ASSERT(joins(fleet));
+	fleet.run_for(6 * second_us);
+	fleet.pause(victim, true);
+	gossip_set_leaving(fleet.node(0).gossip);
+	fleet.run_for(pause_us);
+	fleet.pause(victim, false);
+	RC_ASSERT(fleet.run_until(join_limit_us, [&] {
+		bool joined = gossip_is_joined(fleet.node(victim).gossip);
+
+		RC_ASSERT(!joined || has_caught_up());
+		return joined && has_caught_up();
+	}) != UINT64_MAX);
+}
+
+RC_GTEST_PROP(Gossip, SplitRegionsDeclareNobodyDeadAndFindEachOtherAgain, ())
+{
+	FakeFleet::Options options = random_options();
+	options.regions = 2;
+	FakeFleet fleet(options);
+	uint64_t split_us = *rc::gen::inRange<uint64_t>(30, 90) * second_us;
+	auto reaches = [](const FakeFleet::Node &node, uint32_t region) {
+		std::string name = "region-" + std::to_string(region);
+		return gossip_region_is_reachable(node.gossip, name.c_str());
+	};
+
+	RC_ASSERT(joins(fleet));
+	fleet.split(true);
+	fleet.run_for(split_us);
+	RC_ASSERT(fleet.count_live([&](const FakeFleet::Node &node) {
+		return member_count_state(node.table, MEMBER_DEAD) == 0;
+	}) == fleet.size());
+	RC_ASSERT(fleet.count_live([&](const FakeFleet::Node &node) {
+		return reaches(node, 1 - node.index % 2);
+	}) == 0u);
+	gossip_set_leaving(fleet.node(1).gossip); // Region 0 must learn this after the split.
+	fleet.run_for(5 * second_us);
+	fleet.split(false);
+	RC_ASSERT(fleet.run_until(30 * second_us, [&] {
+		return fleet.all_see(1, {MEMBER_LEAVING}) &&
+		       fleet.count_live([&](const FakeFleet::Node &node) {
+			       return reaches(node, 1 - node.index % 2);
+		       }) == fleet.size();
+	}) != UINT64_MAX);
+}
+
+RC_GTEST_PROP(Gossip, SendingStaysWithinTheBudget, ())
+{
+	FakeFleet::Options options = random_options();
+	options.node_bytes_per_s = *rc::gen::inRange<uint64_t>(1000, 8000);
+	FakeFleet fleet(options);
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	uint64_t start_us = fleet.now_us();
+
+	fleet.run_for(10 * second_us);
+	fleet.kill(victim);
+	fleet.run_for(5 * second_us);
+	fleet.restart(victim, 2);
+	fleet.run_for(15 * second_us);
+	// A full burst at the start, and the rate since.
+	uint64_t seconds = (fleet.now_us() - start_us) / second_us;
+	for (uint32_t i = 0; i < fleet.size(); i++)
+		RC_ASSERT(fleet.node(i).bytes_sent <= options.node_bytes_per_s * (seconds + 2));
+}
+
+TEST(GossipTimes, DeadHostIsOutOfChoiceEverywhere)
+{
+	FakeFleet fleet(large_options());
+
+	fleet.run_for(3 * second_us);
+	for (uint32_t victim : {10u, 111u, 222u}) {
+		auto out_of_choice = [&] {
+			return fleet.all_see(victim, {MEMBER_SUSPECT, MEMBER_DEAD});
+		};
+
+		fleet.kill(victim);
+		EXPECT_LE(fleet.run_until(dead_limit_us, out_of_choice), dead_limit_us) << victim;
+	}
+}
+
+TEST(GossipTimes, LeavingHostIsKnownEverywhere)
+{
+	FakeFleet fleet(large_options());
+	auto known = [&] { return fleet.all_see(42, {MEMBER_LEAVING}); };
+
+	fleet.run_for(3 * second_us);
+	gossip_set_leaving(fleet.node(42).gossip);
+	EXPECT_LE(fleet.run_until(leaving_limit_us, known), leaving_limit_us);
+}
+
+TEST(GossipTimes, ConfigurationVersionReachesEverybody)
+{
+	FakeFleet fleet(large_options());
+	auto in_force = [&] { return fleet.all_have_config(99); };
+
+	fleet.run_for(3 * second_us);
+	fleet.set_config(7, 99);
+	EXPECT_LE(fleet.run_until(config_limit_us, in_force), config_limit_us);
+}
+
+TEST(GossipTimes, NobodyIsSuspectedInAQuietFleet)
+{
+	FakeFleet::Options options = large_options();
+	options.loss = 0;
+	FakeFleet fleet(options);
+
+	fleet.run_for(20 * second_us);
+	EXPECT_TRUE(fleet.all_alive());
+	EXPECT_EQ(0u, fleet.count_live([](const FakeFleet::Node &node) {
+		return gossip_self(node.gossip)->revision > 0;
+	}));
+}
