Prove the retry budgets; the last retry goes down to every depth

Cause: the tree's budget was not proved at depth. And since every call kept one retry back, a budget of 3 was used up three levels down: a refusal below could not be retried, though refusals are what retries are mostly for.

Ruled out: passing all of it down (a lost idempotent attempt is then never retried); copying it (a chain of 20 with 3 retries at each level makes up to C(23,3) = 1,771 attempts of its last call).

--- a/src/fescuemill/decide/retry.c
+++ b/src/fescuemill/decide/retry.c
@@ -24,10 +24,11 @@
 }
 
 /* Gives the part of the budget that goes down with the attempt about to be sent. An idempotent
- * call keeps one retry back, to use if the attempt is lost after it may have run. */
+ * call keeps one retry back, to use if the attempt is lost after it may have run; the last one goes
+ * down, since refusals are more frequent than losses and can be met at every depth. */
 uint32_t retry_tree_pass(struct retry_tree *tree, bool idempotent)
 {
-	uint32_t kept = idempotent && tree->left > 0 ? 1 : 0;
+	uint32_t kept = idempotent && tree->left > 1 ? 1 : 0;
 
 	tree->passed = tree->left - kept;
 	tree->left = kept;
@@ -47,9 +48,11 @@
 	bucket->tokens_milli = RETRY_TOKEN_MILLI;
 }
 
-/* Adds a first attempt's fraction of a retry. */
+/* Adds a first attempt's fraction of a retry. The bucket may be NULL: unbounded. */
 void retry_bucket_first_attempt(struct retry_bucket *bucket)
 {
+	if (!bucket)
+		return;
 	bucket->tokens_milli += RETRY_PER_FIRST_MILLI;
 	if (bucket->tokens_milli > RETRY_BUCKET_MAX_MILLI)
 		bucket->tokens_milli = RETRY_BUCKET_MAX_MILLI;
--- a/test/unit/decide/retry_test.cc
+++ b/test/unit/decide/retry_test.cc
@@ -33,6 +33,19 @@
 	EXPECT_EQ(2U, tree.left);
 }
 
+TEST(Retry, TheLastRetryGoesDownToEveryDepth)
+{
+	uint32_t budget = 3;
+
+	for (int depth = 0; depth < 20; depth++) {
+		retry_tree tree;
+
+		retry_tree_init(&tree, true, budget);
+		budget = retry_tree_pass(&tree, true);
+		EXPECT_GE(budget, 1U);
+	}
+}
+
 TEST(Retry, BucketGivesATenthOfFirstAttempts)
 {
 	retry_bucket bucket;
