--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -33,7 +33,8 @@
 	case PICK_OWN_REGION:
 		return is_reachable(member) && same_region(member, &gsp->self);
 	case PICK_OTHER_REGION:
-		return is_reachable(member) && !same_region(member, &gsp->self);
+		return is_reachable(member) && !same_region(member, &gsp->self) &&
+		       region_is_reachable(&gsp->regions, member->region);
 	case PICK_DEAD:
 		return member->state == MEMBER_DEAD;
 	}
@@ -109,19 +110,23 @@
 		probe_member(gsp, any, now_us);
 }
 
-/* Asks others to ping a target that did not answer. */
+/* Asks others of the own region to ping a target that did not answer: the members that follow
+ * each other from a random place in the table. */
 static void ask_others(struct gossip *gsp, const struct probe *probe, uint64_t now_us)
 {
-	for (int i = 0; i < GOSSIP_INDIRECT_PROBES; i++) {
-		const struct member *helper = gossip_pick(gsp, PICK_OWN_REGION);
+	size_t count = member_count(gsp->members);
+	size_t start = random_below(&gsp->rng, (uint32_t)count);
+	uint32_t asked = 0;
+
+	for (size_t i = 0; i < count && asked < GOSSIP_INDIRECT_PROBES; i++) {
+		const struct member *helper = member_at(gsp->members, (start + i) % count);
 
-		if (!helper || helper->life.node_id == probe->target)
-			helper = gossip_pick(gsp, PICK_ANY);
-		if (!helper || helper->life.node_id == probe->target)
+		if (helper->life.node_id == probe->target || !fits(gsp, helper, PICK_OWN_REGION))
 			continue;
 		gossip_packet_start(gsp, GOSSIP_PING_REQUEST, probe->seq);
 		gsp->packet.target = probe->target;
 		gossip_packet_send(gsp, helper, now_us);
+		asked++;
 	}
 }
 
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -226,8 +226,8 @@
 	gossip_packet_send_charged(gsp, from->ip, from->port, from->crosses_link, now_us);
 }
 
-/* Sends back, for entries that were received, what this node knows better. */
-static void answer_entries(struct gossip *gsp, const struct source *from, uint64_t now_us)
+/* Sends back what this node knows better than the news it received. */
+static void correct_sender(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
 	size_t room = gossip_news_room();
 
@@ -288,12 +288,10 @@
 	case GOSSIP_DIGEST:
 		answer_digest(gsp, from, now_us);
 		break;
-	case GOSSIP_ENTRIES:
-		answer_entries(gsp, from, now_us);
-		break;
 	case GOSSIP_WANT:
 		answer_want(gsp, from, now_us);
 		break;
+	case GOSSIP_ENTRIES:
 	case GOSSIP_NEWS:
 	case GOSSIP_KIND_END:
 		break;
@@ -334,5 +332,6 @@
 	from = source_of(gsp, ip, port);
 	digest_update(&gsp->digest, gsp->members);
 	compare_sender(gsp);
+	correct_sender(gsp, &from, now_us);
 	answer(gsp, &from, now_us);
 }
