--- a/src/fescuemill/platform/follow.c
+++ b/src/fescuemill/platform/follow.c
@@ -17,18 +17,23 @@
 	char kind[PLATFORM_NAME_BYTES];
 	follow_batch_fn fn;
 	void *user;
-	uint64_t call_from; /* of the call that runs */
-	bool call_stale;    /* a refresh came after the call started; its answer is dropped */
+	struct follow_call *current; /* the call whose answer counts */
+	uint32_t calls;		     /* that run, abandoned ones included */
 	bool failing;
 	bool closed;
 	bool timer_gone;
 };
 
+struct follow_call {
+	struct follow *follow;
+	uint64_t from;
+};
+
 static void step(struct follow *follow);
 
 static void free_when_done(struct follow *follow)
 {
-	if (follow->closed && follow->timer_gone && !follow->session.in_call)
+	if (follow->closed && follow->timer_gone && !follow->calls)
 		free(follow);
 }
 
@@ -50,33 +55,36 @@
 	session_failed(&follow->session, clock_monotonic_us());
 }
 
-static void take_answer(struct follow *follow, const struct platform_result *result)
+static void take_answer(struct follow *follow, uint64_t from, const struct platform_result *result)
 {
 	if (follow->failing)
 		log_write(LOG_INFO, LOG_PART_PLATFORM, "Platform answers again.", "kind=%s",
 			  follow->kind);
 	follow->failing = false;
-	session_succeeded(&follow->session, result->version, clock_monotonic_us());
-	if (!follow->call_stale)
-		follow->fn(follow->user, follow->call_from, result->body, result->body_size);
+	session_succeeded(&follow->session, result->version);
+	follow->fn(follow->user, from, result->body, result->body_size);
 }
 
 static void on_done(void *user, const struct platform_result *result)
 {
-	struct follow *follow = user;
-
-	if (follow->closed) {
-		follow->session.in_call = false;
+	struct follow_call *call = user;
+	struct follow *follow = call->follow;
+	bool counts = follow->current == call && !follow->closed;
+	uint64_t from = call->from;
+
+	free(call);
+	follow->calls--;
+	if (!counts) {
 		free_when_done(follow);
 		return;
 	}
+	follow->current = NULL;
+	/* From the timer, so that an implementation that answers at once cannot recurse. */
+	uv_timer_start(&follow->timer, on_timer, 0, 0);
 	if (result->err.kind)
 		take_failure(follow, &result->err);
 	else
-		take_answer(follow, result);
-	/* From the timer, so that an implementation that answers at once cannot recurse. */
-	if (!follow->closed)
-		uv_timer_start(&follow->timer, on_timer, 0, 0);
+		take_answer(follow, from, result);
 }
 
 static void start_call(struct follow *follow, const struct session_action *action)
@@ -87,10 +95,18 @@
 		.version = action->after,
 		.wait_ms = follow->session.limits.watch_ms,
 	};
+	struct follow_call *call = calloc(1, sizeof(*call));
 
-	follow->call_from = action->after;
-	follow->call_stale = false;
-	platform_start(follow->platform, &request, on_done, follow);
+	if (!call) {
+		session_failed(&follow->session, clock_monotonic_us());
+		uv_timer_start(&follow->timer, on_timer, 0, 0);
+		return;
+	}
+	call->follow = follow;
+	call->from = action->after;
+	follow->current = call;
+	follow->calls++;
+	platform_start(follow->platform, &request, on_done, call);
 }
 
 static void wait_until(struct follow *follow, const struct session_action *action, uint64_t now_us)
@@ -150,11 +166,11 @@
 	uv_timer_start(&follow->timer, on_timer, 0, 0);
 }
 
-/* Lists again at the next chance; the answer of a call that runs now is dropped, since it may be
- * older than this moment. */
+/* Lists again at once; the answer of a call that runs now is dropped, since it may be older than
+ * this moment. */
 void follow_refresh(struct follow *follow)
 {
-	follow->call_stale = true;
+	follow->current = NULL;
 	session_refresh(&follow->session);
 	uv_timer_start(&follow->timer, on_timer, 0, 0);
 }
@@ -173,5 +189,6 @@
 	if (!follow)
 		return;
 	follow->closed = true;
+	follow->current = NULL;
 	uv_close((uv_handle_t *)&follow->timer, on_timer_closed);
 }
--- a/src/fescuemill/platform/session.c
+++ b/src/fescuemill/platform/session.c
@@ -33,10 +33,12 @@
 	session->on = on;
 }
 
-/* Makes the next call a list, without waiting for a back-off's end. */
+/* Makes the next call a list, without waiting for a back-off's end or for the call that runs, whose
+ * answer no longer counts. */
 void session_refresh(struct session *session)
 {
 	session->list_needed = true;
+	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
 }
@@ -91,9 +93,8 @@
 }
 
 /* Takes the end of a call that was answered; version is the store's. */
-void session_succeeded(struct session *session, uint64_t version, uint64_t now_us)
+void session_succeeded(struct session *session, uint64_t version)
 {
-	(void)now_us;
 	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
@@ -101,22 +102,29 @@
 		session->version = version;
 }
 
+/* Gives the wait after a number of earlier failures in a row: doubled each time up to a limit, the
+ * upper half of it at random, so that many nodes do not return at the same moment. */
+uint64_t session_backoff_us(const struct session_limits *limits, uint32_t failures,
+			    struct random *rng)
+{
+	uint32_t shift = failures < BACKOFF_SHIFT_MAX ? failures : BACKOFF_SHIFT_MAX;
+	uint64_t wait = limits->backoff_first_us << shift;
+
+	if (wait > limits->backoff_highest_us)
+		wait = limits->backoff_highest_us;
+	return wait / 2 + (uint64_t)(random_unit(rng) * (double)wait / 2);
+}
+
 /* Takes the end of a call that failed or whose answer was not understood. */
 void session_failed(struct session *session, uint64_t now_us)
 {
-	uint64_t backoff = session->limits.backoff_first_us;
-	uint32_t shift =
-		session->failures < BACKOFF_SHIFT_MAX ? session->failures : BACKOFF_SHIFT_MAX;
+	uint64_t backoff = session_backoff_us(&session->limits, session->failures, &session->rng);
 
 	session->in_call = false;
 	session->failures++;
 	if (session->state == SESSION_LISTING || session->failures >= RELIST_AFTER_FAILURES)
 		session->list_needed = true;
-	backoff <<= shift;
-	if (backoff > session->limits.backoff_highest_us)
-		backoff = session->limits.backoff_highest_us;
-	session->not_before_us =
-		now_us + backoff / 2 + (uint64_t)(random_unit(&session->rng) * (double)backoff / 2);
+	session->not_before_us = now_us + backoff;
 }
 
 /* Gives the limits of a session: the failure domain's calls are shared by the nodes that may call
--- a/src/fescuemill/platform/session.h
+++ b/src/fescuemill/platform/session.h
@@ -58,12 +58,14 @@
 
 struct session_limits session_limits_for(uint32_t domain_calls_per_minute, uint32_t sharing_nodes,
 					 uint32_t watch_ms);
+uint64_t session_backoff_us(const struct session_limits *limits, uint32_t failures,
+			    struct random *rng);
 void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
 		  uint64_t now_us);
 void session_set_on(struct session *session, bool on);
 void session_refresh(struct session *session);
 struct session_action session_next(struct session *session, uint64_t now_us);
-void session_succeeded(struct session *session, uint64_t version, uint64_t now_us);
+void session_succeeded(struct session *session, uint64_t version);
 void session_failed(struct session *session, uint64_t now_us);
 
 #endif
