Configuration store under properties: digests are claimed only with their content

Cause: found by the property over lost, repeated and reordered deliveries with restarts and pauses: a node that had only listed answered a pull without the deletions before its list; a whole answer did not end a service that it named as deleted; an answer to a pull asked with other content was taken as 'nothing new'. The change: a whole answer sets from which version on deletions are known, a pull carries a hash of the asker's content, and a pull's ticket ties its answer to the time after a pause.

--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -13,6 +13,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 struct config_entry {
 	char name[SERVICE_NAME_BYTES];
 	bool in_force;
@@ -30,7 +33,7 @@
 	uint64_t through;	 /* everything up to this version was delivered */
 	uint64_t complete;	 /* version of the newest change up to `through` */
 	uint64_t noted;		 /* highest digest heard from a peer */
-	uint64_t pruned_version; /* deletions up to this version may be forgotten */
+	uint64_t pruned_version; /* deletions up to this version may not be known here */
 	uint64_t ticket;
 	bool ready;
 };
@@ -186,6 +189,13 @@
 		  entry->name, delivery->version);
 }
 
+/* Tells whether a delivery is older than a whole answer that did not have the service. */
+static bool is_forgotten(const struct config_store *store, const struct config_entry *entry,
+			 const struct delivery *delivery)
+{
+	return !entry->in_force && !entry->rejected && delivery->version <= store->pruned_version;
+}
+
 static int read_object(const struct delivery *delivery, struct service_object *out,
 		       struct error *err)
 {
@@ -213,7 +223,7 @@
 		return 0;
 	}
 	if (delivery->version <= entry->object.config.version ||
-	    delivery->version <= entry->deleted_version)
+	    delivery->version <= entry->deleted_version || is_forgotten(store, entry, delivery))
 		return 0;
 	if (read_object(delivery, &object, &fault)) {
 		apply_rejected(entry, delivery, &fault);
@@ -262,7 +272,7 @@
 	return 0;
 }
 
-/* Tells whether a batch names a service. */
+/* Tells whether a batch has a value of a service. */
 static bool batch_has(const json_t *items, const char *name)
 {
 	size_t index;
@@ -272,13 +282,13 @@
 	{
 		const char *text = json_string_value(json_object_get(item, "name"));
 
-		if (text && strcmp(text, name) == 0)
+		if (text && json_object_get(item, "value") && strcmp(text, name) == 0)
 			return true;
 	}
 	return false;
 }
 
-/* Deletes what a batch of everything through `version` does not name. */
+/* Deletes what a batch of everything through `version` does not have. */
 static void delete_absent(struct config_store *store, const json_t *items, uint64_t version)
 {
 	for (uint32_t i = 0; i < store->entry_count; i++) {
@@ -292,11 +302,14 @@
 	}
 }
 
-/* Raises what this node knows to have everything through. */
-static void raise_complete(struct config_store *store, uint64_t through)
+/* Raises what this node knows to have everything through. A watch that moved on without a change
+ * raises no digest, since that would have every node pull. */
+static void raise_complete(struct config_store *store, uint64_t through, bool watch)
 {
 	if (through > store->through)
 		store->through = through;
+	if (!watch && through > store->complete)
+		store->complete = through;
 	for (uint32_t i = 0; i < store->entry_count; i++) {
 		uint64_t newest = entry_newest(store->entries[i]);
 
@@ -320,26 +333,43 @@
 	struct value items;
 	uint64_t version;
 	uint64_t from;
+	uint64_t known; /* the sender does not know of all deletions up to this version */
+	bool has_same;
+	uint64_t same; /* there are no items since sender and asker had this content */
+	bool watch;    /* the platform's answer to a watch */
 };
 
+static int read_version(const struct value *root, const char *name, uint64_t *out,
+			struct error *err)
+{
+	struct value member;
+
+	if (value_member(root, name, &member, err))
+		return -1;
+	return value_number(&member, 0, INT64_MAX, "", out, err);
+}
+
 /* Reads the head of a batch and checks all items, so that a batch applies whole or not at all. */
 static int batch_read(struct batch *batch, bool peer, const char *json, size_t size,
 		      struct error *err)
 {
 	struct value root = {.source = "batch", .path = "$"};
-	struct value member;
 	json_error_t fault;
 
 	batch->root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
 	if (!batch->root)
 		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
 	root.json = batch->root;
-	if (value_member(&root, "version", &member, err) ||
-	    value_number(&member, 0, INT64_MAX, "", &batch->version, err))
+	if (read_version(&root, "version", &batch->version, err))
 		goto fail;
-	if (peer && (value_member(&root, "from", &member, err) ||
-		     value_number(&member, 0, INT64_MAX, "", &batch->from, err)))
+	if (peer && (read_version(&root, "from", &batch->from, err) ||
+		     read_version(&root, "known", &batch->known, err)))
 		goto fail;
+	batch->has_same = peer && json_object_get(batch->root, "same");
+	if (batch->has_same && read_version(&root, "same", &batch->same, err))
+		goto fail;
+	if (!peer)
+		batch->known = batch->from ? 0 : batch->version;
 	if (value_member(&root, "items", &batch->items, err))
 		goto fail;
 	if (!json_is_array(batch->items.json)) {
@@ -354,16 +384,40 @@
 	return -1;
 }
 
+static uint64_t name_hash(const char *name, uint64_t version)
+{
+	return XXH3_64bits_withSeed(name, strlen(name), version);
+}
+
+/* Gives a hash of every version in force or not understood, whatever was deleted. */
+uint64_t config_content(const struct config_store *store)
+{
+	uint64_t content = 0;
+
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		const struct config_entry *entry = store->entries[i];
+
+		if (entry->in_force)
+			content ^= name_hash(entry->name, entry->object.config.version);
+		if (entry->rejected)
+			content ^= name_hash(entry->name, ~entry->rejected_version);
+	}
+	return content & INT64_MAX; /* JSON carries it as a whole number */
+}
+
 /* Applies a batch; returns whether it joins on to what this node has. */
 static bool batch_apply(struct config_store *store, struct batch *batch)
 {
-	bool joins = batch->from <= store->through;
+	bool joins = batch->from <= store->through &&
+		     (!batch->has_same || batch->same == config_content(store));
 
 	walk_items(store, &batch->items, true, NULL);
 	if (batch->from == 0)
 		delete_absent(store, batch->items.json, batch->version);
+	if (joins && batch->known > batch->from && batch->known > store->pruned_version)
+		store->pruned_version = batch->known;
 	if (joins)
-		raise_complete(store, batch->version);
+		raise_complete(store, batch->version, batch->watch);
 	json_decref(batch->root);
 	return joins;
 }
@@ -372,17 +426,15 @@
 int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
 		       struct error *err)
 {
-	struct batch batch = {.from = from};
+	struct batch batch = {.from = from, .watch = from > 0};
 
 	if (batch_read(&batch, false, json, size, err))
 		return -1;
 	if (!batch_apply(store, &batch))
 		return 0;
-	if (from == 0) {
-		/* The platform's word stands above a digest that no peer can back. */
-		store->noted = store->complete;
-		become_ready(store);
-	}
+	/* The platform's word stands above a digest that no peer can back. */
+	store->noted = store->complete;
+	become_ready(store);
 	return 0;
 }
 
@@ -540,21 +592,25 @@
 }
 
 /* Writes the answer to a peer's pull. Errors as the header says. */
-int config_write_batch(const struct config_store *store, uint64_t after, char **json, size_t *size,
-		       struct error *err)
+int config_write_batch(const struct config_store *store, uint64_t after, uint64_t content,
+		       char **json, size_t *size, struct error *err)
 {
+	bool same = content == config_content(store);
 	json_t *items;
 	json_t *root;
 
 	if (!store->ready)
 		return error_set(err, ERROR_STATE, "the configuration is not caught up");
-	if (after < store->pruned_version)
+	if (!same && (after < store->pruned_version || after >= store->complete))
 		after = 0;
 	items = json_array();
-	for (uint32_t i = 0; i < store->entry_count; i++)
+	for (uint32_t i = 0; i < store->entry_count && !same; i++)
 		append_entry(items, store->entries[i], after);
-	root = json_pack("{s:I, s:I, s:o}", "from", (json_int_t)after, "version",
-			 (json_int_t)store->complete, "items", items);
+	root = json_pack("{s:I, s:I, s:I, s:o}", "from", (json_int_t)after, "known",
+			 (json_int_t)store->pruned_version, "version", (json_int_t)store->complete,
+			 "items", items);
+	if (same)
+		json_object_set_new(root, "same", json_integer((json_int_t)content));
 	*json = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	json_decref(root);
 	if (!*json)
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -53,15 +53,19 @@
 /* Not ready until the platform or a ready peer gave everything that this node had heard of. Stays
  * ready while later changes arrive. */
 bool config_is_ready(const struct config_store *store);
-/* After a pause of the process: not ready until a whole answer to a question asked after this. */
+/* After a pause of the process: not ready until a whole answer to a question asked after this.
+ * Calls of follow_refresh() go with it, since answers of the platform to older questions must be
+ * dropped. */
 void config_mark_stale(struct config_store *store);
-/* Pulls: the asker sends its config_version() and ticket; a peer answers with config_write_batch()
- * and the same ticket. A node that is behind or not ready pulls. */
+/* A hash of what exists here, so that a peer that has the same sends nothing. */
+uint64_t config_content(const struct config_store *store);
+/* Pulls: the asker sends its config_version(), content and ticket; a peer answers with
+ * config_write_batch() and the same ticket. A node that is behind or not ready pulls. */
 uint64_t config_ticket(const struct config_store *store);
-/* Writes a malloc'ed JSON batch {"from","version","items"} of what is newer than `after`.
- * Errors: ERROR_STATE when this node is not ready itself, ERROR_MEMORY. */
-int config_write_batch(const struct config_store *store, uint64_t after, char **json, size_t *size,
-		       struct error *err);
+/* Writes a malloc'ed JSON batch {"from","known","version","items"} and "same" of what is newer than
+ * `after`. Errors: ERROR_STATE when this node is not ready itself, ERROR_MEMORY. */
+int config_write_batch(const struct config_store *store, uint64_t after, uint64_t content,
+		       char **json, size_t *size, struct error *err);
 /* Takes a peer's batch. Errors: those of config_apply_batch(). */
 int config_apply_peer_batch(struct config_store *store, uint64_t ticket, const char *json,
 			    size_t size, struct error *err);
--- /dev/null
+++ b/src/fescuemill/fleet/keeper.c
@@ -0,0 +1,404 @@
+/*
+ * Keeper: reads the rosters, writes that of its own failure domain by conditional updates. A lost
+ * or refused write does no harm: the roster is read again and only what is missing is written.
+ */
+#include "fescuemill/fleet/keeper.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/platform/follow.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PERIOD_US      (60 * USEC_PER_SEC) /* between two readings when rosters are not watched */
+#define JOIN_WAIT_US   (8 * USEC_PER_SEC)  /* for the writers to enter a new node */
+#define ENOUGH_MEMBERS 3		   /* of a domain that a new node can join by gossip */
+#define LEAVE_ATTEMPTS 3
+
+enum keeper_stage {
+	KEEPER_IDLE,
+	KEEPER_READING,
+	KEEPER_WRITING,
+};
+
+struct keeper {
+	struct platform *platform;
+	struct member_table *members;
+	struct follow *follow;
+	struct session_limits limits;
+	struct random rng;
+	uv_timer_t timer;
+	struct member self;
+	bool has_self;
+	bool watching;
+	bool leaving;
+	bool closed;
+	bool timer_gone;
+	enum keeper_stage stage;
+	uint32_t failures;
+	uint32_t leave_attempts;
+	uint64_t self_since_us;
+	uint64_t version; /* of the own domain's roster as last read; 0: there is none */
+	bool entered;	  /* whether this node stood in it once */
+	bool known;	  /* whether it was read at all since the last doubt */
+	struct roster roster;
+	void (*left)(void *user);
+	void *left_user;
+};
+
+static void check(struct keeper *keeper);
+
+static void free_when_done(struct keeper *keeper)
+{
+	if (!keeper->closed || !keeper->timer_gone || keeper->stage != KEEPER_IDLE)
+		return;
+	roster_free(&keeper->roster);
+	free(keeper);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	check(timer->data);
+}
+
+static void check_after(struct keeper *keeper, uint64_t wait_us)
+{
+	if (!keeper->closed)
+		uv_timer_start(&keeper->timer, on_timer, wait_us / USEC_PER_MSEC + 1, 0);
+}
+
+/* Checks again after a back-off, reading the roster first. */
+static void check_after_failure(struct keeper *keeper)
+{
+	keeper->known = false;
+	check_after(keeper, session_backoff_us(&keeper->limits, keeper->failures++, &keeper->rng));
+}
+
+/* Gives the wait to the next regular reading, spread over half a period. */
+static uint64_t period_us(struct keeper *keeper)
+{
+	return PERIOD_US / 2 + (uint64_t)(random_unit(&keeper->rng) * PERIOD_US);
+}
+
+/* Puts the members of a roster into the table. */
+static void learn(struct keeper *keeper, const struct roster *roster)
+{
+	for (uint32_t i = 0; i < roster->count; i++) {
+		if (roster->members[i].life.node_id != keeper->self.life.node_id)
+			member_upsert(keeper->members, &roster->members[i]);
+	}
+}
+
+/* Takes a roster that was read. The own domain's is kept for the next write. */
+static void take_roster(struct keeper *keeper, const char *name, uint64_t version, const char *json,
+			size_t size)
+{
+	struct roster roster;
+	struct error err;
+
+	if (roster_parse(json, size, &roster, &err)) {
+		counter_add(COUNTER_ROSTER_REJECTED, 1);
+		log_failure(LOG_WARNING, LOG_PART_PLATFORM, "Roster not understood.", &err);
+		roster_free(&roster);
+		return;
+	}
+	learn(keeper, &roster);
+	if (strcmp(name, keeper->self.domain) != 0 || version < keeper->version) {
+		roster_free(&roster);
+		return;
+	}
+	roster_free(&keeper->roster);
+	keeper->roster = roster;
+	keeper->version = version;
+	keeper->known = true;
+}
+
+static void forget_roster(struct keeper *keeper)
+{
+	roster_free(&keeper->roster);
+	keeper->version = 0;
+	keeper->known = true;
+}
+
+static void take_item(struct keeper *keeper, const json_t *item)
+{
+	const char *name = json_string_value(json_object_get(item, "name"));
+	json_t *value = json_object_get(item, "value");
+	json_int_t version = json_integer_value(json_object_get(item, "version"));
+	char *text;
+
+	if (!name)
+		return;
+	if (!value) {
+		if (strcmp(name, keeper->self.domain) == 0 && (uint64_t)version > keeper->version)
+			forget_roster(keeper);
+		return;
+	}
+	text = json_dumps(value, JSON_COMPACT);
+	if (text)
+		take_roster(keeper, name, (uint64_t)version, text, strlen(text));
+	free(text);
+}
+
+/* Takes an answer of the follow: all rosters, or those that changed. */
+static void on_batch(void *user, uint64_t from, const char *json, size_t size)
+{
+	struct keeper *keeper = user;
+	json_t *root = json_loadb(json, size, 0, NULL);
+	size_t index;
+	json_t *item;
+
+	if (from == 0 && keeper->stage == KEEPER_IDLE)
+		forget_roster(keeper);
+	json_array_foreach(json_object_get(root, "items"), index, item)
+	{
+		take_item(keeper, item);
+	}
+	json_decref(root);
+	if (!keeper->watching)
+		follow_set_on(keeper->follow, false);
+	check(keeper);
+}
+
+/* Tells whether a new node leaves its first entry to the writers, which enter all at once. */
+static bool leaves_entry_to_writers(const struct keeper *keeper)
+{
+	uint64_t waited_us = clock_monotonic_us() - keeper->self_since_us;
+
+	return !keeper->watching && keeper->roster.count >= ENOUGH_MEMBERS &&
+	       waited_us < JOIN_WAIT_US && !roster_is_writer(keeper->members, &keeper->self);
+}
+
+/* Brings the roster to what it should say; returns whether it must be written. */
+static bool revise(struct keeper *keeper)
+{
+	bool changed = false;
+
+	memcpy(keeper->roster.domain, keeper->self.domain, sizeof(keeper->roster.domain));
+	if (keeper->leaving)
+		return roster_remove(&keeper->roster, keeper->self.life.node_id);
+	if (!leaves_entry_to_writers(keeper))
+		changed = roster_put(&keeper->roster, &keeper->self);
+	if (roster_is_writer(keeper->members, &keeper->self))
+		changed |= roster_prune(&keeper->roster, keeper->members);
+	return changed;
+}
+
+static void finish_leave(struct keeper *keeper)
+{
+	void (*left)(void *user) = keeper->left;
+
+	keeper->left = NULL;
+	uv_timer_stop(&keeper->timer);
+	if (left)
+		left(keeper->left_user);
+}
+
+static void on_written(void *user, const struct platform_result *result)
+{
+	struct keeper *keeper = user;
+
+	keeper->stage = KEEPER_IDLE;
+	if (keeper->closed) {
+		free_when_done(keeper);
+		return;
+	}
+	if (result->err.kind) {
+		counter_add(result->err.kind == ERROR_CONFLICT ? COUNTER_ROSTER_CONFLICTS
+							       : COUNTER_PLATFORM_FAILURES,
+			    1);
+		check_after_failure(keeper);
+		return;
+	}
+	counter_add(COUNTER_ROSTER_WRITES, 1);
+	keeper->failures = 0;
+	keeper->entered = true;
+	if (result->version > keeper->version)
+		keeper->version = result->version;
+	check_after(keeper, keeper->leaving ? 0 : period_us(keeper));
+}
+
+static void write_roster(struct keeper *keeper)
+{
+	struct platform_request request = {
+		.type = keeper->version ? PLATFORM_UPDATE : PLATFORM_CREATE,
+		.kind = ROSTER_KIND,
+		.name = keeper->self.domain,
+		.version = keeper->version,
+	};
+	struct error err;
+	char *json;
+
+	if (roster_write(&keeper->roster, &json, &request.value_size, &err)) {
+		log_failure(LOG_ERROR, LOG_PART_PLATFORM, "Roster not written.", &err);
+		check_after_failure(keeper);
+		return;
+	}
+	request.value = json;
+	keeper->stage = KEEPER_WRITING;
+	platform_start(keeper->platform, &request, on_written, keeper);
+	free(json);
+}
+
+static void on_read(void *user, const struct platform_result *result)
+{
+	struct keeper *keeper = user;
+
+	keeper->stage = KEEPER_IDLE;
+	if (keeper->closed) {
+		free_when_done(keeper);
+		return;
+	}
+	if (result->err.kind && result->err.kind != ERROR_NOT_FOUND) {
+		counter_add(COUNTER_PLATFORM_FAILURES, 1);
+		check_after_failure(keeper);
+		return;
+	}
+	keeper->version = 0;
+	if (result->err.kind)
+		forget_roster(keeper);
+	else
+		take_roster(keeper, keeper->self.domain, result->version, result->body,
+			    result->body_size);
+	if (!keeper->known) {
+		check_after_failure(keeper); /* never overwrite what is not understood */
+		return;
+	}
+	check(keeper);
+}
+
+static void read_roster(struct keeper *keeper)
+{
+	struct platform_request request = {
+		.type = PLATFORM_GET, .kind = ROSTER_KIND, .name = keeper->self.domain};
+
+	keeper->stage = KEEPER_READING;
+	platform_start(keeper->platform, &request, on_read, keeper);
+}
+
+/* Tells whether nothing is left to do here: the writers keep the entry of a node that stands in the
+ * roster, as far as it is not watched. */
+static bool is_kept_by_writers(const struct keeper *keeper)
+{
+	return !keeper->watching && keeper->entered &&
+	       !roster_is_writer(keeper->members, &keeper->self);
+}
+
+/* Does the next thing: reads the roster when it is not known, writes it when it must change. */
+static void check(struct keeper *keeper)
+{
+	if (keeper->closed || !keeper->has_self || keeper->stage != KEEPER_IDLE)
+		return;
+	if (keeper->leaving && (!keeper->left || keeper->leave_attempts++ >= LEAVE_ATTEMPTS)) {
+		finish_leave(keeper);
+		return;
+	}
+	if (is_kept_by_writers(keeper)) {
+		if (keeper->leaving)
+			finish_leave(keeper);
+		else
+			check_after(keeper, period_us(keeper));
+		return;
+	}
+	if (!keeper->known) {
+		read_roster(keeper);
+		return;
+	}
+	if (revise(keeper)) {
+		write_roster(keeper);
+		return;
+	}
+	if (keeper->leaving) {
+		finish_leave(keeper);
+		return;
+	}
+	/* What is known may be old by the next regular check, unless it is watched. */
+	keeper->known = keeper->watching;
+	keeper->entered = roster_has(&keeper->roster, keeper->self.life.node_id);
+	check_after(keeper, leaves_entry_to_writers(keeper) ? JOIN_WAIT_US : period_us(keeper));
+}
+
+/* Opens a keeper that watches the rosters. Errors: ERROR_MEMORY. */
+int keeper_open(struct keeper **out, uv_loop_t *loop, struct platform *platform,
+		struct member_table *members, const struct session_limits *limits, uint64_t seed,
+		struct error *err)
+{
+	struct keeper *keeper = calloc(1, sizeof(*keeper));
+
+	if (!keeper)
+		return error_set(err, ERROR_MEMORY, "no memory for the roster keeper");
+	if (follow_open(&keeper->follow, loop, platform, ROSTER_KIND, limits, seed, on_batch,
+			keeper, err)) {
+		free(keeper);
+		return -1;
+	}
+	keeper->platform = platform;
+	keeper->members = members;
+	keeper->limits = *limits;
+	keeper->watching = true;
+	random_seed(&keeper->rng, seed + 1);
+	uv_timer_init(loop, &keeper->timer);
+	keeper->timer.data = keeper;
+	*out = keeper;
+	return 0;
+}
+
+/* States this node's own member. */
+void keeper_set_self(struct keeper *keeper, const struct member *self)
+{
+	if (!keeper->has_self) {
+		keeper->self_since_us = clock_monotonic_us();
+		follow_set_on(keeper->follow, true);
+	}
+	keeper->self = *self;
+	keeper->has_self = true;
+	check(keeper);
+}
+
+/* Switches between watching the rosters and reading them once. */
+void keeper_set_watching(struct keeper *keeper, bool on)
+{
+	keeper->watching = on;
+	if (on && keeper->has_self)
+		follow_set_on(keeper->follow, true);
+}
+
+/* Reads all rosters again, for instance to rejoin after regions lost each other. */
+void keeper_refresh(struct keeper *keeper)
+{
+	if (!keeper->has_self || keeper->leaving)
+		return;
+	follow_set_on(keeper->follow, true);
+	follow_refresh(keeper->follow);
+}
+
+/* Takes this node out of the roster; calls done once, also when that failed. */
+void keeper_leave(struct keeper *keeper, void (*done)(void *user), void *user)
+{
+	keeper->leaving = true;
+	keeper->left = done;
+	keeper->left_user = user;
+	follow_set_on(keeper->follow, false);
+	check_after(keeper, 0);
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct keeper *keeper = handle->data;
+
+	keeper->timer_gone = true;
+	free_when_done(keeper);
+}
+
+/* Ends a keeper; its memory is freed once the loop ran and its call ended. */
+void keeper_close(struct keeper *keeper)
+{
+	if (!keeper)
+		return;
+	keeper->closed = true;
+	follow_close(keeper->follow);
+	uv_close((uv_handle_t *)&keeper->timer, on_timer_closed);
+}
--- a/src/fescuemill/fleet/roster.c
+++ b/src/fescuemill/fleet/roster.c
@@ -275,6 +275,12 @@
 	return true;
 }
 
+/* Tells whether a member stands in the roster. */
+bool roster_has(const struct roster *roster, uint64_t node_id)
+{
+	return find(roster, node_id) != NULL;
+}
+
 /* Takes a member out; returns whether it stood there. */
 bool roster_remove(struct roster *roster, uint64_t node_id)
 {
--- a/src/fescuemill/fleet/roster.h
+++ b/src/fescuemill/fleet/roster.h
@@ -22,6 +22,7 @@
 void roster_free(struct roster *roster);
 /* Puts self into the roster; returns whether that changed it. */
 bool roster_put(struct roster *roster, const struct member *self);
+bool roster_has(const struct roster *roster, uint64_t node_id);
 bool roster_remove(struct roster *roster, uint64_t node_id);
 /* For a writer: drops the members that the table knows to be dead and adds or updates the live
  * ones of the domain; returns whether that changed it. */
--- a/src/fescuemill/platform/follow.c
+++ b/src/fescuemill/platform/follow.c
@@ -93,7 +93,7 @@
 		.type = action->type == SESSION_DO_LIST ? PLATFORM_LIST : PLATFORM_WATCH,
 		.kind = follow->kind,
 		.version = action->after,
-		.wait_ms = follow->session.limits.watch_ms,
+		.wait_ms = action->wait_ms,
 	};
 	struct follow_call *call = calloc(1, sizeof(*call));
 
@@ -166,8 +166,8 @@
 	uv_timer_start(&follow->timer, on_timer, 0, 0);
 }
 
-/* Lists again at once; the answer of a call that runs now is dropped, since it may be older than
- * this moment. */
+/* Asks at once for everything that is new; the answer of a call that runs now is dropped, since it
+ * may be older than this moment. */
 void follow_refresh(struct follow *follow)
 {
 	follow->current = NULL;
--- a/src/fescuemill/platform/follow.h
+++ b/src/fescuemill/platform/follow.h
@@ -21,7 +21,8 @@
 		struct error *err);
 /* A follow that is off makes no new calls; it starts off. */
 void follow_set_on(struct follow *follow, bool on);
-/* Lists again at the next chance, for instance after the process was paused. */
+/* Asks at once for everything that is new, for instance after the process was paused; the answer of
+ * the call that runs now is dropped. */
 void follow_refresh(struct follow *follow);
 void follow_close(struct follow *follow);
 
--- a/src/fescuemill/platform/session.c
+++ b/src/fescuemill/platform/session.c
@@ -8,10 +8,9 @@
 
 #include <string.h>
 
-#define BURST_CALLS	      4.0
-#define SECONDS_PER_MINUTE    60.0
-#define RELIST_AFTER_FAILURES 3U /* an outage, after which a watch alone is not trusted */
-#define BACKOFF_SHIFT_MAX     16U
+#define BURST_CALLS	   4.0
+#define SECONDS_PER_MINUTE 60.0
+#define BACKOFF_SHIFT_MAX  16U
 
 /* Starts a session that is off and has nothing. */
 void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
@@ -29,15 +28,15 @@
 void session_set_on(struct session *session, bool on)
 {
 	if (on && !session->on)
-		session->list_needed = true;
+		session->fresh_needed = true;
 	session->on = on;
 }
 
-/* Makes the next call a list, without waiting for a back-off's end or for the call that runs, whose
- * answer no longer counts. */
+/* Asks at once for everything that is new, without waiting for a back-off's end or for the call
+ * that runs, whose answer no longer counts. */
 void session_refresh(struct session *session)
 {
-	session->list_needed = true;
+	session->fresh_needed = true;
 	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
@@ -88,7 +87,7 @@
 	session->state = session->list_needed ? SESSION_LISTING : SESSION_WATCHING;
 	action.type = session->list_needed ? SESSION_DO_LIST : SESSION_DO_WATCH;
 	action.after = session->list_needed ? 0 : session->version;
-	session->list_needed = false;
+	action.wait_ms = session->fresh_needed ? 0 : session->limits.watch_ms;
 	return action;
 }
 
@@ -98,8 +97,10 @@
 	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
-	if (session->state == SESSION_LISTING || version > session->version)
-		session->version = version;
+	session->fresh_needed = false;
+	/* A store that went back was replaced: only a list tells what it holds. */
+	session->list_needed = session->state == SESSION_WATCHING && version < session->version;
+	session->version = version;
 }
 
 /* Gives the wait after a number of earlier failures in a row: doubled each time up to a limit, the
@@ -122,8 +123,6 @@
 
 	session->in_call = false;
 	session->failures++;
-	if (session->state == SESSION_LISTING || session->failures >= RELIST_AFTER_FAILURES)
-		session->list_needed = true;
 	session->not_before_us = now_us + backoff;
 }
 
--- a/src/fescuemill/platform/session.h
+++ b/src/fescuemill/platform/session.h
@@ -34,6 +34,7 @@
 	bool on;
 	bool in_call;
 	bool list_needed;
+	bool fresh_needed; /* the next watch must not wait */
 	uint64_t version;
 	uint32_t failures; /* in a row */
 	uint64_t not_before_us;
@@ -52,6 +53,7 @@
 struct session_action {
 	enum session_action_type type;
 	uint64_t after;
+	uint32_t wait_ms; /* watch: how long the platform may hold it */
 	uint64_t wait_until_us;
 	bool over_budget; /* the wait is for the call budget */
 };
--- /dev/null
+++ b/src/fescuemill/platform/submit.h
@@ -0,0 +1,29 @@
+/*
+ * Submit: carries out one change of a service object against the platform.
+ */
+#ifndef FESCUEMILL_PLATFORM_SUBMIT_H
+#define FESCUEMILL_PLATFORM_SUBMIT_H
+
+#include "fescuemill/platform/change.h"
+#include "fescuemill/platform/platform.h"
+
+#include <uv.h>
+
+/* How a change ended. */
+struct submit_result {
+	enum change_step step; /* one of the four final steps */
+	struct error err; /* ERROR_NONE when accepted; else typed, with who and when if known */
+	uint64_t version;
+	const struct service_object *object; /* as it was written; NULL for a deletion */
+};
+
+typedef void (*submit_done_fn)(void *user, const struct submit_result *result);
+
+/* Changes `base` (NULL: there is none) at `base_version` into `next` (NULL: deletes it). The newest
+ * change in `next` is this one. Calls done once, possibly before this returns.
+ * Errors: ERROR_MEMORY; done is then not called. */
+int submit_start(uv_loop_t *loop, struct platform *platform, const struct service_object *base,
+		 uint64_t base_version, const struct service_object *next, const char *id,
+		 submit_done_fn done, void *user, struct error *err);
+
+#endif
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -103,11 +103,14 @@
 		pack_load(pk, &msg->pong.load);
 		break;
 	case MESSAGE_CONFIG_PULL:
-		msgpack_pack_array(pk, 1);
+		msgpack_pack_array(pk, 3);
 		msgpack_pack_uint64(pk, msg->config_pull.after);
+		msgpack_pack_uint64(pk, msg->config_pull.content);
+		msgpack_pack_uint64(pk, msg->config_pull.ticket);
 		break;
 	case MESSAGE_CONFIG_BODY:
-		msgpack_pack_array(pk, 1);
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, msg->config_body.ticket);
 		pack_bytes(pk, &msg->config_body.json);
 		break;
 	default:
@@ -344,8 +347,11 @@
 		break;
 	case MESSAGE_CONFIG_PULL:
 		msg->config_pull.after = read_uint(rd, UINT64_MAX);
+		msg->config_pull.content = read_uint(rd, UINT64_MAX);
+		msg->config_pull.ticket = read_uint(rd, UINT64_MAX);
 		break;
 	case MESSAGE_CONFIG_BODY:
+		msg->config_body.ticket = read_uint(rd, UINT64_MAX);
 		msg->config_body.json = read_bytes(rd, CALL_BODY_BYTES_MAX);
 		break;
 	default:
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -94,12 +94,14 @@
 };
 
 struct message_config_pull {
-	uint64_t
-		after; /* the platform version through which the asker has everything; 0 for none */
+	uint64_t after;	  /* the asker has everything through this version; 0 for none */
+	uint64_t content; /* config_content() of the asker */
+	uint64_t ticket;  /* config_ticket() of the asker */
 };
 
 struct message_config_body {
-	struct wire_bytes json; /* a batch as config_write_batch makes it */
+	uint64_t ticket;	/* of the pull that this answers */
+	struct wire_bytes json; /* a batch as config_write_batch() makes it */
 };
 
 struct message {
