--- /dev/null
+++ b/src/fescuemill/http/announce.h
@@ -0,0 +1,45 @@
+/*
+ * Announce: the listener on which the backend server beside this node announces itself, with a
+ * lease that ends when it is not renewed.
+ */
+#ifndef FESCUEMILL_HTTP_ANNOUNCE_H
+#define FESCUEMILL_HTTP_ANNOUNCE_H
+
+#include "fescuemill/base/error.h"
+#include "fescuemill/fleet/member_defs.h"
+
+#include <stddef.h>
+#include <uv.h>
+
+#define ANNOUNCE_LEASE_MS  3000
+#define ANNOUNCE_SLOTS_MAX 4096
+
+/* What the backend server said last. All zero with BACKEND_NONE once its lease ended. */
+struct announcement {
+	char service[SERVICE_NAME_BYTES];
+	uint16_t port;
+	uint32_t slots;
+	enum backend_state state;
+};
+
+struct announce;
+
+struct announce_options {
+	uint32_t ip; /* host byte order */
+	uint16_t port;
+	/* Called when an announcement differs from the one before, and when the lease ends. */
+	void (*on_change)(void *user, const struct announcement *now);
+	/* Gives the attempts that the backend server runs. */
+	uint32_t (*in_use)(void *user);
+	void *user;
+};
+
+int announce_open(struct announce **out, uv_loop_t *loop, const struct announce_options *opt,
+		  struct error *err);
+uint16_t announce_port(const struct announce *ann);
+void announce_close(struct announce *ann);
+void announce_free(struct announce *ann);
+
+int announcement_parse(const char *json, size_t size, struct announcement *out, struct error *err);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/http/call_request.c
@@ -0,0 +1,350 @@
+/*
+ * Call request: reads and checks the head of a caller's HTTP request, and maps outcomes to HTTP.
+ */
+#include "fescuemill/http/call_request.h"
+
+#include "fescuemill/base/clock.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+#define DEADLINE_MS_MAX (CALL_DEADLINE_US_MAX / USEC_PER_MSEC)
+#define NUMBER_DIGITS	9
+#define SHOWN_BYTES	40 /* of a bad value, in error details */
+
+/* A header's name, and where its value goes in the request. */
+enum own_header {
+	OWN_NONE,
+	OWN_CLASS,
+	OWN_DEADLINE,
+	OWN_KEY,
+	OWN_IDEMPOTENT,
+	OWN_DEPTH,
+	OWN_RETRY_BUDGET,
+	OWN_OTHER,
+};
+
+static const char own_prefix[] = "x-fescue-";
+
+static const struct {
+	const char *name;
+	enum own_header header;
+} own_headers[] = {
+	{"x-fescue-class", OWN_CLASS}, {"x-fescue-deadline-ms", OWN_DEADLINE},
+	{"idempotency-key", OWN_KEY},  {"x-fescue-idempotent", OWN_IDEMPOTENT},
+	{"x-fescue-depth", OWN_DEPTH}, {"x-fescue-retry-budget", OWN_RETRY_BUDGET},
+};
+
+static const char *const hop_by_hop[] = {
+	"connection",
+	"keep-alive",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"proxy-connection",
+	"expect",
+	"host",
+	"content-length",
+};
+
+static const char *const idempotent_methods[] = {"GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
+static const char *const other_methods[] = {"POST", "PATCH"};
+
+/* Compares bytes with a text, ignoring ASCII case. */
+bool wire_bytes_is(struct wire_bytes bytes, const char *text)
+{
+	size_t size = strlen(text);
+
+	return bytes.size == size && strncasecmp((const char *)bytes.data, text, size) == 0;
+}
+
+/* Tells whether a header belongs to one connection only, or is made anew on each. */
+bool header_is_hop_by_hop(struct wire_bytes name)
+{
+	for (size_t i = 0; i < sizeof(hop_by_hop) / sizeof(hop_by_hop[0]); i++) {
+		if (wire_bytes_is(name, hop_by_hop[i]))
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a name stands in a comma-separated list, such as a Connection header's value. */
+bool header_is_listed(struct wire_bytes name, struct wire_bytes list)
+{
+	const uint8_t *at = list.data;
+	const uint8_t *end = list.data + list.size;
+
+	while (at < end) {
+		const uint8_t *comma = memchr(at, ',', (size_t)(end - at));
+		const uint8_t *stop = comma ? comma : end;
+		struct wire_bytes item;
+
+		while (at < stop && isspace(*at))
+			at++;
+		item.data = at;
+		item.size = (uint32_t)(stop - at);
+		while (item.size > 0 && isspace(item.data[item.size - 1]))
+			item.size--;
+		if (item.size == name.size && item.size > 0 &&
+		    strncasecmp((const char *)item.data, (const char *)name.data, name.size) == 0)
+			return true;
+		at = stop + 1;
+	}
+	return false;
+}
+
+/* Finds which of the node's own headers a name is. */
+static enum own_header own_header_of(struct wire_bytes name)
+{
+	size_t prefix = sizeof(own_prefix) - 1;
+
+	for (size_t i = 0; i < sizeof(own_headers) / sizeof(own_headers[0]); i++) {
+		if (wire_bytes_is(name, own_headers[i].name))
+			return own_headers[i].header;
+	}
+	if (name.size > prefix && strncasecmp((const char *)name.data, own_prefix, prefix) == 0)
+		return OWN_OTHER;
+	return OWN_NONE;
+}
+
+/* Cuts a size for "%.*s" in error details. */
+static int shown_size(struct wire_bytes bytes)
+{
+	return bytes.size < SHOWN_BYTES ? (int)bytes.size : SHOWN_BYTES;
+}
+
+/* Reads a decimal number of a header. Errors: ERROR_TYPE, ERROR_RANGE. */
+static int read_number(struct wire_header header, uint32_t lowest, uint32_t highest, uint32_t *out,
+		       struct error *err)
+{
+	struct wire_bytes text = header.value;
+	uint32_t number = 0;
+
+	if (text.size == 0 || text.size > NUMBER_DIGITS)
+		return error_set(err, ERROR_TYPE, "%.*s: found %u bytes, allowed 1 to %d digits",
+				 shown_size(header.name), (const char *)header.name.data, text.size,
+				 NUMBER_DIGITS);
+	for (uint32_t i = 0; i < text.size; i++) {
+		if (!isdigit(text.data[i]))
+			return error_set(err, ERROR_TYPE, "%.*s: found \"%.*s\", allowed digits",
+					 shown_size(header.name), (const char *)header.name.data,
+					 shown_size(text), (const char *)text.data);
+		number = number * 10 + (uint32_t)(text.data[i] - '0');
+	}
+	if (number < lowest || number > highest)
+		return error_set(err, ERROR_RANGE, "%.*s: found %u, allowed %u to %u",
+				 shown_size(header.name), (const char *)header.name.data, number,
+				 lowest, highest);
+	*out = number;
+	return 0;
+}
+
+/* Copies a name of letters, digits, '-', '_' and '.'. Errors: ERROR_RANGE, ERROR_SYNTAX. */
+static int read_name(struct wire_bytes text, const char *what, char *out, size_t room,
+		     struct error *err)
+{
+	if (text.size == 0 || text.size >= room)
+		return error_set(err, ERROR_RANGE, "%s: found %u bytes, allowed 1 to %zu", what,
+				 text.size, room - 1);
+	for (uint32_t i = 0; i < text.size; i++) {
+		if (!isalnum(text.data[i]) && !memchr("-_.", text.data[i], 3))
+			return error_set(err, ERROR_SYNTAX,
+					 "%s: byte %u is not a letter, digit, '-', '_' or '.'",
+					 what, i);
+	}
+	memcpy(out, text.data, text.size);
+	out[text.size] = '\0';
+	return 0;
+}
+
+/* Reads the depth; a number over the limit has a reason of its own. */
+static enum call_reason read_depth(struct wire_header header, struct call_request *out,
+				   struct error *err)
+{
+	if (read_number(header, 0, UINT32_MAX, &out->depth, err) != 0)
+		return REASON_BAD_REQUEST;
+	if (out->depth <= CALL_DEPTH_MAX)
+		return REASON_NONE;
+	error_set(err, ERROR_RANGE, "depth: found %u, allowed 0 to %u", out->depth, CALL_DEPTH_MAX);
+	return REASON_TOO_DEEP;
+}
+
+/* Takes the idempotency key. */
+static int read_key(struct wire_header header, struct call_request *out, struct error *err)
+{
+	if (header.value.size == 0 || header.value.size >= KEY_BYTES)
+		return error_set(err, ERROR_RANGE,
+				 "idempotency-key: found %u bytes, allowed 1 to %d",
+				 header.value.size, KEY_BYTES - 1);
+	out->key = header.value;
+	return 0;
+}
+
+/* Reads one of the node's own headers into the request. */
+static enum call_reason read_own(enum own_header which, struct wire_header header,
+				 struct call_request *out, struct error *err)
+{
+	uint32_t number = 0;
+	int rc = 0;
+
+	switch (which) {
+	case OWN_CLASS:
+		rc = read_name(header.value, "x-fescue-class", out->class_name,
+			       sizeof(out->class_name), err);
+		break;
+	case OWN_DEADLINE:
+		rc = read_number(header, 1, DEADLINE_MS_MAX, &number, err);
+		out->time_left_us = number * USEC_PER_MSEC;
+		break;
+	case OWN_KEY:
+		rc = read_key(header, out, err);
+		break;
+	case OWN_IDEMPOTENT:
+		rc = read_number(header, 0, 1, &number, err);
+		out->idempotent = out->idempotent || number == 1;
+		break;
+	case OWN_DEPTH:
+		return read_depth(header, out, err);
+	case OWN_RETRY_BUDGET:
+		rc = read_number(header, 0, CALL_RETRY_BUDGET_MAX, &out->retry_budget, err);
+		out->retry_budget_stated = true;
+		break;
+	case OWN_NONE:
+	case OWN_OTHER:
+		break;
+	}
+	return rc == 0 ? REASON_NONE : REASON_BAD_REQUEST;
+}
+
+/* Keeps a header that goes on to the backend server. Errors: ERROR_LIMIT. */
+static int keep_header(struct wire_header header, struct call_request *out, struct error *err)
+{
+	if (out->headers.count == WIRE_HEADERS_MAX)
+		return error_set(err, ERROR_LIMIT, "headers: allowed %d", WIRE_HEADERS_MAX);
+	out->headers.list[out->headers.count++] = header;
+	return 0;
+}
+
+/* Finds the Connection header, whose value names further headers to drop. */
+static struct wire_bytes connection_list(const struct call_head *head)
+{
+	for (uint32_t i = 0; i < head->header_count; i++) {
+		if (wire_bytes_is(head->headers[i].name, "connection"))
+			return head->headers[i].value;
+	}
+	return (struct wire_bytes){NULL, 0};
+}
+
+/* Checks every header: own ones are read, hop-by-hop ones dropped, the others kept. */
+static enum call_reason read_headers(const struct call_head *head, struct call_request *out,
+				     struct error *err)
+{
+	struct wire_bytes listed = connection_list(head);
+	uint32_t bytes = head->path.size;
+
+	for (uint32_t i = 0; i < head->header_count; i++) {
+		struct wire_header header = head->headers[i];
+		enum own_header which = own_header_of(header.name);
+		enum call_reason reason = read_own(which, header, out, err);
+
+		if (reason != REASON_NONE)
+			return reason;
+		if (which != OWN_NONE || header_is_hop_by_hop(header.name) ||
+		    header_is_listed(header.name, listed))
+			continue;
+		bytes += header.name.size + header.value.size;
+		if (keep_header(header, out, err) != 0)
+			return REASON_BAD_REQUEST;
+	}
+	if (bytes > CALL_HEAD_BYTES_MAX) {
+		error_set(err, ERROR_TOO_LARGE, "head: found %u bytes, allowed %u", bytes,
+			  CALL_HEAD_BYTES_MAX);
+		return REASON_BAD_REQUEST;
+	}
+	return REASON_NONE;
+}
+
+/* Splits /SERVICE/PATH. Errors: ERROR_SYNTAX, ERROR_RANGE. */
+static int read_path(struct wire_bytes path, struct call_request *out, struct error *err)
+{
+	static const uint8_t root[] = "/";
+	struct wire_bytes service;
+	const uint8_t *slash;
+
+	if (path.size < 2 || path.data[0] != '/')
+		return error_set(err, ERROR_SYNTAX, "path: allowed is /SERVICE/PATH");
+	service.data = path.data + 1;
+	slash = memchr(service.data, '/', path.size - 1);
+	service.size = slash ? (uint32_t)(slash - service.data) : path.size - 1;
+	if (slash)
+		out->path = (struct wire_bytes){slash, path.size - 1 - service.size};
+	else
+		out->path = (struct wire_bytes){root, 1};
+	return read_name(service, "path: service", out->service, sizeof(out->service), err);
+}
+
+/* Reads the method, which says whether the call is idempotent. Errors: ERROR_SYNTAX. */
+static int read_method(struct wire_bytes method, struct call_request *out, struct error *err)
+{
+	out->method = method;
+	for (size_t i = 0; i < sizeof(idempotent_methods) / sizeof(idempotent_methods[0]); i++) {
+		if (wire_bytes_is(method, idempotent_methods[i])) {
+			out->idempotent = true;
+			return 0;
+		}
+	}
+	for (size_t i = 0; i < sizeof(other_methods) / sizeof(other_methods[0]); i++) {
+		if (wire_bytes_is(method, other_methods[i]))
+			return 0;
+	}
+	return error_set(err, ERROR_SYNTAX, "method: found \"%.*s\"", shown_size(method),
+			 (const char *)method.data);
+}
+
+/* Reads and checks a request's head; gives REASON_NONE, or why it is refused, with the detail in
+ * err. The body is left to the caller of this function. */
+enum call_reason call_request_parse(const struct call_head *head, struct call_request *out,
+				    struct error *err)
+{
+	enum call_reason reason;
+
+	memset(out, 0, sizeof(*out));
+	out->time_left_us = CALL_DEADLINE_DEFAULT_US;
+	if (read_method(head->method, out, err) != 0)
+		return REASON_BAD_REQUEST;
+	if (read_path(head->path, out, err) != 0)
+		return REASON_BAD_REQUEST;
+	reason = read_headers(head, out, err);
+	if (reason != REASON_NONE)
+		return reason;
+	if (out->class_name[0] == '\0') {
+		error_set(err, ERROR_MISSING, "x-fescue-class: required");
+		return REASON_BAD_REQUEST;
+	}
+	return REASON_NONE;
+}
+
+/* Gives the HTTP status of a call that the backend server did not answer. */
+int outcome_http_status(enum call_outcome outcome, enum call_reason reason)
+{
+	if (outcome == OUTCOME_UNKNOWN)
+		return 504;
+	switch (reason) {
+	case REASON_BAD_REQUEST:
+	case REASON_TOO_DEEP:
+		return 400;
+	case REASON_UNKNOWN_SERVICE:
+	case REASON_UNKNOWN_CLASS:
+		return 404;
+	case REASON_TOO_LARGE:
+		return 413;
+	case REASON_RETRY_BUDGET:
+		return 429;
+	default:
+		return 503;
+	}
+}
--- /dev/null
+++ b/src/fescuemill/http/caller.c
@@ -0,0 +1,389 @@
+/*
+ * Caller: the HTTP side towards callers.
+ *
+ * h2o does not read from a connection while its request is being handled, so a caller that went
+ * away is found by polling the sockets of the calls in progress.
+ */
+#include "fescuemill/http/caller.h"
+
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/http/server.h"
+
+#include <jansson.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define GONE_POLL_MS	  10 /* also the age from which a call is polled */
+#define IDLE_MS		  60000
+#define POLL_CHUNK	  64
+#define NUMBER_TEXT_BYTES 16
+#define OUTCOME_HEADER	  "x-fescue-outcome"
+
+struct caller {
+	struct http_server *server;
+	struct caller_options options;
+	uv_timer_t gone_timer;
+	h2o_linklist_t calls; /* calls that are not answered yet */
+	uint32_t call_count;
+	uint64_t memory_bytes;
+};
+
+struct caller_call {
+	h2o_linklist_t link; /* the first member, so that a link is a call */
+	struct caller *caller;
+	h2o_req_t *req;
+	void *data;
+	uint64_t bytes; /* counted against the memory bound */
+	bool gone;
+	bool told;
+};
+
+/* Adds a header with a constant name and a copied value. */
+static void add_header(h2o_req_t *req, const char *name, const char *value)
+{
+	h2o_iovec_t text = h2o_strdup(&req->pool, value, SIZE_MAX);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name), 1, NULL, text.base,
+			      text.len);
+}
+
+/* Adds a header with a number. */
+static void add_number(h2o_req_t *req, const char *name, uint32_t number)
+{
+	char text[NUMBER_TEXT_BYTES];
+
+	snprintf(text, sizeof(text), "%u", number);
+	add_header(req, name, text);
+}
+
+/* Adds what h2o's own refusals lack: nothing of them reached the entry, so nothing ran. */
+static void complete_answer(void *user, h2o_req_t *req)
+{
+	enum call_reason reason = req->res.status == 413 ? REASON_TOO_LARGE : REASON_BAD_REQUEST;
+
+	(void)user;
+	if (h2o_find_header_by_str(&req->res.headers, H2O_STRLIT(OUTCOME_HEADER), -1) != -1)
+		return;
+	add_header(req, OUTCOME_HEADER, call_outcome_name(OUTCOME_NOT_RUN));
+	add_header(req, "x-fescue-reason", call_reason_name(reason));
+	add_number(req, "x-fescue-attempts", 0);
+	counter_add(COUNTER_CALLS_RECEIVED, 1);
+	counter_add(COUNTER_CALLS_NOT_RUN, 1);
+}
+
+/* Counts an answer by its outcome. */
+static void count_outcome(enum call_outcome outcome)
+{
+	static const enum counter counters[OUTCOME_COUNT] = {
+		[OUTCOME_ANSWERED] = COUNTER_CALLS_ANSWERED,
+		[OUTCOME_NOT_RUN] = COUNTER_CALLS_NOT_RUN,
+		[OUTCOME_UNKNOWN] = COUNTER_CALLS_UNKNOWN,
+	};
+
+	counter_add(counters[outcome], 1);
+}
+
+/* Writes the JSON body of an answer that is not the backend server's. */
+static void respond_typed(h2o_req_t *req, const struct caller_answer *answer,
+			  const struct error *err)
+{
+	json_t *body = json_pack("{s:s, s:s}", "outcome", call_outcome_name(answer->outcome),
+				 "reason", call_reason_name(answer->reason));
+	char *text;
+
+	if (err && err->kind != ERROR_NONE) {
+		json_object_set_new(body, "error", json_string(error_kind_name(err->kind)));
+		json_object_set_new(body, "detail", json_string(err->detail));
+	}
+	text = json_dumps(body, JSON_COMPACT);
+	http_respond_json(req, outcome_http_status(answer->outcome, answer->reason),
+			  text ? text : "{}");
+	free(text);
+	json_decref(body);
+}
+
+/* Adds the headers by which a caller learns the outcome. */
+static void add_outcome_headers(h2o_req_t *req, const struct caller_answer *answer)
+{
+	add_header(req, OUTCOME_HEADER, call_outcome_name(answer->outcome));
+	add_header(req, "x-fescue-reason", call_reason_name(answer->reason));
+	add_number(req, "x-fescue-attempts", answer->attempts);
+	if (answer->outcome == OUTCOME_ANSWERED)
+		add_number(req, "x-fescue-server-us", answer->server_us);
+}
+
+/* Copies the backend server's headers, without those of a connection. */
+static void copy_headers(h2o_req_t *req, const struct wire_headers *headers)
+{
+	for (uint32_t i = 0; headers && i < headers->count; i++) {
+		const struct wire_header *header = &headers->list[i];
+		h2o_iovec_t name;
+		h2o_iovec_t value;
+
+		if (header_is_hop_by_hop(header->name))
+			continue;
+		name = h2o_strdup(&req->pool, (const char *)header->name.data, header->name.size);
+		value = h2o_strdup(&req->pool, (const char *)header->value.data,
+				   header->value.size);
+		h2o_add_header_by_str(&req->pool, &req->res.headers, name.base, name.len, 1, NULL,
+				      value.base, value.len);
+	}
+}
+
+/* Takes a call out of the list of those that wait. */
+static void unlink_call(struct caller_call *call)
+{
+	if (!h2o_linklist_is_linked(&call->link))
+		return;
+	h2o_linklist_unlink(&call->link);
+	call->caller->call_count--;
+}
+
+/* Gives back a call's memory when h2o frees its request. */
+static void dispose_call(void *data)
+{
+	struct caller_call *call = data;
+
+	unlink_call(call);
+	call->caller->memory_bytes -= call->bytes;
+}
+
+/* Sends a whole answer. The call may not be used afterwards. */
+void caller_answer(struct caller_call *call, const struct caller_answer *answer)
+{
+	h2o_req_t *req = call->req;
+	char *body;
+
+	unlink_call(call);
+	count_outcome(answer->outcome);
+	add_outcome_headers(req, answer);
+	if (answer->outcome != OUTCOME_ANSWERED) {
+		respond_typed(req, answer, NULL);
+		return;
+	}
+	copy_headers(req, answer->headers);
+	body = h2o_mem_alloc_pool(&req->pool, answer->body.size + 1);
+	h2o_memcpy(body, answer->body.data, answer->body.size);
+	call->bytes += answer->body.size;
+	call->caller->memory_bytes += answer->body.size;
+	http_respond(req, (int)answer->status, body, answer->body.size);
+}
+
+/* Refuses a request that did not pass the checks. */
+static void refuse(h2o_req_t *req, enum call_reason reason, const struct error *err)
+{
+	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
+
+	count_outcome(answer.outcome);
+	add_outcome_headers(req, &answer);
+	respond_typed(req, &answer, err);
+}
+
+/* Lists a request's headers as wire bytes, which borrow from h2o's buffers. */
+static void read_head(h2o_req_t *req, struct call_head *head)
+{
+	struct wire_header *list =
+		h2o_mem_alloc_pool(&req->pool, (req->headers.size + 1) * sizeof(*list));
+
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *from = &req->headers.entries[i];
+
+		list[i].name.data = (const uint8_t *)from->name->base;
+		list[i].name.size = (uint32_t)from->name->len;
+		list[i].value.data = (const uint8_t *)from->value.base;
+		list[i].value.size = (uint32_t)from->value.len;
+	}
+	head->headers = list;
+	head->header_count = (uint32_t)req->headers.size;
+	head->method.data = (const uint8_t *)req->input.method.base;
+	head->method.size = (uint32_t)req->input.method.len;
+	head->path.data = (const uint8_t *)req->input.path.base;
+	head->path.size = (uint32_t)req->input.path.len;
+}
+
+/* Makes the call of a request, in the request's own arena. */
+static struct caller_call *add_call(struct caller *caller, h2o_req_t *req)
+{
+	struct caller_call *call = h2o_mem_alloc_shared(&req->pool, sizeof(*call), dispose_call);
+
+	memset(call, 0, sizeof(*call));
+	call->caller = caller;
+	call->req = req;
+	call->bytes = req->entity.len;
+	caller->memory_bytes += call->bytes;
+	if (h2o_linklist_is_empty(&caller->calls))
+		uv_timer_again(&caller->gone_timer);
+	h2o_linklist_insert(&caller->calls, &call->link);
+	caller->call_count++;
+	return call;
+}
+
+/* Checks a request and hands it to the entry. */
+static void take_request(void *user, h2o_req_t *req)
+{
+	struct caller *caller = user;
+	struct call_head head;
+	struct call_request *parsed = h2o_mem_alloc_pool(&req->pool, sizeof(*parsed));
+	struct error err = {0};
+	enum call_reason reason;
+
+	counter_add(COUNTER_CALLS_RECEIVED, 1);
+	read_head(req, &head);
+	reason = call_request_parse(&head, parsed, &err);
+	if (reason == REASON_NONE &&
+	    caller->memory_bytes + req->entity.len > caller->options.memory_bytes_max) {
+		error_set(&err, ERROR_MEMORY, "bodies: %llu bytes held, allowed %llu",
+			  (unsigned long long)caller->memory_bytes,
+			  (unsigned long long)caller->options.memory_bytes_max);
+		reason = REASON_OVERLOAD;
+	}
+	if (reason != REASON_NONE) {
+		refuse(req, reason, &err);
+		return;
+	}
+	parsed->body.data = (const uint8_t *)req->entity.base;
+	parsed->body.size = (uint32_t)req->entity.len;
+	caller->options.on_call(caller->options.user, add_call(caller, req), parsed);
+}
+
+/* Polls up to POLL_CHUNK calls from `at` on and marks those whose caller is gone; returns where to
+ * go on. */
+static h2o_linklist_t *mark_gone(struct caller *caller, h2o_linklist_t *at)
+{
+	struct pollfd fds[POLL_CHUNK];
+	struct caller_call *calls[POLL_CHUNK];
+	nfds_t count = 0;
+
+	for (; at != &caller->calls && count < POLL_CHUNK; at = at->next) {
+		struct caller_call *call = (struct caller_call *)at;
+		h2o_conn_t *conn = call->req->conn;
+
+		if (call->gone)
+			continue;
+		fds[count].fd = h2o_socket_get_fd(conn->callbacks->get_socket(conn));
+		fds[count].events = POLLRDHUP;
+		calls[count++] = call;
+	}
+	if (count == 0 || poll(fds, count, 0) <= 0)
+		return at;
+	for (nfds_t i = 0; i < count; i++)
+		calls[i]->gone = fds[i].revents != 0;
+	return at;
+}
+
+/* Tells the entry of each call that was newly marked. The entry may answer any call meanwhile, so
+ * the walk starts anew after each. */
+static void tell_gone(struct caller *caller)
+{
+	h2o_linklist_t *at = caller->calls.next;
+
+	while (at != &caller->calls) {
+		struct caller_call *call = (struct caller_call *)at;
+
+		at = at->next;
+		if (!call->gone || call->told)
+			continue;
+		call->told = true;
+		caller->options.on_gone(caller->options.user, call);
+		at = caller->calls.next;
+	}
+}
+
+/* Looks for callers that went away, as long as calls are in progress. */
+static void poll_callers(uv_timer_t *timer)
+{
+	struct caller *caller = timer->data;
+	h2o_linklist_t *at = caller->calls.next;
+
+	if (h2o_linklist_is_empty(&caller->calls)) {
+		uv_timer_stop(timer);
+		return;
+	}
+	while (at != &caller->calls)
+		at = mark_gone(caller, at);
+	tell_gone(caller);
+}
+
+/* Opens the listener. Errors: ERROR_SYSTEM, ERROR_MEMORY. */
+int caller_open(struct caller **out, uv_loop_t *loop, const struct caller_options *opt,
+		struct error *err)
+{
+	struct caller *caller = calloc(1, sizeof(*caller));
+	struct http_server_options options = {
+		.ip = opt->ip,
+		.port = opt->port,
+		.body_bytes_max = opt->body_bytes_max,
+		.idle_ms = IDLE_MS,
+		.on_request = take_request,
+		.on_respond = complete_answer,
+		.user = caller,
+	};
+
+	if (!caller)
+		return error_set(err, ERROR_MEMORY, "no memory for the callers' side");
+	caller->options = *opt;
+	h2o_linklist_init_anchor(&caller->calls);
+	if (http_server_open(&caller->server, loop, &options, err) != 0) {
+		free(caller);
+		return -1;
+	}
+	uv_timer_init(loop, &caller->gone_timer);
+	caller->gone_timer.data = caller;
+	uv_timer_start(&caller->gone_timer, poll_callers, GONE_POLL_MS, GONE_POLL_MS);
+	uv_timer_stop(&caller->gone_timer);
+	*out = caller;
+	return 0;
+}
+
+/* Gives the port that callers use. */
+uint16_t caller_port(const struct caller *caller)
+{
+	return http_server_port(caller->server);
+}
+
+/* Lets each connection end after its answer. */
+void caller_drain(struct caller *caller)
+{
+	http_server_drain(caller->server);
+}
+
+/* Stops listening. */
+void caller_close(struct caller *caller)
+{
+	http_server_close(caller->server);
+	uv_close((uv_handle_t *)&caller->gone_timer, NULL);
+}
+
+/* Frees a closed side whose connections have ended. */
+void caller_free(struct caller *caller)
+{
+	http_server_free(caller->server);
+	free(caller);
+}
+
+/* Counts the calls that are not answered yet. */
+uint32_t caller_calls(const struct caller *caller)
+{
+	return caller->call_count;
+}
+
+/* Gives the arena of a call. */
+h2o_mem_pool_t *caller_call_pool(struct caller_call *call)
+{
+	return &call->req->pool;
+}
+
+/* Ties the entry's own state to a call. */
+void caller_call_set_data(struct caller_call *call, void *data)
+{
+	call->data = data;
+}
+
+/* Gives the entry's own state of a call. */
+void *caller_call_data(const struct caller_call *call)
+{
+	return call->data;
+}
--- /dev/null
+++ b/src/fescuemill/http/server.c
@@ -0,0 +1,214 @@
+/*
+ * Server: one HTTP/1.1 listener by h2o in a libuv loop, with one handler for every request.
+ */
+#include "fescuemill/http/server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LISTEN_BACKLOG 1024
+
+struct request_handler {
+	h2o_handler_t super;
+	struct http_server *server;
+};
+
+struct respond_filter {
+	h2o_filter_t super;
+	struct http_server *server;
+};
+
+struct http_server {
+	uv_tcp_t listener;
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+	struct http_server_options options;
+	uint32_t connections;
+	uint16_t port;
+};
+
+/* An accepted connection; it stays allocated until libuv has closed the handle. */
+struct connection {
+	uv_tcp_t tcp;
+	struct http_server *server;
+};
+
+/* Passes a request to the owner's handler. */
+static int handle_request(h2o_handler_t *self, h2o_req_t *req)
+{
+	struct http_server *srv = ((struct request_handler *)self)->server;
+
+	srv->options.on_request(srv->options.user, req);
+	return 0;
+}
+
+/* Lets the owner add headers to an answer, whoever made it. */
+static void setup_response(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+	struct http_server *srv = ((struct respond_filter *)self)->server;
+
+	if (srv->options.on_respond)
+		srv->options.on_respond(srv->options.user, req);
+	h2o_setup_next_ostream(req, slot);
+}
+
+/* Frees a connection after libuv has let go of its handle. */
+static void free_connection(uv_handle_t *handle)
+{
+	struct connection *conn = (struct connection *)handle;
+
+	conn->server->connections--;
+	free(conn);
+}
+
+/* Accepts one connection and gives it to h2o. */
+static void accept_connection(uv_stream_t *listener, int status)
+{
+	struct http_server *srv = listener->data;
+	struct connection *conn;
+	h2o_socket_t *sock;
+
+	if (status != 0)
+		return;
+	conn = malloc(sizeof(*conn));
+	if (!conn)
+		return;
+	conn->server = srv;
+	uv_tcp_init(listener->loop, &conn->tcp);
+	srv->connections++;
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+		uv_close((uv_handle_t *)&conn->tcp, free_connection);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, free_connection);
+	h2o_accept(&srv->accept, sock);
+}
+
+/* Sets up h2o with one handler and one filter for every path. */
+static void configure(struct http_server *srv, uv_loop_t *loop)
+{
+	h2o_hostconf_t *host;
+	struct request_handler *handler;
+	struct respond_filter *filter;
+
+	/* Hosts have no disks: buffers must never spill to files. */
+	h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+	h2o_config_init(&srv->config);
+	srv->config.server_name = h2o_iovec_init(NULL, 0);
+	srv->config.max_request_entity_size = srv->options.body_bytes_max;
+	srv->config.http1.req_timeout = srv->options.idle_ms;
+	srv->config.http1.upgrade_to_http2 = 0;
+	host = h2o_config_register_host(&srv->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	handler = (struct request_handler *)h2o_create_handler(&host->fallback_path,
+							       sizeof(*handler));
+	handler->super.on_req = handle_request;
+	handler->server = srv;
+	filter = (struct respond_filter *)h2o_create_filter(&host->fallback_path, sizeof(*filter));
+	filter->super.on_setup_ostream = setup_response;
+	filter->server = srv;
+	h2o_context_init(&srv->context, loop, &srv->config);
+	srv->accept.ctx = &srv->context;
+	srv->accept.hosts = srv->config.hosts;
+}
+
+/* Binds and listens; returns 0 or a libuv error number. */
+static int listen_on(struct http_server *srv, uv_loop_t *loop)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	int size = sizeof(addr);
+	int rc;
+
+	addr.sin_addr.s_addr = htonl(srv->options.ip);
+	addr.sin_port = htons(srv->options.port);
+	uv_tcp_init(loop, &srv->listener);
+	srv->listener.data = srv;
+	rc = uv_tcp_bind(&srv->listener, (struct sockaddr *)&addr, 0);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)&srv->listener, LISTEN_BACKLOG, accept_connection);
+	if (rc == 0)
+		rc = uv_tcp_getsockname(&srv->listener, (struct sockaddr *)&addr, &size);
+	srv->port = ntohs(addr.sin_port);
+	return rc;
+}
+
+/* Opens a listener. Errors: ERROR_SYSTEM (the address cannot be had), ERROR_MEMORY. */
+int http_server_open(struct http_server **out, uv_loop_t *loop,
+		     const struct http_server_options *opt, struct error *err)
+{
+	struct http_server *srv = calloc(1, sizeof(*srv));
+	int rc;
+
+	if (!srv)
+		return error_set(err, ERROR_MEMORY, "no memory for an HTTP listener");
+	srv->options = *opt;
+	configure(srv, loop);
+	rc = listen_on(srv, loop);
+	if (rc != 0) {
+		uv_close((uv_handle_t *)&srv->listener, NULL);
+		uv_run(loop, UV_RUN_NOWAIT);
+		http_server_free(srv);
+		return error_set_errno(err, -rc, "cannot listen on port %u", opt->port);
+	}
+	*out = srv;
+	return 0;
+}
+
+/* Gives the port that the listener really has. */
+uint16_t http_server_port(const struct http_server *srv)
+{
+	return srv->port;
+}
+
+/* Closes each connection after its present answer, as a planned stop wants. */
+void http_server_drain(struct http_server *srv)
+{
+	h2o_context_request_shutdown(&srv->context);
+}
+
+/* Stops listening; connections that are open stay open. */
+void http_server_close(struct http_server *srv)
+{
+	if (!uv_is_closing((uv_handle_t *)&srv->listener))
+		uv_close((uv_handle_t *)&srv->listener, NULL);
+}
+
+/* Frees a closed server without connections. */
+void http_server_free(struct http_server *srv)
+{
+	h2o_context_dispose(&srv->context);
+	h2o_config_dispose(&srv->config);
+	free(srv);
+}
+
+/* Counts the open connections. */
+uint32_t http_server_connections(const struct http_server *srv)
+{
+	return srv->connections;
+}
+
+/* Sends a whole answer with the headers already set on the request. */
+void http_respond(h2o_req_t *req, int status, const char *body, size_t size)
+{
+	static h2o_generator_t generator = {NULL, NULL};
+	h2o_iovec_t buf = h2o_iovec_init(body, size);
+
+	req->res.status = status;
+	req->res.reason = status < 400 ? "OK" : "Error";
+	req->res.content_length = size;
+	h2o_start_response(req, &generator);
+	h2o_send(req, &buf, size > 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
+}
+
+/* Sends a JSON text. */
+void http_respond_json(h2o_req_t *req, int status, const char *text)
+{
+	h2o_iovec_t body = h2o_strdup(&req->pool, text, SIZE_MAX);
+
+	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
+		       H2O_STRLIT("application/json"));
+	http_respond(req, status, body.base, body.len);
+}
