--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -6,6 +6,7 @@
 #define FESCUEMILL_WIRE_MESSAGE_DEFS_H
 
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/load_defs.h"
 
 #define WIRE_VERSION	      1
 #define WIRE_HEADERS_MAX      32
@@ -42,16 +43,6 @@
 	struct wire_header list[WIRE_HEADERS_MAX];
 };
 
-/* The gate's state at the moment of sending; rides on answers and pongs. */
-struct gate_load {
-	uint32_t in_use;	  /* slots taken */
-	uint32_t limit;		  /* slots that the gate would use now */
-	uint32_t queued;	  /* attempts that wait */
-	uint32_t service_time_us; /* smoothed time of one attempt at the backend server */
-	uint32_t wait_us;	  /* expected wait of an attempt that arrives now */
-	uint8_t state;		  /* enum backend_state */
-};
-
 struct message_call {
 	uint64_t gate_incarnation; /* 0: the entry does not know it */
 	char service[SERVICE_NAME_BYTES];
