--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -7,14 +7,17 @@
 file(GLOB_RECURSE functional_tests CONFIGURE_DEPENDS test/functional/*_test.cc)
 file(GLOB functional_support CONFIGURE_DEPENDS test/functional/support/*.cc)
 
-# Stand-ins are programs: one a folder under test/standin/.
+# Stand-ins are programs: one a folder under test/standin/, over what common/ holds for all.
+file(GLOB standin_common CONFIGURE_DEPENDS test/standin/common/*.c)
+add_library(standin_common STATIC ${standin_common} src/fescue_load/payload.c)
+target_link_libraries(standin_common PUBLIC fescuemill)
 file(GLOB standins RELATIVE ${CMAKE_SOURCE_DIR}/test/standin CONFIGURE_DEPENDS
 	test/standin/*/main.c)
 foreach(main ${standins})
 	get_filename_component(name ${main} DIRECTORY)
 	file(GLOB sources CONFIGURE_DEPENDS test/standin/${name}/*.c)
 	add_executable(standin-${name} ${sources})
-	target_link_libraries(standin-${name} PRIVATE fescuemill)
+	target_link_libraries(standin-${name} PRIVATE standin_common)
 endforeach()
 
 # add_test_program names the program after its kind and module, and fixes every seed.
