--- /dev/null
+++ b/test/standin/backend/ledger.h
@@ -0,0 +1,13 @@
+/*
+ * Ledger: which calls and attempts ran, how often they started and how often they finished whole.
+ */
+#ifndef STANDIN_BACKEND_LEDGER_H
+#define STANDIN_BACKEND_LEDGER_H
+
+#include <jansson.h>
+
+void ledger_start(const char *call, const char *attempt);
+void ledger_finish(const char *call);
+json_t *ledger_json(void);
+
+#endif
--- a/test/standin/common/server.c
+++ b/test/standin/common/server.c
@@ -26,6 +26,7 @@
 	h2o_accept_ctx_t accept;
 	server_handler on_request;
 	void (*on_terminate)(void);
+	int port;
 } server;
 
 /* Passes one request on to the stand-in's handler. */
@@ -85,7 +86,6 @@
 	static const int numbers[] = {SIGTERM, SIGINT};
 	h2o_hostconf_t *host;
 	h2o_pathconf_t *path;
-	int actual_port;
 
 	signal(SIGPIPE, SIG_IGN);
 	server.on_request = on_request;
@@ -102,14 +102,14 @@
 	h2o_context_init(&server.context, &server.loop, &server.config);
 	server.accept.ctx = &server.context;
 	server.accept.hosts = server.config.hosts;
-	actual_port = listen_on(port);
-	if (actual_port < 0)
+	server.port = listen_on(port);
+	if (server.port < 0)
 		return NULL;
 	for (int i = 0; i < 2; i++) {
 		uv_signal_init(&server.loop, &server.signals[i]);
 		uv_signal_start(&server.signals[i], handle_signal, numbers[i]);
 	}
-	printf("{\"port\":%d}\n", actual_port);
+	printf("{\"port\":%d}\n", server.port);
 	fflush(stdout);
 	return &server.loop;
 }
@@ -120,6 +120,12 @@
 	return uv_run(&server.loop, UV_RUN_DEFAULT);
 }
 
+/* Gives the port that the server listens on. */
+uint16_t server_port(void)
+{
+	return (uint16_t)server.port;
+}
+
 /* Tells whether the request is for exactly this path, whatever its query. */
 bool server_path_is(const h2o_req_t *req, const char *path)
 {
--- a/test/standin/common/server.h
+++ b/test/standin/common/server.h
@@ -21,6 +21,7 @@
 
 uv_loop_t *server_start(uint16_t port, server_handler on_request, void (*on_terminate)(void));
 int server_run(void);
+uint16_t server_port(void);
 
 bool server_path_is(const h2o_req_t *req, const char *path);
 h2o_iovec_t server_header(const h2o_req_t *req, const char *name);
