Backend client: tests of every end of a call

A chunked answer cut by the close of its connection was reported by the h2o client as whole; the test ACutChunkedBodyIsNeverAnAnswer failed with end 0 (answered) instead of 3 (lost). The client's socket has read nothing when that happens, which tells the two apart; the test passes now.

--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -51,6 +51,7 @@
 	h2o_mem_pool_t arena;
 	h2o_iovec_t request[2];
 	bool is_head;
+	bool is_chunked;
 	bool begun;
 	uint64_t begun_us;
 	backend_done_fn done;
@@ -270,6 +271,15 @@
 	finish_call(call, is_refusal(&call->answer) ? BACKEND_END_REFUSED : BACKEND_END_ANSWERED);
 }
 
+/* Tells whether a body ended as it should. The h2o client also reports the close of a connection as
+ * the end of a chunked body; then its socket has read nothing. */
+static bool is_whole(const struct backend_call *call, const char *errstr)
+{
+	if (errstr != h2o_http1client_error_is_eos)
+		return false;
+	return !call->is_chunked || call->http->sock->bytes_read > 0;
+}
+
 /* Gathers the body in the connection's buffer until it is whole. */
 static int on_body(h2o_http1client_t *http, const char *errstr)
 {
@@ -278,7 +288,7 @@
 
 	if (!call->http)
 		return -1;
-	if (errstr && errstr != h2o_http1client_error_is_eos) {
+	if (errstr && !is_whole(call, errstr)) {
 		finish_call(call, BACKEND_END_LOST);
 		return -1;
 	}
@@ -295,19 +305,21 @@
 	return 0;
 }
 
-/* Tells whether the end of a body can be known. A body that ends with its connection cannot be
- * told from one that was cut. */
-static bool has_stated_end(const h2o_header_t *headers, size_t count)
+/* Notes how the end of the body is stated. Returns -1 when it is not: a body that ends with its
+ * connection cannot be told from one that was cut. */
+static int note_framing(struct backend_call *call, const h2o_header_t *headers, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
 		struct wire_bytes name = {(const uint8_t *)headers[i].name->base,
 					  (uint32_t)headers[i].name->len};
 
-		if (wire_bytes_is(name, "content-length") ||
-		    wire_bytes_is(name, "transfer-encoding"))
-			return true;
+		if (wire_bytes_is(name, "transfer-encoding"))
+			call->is_chunked = true;
+		else if (!wire_bytes_is(name, "content-length"))
+			continue;
+		return 0;
 	}
-	return false;
+	return -1;
 }
 
 /* Takes the head of the answer. */
@@ -333,7 +345,7 @@
 		finish_answer(call);
 		return NULL;
 	}
-	if (!has_stated_end(headers, count)) {
+	if (note_framing(call, headers, count) != 0) {
 		finish_call(call, BACKEND_END_LOST);
 		return NULL;
 	}
--- /dev/null
+++ b/test/unit/http/backend_test.cc
@@ -0,0 +1,430 @@
+// Backend client: how each kind of end is told, against a scripted server on loopback.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <functional>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "fescuemill/http/backend.h"
+}
+
+namespace
+{
+
+constexpr uint32_t kAnswerBytesMax = 64 * 1024;
+constexpr uint64_t kSecond = 1000 * 1000;
+
+// A server of the test's own loop: it reads and then does what the test's script says.
+struct ScriptedServer {
+	using Script = std::function<void(uv_stream_t *, const std::string &)>;
+
+	uv_tcp_t listener{};
+	uv_loop_t *loop;
+	Script script;
+	int connections = 0;
+	std::vector<std::string> requests;
+
+	struct Peer {
+		uv_tcp_t tcp{};
+		ScriptedServer *server;
+		std::string seen;
+		char buf[65536];
+	};
+
+	ScriptedServer(uv_loop_t *loop, Script script) : loop(loop), script(std::move(script))
+	{
+		sockaddr_in addr{};
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		uv_tcp_init(loop, &listener);
+		listener.data = this;
+		uv_tcp_bind(&listener, reinterpret_cast<sockaddr *>(&addr), 0);
+		uv_listen(reinterpret_cast<uv_stream_t *>(&listener), 16, on_connection);
+	}
+
+	uint16_t port()
+	{
+		sockaddr_in addr{};
+		int size = sizeof(addr);
+		uv_tcp_getsockname(&listener, reinterpret_cast<sockaddr *>(&addr), &size);
+		return ntohs(addr.sin_port);
+	}
+
+	static void on_connection(uv_stream_t *listener, int)
+	{
+		auto *server = static_cast<ScriptedServer *>(listener->data);
+		auto *peer = new Peer();
+		peer->server = server;
+		server->connections++;
+		uv_tcp_init(server->loop, &peer->tcp);
+		peer->tcp.data = peer;
+		uv_accept(listener, reinterpret_cast<uv_stream_t *>(&peer->tcp));
+		uv_read_start(reinterpret_cast<uv_stream_t *>(&peer->tcp), on_alloc, on_read);
+	}
+
+	static void on_alloc(uv_handle_t *handle, size_t, uv_buf_t *buf)
+	{
+		auto *peer = static_cast<Peer *>(handle->data);
+		*buf = uv_buf_init(peer->buf, sizeof(peer->buf));
+	}
+
+	static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *)
+	{
+		auto *peer = static_cast<Peer *>(stream->data);
+		if (size < 0) {
+			close_peer(stream);
+			return;
+		}
+		peer->seen.append(peer->buf, static_cast<size_t>(size));
+		if (peer->seen.find("\r\n\r\n") == std::string::npos)
+			return;
+		std::string request = std::move(peer->seen);
+		peer->seen.clear();
+		peer->server->requests.push_back(request);
+		peer->server->script(stream, request);
+	}
+
+	static void close_peer(uv_stream_t *stream)
+	{
+		auto *handle = reinterpret_cast<uv_handle_t *>(stream);
+		if (!uv_is_closing(handle))
+			uv_close(handle,
+				 [](uv_handle_t *h) { delete static_cast<Peer *>(h->data); });
+	}
+
+	static void send(uv_stream_t *stream, const std::string &text)
+	{
+		uv_buf_t buf = uv_buf_init(const_cast<char *>(text.data()), text.size());
+		ASSERT_EQ(uv_try_write(stream, &buf, 1), static_cast<int>(text.size()));
+	}
+};
+
+struct Result {
+	int calls = 0;
+	backend_end end = BACKEND_END_COUNT;
+	uint32_t status = 0;
+	std::string body;
+	std::string first_header;
+};
+
+void on_done(void *user, const struct backend_answer *answer)
+{
+	auto *result = static_cast<Result *>(user);
+	result->calls++;
+	result->end = answer->end;
+	result->status = answer->status;
+	result->body.assign(reinterpret_cast<const char *>(answer->body.data), answer->body.size);
+	if (answer->headers.count > 0) {
+		const wire_bytes &name = answer->headers.list[0].name;
+		result->first_header.assign(reinterpret_cast<const char *>(name.data), name.size);
+	}
+}
+
+wire_bytes bytes_of(const char *text)
+{
+	return {reinterpret_cast<const uint8_t *>(text), static_cast<uint32_t>(strlen(text))};
+}
+
+class BackendTest : public ::testing::Test
+{
+      protected:
+	uv_loop_t loop{};
+	struct backend_client *client = nullptr;
+	std::vector<ScriptedServer *> servers;
+	message_call msg{};
+
+	void SetUp() override
+	{
+		signal(SIGPIPE, SIG_IGN);
+		uv_loop_init(&loop);
+		ASSERT_EQ(backend_client_open(&client, &loop, kAnswerBytesMax, nullptr), 0);
+		strcpy(msg.class_name, "purchase");
+		msg.method = bytes_of("POST");
+		msg.path = bytes_of("/buy?lot=7");
+		msg.body = bytes_of("copper");
+		msg.depth = 2;
+		msg.retries_left = 3;
+	}
+
+	void TearDown() override
+	{
+		backend_client_close(client);
+		for (auto *server : servers)
+			uv_close(reinterpret_cast<uv_handle_t *>(&server->listener), nullptr);
+		uv_walk(
+			&loop,
+			[](uv_handle_t *handle, void *) {
+				if (handle->type == UV_TCP && handle->data)
+					ScriptedServer::close_peer(
+						reinterpret_cast<uv_stream_t *>(handle));
+			},
+			nullptr);
+		for (int i = 0; i < 5; i++)
+			uv_run(&loop, UV_RUN_NOWAIT);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+		for (auto *server : servers)
+			delete server;
+	}
+
+	ScriptedServer &serve(ScriptedServer::Script script)
+	{
+		servers.push_back(new ScriptedServer(&loop, std::move(script)));
+		backend_client_set_port(client, servers.back()->port());
+		return *servers.back();
+	}
+
+	struct backend_call *start(Result &result, uint64_t time_left_us = 5 * kSecond)
+	{
+		backend_request req{};
+		struct backend_call *call = nullptr;
+		req.id = {{1, 2}, 3};
+		req.call = &msg;
+		req.time_left_us = time_left_us;
+		EXPECT_EQ(backend_call_start(client, &req, on_done, &result, &call, nullptr), 0);
+		EXPECT_EQ(result.calls, 0) << "done ran before start returned";
+		return call;
+	}
+
+	void run_until_done(Result &result)
+	{
+		for (int i = 0; i < 10000 && result.calls == 0; i++)
+			uv_run(&loop, UV_RUN_ONCE);
+		EXPECT_EQ(result.calls, 1);
+	}
+
+	Result call_once(uint64_t time_left_us = 5 * kSecond)
+	{
+		Result result;
+		start(result, time_left_us);
+		run_until_done(result);
+		return result;
+	}
+
+	void run_for_ms(uint64_t ms)
+	{
+		uv_timer_t timer;
+		bool over = false;
+		uv_timer_init(&loop, &timer);
+		timer.data = &over;
+		uv_timer_start(
+			&timer, [](uv_timer_t *t) { *static_cast<bool *>(t->data) = true; }, ms, 0);
+		while (!over)
+			uv_run(&loop, UV_RUN_ONCE);
+		uv_close(reinterpret_cast<uv_handle_t *>(&timer), nullptr);
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+};
+
+TEST_F(BackendTest, AnswersWholeAndKeepsTheConnection)
+{
+	auto &server = serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 201 Created\r\nx-lot: 7\r\nconnection: "
+					   "keep-alive\r\ncontent-length: 4\r\n\r\nsold");
+	});
+	for (int i = 0; i < 3; i++) {
+		Result result = call_once();
+		EXPECT_EQ(result.end, BACKEND_END_ANSWERED);
+		EXPECT_EQ(result.status, 201u);
+		EXPECT_EQ(result.body, "sold");
+		EXPECT_EQ(result.first_header, "x-lot");
+	}
+	EXPECT_EQ(server.connections, 1);
+	EXPECT_EQ(server.requests[0].find("POST /buy?lot=7 HTTP/1.1\r\n"), 0u);
+	EXPECT_NE(server.requests[0].find("x-fescue-class: purchase\r\n"), std::string::npos);
+	EXPECT_NE(server.requests[0].find("x-fescue-depth: 3\r\n"), std::string::npos);
+	EXPECT_NE(server.requests[0].find("content-length: 6\r\n\r\ncopper"), std::string::npos);
+}
+
+TEST_F(BackendTest, GathersAChunkedAnswer)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+					   "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+	});
+	Result result = call_once();
+	EXPECT_EQ(result.end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(result.body, "abcde");
+}
+
+TEST_F(BackendTest, EmptyAnswersAreWhole)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+}
+
+TEST_F(BackendTest, ARefusalIsNotRun)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 503 Busy\r\nx-fescue-not-run: 1\r\n"
+					   "content-length: 0\r\n\r\n");
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_REFUSED);
+}
+
+TEST_F(BackendTest, APlain503IsAnAnswer)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n");
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+}
+
+TEST_F(BackendTest, NothingListeningIsNotConnected)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in addr{};
+	socklen_t size = sizeof(addr);
+	addr.sin_family = AF_INET;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr *>(&addr), size), 0);
+	getsockname(fd, reinterpret_cast<sockaddr *>(&addr), &size);
+	backend_client_set_port(client, ntohs(addr.sin_port));
+	EXPECT_EQ(call_once().end, BACKEND_END_NOT_CONNECTED);
+	close(fd);
+}
+
+TEST_F(BackendTest, ABreakAfterTheRequestIsLostAndNotSentAgain)
+{
+	auto &server = serve(
+		[](uv_stream_t *peer, const std::string &) { ScriptedServer::close_peer(peer); });
+	EXPECT_EQ(call_once().end, BACKEND_END_LOST);
+	EXPECT_EQ(server.requests.size(), 1u);
+}
+
+TEST_F(BackendTest, ACutBodyIsNeverAnAnswer)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf");
+		ScriptedServer::close_peer(peer);
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_LOST);
+}
+
+TEST_F(BackendTest, ACutChunkedBodyIsNeverAnAnswer)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+					   "3\r\nabc\r\n");
+		ScriptedServer::close_peer(peer);
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_LOST);
+}
+
+TEST_F(BackendTest, ABodyWithoutAStatedEndIsNeverAnAnswer)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\n\r\nwho knows");
+		ScriptedServer::close_peer(peer);
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_LOST);
+}
+
+TEST_F(BackendTest, AConnectionClosedWhileIdleIsNotUsedAgain)
+{
+	uv_stream_t *last = nullptr;
+	auto &server = serve([&last](uv_stream_t *peer, const std::string &) {
+		last = peer;
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+	ScriptedServer::close_peer(last);
+	run_for_ms(20);
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(server.connections, 2);
+	EXPECT_EQ(server.requests.size(), 2u);
+}
+
+TEST_F(BackendTest, AnAnswerOverTheCapIsTooLarge)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		std::string body(kAnswerBytesMax + 1, 'x');
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: " +
+						   std::to_string(body.size()) + "\r\n\r\n" + body);
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_TOO_LARGE);
+}
+
+TEST_F(BackendTest, ASilentConnectionTimesOutAndIsReplaced)
+{
+	bool silent = true;
+	auto &server = serve([&silent](uv_stream_t *peer, const std::string &) {
+		if (!silent)
+			ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+	});
+	EXPECT_EQ(call_once(30 * 1000).end, BACKEND_END_TIMEOUT);
+	silent = false;
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(server.connections, 2);
+}
+
+TEST_F(BackendTest, CancelClosesTheConnection)
+{
+	auto &server = serve([](uv_stream_t *, const std::string &) {});
+	Result result;
+	struct backend_call *call = start(result);
+	while (server.requests.empty())
+		uv_run(&loop, UV_RUN_ONCE);
+	EXPECT_TRUE(backend_call_cancel(call));
+	run_for_ms(20);
+	EXPECT_EQ(result.calls, 0);
+}
+
+TEST_F(BackendTest, CancelBeforeTheConnectionIsNotBegun)
+{
+	serve([](uv_stream_t *, const std::string &) {});
+	Result result;
+	struct backend_call *call = start(result);
+	EXPECT_FALSE(backend_call_cancel(call));
+	run_for_ms(20);
+	EXPECT_EQ(result.calls, 0);
+}
+
+TEST_F(BackendTest, APortChangeLeavesRunningCallsAlone)
+{
+	uv_stream_t *held = nullptr;
+	serve([&held](uv_stream_t *peer, const std::string &) { held = peer; });
+	Result first;
+	start(first);
+	while (!held)
+		uv_run(&loop, UV_RUN_ONCE);
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nnew");
+	});
+	EXPECT_EQ(call_once().body, "new");
+	ScriptedServer::send(held, "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nold");
+	run_until_done(first);
+	EXPECT_EQ(first.body, "old");
+}
+
+TEST_F(BackendTest, NoPortIsAnError)
+{
+	Result result;
+	backend_request req{};
+	struct backend_call *call = nullptr;
+	struct error err {
+	};
+	req.call = &msg;
+	EXPECT_EQ(backend_call_start(client, &req, on_done, &result, &call, &err), -1);
+	EXPECT_EQ(err.kind, ERROR_STATE);
+}
+
+TEST(BackendEndTest, OnlyEndsBeforeTheRequestAreNotRun)
+{
+	enum call_reason reason;
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_ANSWERED, &reason), OUTCOME_ANSWERED);
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_REFUSED, &reason), OUTCOME_NOT_RUN);
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_NOT_CONNECTED, &reason), OUTCOME_NOT_RUN);
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_EXPIRED, &reason), OUTCOME_NOT_RUN);
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_LOST, &reason), OUTCOME_UNKNOWN);
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_TIMEOUT, &reason), OUTCOME_UNKNOWN);
+	EXPECT_EQ(backend_end_outcome(BACKEND_END_TOO_LARGE, &reason), OUTCOME_UNKNOWN);
+}
+
+} // namespace
