Callers' side: tests; one name for two pairs of clashing types

Settings take the choice's policies from decide/choice_defs.h, and the attempt table's bound of actions has a name of its own, since the gate's admission defines GATE_ACTIONS_MAX too. h2o's own shutdown request starts an HTTP/2 timer that outlives the listener (h2o_timeout_dispose asserted in ADrainingSideClosesAfterItsAnswer); the flag alone does what HTTP/1.1 needs.

--- a/src/fescuemill/decide/attempt_gate.c
+++ b/src/fescuemill/decide/attempt_gate.c
@@ -515,7 +515,7 @@
 	struct due_heap *due = &st->gate->due;
 
 	while (due_heap_first_us(due) <= st->now_us) {
-		if (st->out->count + 2 > GATE_ACTIONS_MAX) {
+		if (st->out->count + 2 > ATTEMPT_GATE_ACTIONS_MAX) {
 			st->out->more = true;
 			return 0;
 		}
--- a/src/fescuemill/decide/attempt_gate.h
+++ b/src/fescuemill/decide/attempt_gate.h
@@ -76,12 +76,12 @@
 	void *user;	      /* as set by attempt_gate_set_user, NULL before */
 };
 
-#define GATE_ACTIONS_MAX 16
+#define ATTEMPT_GATE_ACTIONS_MAX 16
 
 struct attempt_gate_actions {
 	uint32_t count;
 	bool more; /* a tick has more to do: tick again */
-	struct attempt_gate_action list[GATE_ACTIONS_MAX];
+	struct attempt_gate_action list[ATTEMPT_GATE_ACTIONS_MAX];
 };
 
 struct attempt_gate;
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -370,6 +370,12 @@
 	return caller->call_count;
 }
 
+/* Counts the open connections. */
+uint32_t caller_connections(const struct caller *caller)
+{
+	return http_server_connections(caller->server);
+}
+
 /* Gives the arena of a call. */
 h2o_mem_pool_t *caller_call_pool(struct caller_call *call)
 {
--- a/src/fescuemill/http/caller.h
+++ b/src/fescuemill/http/caller.h
@@ -46,6 +46,7 @@
 void caller_close(struct caller *caller);
 void caller_free(struct caller *caller);
 uint32_t caller_calls(const struct caller *caller);
+uint32_t caller_connections(const struct caller *caller);
 
 void caller_answer(struct caller_call *call, const struct caller_answer *answer);
 /* The arena of a call, freed after its answer was sent. */
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -163,10 +163,11 @@
 	return srv->port;
 }
 
-/* Closes each connection after its present answer, as a planned stop wants. */
+/* Closes each connection after its present answer, as a planned stop wants. h2o's own function
+ * would also start an HTTP/2 timer that must have ended before http_server_free. */
 void http_server_drain(struct http_server *srv)
 {
-	h2o_context_request_shutdown(&srv->context);
+	srv->context.shutdown_requested = 1;
 }
 
 /* Stops listening; connections that are open stay open. */
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -6,6 +6,7 @@
 
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/choice_defs.h"
 #include "fescuemill/fleet/member_defs.h"
 
 #define PLATFORM_ENDPOINTS_MAX 4
@@ -20,16 +21,6 @@
 	uint16_t port;
 };
 
-/* How an entry picks a gate; the others are there to be measured against. */
-enum choice_policy {
-	CHOICE_EXPECTED_COMPLETION,
-	CHOICE_RANDOM,
-	CHOICE_ROUND_ROBIN,
-	CHOICE_LEAST_IN_FLIGHT,
-	CHOICE_TWO_RANDOM,
-	CHOICE_POLICY_COUNT,
-};
-
 /* A key of the administration API and the team that holds it. */
 struct admin_key {
 	char team[TEAM_NAME_BYTES];
