Refuse a body a little over the cap on a live connection; tell an unreachable peer

A body over the cap made h2o reset the connection, and the typed 413 was lost with it (seen with a client that sends 8 MB + 1 byte: connection reset). Up to 1 MiB over the cap is now read and refused whole. The peer module counts connections in a row over which nothing came, so that the shell can tell a gate that cannot be reached from one connection gone silent.

--- a/src/fescuemill/decide/peer.c
+++ b/src/fescuemill/decide/peer.c
@@ -10,6 +10,7 @@
 #define PEER_QUIET_US	  100000
 #define PEER_PING_WAIT_US 150000
 #define PEER_IDLE_MAX_US  30000000
+#define PEER_UNHEARD_MAX  2
 
 const struct peer_settings peer_default_settings = {
 	.quiet_us = PEER_QUIET_US,
@@ -36,6 +37,7 @@
 	peer->heard_us = now_us;
 	peer->used_us = now_us;
 	peer->waits_us = now_us;
+	peer->unheard++;
 	return peer->epoch;
 }
 
@@ -49,6 +51,7 @@
 void peer_heard(struct peer *peer, uint64_t now_us)
 {
 	peer->heard_us = now_us;
+	peer->unheard = 0;
 	if (peer->state == PEER_PINGED)
 		peer->state = PEER_OPEN;
 }
@@ -99,6 +102,12 @@
 	return PEER_PING;
 }
 
+/* Tells whether new connections do not help: nothing came over the latest ones. */
+bool peer_is_unreachable(const struct peer *peer)
+{
+	return peer->unheard > PEER_UNHEARD_MAX;
+}
+
 /* Gives the time of the next action, UINT64_MAX when none is due. */
 uint64_t peer_next_due_us(const struct peer *peer, const struct peer_settings *settings)
 {
--- a/src/fescuemill/decide/peer.h
+++ b/src/fescuemill/decide/peer.h
@@ -7,6 +7,8 @@
 #include "fescuemill/chart/chart_defs.h"
 #include "fescuemill/decide/attempt_defs.h"
 
+#include <stdbool.h>
+
 struct peer_settings {
 	uint64_t quiet_us;     /* silent for so long with work outstanding: ping */
 	uint64_t ping_wait_us; /* no answer to the ping for so long: replace */
@@ -26,8 +28,9 @@
 	uint64_t pinged_us; /* when the present ping was sent */
 	uint32_t epoch;	    /* of the open link; 0 before the first */
 	uint32_t outstanding;
-	uint8_t kind;  /* enum link_kind */
-	uint8_t state; /* enum peer_state */
+	uint32_t unheard; /* connections opened in a row over which nothing came */
+	uint8_t kind;	  /* enum link_kind */
+	uint8_t state;	  /* enum peer_state */
 };
 
 extern const struct peer_settings peer_default_settings;
@@ -42,6 +45,7 @@
 				 uint64_t now_us);
 enum peer_action peer_tick(struct peer *peer, const struct peer_settings *settings,
 			   uint64_t now_us);
+bool peer_is_unreachable(const struct peer *peer);
 uint64_t peer_next_due_us(const struct peer *peer, const struct peer_settings *settings);
 
 #endif
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -133,10 +133,17 @@
 	return rc;
 }
 
+/* Tells whether two announcements say the same. */
+static bool is_same(const struct announcement *a, const struct announcement *b)
+{
+	return a->port == b->port && a->slots == b->slots && a->state == b->state &&
+	       strcmp(a->service, b->service) == 0;
+}
+
 /* Tells the owner when something changed. */
 static void take(struct announce *ann, const struct announcement *now)
 {
-	if (memcmp(&ann->now, now, sizeof(*now)) == 0)
+	if (is_same(&ann->now, now))
 		return;
 	ann->now = *now;
 	ann->options.on_change(ann->options.user, &ann->now);
--- a/src/fescuemill/http/call_request.c
+++ b/src/fescuemill/http/call_request.c
@@ -143,6 +143,12 @@
 	return 0;
 }
 
+/* Tells whether a byte may stand in a name. */
+static bool is_name_byte(uint8_t byte)
+{
+	return isalnum(byte) || byte == '-' || byte == '_' || byte == '.';
+}
+
 /* Copies a name of letters, digits, '-', '_' and '.'. Errors: ERROR_RANGE, ERROR_SYNTAX. */
 static int read_name(struct wire_bytes text, const char *what, char *out, size_t room,
 		     struct error *err)
@@ -151,7 +157,7 @@
 		return error_set(err, ERROR_RANGE, "%s: found %u bytes, allowed 1 to %zu", what,
 				 text.size, room - 1);
 	for (uint32_t i = 0; i < text.size; i++) {
-		if (!isalnum(text.data[i]) && !memchr("-_.", text.data[i], 3))
+		if (!is_name_byte(text.data[i]))
 			return error_set(err, ERROR_SYNTAX,
 					 "%s: byte %u is not a letter, digit, '-', '_' or '.'",
 					 what, i);
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -19,6 +19,7 @@
 #define GONE_POLL_MS	  10 /* also the age from which a call is polled */
 #define IDLE_MS		  60000
 #define POLL_CHUNK	  64
+#define BODY_SLACK_BYTES  (1024U * 1024) /* read over the cap, so that the refusal arrives */
 #define NUMBER_TEXT_BYTES 16
 #define OUTCOME_HEADER	  "x-fescue-outcome"
 
@@ -123,7 +124,8 @@
 		h2o_iovec_t name;
 		h2o_iovec_t value;
 
-		if (header_is_hop_by_hop(header->name))
+		/* h2o states the date of the answer by itself. */
+		if (header_is_hop_by_hop(header->name) || wire_bytes_is(header->name, "date"))
 			continue;
 		name = h2o_strdup(&req->pool, (const char *)header->name.data, header->name.size);
 		value = h2o_strdup(&req->pool, (const char *)header->value.data,
@@ -221,6 +223,25 @@
 	return call;
 }
 
+/* Checks a body's size against the cap and the memory for all bodies. */
+static enum call_reason check_body(const struct caller *caller, size_t size, struct error *err)
+{
+	const struct caller_options *options = &caller->options;
+
+	if (size > options->body_bytes_max) {
+		error_set(err, ERROR_TOO_LARGE, "body: found %zu bytes, allowed %u", size,
+			  options->body_bytes_max);
+		return REASON_TOO_LARGE;
+	}
+	if (caller->memory_bytes + size > options->memory_bytes_max) {
+		error_set(err, ERROR_MEMORY, "bodies: %llu bytes held, allowed %llu",
+			  (unsigned long long)caller->memory_bytes,
+			  (unsigned long long)options->memory_bytes_max);
+		return REASON_OVERLOAD;
+	}
+	return REASON_NONE;
+}
+
 /* Checks a request and hands it to the entry. */
 static void take_request(void *user, h2o_req_t *req)
 {
@@ -233,13 +254,8 @@
 	counter_add(COUNTER_CALLS_RECEIVED, 1);
 	read_head(req, &head);
 	reason = call_request_parse(&head, parsed, &err);
-	if (reason == REASON_NONE &&
-	    caller->memory_bytes + req->entity.len > caller->options.memory_bytes_max) {
-		error_set(&err, ERROR_MEMORY, "bodies: %llu bytes held, allowed %llu",
-			  (unsigned long long)caller->memory_bytes,
-			  (unsigned long long)caller->options.memory_bytes_max);
-		reason = REASON_OVERLOAD;
-	}
+	if (reason == REASON_NONE)
+		reason = check_body(caller, req->entity.len, &err);
 	if (reason != REASON_NONE) {
 		refuse(req, reason, &err);
 		return;
@@ -315,7 +331,8 @@
 	struct http_server_options options = {
 		.ip = opt->ip,
 		.port = opt->port,
-		.body_bytes_max = opt->body_bytes_max,
+		/* h2o resets the connection of a body over its own cap, and with it the answer. */
+		.body_bytes_max = (size_t)opt->body_bytes_max + BODY_SLACK_BYTES,
 		.idle_ms = IDLE_MS,
 		.on_request = take_request,
 		.on_respond = complete_answer,
--- /dev/null
+++ b/test/unit/http/announce_test.cc
@@ -0,0 +1,141 @@
+// Announcements: what is accepted, and the lease that ends without renewal.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "fescuemill/http/announce.h"
+}
+
+namespace
+{
+
+enum error_kind parse(const std::string &json, struct announcement *out)
+{
+	struct error err = {};
+	if (announcement_parse(json.data(), json.size(), out, &err) == 0)
+		return ERROR_NONE;
+	return err.kind;
+}
+
+TEST(AnnouncementTest, ReadsAWholeOne)
+{
+	struct announcement out;
+	ASSERT_EQ(parse(R"({"service":"ledger","port":81,"slots":6,"state":"ready"})", &out),
+		  ERROR_NONE);
+	EXPECT_STREQ(out.service, "ledger");
+	EXPECT_EQ(out.port, 81);
+	EXPECT_EQ(out.slots, 6u);
+	EXPECT_EQ(out.state, BACKEND_READY);
+}
+
+TEST(AnnouncementTest, RefusesWhatIsNotOne)
+{
+	struct announcement out;
+	EXPECT_EQ(parse("", &out), ERROR_SYNTAX);
+	EXPECT_EQ(parse("[]", &out), ERROR_SYNTAX);
+	EXPECT_EQ(parse(R"({"port":81,"slots":6,"state":"ready"})", &out), ERROR_MISSING);
+	EXPECT_EQ(parse(R"({"service":"a b","port":81,"slots":6,"state":"ready"})", &out),
+		  ERROR_SYNTAX);
+	EXPECT_EQ(parse(R"({"service":"","port":81,"slots":6,"state":"ready"})", &out),
+		  ERROR_RANGE);
+	EXPECT_EQ(parse(R"({"service":"l","port":"81","slots":6,"state":"ready"})", &out),
+		  ERROR_TYPE);
+	EXPECT_EQ(parse(R"({"service":"l","port":65536,"slots":6,"state":"ready"})", &out),
+		  ERROR_RANGE);
+	EXPECT_EQ(parse(R"({"service":"l","port":81,"slots":0,"state":"ready"})", &out),
+		  ERROR_RANGE);
+	EXPECT_EQ(parse(R"({"service":"l","port":81,"slots":6,"state":"asleep"})", &out),
+		  ERROR_RANGE);
+	EXPECT_EQ(parse(R"({"service":"l","port":81,"slots":6})", &out), ERROR_MISSING);
+}
+
+class AnnounceTest : public ::testing::Test
+{
+      protected:
+	uv_loop_t loop{};
+	struct announce *announce = nullptr;
+	std::vector<struct announcement> changes;
+	int fd = -1;
+
+	void SetUp() override
+	{
+		sockaddr_in addr{};
+		announce_options options{};
+		uv_loop_init(&loop);
+		options.ip = INADDR_LOOPBACK;
+		options.user = this;
+		options.on_change = [](void *user, const struct announcement *now) {
+			static_cast<AnnounceTest *>(user)->changes.push_back(*now);
+		};
+		options.in_use = [](void *) -> uint32_t { return 4; };
+		ASSERT_EQ(announce_open(&announce, &loop, &options, nullptr), 0);
+		fd = socket(AF_INET, SOCK_STREAM, 0);
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		addr.sin_port = htons(announce_port(announce));
+		ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&addr), sizeof(addr)), 0);
+	}
+
+	void TearDown() override
+	{
+		close(fd);
+		announce_close(announce);
+		for (int i = 0; i < 20; i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(1000);
+		}
+		announce_free(announce);
+		uv_run(&loop, UV_RUN_NOWAIT);
+		uv_loop_close(&loop);
+	}
+
+	std::string post(const std::string &path, const std::string &body)
+	{
+		std::string text = "POST " + path + " HTTP/1.1\r\nhost: n\r\ncontent-length: " +
+				   std::to_string(body.size()) + "\r\n\r\n" + body;
+		char buf[1024];
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  static_cast<ssize_t>(text.size()));
+		for (int i = 0; i < 1000; i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			ssize_t size = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+			if (size > 0)
+				return std::string(buf, static_cast<size_t>(size));
+			usleep(1000);
+		}
+		return "";
+	}
+};
+
+const char kReady[] = R"({"service":"ledger","port":81,"slots":6,"state":"ready"})";
+
+TEST_F(AnnounceTest, TellsChangesOnlyAndEndsWithItsLease)
+{
+	std::string answer = post("/announce", kReady);
+	EXPECT_EQ(answer.find("HTTP/1.1 200"), 0u) << answer;
+	EXPECT_NE(answer.find(R"({"lease_ms":3000,"in_use":4})"), std::string::npos) << answer;
+	post("/announce", kReady);
+	ASSERT_EQ(changes.size(), 1u);
+	EXPECT_EQ(changes[0].state, BACKEND_READY);
+	for (int i = 0; i < 200 && changes.size() < 2; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ASSERT_EQ(changes.size(), 2u);
+	EXPECT_EQ(changes[1].state, BACKEND_NONE);
+	EXPECT_EQ(changes[1].port, 0);
+}
+
+TEST_F(AnnounceTest, RefusesOtherRequestsTyped)
+{
+	EXPECT_EQ(post("/else", kReady).find("HTTP/1.1 404"), 0u);
+	std::string answer = post("/announce", "{}");
+	EXPECT_EQ(answer.find("HTTP/1.1 400"), 0u) << answer;
+	EXPECT_NE(answer.find(R"("error":"missing")"), std::string::npos) << answer;
+	EXPECT_TRUE(changes.empty());
+}
+
+} // namespace
--- a/test/unit/http/caller_test.cc
+++ b/test/unit/http/caller_test.cc
@@ -192,6 +192,14 @@
 	expect_refused(ask(head + std::string(kBodyBytesMax + 1, 'x')), 413, "too-large");
 }
 
+// h2o refuses this one by its head alone.
+TEST_F(CallerTest, ABodyFarOverTheCapIsTyped413)
+{
+	expect_refused(ask("POST /intake/plate HTTP/1.1\r\nhost: n\r\nx-fescue-class: photo\r\n"
+			   "content-length: 99999999\r\n\r\n"),
+		       413, "too-large");
+}
+
 TEST_F(CallerTest, ABodyAtTheCapIsTaken)
 {
 	std::string head = "POST /intake/plate HTTP/1.1\r\nhost: n\r\nx-fescue-class: photo\r\n"
