fescue-load: bounded load with a ledger of every call

An operator's claim that nothing is lost or doubled needs a program that knows what it sent and asks the backend servers what ran. fescue-load sends the streams of a checked plan, open loop (Poisson from the seed, latency from the intended time) or closed loop, checks each answer byte for byte, and compares outcomes with the records of the backend servers.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -9,8 +9,8 @@
 
 # Stand-ins are programs: one a folder under test/standin/, over what common/ holds for all.
 file(GLOB standin_common CONFIGURE_DEPENDS test/standin/common/*.c)
-add_library(standin_common STATIC ${standin_common} src/fescue_load/payload.c)
-target_link_libraries(standin_common PUBLIC fescuemill)
+add_library(standin_common STATIC ${standin_common})
+target_link_libraries(standin_common PUBLIC fescue_load_parts)
 file(GLOB standins RELATIVE ${CMAKE_SOURCE_DIR}/test/standin CONFIGURE_DEPENDS
 	test/standin/*/main.c)
 foreach(main ${standins})
@@ -26,7 +26,8 @@
 	string(REGEX REPLACE "_test$" "" module ${module})
 	set(name ${kind}-${module})
 	add_executable(${name} ${source} ${ARGN})
-	target_link_libraries(${name} PRIVATE fescuemill GTest::gtest_main rapidcheck)
+	target_link_libraries(${name} PRIVATE fescue_load_parts fescuemill
+		GTest::gtest_main rapidcheck)
 	add_test(NAME ${name} COMMAND ${name})
 	set_tests_properties(${name} PROPERTIES TIMEOUT ${timeout_s}
 		ENVIRONMENT "RC_PARAMS=seed=7 max_success=200;FESCUEMILL_BIN=${CMAKE_BINARY_DIR}")
--- /dev/null
+++ b/src/fescue_load/client.h
@@ -0,0 +1,41 @@
+/*
+ * Client: HTTP/1.1 calls over kept-alive connections, one pool a target.
+ */
+#ifndef FESCUE_LOAD_CLIENT_H
+#define FESCUE_LOAD_CLIENT_H
+
+#include <h2o.h>
+#include <h2o/http1client.h>
+
+/* How an exchange ended. */
+enum client_end {
+	CLIENT_END_WHOLE,     /* the whole answer came */
+	CLIENT_END_CUT,	      /* the connection ended within the answer */
+	CLIENT_END_NO_ANSWER, /* the request was sent, the connection ended before an answer */
+	CLIENT_END_UNSENT,    /* no connection could be made; no byte was sent */
+};
+
+struct client {
+	h2o_http1client_ctx_t ctx;
+	h2o_timeout_t io_timeout;
+	h2o_multithread_receiver_t receiver;
+};
+
+/* One exchange. The owner embeds it, fills request, body and callbacks, and keeps all of it until
+ * on_end or client_cancel. on_head and on_data may be NULL. */
+struct client_call {
+	h2o_iovec_t request[2]; /* the request's head, and its body */
+	int is_head;		/* the method is HEAD: the answer has no body */
+	void (*on_head)(struct client_call *call, int status, const struct st_h2o_header_t *headers,
+			size_t count);
+	void (*on_data)(struct client_call *call, const char *data, size_t bytes);
+	void (*on_end)(struct client_call *call, enum client_end end);
+	h2o_http1client_t *exchange; /* NULL once it has ended */
+};
+
+void client_init(struct client *client, h2o_loop_t *loop);
+void client_pool_init(h2o_socketpool_t *pool, const struct sockaddr_in *address, h2o_loop_t *loop);
+void client_start(struct client *client, h2o_socketpool_t *pool, struct client_call *call);
+void client_cancel(struct client_call *call);
+
+#endif
--- /dev/null
+++ b/src/fescue_load/ledger.c
@@ -0,0 +1,158 @@
+/*
+ * Ledger: records by call, and the cross-check with the executions of the backend servers.
+ */
+#include "fescue_load/ledger.h"
+
+#include "fescue_load/plan.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CAPACITY_START 4096
+
+/* Starts an empty ledger; the plan is kept by reference. */
+void ledger_init(struct ledger *ledger, const struct plan *plan, uint64_t run_id)
+{
+	memset(ledger, 0, sizeof(*ledger));
+	ledger->plan = plan;
+	ledger->run_id = run_id;
+}
+
+/* Frees the records. */
+void ledger_free(struct ledger *ledger)
+{
+	free(ledger->calls);
+	ledger->calls = NULL;
+}
+
+/* Opens a call of a stream. Gives its index, or -1 at the plan's bound or without memory. */
+int64_t ledger_open(struct ledger *ledger, uint32_t stream)
+{
+	struct call_record *calls;
+
+	if (ledger->count == ledger->plan->max_calls)
+		return -1;
+	if (ledger->count == ledger->capacity) {
+		uint32_t capacity = ledger->capacity ? 2 * ledger->capacity : CAPACITY_START;
+
+		calls = realloc(ledger->calls, capacity * sizeof(*calls));
+		if (!calls)
+			return -1;
+		ledger->calls = calls;
+		ledger->capacity = capacity;
+	}
+	ledger->calls[ledger->count] = (struct call_record){.stream = (uint8_t)stream};
+	return ledger->count++;
+}
+
+/* Writes the id of a call, unique over all runs. */
+void ledger_call_id(const struct ledger *ledger, uint32_t index, char text[LEDGER_CALL_BYTES])
+{
+	snprintf(text, LEDGER_CALL_BYTES, "%" PRIx64 "-%" PRIu32, ledger->run_id, index);
+}
+
+/* Finds the record of a call id, or NULL if it is of another run. */
+static struct call_record *find_call(struct ledger *ledger, const char *id)
+{
+	char *end;
+	uint64_t run_id = strtoull(id, &end, 16);
+	unsigned long index;
+
+	if (run_id != ledger->run_id || *end != '-')
+		return NULL;
+	index = strtoul(end + 1, &end, 10);
+	return *end == '\0' && index < ledger->count ? &ledger->calls[index] : NULL;
+}
+
+/* Adds one backend server's executions, {"attempts_doubled":N,"calls":{"ID":[starts,finishes]}}.
+ * Gives 0, or -1 if they cannot be read. */
+int ledger_add_executions(struct ledger *ledger, const char *json, size_t bytes)
+{
+	json_t *root = json_loadb(json, bytes, 0, NULL);
+	json_t *calls = json_object_get(root, "calls");
+	const char *id;
+	json_t *counts;
+
+	if (!json_is_object(calls)) {
+		json_decref(root);
+		return -1;
+	}
+	ledger->attempts_doubled +=
+		(uint64_t)json_integer_value(json_object_get(root, "attempts_doubled"));
+	json_object_foreach(calls, id, counts)
+	{
+		struct call_record *call = find_call(ledger, id);
+
+		if (call)
+			call->starts += (uint16_t)json_integer_value(json_array_get(counts, 0));
+	}
+	json_decref(root);
+	return 0;
+}
+
+/* Adds what the backend servers' records say of one call. */
+static void check_runs(const struct plan_stream *stream, const struct call_record *call,
+		       struct ledger_sums *sums)
+{
+	bool is_idempotent = plan_stream_is_idempotent(stream);
+
+	if (call->result == CALL_NOT_RUN && call->starts > 0)
+		sums->not_run_ran++;
+	if (call->result == CALL_WHOLE && !call->is_error && call->starts == 0)
+		sums->answered_never_ran++;
+	if (call->starts <= 1)
+		return;
+	if (!is_idempotent || (call->attempts > 0 && call->starts > call->attempts))
+		sums->doubled++;
+	else
+		sums->retried_runs += call->starts - 1U;
+}
+
+/* Sums up the calls of one stream. */
+void ledger_sum(const struct ledger *ledger, uint32_t stream, struct ledger_sums *sums)
+{
+	memset(sums, 0, sizeof(*sums));
+	for (uint32_t i = 0; i < ledger->count; i++) {
+		const struct call_record *call = &ledger->calls[i];
+
+		if (call->stream != stream)
+			continue;
+		sums->sent++;
+		sums->results[call->result]++;
+		sums->errors += call->is_error;
+		sums->repeats += call->sends > 1 ? call->sends - 1U : 0;
+		check_runs(&ledger->plan->streams[stream], call, sums);
+	}
+}
+
+/* Sums up all calls. */
+void ledger_total(const struct ledger *ledger, struct ledger_sums *sums)
+{
+	memset(sums, 0, sizeof(*sums));
+	for (uint32_t stream = 0; stream < ledger->plan->stream_count; stream++) {
+		struct ledger_sums one;
+
+		ledger_sum(ledger, stream, &one);
+		sums->sent += one.sent;
+		for (int i = 0; i < CALL_RESULT_COUNT; i++)
+			sums->results[i] += one.results[i];
+		sums->errors += one.errors;
+		sums->repeats += one.repeats;
+		sums->doubled += one.doubled;
+		sums->retried_runs += one.retried_runs;
+		sums->not_run_ran += one.not_run_ran;
+		sums->answered_never_ran += one.answered_never_ran;
+	}
+}
+
+/* Counts what must never be: lost, cut, corrupt and doubled calls, outcomes that the backend
+ * servers' records contradict, and records that are missing. */
+uint64_t ledger_violations(const struct ledger *ledger, const struct ledger_sums *total)
+{
+	return total->results[CALL_OPEN] + total->results[CALL_LOST] + total->results[CALL_CUT] +
+	       total->results[CALL_CORRUPT] + total->doubled + total->not_run_ran +
+	       total->answered_never_ran + ledger->attempts_doubled + ledger->records_missing;
+}
--- /dev/null
+++ b/src/fescue_load/plan_defs.h
@@ -0,0 +1,63 @@
+/*
+ * Plan types: what fescue-load sends, where to, for how long.
+ */
+#ifndef FESCUE_LOAD_PLAN_DEFS_H
+#define FESCUE_LOAD_PLAN_DEFS_H
+
+#include "fescuemill/decide/call_defs.h"
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define PLAN_STREAMS_MAX     64
+#define PLAN_TARGETS_MAX     512
+#define PLAN_METHOD_BYTES    8
+#define PLAN_PATH_BYTES	     128
+#define PLAN_ADDRESS_BYTES   32
+#define PLAN_CONNECTIONS_MAX 10000
+#define PLAN_CALLS_PER_S_MAX 100000.0
+#define PLAN_DURATION_MS_MAX (60U * 60 * 1000)
+#define PLAN_GRACE_MS_MAX    60000U
+#define PLAN_CALLS_MAX	     10000000U
+#define PLAN_DEADLINE_MS_MAX 600000U
+#define PLAN_IN_FLIGHT_MAX   20000U
+
+/* Calls of one class. Open loop: calls_per_s, arriving as a Poisson process. Closed loop:
+ * connections, each with one call at a time. Exactly one of the two is above 0. */
+struct plan_stream {
+	char service[SERVICE_NAME_BYTES];
+	char class_name[CLASS_NAME_BYTES];
+	char method[PLAN_METHOD_BYTES];
+	char path[PLAN_PATH_BYTES];
+	double calls_per_s;
+	uint32_t connections;
+	uint32_t body_bytes;
+	uint32_t answer_bytes;
+	uint32_t deadline_ms;
+	double keyed_share;	/* share of the calls that carry an idempotency key, 0 to 1 */
+	bool states_idempotent; /* says of a POST or PATCH that it may run more than once */
+};
+
+struct plan_target {
+	char address_text[PLAN_ADDRESS_BYTES];
+	struct sockaddr_in address;
+	char service[SERVICE_NAME_BYTES]; /* of a backend server; empty for an entry */
+};
+
+struct plan {
+	uint64_t seed;
+	uint32_t duration_ms;
+	uint32_t grace_ms; /* past a call's deadline until it counts as lost */
+	uint32_t max_calls;
+	bool entries_may_fail; /* a connection closed unanswered is unknown, not lost */
+	bool direct;	       /* call the backend servers, not the entries */
+	uint32_t stream_count;
+	uint32_t entry_count;
+	uint32_t backend_count;
+	struct plan_stream streams[PLAN_STREAMS_MAX];
+	struct plan_target entries[PLAN_TARGETS_MAX];
+	struct plan_target backends[PLAN_TARGETS_MAX];
+};
+
+#endif
--- a/test/standin/backend/main.c
+++ b/test/standin/backend/main.c
@@ -49,6 +49,7 @@
 	char attempt[NAME_BYTES];
 	char body_sum[PAYLOAD_SUM_BYTES];
 	size_t answer_bytes;
+	uint64_t arrived_us;  /* monotonic */
 	uint64_t deadline_us; /* monotonic */
 	uint64_t finish_us;   /* monotonic; when it will have run whole */
 };
@@ -170,10 +171,14 @@
 {
 	struct payload payload;
 	char *body = h2o_mem_alloc_pool(&req->pool, call->answer_bytes + 1);
+	char run_us[24];
 
 	payload_start(&payload, call->name, strlen(call->name));
 	payload_fill(&payload, body, call->answer_bytes);
+	snprintf(run_us, sizeof(run_us), "%llu",
+		 (unsigned long long)(clock_monotonic_us() - call->arrived_us));
 	server_add_header(req, "x-standin-body-sum", call->body_sum);
+	server_add_header(req, "x-standin-run-us", run_us);
 	server_send_text(req, 200, body, call->answer_bytes);
 }
 
@@ -254,6 +259,7 @@
 	copy_header(call->attempt, req, "x-fescue-call-id");
 	payload_sum(req->entity.base, req->entity.len, call->body_sum);
 	call->answer_bytes = answer_bytes < ANSWER_BYTES_MAX ? answer_bytes : ANSWER_BYTES_MAX;
+	call->arrived_us = now_us;
 	call->deadline_us = now_us + deadline_ms * USEC_PER_MSEC;
 	call->state = is_frozen(req) ? CALL_FROZEN : CALL_QUEUED;
 	while (*link)
--- /dev/null
+++ b/test/unit/fescue_load/ledger_test.cc
@@ -0,0 +1,133 @@
+// Unit tests of fescue-load's ledger: what contradicts the backend servers' records is counted.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <memory>
+#include <string>
+
+extern "C" {
+#include "fescue_load/ledger.h"
+#include "fescue_load/plan.h"
+}
+
+namespace
+{
+class Ledger : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct plan_stream stream;
+		struct error err = {};
+
+		plan_init(plan.get());
+		plan_stream_init(&stream);
+		snprintf(stream.service, sizeof(stream.service), "ledger");
+		snprintf(stream.class_name, sizeof(stream.class_name), "buy");
+		stream.calls_per_s = 1;
+		ASSERT_EQ(0, plan_add_stream(plan.get(), &stream, &err));
+		snprintf(stream.method, sizeof(stream.method), "POST");
+		ASSERT_EQ(0, plan_add_stream(plan.get(), &stream, &err));
+		ledger_init(&ledger, plan.get(), 0xabc);
+	}
+
+	void TearDown() override
+	{
+		ledger_free(&ledger);
+	}
+
+	// Opens a call of stream 0 (GET) or 1 (POST) with a result, and lets it run starts times.
+	void call(uint32_t stream, enum call_result result, int starts, uint16_t attempts = 0)
+	{
+		int64_t index = ledger_open(&ledger, stream);
+		char id[LEDGER_CALL_BYTES];
+
+		ledger.calls[index].result = (uint8_t)result;
+		ledger.calls[index].attempts = attempts;
+		ledger.calls[index].sends = 1;
+		ledger_call_id(&ledger, (uint32_t)index, id);
+		std::string json = std::string("{\"attempts_doubled\":0,\"calls\":{\"") + id +
+				   "\":[" + std::to_string(starts) + ",0]}}";
+		ASSERT_EQ(0, ledger_add_executions(&ledger, json.c_str(), json.size()));
+		ledger_total(&ledger, &total);
+	}
+
+	std::unique_ptr<struct plan> plan = std::make_unique<struct plan>();
+	struct ledger ledger = {};
+	struct ledger_sums total = {};
+};
+} // namespace
+
+TEST_F(Ledger, TrueOutcomesAreNoViolation)
+{
+	call(0, CALL_WHOLE, 1);
+	call(1, CALL_WHOLE, 1);
+	call(1, CALL_NOT_RUN, 0);
+	call(1, CALL_UNKNOWN, 1);
+	call(1, CALL_UNKNOWN, 0);
+	EXPECT_EQ(0u, ledger_violations(&ledger, &total));
+	EXPECT_EQ(5u, total.sent);
+}
+
+TEST_F(Ledger, NotRunThatRanIsAViolation)
+{
+	call(1, CALL_NOT_RUN, 1);
+	EXPECT_EQ(1u, total.not_run_ran);
+	EXPECT_EQ(1u, ledger_violations(&ledger, &total));
+}
+
+TEST_F(Ledger, AnsweredThatNeverRanIsAViolation)
+{
+	call(0, CALL_WHOLE, 0);
+	EXPECT_EQ(1u, total.answered_never_ran);
+	EXPECT_EQ(1u, ledger_violations(&ledger, &total));
+}
+
+TEST_F(Ledger, NonIdempotentMayRunOnlyOnceWhateverItsOutcome)
+{
+	call(1, CALL_WHOLE, 2, 2);
+	call(1, CALL_UNKNOWN, 2, 2);
+	EXPECT_EQ(2u, total.doubled);
+}
+
+TEST_F(Ledger, IdempotentMayRunOnceForEachAttempt)
+{
+	call(0, CALL_WHOLE, 2, 2);
+	EXPECT_EQ(0u, total.doubled);
+	EXPECT_EQ(1u, total.retried_runs);
+	call(0, CALL_WHOLE, 3, 2);
+	EXPECT_EQ(1u, total.doubled);
+}
+
+TEST_F(Ledger, RunsOfSeveralBackendServersAddUp)
+{
+	call(1, CALL_WHOLE, 1);
+	std::string json = R"({"attempts_doubled":1,"calls":{"abc-0":[1,1],"def-0":[5,5]}})";
+
+	ASSERT_EQ(0, ledger_add_executions(&ledger, json.c_str(), json.size()));
+	ledger_total(&ledger, &total);
+	EXPECT_EQ(1u, total.doubled);
+	EXPECT_EQ(2u, ledger_violations(&ledger, &total));
+}
+
+TEST_F(Ledger, OpenLostCutAndCorruptAreViolations)
+{
+	call(0, CALL_OPEN, 0);
+	call(0, CALL_LOST, 0);
+	call(0, CALL_CUT, 1);
+	call(0, CALL_CORRUPT, 1);
+	EXPECT_EQ(4u, ledger_violations(&ledger, &total));
+}
+
+TEST_F(Ledger, UnreadableRecordsAreRefused)
+{
+	EXPECT_EQ(-1, ledger_add_executions(&ledger, "[]", 2));
+	EXPECT_EQ(-1, ledger_add_executions(&ledger, "{", 1));
+}
+
+TEST_F(Ledger, CallsStopAtThePlansBound)
+{
+	plan->max_calls = 1;
+	EXPECT_EQ(0, ledger_open(&ledger, 0));
+	EXPECT_EQ(-1, ledger_open(&ledger, 0));
+}
