--- /dev/null
+++ b/test/functional/support/fleet.cc
@@ -0,0 +1,310 @@
+// A fleet of real nodes on stand-ins.
+#include "functional/support/fleet.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+#include <chrono>
+#include <filesystem>
+#include <stdexcept>
+#include <thread>
+
+namespace support
+{
+namespace
+{
+namespace fs = std::filesystem;
+using Clock = std::chrono::steady_clock;
+
+constexpr int READY_MS = 20000;
+constexpr int STOP_MS = 15000;
+constexpr int PAUSE_MS = 20;
+constexpr int PLAN_WAIT_MS = 3600 * 1000;
+
+// Gives the folder of a deployment's samples.
+std::string samples(const std::string &deployment)
+{
+	return std::string(FESCUEMILL_SOURCE_DIR) + "/etc/" + deployment;
+}
+
+// Reads a JSON file.
+Json load(const std::string &file)
+{
+	Json value(json_load_file(file.c_str(), 0, nullptr));
+
+	if (!value)
+		throw std::runtime_error("cannot read " + file);
+	return value;
+}
+
+// Gives a value as a text.
+std::string dump(const json_t *value)
+{
+	std::unique_ptr<char, decltype(&free)> text(json_dumps(value, JSON_COMPACT), &free);
+
+	return text.get();
+}
+
+// Sets a text in an object.
+void set_text(json_t *object, const char *key, const std::string &text)
+{
+	json_object_set_new(object, key, json_string(text.c_str()));
+}
+
+// Gives an address on loopback.
+std::string loopback(uint16_t port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+// Ends one process by SIGTERM, or kills it, and notes it if that was not clean.
+void end(const std::string &name, Process *process, std::vector<std::string> *failures)
+{
+	int code;
+
+	if (!process)
+		return;
+	code = process->wait(STOP_MS);
+	if (code != 0)
+		failures->push_back(name + ": exit code " + std::to_string(code) + "\n" +
+				    process->log_tail());
+	process->kill();
+}
+
+// Sends SIGTERM to a process if there is one.
+void terminate(Process *process)
+{
+	if (process)
+		process->signal(SIGTERM);
+}
+} // namespace
+
+FleetOptions FleetOptions::rangitoto()
+{
+	return FleetOptions();
+}
+
+FleetOptions FleetOptions::amet()
+{
+	FleetOptions options;
+
+	options.deployment = "amet";
+	options.regions = {"harju", "tartu"};
+	options.failure_domains = {"harju-a", "harju-b", "tartu-a", "tartu-b"};
+	options.services = {{"booking", 5}, {"certificates", 4}, {"history", 5}, {"photos", 4}};
+	options.slots = 9;
+	return options;
+}
+
+FleetOptions FleetOptions::small(int servers)
+{
+	FleetOptions options;
+
+	options.regions = {"north-island"};
+	options.failure_domains = {"north-a", "north-b"};
+	options.services = {{"ledger", servers}};
+	options.has_link = false;
+	return options;
+}
+
+Fleet::Fleet(FleetOptions options) : options_(std::move(options))
+{
+	std::string pattern = fs::temp_directory_path() / "fescuemill-XXXXXX";
+
+	if (!mkdtemp(pattern.data()))
+		throw std::runtime_error("cannot make a temporary folder");
+	folder_ = pattern;
+}
+
+Fleet::~Fleet()
+{
+	hosts.clear();
+	platform.reset();
+	link.reset();
+	if (!std::getenv("FESCUEMILL_KEEP_LOGS"))
+		fs::remove_all(folder_);
+}
+
+void Fleet::control(Process &standin, const std::string &body)
+{
+	http_json(standin.port(), "POST", "/control", body);
+}
+
+// Puts the deployment's service objects, those of this fleet's services only.
+void Fleet::put_services()
+{
+	for (const ServiceSize &service : options_.services) {
+		Json object =
+			load(samples(options_.deployment) + "/services/" + service.name + ".json");
+
+		http_json(platform->port(), "PUT", "/v1/objects/service/" + service.name,
+			  dump(object.get()), {"if-version: 0"});
+	}
+}
+
+// Gives the name of a service's first class.
+std::string Fleet::first_class(const std::string &service) const
+{
+	Json object = load(samples(options_.deployment) + "/services/" + service + ".json");
+	json_t *first = json_array_get(json_object_get(object.get(), "classes"), 0);
+
+	return json_string_value(json_object_get(first, "name"));
+}
+
+// Lists one host; domains are taken in turn.
+void Fleet::add_host(const ServiceSize &service, int number)
+{
+	size_t domain = (size_t)number % options_.failure_domains.size();
+	Host host;
+
+	host.failure_domain = options_.failure_domains[domain];
+	host.region = (int)(domain * options_.regions.size() / options_.failure_domains.size());
+	host.service = service.name;
+	host.name = host.failure_domain + "-" + service.name + "-" + std::to_string(number + 1);
+	hosts.push_back(std::move(host));
+}
+
+// Makes a host's forward, whose ports its settings must name before its node starts.
+void Fleet::add_forward(Host &host)
+{
+	Json made = http_json(link->port(), "POST", "/forwards",
+			      "{\"toward\":" + std::to_string(host.region) + "}");
+
+	host.forward = (int)json_integer_value(json_object_get(made.get(), "id"));
+	Json settings = load(host.settings_file);
+	set_text(settings.get(), "external_address", "127.0.0.1");
+	json_object_set(settings.get(), "external_node_port",
+			json_object_get(made.get(), "tcp_port"));
+	json_object_set(settings.get(), "external_gossip_port",
+			json_object_get(made.get(), "udp_port"));
+	json_dump_file(settings.get(), host.settings_file.c_str(), JSON_INDENT(2));
+}
+
+// Writes a host's settings from the deployment's sample.
+void Fleet::write_settings(Host &host)
+{
+	Json settings = load(samples(options_.deployment) + "/node.json");
+	Json endpoints(json_pack("[s]", loopback(platform->port()).c_str()));
+
+	set_text(settings.get(), "name", host.name);
+	set_text(settings.get(), "region", options_.regions[(size_t)host.region]);
+	set_text(settings.get(), "failure_domain", host.failure_domain);
+	for (const char *key : {"caller_address", "node_address", "gossip_address",
+				"backend_address", "admin_address"})
+		set_text(settings.get(), key, loopback(0));
+	json_object_set(settings.get(), "platform", endpoints.get());
+	if (options_.change_settings)
+		options_.change_settings(host.name, settings.get());
+	host.settings_file = folder_ + "/" + host.name + ".json";
+	json_dump_file(settings.get(), host.settings_file.c_str(), JSON_INDENT(2));
+	if (link)
+		add_forward(host);
+}
+
+void Fleet::start_node(Host &host)
+{
+	host.node = Process::start_server({program("fescuemilld"), host.settings_file},
+					  folder_ + "/" + host.name + ".log");
+	if (!link)
+		return;
+	http_json(link->port(), "POST", "/forwards/" + std::to_string(host.forward),
+		  "{\"tcp_target\":" + std::to_string(host.node->port("node_port")) +
+			  ",\"udp_target\":" + std::to_string(host.node->port("gossip_port")) +
+			  "}");
+}
+
+void Fleet::start_backend(Host &host)
+{
+	host.backend = Process::start_server({program("standin-backend"), "--service", host.service,
+					      "--slots", std::to_string(options_.slots),
+					      "--service-ms", std::to_string(options_.service_ms),
+					      "--spread", options_.spread, "--announce",
+					      loopback(host.node->port("backend_port"))},
+					     folder_ + "/" + host.name + ".backend.log");
+}
+
+void Fleet::start()
+{
+	platform = Process::start_server({program("standin-platform")}, folder_ + "/platform.log");
+	put_services();
+	if (options_.has_link)
+		link = Process::start_server({program("standin-link"), "--delay-ms",
+					      std::to_string(options_.link_delay_ms), "--rate-mbit",
+					      std::to_string(options_.link_rate_mbit)},
+					     folder_ + "/link.log");
+	for (const ServiceSize &service : options_.services) {
+		for (int number = 0; number < service.servers; number++)
+			add_host(service, number);
+	}
+	for (Host &host : hosts) {
+		write_settings(host);
+		start_node(host);
+		start_backend(host);
+	}
+	for (const Host &host : hosts) {
+		for (const ServiceSize &service : options_.services)
+			wait_reaches(host, service.name, READY_MS);
+	}
+}
+
+void Fleet::wait_reaches(const Host &entry, const std::string &service, int timeout_ms)
+{
+	Clock::time_point until = Clock::now() + std::chrono::milliseconds(timeout_ms);
+	std::string class_name = first_class(service);
+	HttpAnswer answer;
+
+	while (Clock::now() < until) {
+		answer = call(entry, "GET", "/" + service + "/ready", class_name);
+		if (answer.status == 200)
+			return;
+		std::this_thread::sleep_for(std::chrono::milliseconds(PAUSE_MS));
+	}
+	throw std::runtime_error(entry.name + " does not reach " + service + ": status " +
+				 std::to_string(answer.status) + " reason " +
+				 answer.headers["x-fescue-reason"] + "\n" + entry.node->log_tail());
+}
+
+HttpAnswer Fleet::call(const Host &entry, const std::string &method, const std::string &path,
+		       const std::string &class_name, const std::string &body,
+		       std::vector<std::string> headers, int timeout_ms)
+{
+	headers.push_back("x-fescue-class: " + class_name);
+	return http(entry.node->port("caller_port"), method, path, body, headers, timeout_ms);
+}
+
+int Fleet::run_load(const std::string &plan_file, const std::vector<std::string> &options)
+{
+	std::vector<std::string> command = {program("fescue-load"), "--plan", plan_file};
+
+	for (const Host &host : hosts) {
+		if (host.node)
+			command.insert(command.end(),
+				       {"--entry", loopback(host.node->port("caller_port"))});
+		if (host.backend)
+			command.insert(
+				command.end(),
+				{"--backend", host.service + "=" + loopback(host.backend->port())});
+	}
+	command.insert(command.end(), options.begin(), options.end());
+	return Process::start(command)->wait(PLAN_WAIT_MS);
+}
+
+std::vector<std::string> Fleet::stop()
+{
+	std::vector<std::string> failures;
+
+	for (Host &host : hosts)
+		terminate(host.backend.get());
+	for (Host &host : hosts)
+		end(host.name + " backend server", host.backend.get(), &failures);
+	for (Host &host : hosts)
+		terminate(host.node.get());
+	for (Host &host : hosts)
+		end(host.name, host.node.get(), &failures);
+	terminate(platform.get());
+	end("platform", platform.get(), &failures);
+	terminate(link.get());
+	end("link", link.get(), &failures);
+	return failures;
+}
+} // namespace support
--- /dev/null
+++ b/test/functional/support/fleet.h
@@ -0,0 +1,95 @@
+// A fleet of real nodes on stand-ins: platform, backend servers, and a link between two regions.
+#pragma once
+
+#include "functional/support/process.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace support
+{
+// How many backend servers a service has; they are spread over the failure domains in turn.
+struct ServiceSize {
+	std::string name;
+	int servers;
+};
+
+struct FleetOptions {
+	std::string deployment = "rangitoto"; // whose samples under etc/ are used
+	// Two regions of two failure domains.
+	std::vector<std::string> regions = {"north-island", "south-island"};
+	std::vector<std::string> failure_domains = {"north-a", "north-b", "south-a", "south-b"};
+	std::vector<ServiceSize> services = {
+		{"catalogue", 4}, {"ledger", 4}, {"intake", 4}, {"assay", 4}};
+	int slots = 6;
+	double service_ms = 5;
+	std::string spread = "lognormal";
+	bool has_link = true; // between the regions; without it they talk straight to each other
+	int link_delay_ms = 8;
+	double link_rate_mbit = 30;
+	// Changes a node's settings before it starts.
+	std::function<void(const std::string &name, json_t *settings)> change_settings;
+
+	static FleetOptions rangitoto();
+	static FleetOptions amet();
+	// One region, one service, and no link: the smallest fleet that still has a choice.
+	static FleetOptions small(int servers);
+};
+
+// One host: a node and the backend server beside it.
+struct Host {
+	std::string name;
+	std::string service;
+	std::string failure_domain;
+	int region = 0;
+	int forward = -1; // id of its forward through the link
+	std::string settings_file;
+	std::unique_ptr<Process> node;
+	std::unique_ptr<Process> backend;
+};
+
+class Fleet
+{
+      public:
+	explicit Fleet(FleetOptions options);
+	~Fleet(); // kills what still runs and removes the temporary folder
+
+	// Starts everything and waits until every entry reaches every service. Throws if that takes
+	// longer than 20 s.
+	void start();
+	// Starts one host's node, again if it ended before, with the same name and settings.
+	void start_node(Host &host);
+	void start_backend(Host &host);
+	// Waits until a call of the service through this entry is answered.
+	void wait_reaches(const Host &entry, const std::string &service, int timeout_ms);
+	// Ends everything in order: backend servers drain, nodes leave, then the stand-ins. Gives a
+	// line for each process that did not end by itself with 0.
+	std::vector<std::string> stop();
+
+	// Calls a service through an entry, with class and further headers.
+	HttpAnswer call(const Host &entry, const std::string &method, const std::string &path,
+			const std::string &class_name, const std::string &body = "",
+			std::vector<std::string> headers = {}, int timeout_ms = 15000);
+	// Runs fescue-load with a plan against all entries and backend servers. Gives its exit
+	// code.
+	int run_load(const std::string &plan_file, const std::vector<std::string> &options);
+	// Posts a control message to a stand-in.
+	static void control(Process &standin, const std::string &body);
+
+	std::vector<Host> hosts;
+	std::unique_ptr<Process> platform;
+	std::unique_ptr<Process> link;
+
+      private:
+	void put_services();
+	void add_host(const ServiceSize &service, int number);
+	void write_settings(Host &host);
+	void add_forward(Host &host);
+	std::string first_class(const std::string &service) const;
+
+	FleetOptions options_;
+	std::string folder_;
+};
+} // namespace support
--- a/test/standin/backend/main.c
+++ b/test/standin/backend/main.c
@@ -68,6 +68,7 @@
 	double slow_factor;
 	bool fail_fast;
 	bool shed;
+	bool ignore_deadlines;
 	bool is_draining;
 	bool is_leaving;
 	double false_load; /* what /health says; below 0: the truth */
@@ -250,6 +251,8 @@
 	uint64_t answer_bytes = server_header_u64(req, "x-standin-size", ANSWER_BYTES_PLAIN);
 
 	self.requests++;
+	if (self.ignore_deadlines)
+		deadline_ms = DEADLINE_MS_PLAIN;
 	if (self.shed)
 		return send_not_run(req);
 	if (self.fail_fast)
@@ -339,6 +342,8 @@
 		self.fail_fast = json_is_true(value);
 	if ((value = json_object_get(body, "shed")))
 		self.shed = json_is_true(value);
+	if ((value = json_object_get(body, "ignore_deadlines")))
+		self.ignore_deadlines = json_is_true(value);
 	if ((value = json_object_get(body, "drain")))
 		self.is_draining = json_is_true(value);
 	if ((value = json_object_get(body, "false_load")))
