--- a/src/fescue_load/main.c
+++ b/src/fescue_load/main.c
@@ -34,6 +34,7 @@
 	struct arg_int *deadline_ms;
 	struct arg_dbl *keyed_share;
 	struct arg_int *duration_ms;
+	struct arg_int *grace_ms;
 	struct arg_int *max_calls;
 	struct arg_int *seed;
 	struct arg_file *json;
@@ -65,6 +66,8 @@
 		.deadline_ms = arg_int0(NULL, "deadline-ms", "MS", "a call's deadline"),
 		.keyed_share = arg_dbl0(NULL, "keyed-share", "0..1", "share with idempotency keys"),
 		.duration_ms = arg_int0(NULL, "duration-ms", "MS", "time of sending"),
+		.grace_ms =
+			arg_int0(NULL, "grace-ms", "MS", "past a deadline until a call is lost"),
 		.max_calls = arg_int0(NULL, "max-calls", "N", "bound on the calls"),
 		.seed = arg_int0("s", "seed", "N", "seed of arrivals and choices"),
 		.json = arg_file0("j", "json", "FILE", "write the result as JSON (-: here)"),
@@ -140,6 +143,8 @@
 	plan->direct = opts->direct->count > 0;
 	if (opts->duration_ms->count > 0)
 		plan->duration_ms = (uint32_t)opts->duration_ms->ival[0];
+	if (opts->grace_ms->count > 0)
+		plan->grace_ms = (uint32_t)opts->grace_ms->ival[0];
 	if (opts->max_calls->count > 0)
 		plan->max_calls = (uint32_t)opts->max_calls->ival[0];
 	if (opts->seed->count > 0)
--- a/test/functional/load_test.cc
+++ b/test/functional/load_test.cc
@@ -33,6 +33,8 @@
 					    "purchase",
 					    "--duration-ms",
 					    "500",
+					    "--grace-ms",
+					    "300",
 					    "--json",
 					    file};
 	Load load;
