Gate: order by profile, floors in slot time and a concurrency limit

Cause: a fixed limit and a queue by rank let a flood of the most urgent starve the rest, and run a cold or disturbed backend server at its full slots. Change: token bucket for each class (profile), account of owed slot time (floor), limit that starts at a quarter of the slots and moves by service time and sheds, two bounded queues for each class, early refusal, a penalty for failures in the load. One operation decides at most all that waits, so the list of actions holds GATE_QUEUE_MAX and struct gate_actions loses its field more. gate_set_rates takes the rates by class index and the time. Ruled out: charging slot time by calls (long calls would take more than their floor); a list of actions shorter than the queues (an operation would have to be continued).

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -3,6 +3,10 @@
  */
 #include "fescuemill/decide/gate.h"
 
+#include "fescuemill/decide/gate_account.h"
+#include "fescuemill/decide/gate_order.h"
+#include "fescuemill/decide/gate_queue.h"
+
 #include <string.h>
 
 static const struct gate_verdict verdict_start = {GATE_START, REASON_NONE};
@@ -16,23 +20,14 @@
 	return verdict;
 }
 
-/* Empties the list of actions. */
-static void actions_clear(struct gate_actions *actions)
+/* Opens an operation: empties its list of actions and accounts for the time since the last one. */
+static void begin(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
 	actions->count = 0;
-	actions->more = false;
-}
-
-/* Tells whether another action fits; when not, notes that there is more to do. */
-static bool actions_have_room(struct gate_actions *actions)
-{
-	if (actions->count < GATE_ACTIONS_MAX)
-		return true;
-	actions->more = true;
-	return false;
+	gate_account_advance(gate, now_us);
 }
 
-/* Adds an action; the caller has made sure of room. */
+/* Adds an action; an operation decides at most once about each ticket that waited. */
 static void actions_add(struct gate_actions *actions, struct gate_ticket *ticket,
 			struct gate_verdict verdict)
 {
@@ -42,106 +37,116 @@
 	action->verdict = verdict;
 }
 
-/* Appends a ticket to a list. */
-static void list_append(struct gate_list *list, struct gate_ticket *ticket)
-{
-	ticket->prev = list->tail;
-	ticket->next = NULL;
-	if (list->tail)
-		list->tail->next = ticket;
-	else
-		list->head = ticket;
-	list->tail = ticket;
-	list->count++;
-}
-
-/* Takes a ticket out of its list. */
-static void list_remove(struct gate_list *list, struct gate_ticket *ticket)
+/* Tells whether a ticket's class is still the one that it was offered for. */
+static bool class_is_current(const struct gate *gate, const struct gate_ticket *ticket)
 {
-	if (ticket->prev)
-		ticket->prev->next = ticket->next;
-	else
-		list->head = ticket->next;
-	if (ticket->next)
-		ticket->next->prev = ticket->prev;
-	else
-		list->tail = ticket->prev;
-	list->count--;
+	return gate->classes[ticket->class_index].generation == ticket->generation;
 }
 
-/* Takes a waiting ticket out of its queue. */
-static void unqueue(struct gate *gate, struct gate_ticket *ticket)
-{
-	list_remove(&gate->classes[ticket->class_index].waiting, ticket);
-	gate->queued--;
-	ticket->state = TICKET_IDLE;
-}
-
-/* Gives a ticket a slot. */
+/* Gives a ticket that waits no more a slot. */
 static void start(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us)
 {
 	gate->in_use++;
+	gate->classes[ticket->class_index].running++;
 	ticket->state = TICKET_RUNNING;
 	ticket->start_us = now_us;
+	gate_order_started(gate, ticket, now_us);
+	if (gate->in_use >= gate->limit.current)
+		limit_note_full(&gate->limit);
 }
 
-/* Gives the waiting ticket of the most urgent class, or NULL. */
-static struct gate_ticket *most_urgent(const struct gate *gate)
+/* Takes the slot of a running ticket back. */
+static void release(struct gate *gate, struct gate_ticket *ticket)
 {
-	const struct gate_class *best = NULL;
-
-	for (uint32_t i = 0; i < gate->class_count; i++) {
-		const struct gate_class *class = &gate->classes[i];
+	gate->in_use--;
+	if (ticket->ahead_of_rank)
+		gate->ahead_in_use--;
+	if (class_is_current(gate, ticket))
+		gate->classes[ticket->class_index].running--;
+	ticket->state = TICKET_IDLE;
+}
 
-		if (class->waiting.head && (!best || class->target.rank < best->target.rank))
-			best = class;
-	}
-	return best ? best->waiting.head : NULL;
+/* Takes a waiting ticket away unrun; its token serves another call. */
+static void withdraw(struct gate *gate, struct gate_ticket *ticket)
+{
+	gate_queue_remove(gate, ticket);
+	if (ticket->in_profile)
+		profile_refund(&gate->classes[ticket->class_index].profile);
 }
 
 /* Refuses a waiting ticket through an action. */
 static void refuse(struct gate *gate, struct gate_ticket *ticket, enum call_reason reason,
 		   struct gate_actions *actions)
 {
-	unqueue(gate, ticket);
+	withdraw(gate, ticket);
 	actions_add(actions, ticket, verdict_refuse(reason));
 }
 
-/* Refuses every waiting ticket whose deadline has passed. */
-static void expire(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
+/* Tells whether a waiting ticket could still be answered by its deadline if it started now. */
+static bool can_make_deadline(const struct gate *gate, const struct gate_ticket *ticket,
+			      uint64_t wait_us, uint64_t now_us)
 {
-	for (uint32_t i = 0; i < gate->class_count; i++) {
-		struct gate_ticket *ticket = gate->classes[i].waiting.head;
+	const struct gate_class *class = &gate->classes[ticket->class_index];
 
-		while (ticket) {
-			struct gate_ticket *next = ticket->next;
+	return now_us + wait_us + class->service.recent_us < ticket->deadline_us;
+}
 
-			if (ticket->deadline_us <= now_us) {
-				if (!actions_have_room(actions))
-					return;
-				refuse(gate, ticket, REASON_EXPIRED, actions);
-			}
-			ticket = next;
-		}
+/* Refuses the tickets of a list that cannot make their deadlines any more. */
+static void expire_list(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
+			struct gate_actions *actions)
+{
+	while (ticket) {
+		struct gate_ticket *next = ticket->next;
+
+		if (!can_make_deadline(gate, ticket, 0, now_us))
+			refuse(gate, ticket, REASON_EXPIRED, actions);
+		ticket = next;
+	}
+}
+
+/* Refuses every waiting ticket that cannot make its deadline any more. */
+static void expire(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		struct gate_class *class = &gate->classes[i];
+
+		expire_list(gate, class->in_profile.head, now_us, actions);
+		expire_list(gate, class->out_of_profile.head, now_us, actions);
 	}
 }
 
-/* Tells whether the backend server may be given work. */
-static bool is_serving(const struct gate *gate)
+/* Refuses all that waits in a class. */
+static void refuse_class(struct gate *gate, struct gate_class *class, enum call_reason reason,
+			 struct gate_actions *actions)
+{
+	while (gate_queue_head(class))
+		refuse(gate, gate_queue_head(class), reason, actions);
+}
+
+/* Refuses all that waits. */
+static void refuse_all(struct gate *gate, enum call_reason reason, struct gate_actions *actions)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++)
+		refuse_class(gate, &gate->classes[i], reason, actions);
+}
+
+/* Tells whether waiting work may be started: a server that drains still gets what had queued. */
+static bool may_start(const struct gate *gate)
 {
-	return gate->state == BACKEND_READY;
+	return gate->state == BACKEND_READY || gate->state == BACKEND_DRAINING;
 }
 
 /* Fills free slots with waiting work. */
 static void dispatch(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
-	while (gate->state != BACKEND_NONE && gate->in_use < gate->limit && gate->queued) {
-		struct gate_ticket *ticket;
+	while (may_start(gate) && gate->in_use < gate->limit.current && gate->queued) {
+		struct gate_ticket *ticket = gate_order_next(gate);
 
-		if (!actions_have_room(actions))
-			return;
-		ticket = most_urgent(gate);
-		unqueue(gate, ticket);
+		if (!can_make_deadline(gate, ticket, 0, now_us)) {
+			refuse(gate, ticket, REASON_EXPIRED, actions);
+			continue;
+		}
+		gate_queue_remove(gate, ticket);
 		start(gate, ticket, now_us);
 		actions_add(actions, ticket, verdict_start);
 	}
@@ -150,8 +155,74 @@
 /* Makes a gate without configuration and backend server; it refuses all work. */
 void gate_init(struct gate *gate, uint64_t now_us)
 {
-	(void)now_us;
 	memset(gate, 0, sizeof(*gate));
+	gate->advanced_us = now_us;
+	gate->decayed_us = now_us;
+}
+
+/* Gives the class of a configuration with a name, or NULL. */
+static const struct class_target *find_target(const struct service_config *config, const char *name)
+{
+	for (uint32_t i = 0; i < config->class_count; i++) {
+		if (strncmp(config->classes[i].name, name, CLASS_NAME_BYTES) == 0)
+			return &config->classes[i];
+	}
+	return NULL;
+}
+
+/* Takes a class away: what waits is refused, what runs finishes without account. */
+static void remove_class(struct gate *gate, struct gate_class *class, struct gate_actions *actions)
+{
+	uint8_t generation = class->generation;
+
+	refuse_class(gate, class, REASON_UNKNOWN_CLASS, actions);
+	memset(class, 0, sizeof(*class));
+	class->generation = (uint8_t)(generation + 1);
+}
+
+/* Gives a class of the configuration a place of its own. */
+static void add_class(struct gate *gate, const struct class_target *target, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		struct gate_class *class = &gate->classes[i];
+
+		if (class->active)
+			continue;
+		class->active = true;
+		class->target = *target;
+		class->profile.refill_us = now_us;
+		return;
+	}
+}
+
+/* Gives the index of a class for gate_offer, or -1 when there is none of this name. */
+int gate_find_class(const struct gate *gate, const char *name)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		const struct gate_class *class = &gate->classes[i];
+
+		if (class->active && strncmp(class->target.name, name, CLASS_NAME_BYTES) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Takes away the classes that a configuration does not name and updates those that it does. */
+static void update_classes(struct gate *gate, const struct service_config *config,
+			   struct gate_actions *actions)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		struct gate_class *class = &gate->classes[i];
+		const struct class_target *target;
+
+		if (!class->active)
+			continue;
+		target = find_target(config, class->target.name);
+		if (target)
+			class->target = *target;
+		else
+			remove_class(gate, class, actions);
+	}
 }
 
 /*
@@ -162,46 +233,120 @@
 void gate_set_config(struct gate *gate, const struct service_config *config, uint64_t now_us,
 		     struct gate_actions *actions)
 {
-	actions_clear(actions);
-	(void)now_us;
+	uint64_t rates_milli[CLASSES_PER_SERVICE_MAX] = {0};
+
+	begin(gate, now_us, actions);
 	memcpy(gate->service, config->service, sizeof(gate->service));
 	gate->config_version = config->version;
-	gate->class_count = config->class_count;
+	update_classes(gate, config, actions);
 	for (uint32_t i = 0; i < config->class_count; i++) {
-		gate->classes[i].target = config->classes[i];
-		gate->classes[i].rate_milli = config->classes[i].calls_per_s * 1000ULL;
+		const struct class_target *target = &config->classes[i];
+
+		if (gate_find_class(gate, target->name) < 0)
+			add_class(gate, target, now_us);
+	}
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++)
+		rates_milli[i] = gate->classes[i].target.calls_per_s * 1000ULL;
+	gate_set_rates(gate, rates_milli, now_us);
+	dispatch(gate, now_us, actions);
+}
+
+/*
+ * Sets this gate's part of each class's calls_per_s, in thousandths of a call a second, by the
+ * index of the class.
+ */
+void gate_set_rates(struct gate *gate, const uint64_t rates_milli[CLASSES_PER_SERVICE_MAX],
+		    uint64_t now_us)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		struct gate_class *class = &gate->classes[i];
+
+		if (class->active)
+			profile_set_rate(&class->profile, rates_milli[i], now_us);
 	}
+	gate_account_share_floors(gate);
 }
 
-/* Sets this gate's part of each class's calls_per_s, in thousandths of a call a second. */
-void gate_set_rates(struct gate *gate, const uint64_t *rates_milli, uint32_t count)
+/* Takes the announced slots; a backend server that was not ready before starts cold. */
+static void set_slots(struct gate *gate, bool was_serving, uint32_t slots)
 {
-	for (uint32_t i = 0; i < count && i < gate->class_count; i++)
-		gate->classes[i].rate_milli = rates_milli[i];
+	if (slots > GATE_SLOTS_MAX)
+		slots = GATE_SLOTS_MAX;
+	if (!was_serving)
+		limit_start(&gate->limit, slots);
+	else if (slots != gate->limit.slots)
+		limit_set_slots(&gate->limit, slots);
+	gate_account_share_floors(gate);
 }
 
 /*
- * Takes the state and the announced slots of the backend server. Draining and leaving refuse new
- * work; what waits and runs is still served. BACKEND_NONE refuses what waits.
+ * Takes the state and the announced slots of the backend server. A draining server gets no new
+ * work but still what waits; in any other state but ready, what waits is refused. What runs is
+ * left to finish.
  */
 void gate_set_backend(struct gate *gate, enum backend_state state, uint32_t slots, uint64_t now_us,
 		      struct gate_actions *actions)
 {
-	actions_clear(actions);
+	bool was_serving = may_start(gate);
+
+	begin(gate, now_us, actions);
 	gate->state = state;
-	gate->slots = slots < GATE_SLOTS_MAX ? slots : GATE_SLOTS_MAX;
-	gate->limit = gate->slots;
+	set_slots(gate, was_serving, slots);
+	if (state == BACKEND_LEAVING)
+		refuse_all(gate, REASON_DRAINING, actions);
+	else if (!may_start(gate))
+		refuse_all(gate, REASON_NO_BACKEND, actions);
 	dispatch(gate, now_us, actions);
 }
 
-/* Gives the index of a class for gate_offer, or -1 when there is none of this name. */
-int gate_find_class(const struct gate *gate, const char *name)
+/* Gives the reason to refuse an offer before its class's state counts, or REASON_NONE. */
+static enum call_reason find_objection(const struct gate *gate, uint32_t class_index,
+				       uint64_t deadline_us, uint64_t now_us)
 {
-	for (uint32_t i = 0; i < gate->class_count; i++) {
-		if (strncmp(gate->classes[i].target.name, name, CLASS_NAME_BYTES) == 0)
-			return (int)i;
+	if (class_index >= CLASSES_PER_SERVICE_MAX || !gate->classes[class_index].active)
+		return REASON_UNKNOWN_CLASS;
+	if (gate->state == BACKEND_DRAINING || gate->state == BACKEND_LEAVING)
+		return REASON_DRAINING;
+	if (gate->state != BACKEND_READY || !gate->limit.current)
+		return REASON_NO_BACKEND;
+	if (deadline_us <= now_us)
+		return REASON_EXPIRED;
+	return REASON_NONE;
+}
+
+/* Fills a ticket that is offered and takes its class's token. */
+static void fill_ticket(struct gate *gate, struct gate_ticket *ticket, uint32_t class_index,
+			uint64_t deadline_us, uint64_t now_us)
+{
+	struct gate_class *class = &gate->classes[class_index];
+
+	ticket->class_index = (uint8_t)class_index;
+	ticket->generation = class->generation;
+	ticket->state = TICKET_IDLE;
+	ticket->ahead_of_rank = false;
+	ticket->arrival_us = now_us;
+	ticket->deadline_us = deadline_us;
+	ticket->due_us = now_us + class->target.latency_us;
+	if (ticket->due_us > deadline_us)
+		ticket->due_us = deadline_us;
+	ticket->in_profile = profile_take(&class->profile, now_us);
+}
+
+/* Queues a ticket, if need be in the place of another; REASON_NONE when it waits now. */
+static enum call_reason enqueue(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
+				struct gate_actions *actions)
+{
+	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket), now_us))
+		return REASON_EXPIRED;
+	if (gate_queue_is_full(gate, &gate->classes[ticket->class_index])) {
+		struct gate_ticket *victim = gate_queue_victim(gate, ticket);
+
+		if (!victim)
+			return REASON_OVERLOAD;
+		refuse(gate, victim, REASON_OVERLOAD, actions);
 	}
-	return -1;
+	gate_queue_add(gate, ticket);
+	return REASON_NONE;
 }
 
 /*
@@ -211,47 +356,35 @@
 struct gate_verdict gate_offer(struct gate *gate, struct gate_ticket *ticket, uint32_t class_index,
 			       uint64_t deadline_us, uint64_t now_us, struct gate_actions *actions)
 {
-	struct gate_class *class;
-
-	actions_clear(actions);
-	if (class_index >= gate->class_count)
-		return verdict_refuse(REASON_UNKNOWN_CLASS);
-	if (gate->state == BACKEND_DRAINING || gate->state == BACKEND_LEAVING)
-		return verdict_refuse(REASON_DRAINING);
-	if (!is_serving(gate))
-		return verdict_refuse(REASON_NO_BACKEND);
-	if (deadline_us <= now_us)
-		return verdict_refuse(REASON_EXPIRED);
-	class = &gate->classes[class_index];
-	ticket->class_index = (uint8_t)class_index;
-	ticket->arrival_us = now_us;
-	ticket->deadline_us = deadline_us;
-	if (gate->in_use < gate->limit && !gate->queued) {
+	enum call_reason reason;
+
+	begin(gate, now_us, actions);
+	reason = find_objection(gate, class_index, deadline_us, now_us);
+	if (reason != REASON_NONE)
+		return verdict_refuse(reason);
+	fill_ticket(gate, ticket, class_index, deadline_us, now_us);
+	if (gate->in_use < gate->limit.current) {
 		start(gate, ticket, now_us);
 		return verdict_start;
 	}
-	if (class->waiting.count >= GATE_CLASS_QUEUE_MAX || gate->queued >= GATE_QUEUE_MAX)
-		return verdict_refuse(REASON_OVERLOAD);
-	ticket->state = TICKET_WAITING;
-	list_append(&class->waiting, ticket);
-	gate->queued++;
-	return verdict_wait;
+	reason = enqueue(gate, ticket, now_us, actions);
+	if (reason == REASON_NONE)
+		return verdict_wait;
+	if (ticket->in_profile)
+		profile_refund(&gate->classes[class_index].profile);
+	return verdict_refuse(reason);
 }
 
-/* Takes the end of a running ticket and gives its slot on. */
+/* Takes the end of a running ticket and gives its slot on; any other ticket is left as it is. */
 void gate_finish(struct gate *gate, struct gate_ticket *ticket, enum gate_result result,
 		 uint64_t now_us, struct gate_actions *actions)
 {
-	uint64_t spent_us = now_us - ticket->start_us;
-
-	actions_clear(actions);
+	begin(gate, now_us, actions);
 	if (ticket->state != TICKET_RUNNING)
 		return;
-	if (result == GATE_RESULT_OK)
-		gate->service_time_us = (gate->service_time_us * 7 + spent_us) / 8;
-	ticket->state = TICKET_IDLE;
-	gate->in_use--;
-	expire(gate, now_us, actions);
+	if (class_is_current(gate, ticket))
+		gate_account_result(gate, ticket, result, now_us);
+	release(gate, ticket);
 	dispatch(gate, now_us, actions);
 }
 
@@ -259,33 +392,47 @@
 void gate_cancel(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
 		 struct gate_actions *actions)
 {
-	actions_clear(actions);
-	if (ticket->state == TICKET_WAITING)
-		unqueue(gate, ticket);
-	else if (ticket->state == TICKET_RUNNING)
-		gate->in_use--;
-	ticket->state = TICKET_IDLE;
-	dispatch(gate, now_us, actions);
+	begin(gate, now_us, actions);
+	switch ((enum ticket_state)ticket->state) {
+	case TICKET_IDLE:
+		return;
+	case TICKET_WAITING:
+		withdraw(gate, ticket);
+		return;
+	case TICKET_RUNNING:
+		release(gate, ticket);
+		dispatch(gate, now_us, actions);
+		return;
+	}
 }
 
-/* Moves time on; call it every GATE_TICK_INTERVAL_US, and at once while actions say more. */
+/* Moves time on; call it every GATE_TICK_INTERVAL_US. */
 void gate_tick(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
-	actions_clear(actions);
+	begin(gate, now_us, actions);
+	gate_account_share_floors(gate);
 	expire(gate, now_us, actions);
 	dispatch(gate, now_us, actions);
 }
 
-/* Gives the load that rides on answers and pongs. */
+/* Gives a value that fits 32 bits. */
+static uint32_t saturate(uint64_t value)
+{
+	return value < UINT32_MAX ? (uint32_t)value : UINT32_MAX;
+}
+
+/* Gives the load that rides on answers and pongs; it changes no state. */
 void gate_get_load(const struct gate *gate, struct gate_load *load)
 {
+	uint32_t limit = gate->limit.current;
+	uint64_t wait_us = 0;
+
+	if (limit && gate->in_use >= limit)
+		wait_us = gate->service_us * (gate->queued + 1) / limit;
 	load->in_use = gate->in_use;
-	load->limit = gate->limit;
+	load->limit = limit;
 	load->queued = gate->queued;
-	load->service_time_us = (uint32_t)gate->service_time_us;
-	load->wait_us = 0;
-	if (gate->limit && gate->in_use >= gate->limit)
-		load->wait_us =
-			(uint32_t)(gate->service_time_us * (gate->queued + 1) / gate->limit);
+	load->service_time_us = saturate(gate->service_us + gate->penalty_us);
+	load->wait_us = saturate(wait_us);
 	load->state = (uint8_t)gate->state;
 }
--- a/src/fescuemill/decide/gate.h
+++ b/src/fescuemill/decide/gate.h
@@ -9,7 +9,8 @@
 void gate_init(struct gate *gate, uint64_t now_us);
 void gate_set_config(struct gate *gate, const struct service_config *config, uint64_t now_us,
 		     struct gate_actions *actions);
-void gate_set_rates(struct gate *gate, const uint64_t *rates_milli, uint32_t count);
+void gate_set_rates(struct gate *gate, const uint64_t rates_milli[CLASSES_PER_SERVICE_MAX],
+		    uint64_t now_us);
 void gate_set_backend(struct gate *gate, enum backend_state state, uint32_t slots, uint64_t now_us,
 		      struct gate_actions *actions);
 int gate_find_class(const struct gate *gate, const char *name);
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -6,14 +6,19 @@
 #define FESCUEMILL_DECIDE_GATE_DEFS_H
 
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/floor.h"
+#include "fescuemill/decide/limit.h"
 #include "fescuemill/decide/load_defs.h"
+#include "fescuemill/decide/profile.h"
 #include "fescuemill/fleet/member_defs.h"
 
 #define GATE_SLOTS_MAX	      256
-#define GATE_CLASS_QUEUE_MAX  64  /* places of one class */
-#define GATE_QUEUE_MAX	      256 /* places of all classes together */
-#define GATE_ACTIONS_MAX      32
+#define GATE_CLASS_QUEUE_MAX  64	     /* places of one class */
+#define GATE_QUEUE_MAX	      256	     /* places of all classes together */
+#define GATE_ACTIONS_MAX      GATE_QUEUE_MAX /* one operation decides at most all that waits */
 #define GATE_TICK_INTERVAL_US 5000
+#define GATE_USUAL_SAMPLES    512
+#define GATE_PENALTY_HALF_US  500000 /* a failure counts half as much after this time */
 
 enum ticket_state {
 	TICKET_IDLE, /* not held by the gate: new, refused, finished or cancelled */
@@ -31,7 +36,8 @@
 	uint64_t due_us;      /* arrival and latency target, never later than the deadline */
 	uint64_t start_us;
 	uint8_t class_index;
-	uint8_t state; /* enum ticket_state */
+	uint8_t generation; /* of the class's place */
+	uint8_t state;	    /* enum ticket_state */
 	bool in_profile;
 	bool ahead_of_rank; /* started for its floor while more urgent work in profile waited */
 };
@@ -56,7 +62,6 @@
 /* What an operation asks its caller to carry out. */
 struct gate_actions {
 	uint32_t count;
-	bool more; /* the list was full: call gate_tick again at once */
 	struct gate_action list[GATE_ACTIONS_MAX];
 };
 
@@ -74,23 +79,43 @@
 	uint32_t count;
 };
 
+/* Service times of a class, from answered attempts; 0 while unknown. */
+struct gate_service {
+	uint64_t recent_us; /* mean over the last few */
+	uint64_t usual_us;  /* mean over the last few hundred */
+	uint32_t samples;   /* counted up to GATE_USUAL_SAMPLES */
+};
+
 struct gate_class {
 	struct class_target target;
-	uint64_t rate_milli; /* this gate's part of calls_per_s, in thousandths */
-	struct gate_list waiting;
+	bool active;
+	uint8_t generation; /* raised when the place is given to another class */
+	uint32_t running;
+	struct gate_service service;
+	struct profile profile;
+	struct floor_account floor;
+	struct gate_list in_profile;	 /* by due time */
+	struct gate_list out_of_profile; /* by arrival */
+	uint64_t surplus_us;		 /* virtual time of its share of the surplus */
+	uint64_t surplus_gap_us;	 /* smoothed time between starts out of profile */
+	uint64_t surplus_start_us;	 /* last start out of profile */
 };
 
 struct gate {
 	char service[SERVICE_NAME_BYTES];
 	uint64_t config_version;
-	uint32_t class_count;
 	struct gate_class classes[CLASSES_PER_SERVICE_MAX];
 	enum backend_state state;
-	uint32_t slots;
-	uint32_t limit;
+	struct limit limit;
 	uint32_t in_use;
 	uint32_t queued;
-	uint64_t service_time_us;
+	uint32_t ahead_in_use; /* slots that hold work started ahead of its rank */
+	uint64_t advanced_us;  /* slot time is accounted up to here */
+	uint64_t shared_us;    /* floors were last shared out */
+	uint64_t surplus_us;   /* virtual time of the surplus */
+	uint64_t service_us;   /* smoothed service time of answered attempts */
+	uint64_t penalty_us;   /* what failures add to the cost of an attempt */
+	uint64_t decayed_us;   /* the penalty has decayed up to here */
 };
 
 #endif
--- /dev/null
+++ b/src/fescuemill/decide/gate_order.h
@@ -0,0 +1,13 @@
+/*
+ * Order of a gate: which waiting attempt gets the next free slot.
+ */
+#ifndef FESCUEMILL_DECIDE_GATE_ORDER_H
+#define FESCUEMILL_DECIDE_GATE_ORDER_H
+
+#include "fescuemill/decide/gate_defs.h"
+
+struct gate_ticket *gate_order_next(struct gate *gate);
+void gate_order_started(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us);
+uint64_t gate_order_wait_us(const struct gate *gate, const struct gate_ticket *ticket);
+
+#endif
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -1,18 +1,256 @@
 // Unit tests of the gate: examples of its decisions.
 #include <gtest/gtest.h>
 
+#include <array>
+
 extern "C" {
 #include "fescuemill/decide/gate.h"
 }
 
-TEST(Gate, RefusesWithoutBackendServer)
+namespace
+{
+
+constexpr uint32_t PURCHASE = 0;
+constexpr uint32_t BROWSE = 1;
+constexpr uint64_t PATIENCE_US = 10000000;
+
+const struct service_config two_classes = {
+	"ledger", 1, 2, {{"purchase", 0, 50000, 990, 100}, {"browse", 5, 200000, 950, 100}}};
+
+class Gate : public testing::Test
 {
+      protected:
+	void SetUp() override
+	{
+		gate_init(&gate, now_us);
+		gate_set_config(&gate, &two_classes, now_us, &actions);
+	}
+
+	// Makes a backend server ready whose limit has climbed to its slots.
+	void make_ready(uint32_t slots)
+	{
+		gate_set_backend(&gate, BACKEND_READY, slots * LIMIT_COLD_DIVISOR, now_us,
+				 &actions);
+		gate_set_backend(&gate, BACKEND_READY, slots, now_us, &actions);
+		ASSERT_EQ(slots, gate.limit.current);
+	}
+
+	struct gate_verdict offer(struct gate_ticket &ticket, uint32_t class_index,
+				  uint64_t patience_us = PATIENCE_US)
+	{
+		return gate_offer(&gate, &ticket, class_index, now_us + patience_us, now_us,
+				  &actions);
+	}
+
+	void finish(struct gate_ticket &ticket, enum gate_result result, uint64_t service_us)
+	{
+		now_us += service_us;
+		gate_finish(&gate, &ticket, result, now_us, &actions);
+	}
+
+	// Expects that the operation started just this ticket.
+	void expect_started(const struct gate_ticket &ticket)
+	{
+		ASSERT_EQ(1U, actions.count);
+		EXPECT_EQ(&ticket, actions.list[0].ticket);
+		EXPECT_EQ(GATE_START, actions.list[0].verdict.kind);
+	}
+
+	struct gate_load load()
+	{
+		struct gate_load load;
+
+		gate_get_load(&gate, &load);
+		return load;
+	}
+
 	struct gate gate;
 	struct gate_actions actions;
-	struct gate_ticket ticket = {};
-	struct service_config config = {"ledger", 1, 1, {{"purchase", 0, 50000, 990, 100}}};
+	uint64_t now_us = 1000000;
+	std::array<struct gate_ticket, 400> tickets = {};
+};
+
+} // namespace
+
+TEST_F(Gate, RefusesWithoutBackendServer)
+{
+	EXPECT_EQ(REASON_NO_BACKEND, offer(tickets[0], PURCHASE).reason);
+	gate_set_backend(&gate, BACKEND_STARTING, 4, now_us, &actions);
+	EXPECT_EQ(REASON_NO_BACKEND, offer(tickets[0], PURCHASE).reason);
+}
+
+TEST_F(Gate, RefusesUnknownClassAndPassedDeadline)
+{
+	make_ready(1);
+	EXPECT_EQ(REASON_UNKNOWN_CLASS, offer(tickets[0], 2).reason);
+	EXPECT_EQ(REASON_UNKNOWN_CLASS, offer(tickets[0], 99).reason);
+	EXPECT_EQ(REASON_EXPIRED, offer(tickets[0], PURCHASE, 0).reason);
+	EXPECT_EQ(-1, gate_find_class(&gate, "no-such-class"));
+	EXPECT_EQ((int)BROWSE, gate_find_class(&gate, "browse"));
+}
+
+TEST_F(Gate, ServesUrgentWorkInProfileFirst)
+{
+	make_ready(1);
+	EXPECT_EQ(GATE_START, offer(tickets[0], BROWSE).kind);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[1], BROWSE).kind);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[2], PURCHASE).kind);
+	finish(tickets[0], GATE_RESULT_OK, 1000);
+	expect_started(tickets[2]);
+}
+
+TEST_F(Gate, ServesTheEarlierDeadlineFirstWithinAClass)
+{
+	make_ready(1);
+	offer(tickets[0], PURCHASE);
+	offer(tickets[1], PURCHASE);
+	offer(tickets[2], PURCHASE, 20000);
+	finish(tickets[0], GATE_RESULT_OK, 1000);
+	expect_started(tickets[2]);
+}
+
+TEST_F(Gate, OutOfProfileLosesItsRank)
+{
+	uint32_t burst = 25;
+
+	make_ready(1);
+	for (uint32_t i = 0; i < burst + 2; i++)
+		offer(tickets[i], PURCHASE);
+	EXPECT_TRUE(tickets[burst - 1].in_profile);
+	EXPECT_FALSE(tickets[burst].in_profile);
+	for (uint32_t i = 1; i < burst; i++)
+		gate_cancel(&gate, &tickets[i], now_us, &actions);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[200], BROWSE).kind);
+	EXPECT_TRUE(tickets[200].in_profile);
+	finish(tickets[0], GATE_RESULT_OK, 1000);
+	expect_started(tickets[200]);
+}
+
+TEST_F(Gate, CancelFreesTheSlotAtOnce)
+{
+	make_ready(1);
+	offer(tickets[0], BROWSE);
+	offer(tickets[1], BROWSE);
+	gate_cancel(&gate, &tickets[0], now_us, &actions);
+	expect_started(tickets[1]);
+	gate_cancel(&gate, &tickets[0], now_us, &actions);
+	EXPECT_EQ(0U, actions.count);
+	EXPECT_EQ(1U, load().in_use);
+}
+
+TEST_F(Gate, CancelFreesTheQueuePlaceAtOnce)
+{
+	make_ready(1);
+	for (uint32_t i = 0; i < 1 + GATE_CLASS_QUEUE_MAX; i++)
+		EXPECT_NE(GATE_REFUSE, offer(tickets[i], BROWSE).kind);
+	EXPECT_EQ(REASON_OVERLOAD, offer(tickets[100], BROWSE).reason);
+	gate_cancel(&gate, &tickets[40], now_us, &actions);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[100], BROWSE).kind);
+	EXPECT_EQ((uint32_t)GATE_CLASS_QUEUE_MAX, load().queued);
+}
+
+TEST_F(Gate, RefusesEarlyWhatCannotMakeItsDeadline)
+{
+	make_ready(1);
+	offer(tickets[0], PURCHASE);
+	finish(tickets[0], GATE_RESULT_OK, 10000);
+	offer(tickets[1], PURCHASE);
+	offer(tickets[2], PURCHASE);
+	EXPECT_EQ(REASON_EXPIRED, offer(tickets[3], PURCHASE, 15000).reason);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[4], PURCHASE, 60000).kind);
+}
+
+TEST_F(Gate, RefusesWaitingWorkWhoseDeadlineCannotBeMadeAnyMore)
+{
+	make_ready(1);
+	offer(tickets[0], PURCHASE);
+	offer(tickets[1], PURCHASE, 30000);
+	now_us += 30000;
+	gate_tick(&gate, now_us, &actions);
+	ASSERT_EQ(1U, actions.count);
+	EXPECT_EQ(&tickets[1], actions.list[0].ticket);
+	EXPECT_EQ(REASON_EXPIRED, actions.list[0].verdict.reason);
+}
+
+TEST_F(Gate, DrainingRefusesNewWorkAndServesWhatWaits)
+{
+	make_ready(1);
+	offer(tickets[0], BROWSE);
+	offer(tickets[1], BROWSE);
+	gate_set_backend(&gate, BACKEND_DRAINING, 1, now_us, &actions);
+	EXPECT_EQ(0U, actions.count);
+	EXPECT_EQ(REASON_DRAINING, offer(tickets[2], BROWSE).reason);
+	EXPECT_EQ(1U, load().in_use);
+	EXPECT_EQ(1U, load().queued);
+	finish(tickets[0], GATE_RESULT_OK, 1000);
+	expect_started(tickets[1]);
+}
+
+TEST_F(Gate, LeavingRefusesWhatWaitsAndLetsTheRunningFinish)
+{
+	make_ready(1);
+	offer(tickets[0], BROWSE);
+	offer(tickets[1], BROWSE);
+	gate_set_backend(&gate, BACKEND_LEAVING, 1, now_us, &actions);
+	ASSERT_EQ(1U, actions.count);
+	EXPECT_EQ(&tickets[1], actions.list[0].ticket);
+	EXPECT_EQ(REASON_DRAINING, actions.list[0].verdict.reason);
+	EXPECT_EQ(1U, load().in_use);
+	finish(tickets[0], GATE_RESULT_OK, 1000);
+	EXPECT_EQ(0U, load().in_use);
+}
+
+TEST_F(Gate, StartsColdAndClimbsToTheAnnouncedSlots)
+{
+	gate_set_backend(&gate, BACKEND_READY, 8, now_us, &actions);
+	EXPECT_EQ(2U, load().limit);
+	for (uint32_t round = 0; round < 1000 && load().limit < 8; round++) {
+		uint32_t limit = load().limit;
+
+		for (uint32_t i = 0; i < limit; i++)
+			EXPECT_EQ(GATE_START, offer(tickets[i], PURCHASE).kind);
+		for (uint32_t i = 0; i < limit; i++)
+			finish(tickets[i], GATE_RESULT_OK, i == 0 ? 1000 : 0);
+	}
+	EXPECT_EQ(8U, load().limit);
+}
+
+TEST_F(Gate, ShrinksWhenTheBackendServerSheds)
+{
+	make_ready(8);
+	offer(tickets[0], PURCHASE);
+	finish(tickets[0], GATE_RESULT_SHED, 100);
+	EXPECT_EQ(6U, load().limit);
+}
+
+TEST_F(Gate, AFastErrorCostsAMissedTargetAndFades)
+{
+	make_ready(1);
+	for (uint32_t i = 0; i < 100; i++) {
+		offer(tickets[0], PURCHASE);
+		finish(tickets[0], GATE_RESULT_ERROR, 100);
+	}
+	EXPECT_GT(load().service_time_us, 45000U);
+	for (uint32_t i = 0; i < 1000; i++) {
+		now_us += GATE_TICK_INTERVAL_US;
+		gate_tick(&gate, now_us, &actions);
+	}
+	EXPECT_LT(load().service_time_us, 1000U);
+}
+
+TEST_F(Gate, AClassThatIsGoneLosesWhatWaitsButNotWhatRuns)
+{
+	struct service_config one_class = {"ledger", 2, 1, {{"purchase", 0, 50000, 990, 100}}};
 
-	gate_init(&gate, 0);
-	gate_set_config(&gate, &config, 0, &actions);
-	EXPECT_EQ(REASON_NO_BACKEND, gate_offer(&gate, &ticket, 0, 1000, 0, &actions).reason);
+	make_ready(1);
+	offer(tickets[0], BROWSE);
+	offer(tickets[1], BROWSE);
+	gate_set_config(&gate, &one_class, now_us, &actions);
+	ASSERT_EQ(1U, actions.count);
+	EXPECT_EQ(REASON_UNKNOWN_CLASS, actions.list[0].verdict.reason);
+	EXPECT_EQ(1U, load().in_use);
+	gate_set_config(&gate, &two_classes, now_us, &actions);
+	finish(tickets[0], GATE_RESULT_OK, 1000);
+	EXPECT_EQ(0U, load().in_use);
+	EXPECT_EQ(0U, gate.classes[gate_find_class(&gate, "browse")].running);
 }
