Gate: newest first out of profile, and the floods against the baselines

Cause: of a flooded class, served oldest first, most calls were answered after their target. Change: work out of profile is served newest first and a full queue gives up its oldest.

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -50,7 +50,7 @@
 	gate->classes[ticket->class_index].running++;
 	ticket->state = TICKET_RUNNING;
 	ticket->start_us = now_us;
-	gate_order_started(gate, ticket, now_us);
+	gate_order_started(gate, ticket);
 	if (gate->in_use >= gate->limit.current)
 		limit_note_full(&gate->limit);
 }
@@ -119,8 +119,8 @@
 static void refuse_class(struct gate *gate, struct gate_class *class, enum call_reason reason,
 			 struct gate_actions *actions)
 {
-	while (gate_queue_head(class))
-		refuse(gate, gate_queue_head(class), reason, actions);
+	while (gate_queue_next(class))
+		refuse(gate, gate_queue_next(class), reason, actions);
 }
 
 /* Refuses all that waits. */
--- a/src/fescuemill/decide/gate_account.c
+++ b/src/fescuemill/decide/gate_account.c
@@ -35,7 +35,7 @@
 		struct gate_class *class = &gate->classes[i];
 
 		if (class->active)
-			floor_advance(&class->floor, gate_queue_head(class) != NULL, class->running,
+			floor_advance(&class->floor, gate_queue_next(class) != NULL, class->running,
 				      passed_us);
 	}
 	gate->advanced_us = now_us;
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -97,8 +97,6 @@
 	struct gate_list in_profile;	 /* by due time */
 	struct gate_list out_of_profile; /* by arrival */
 	uint64_t surplus_us;		 /* virtual time of its share of the surplus */
-	uint64_t surplus_gap_us;	 /* smoothed time between starts out of profile */
-	uint64_t surplus_start_us;	 /* last start out of profile */
 };
 
 struct gate {
--- a/src/fescuemill/decide/gate_order.c
+++ b/src/fescuemill/decide/gate_order.c
@@ -42,7 +42,7 @@
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		struct gate_class *class = &gate->classes[i];
 
-		if (!gate_queue_head(class) || !floor_is_owed(&class->floor, class->running))
+		if (!gate_queue_next(class) || !floor_is_owed(&class->floor, class->running))
 			continue;
 		if (!best || floor_lag_us(&class->floor) > floor_lag_us(&best->floor))
 			best = class;
@@ -93,7 +93,7 @@
 	struct gate_class *surplus;
 
 	if (owed) {
-		struct gate_ticket *ticket = gate_queue_head(owed);
+		struct gate_ticket *ticket = gate_queue_next(owed);
 
 		ticket->ahead_of_rank = is_ahead(gate, ticket, urgent);
 		if (!ticket->ahead_of_rank || gate->ahead_in_use < floor_slots(gate->limit.current))
@@ -103,14 +103,13 @@
 	if (urgent)
 		return urgent->in_profile.head;
 	surplus = find_surplus(gate);
-	return surplus ? surplus->out_of_profile.head : NULL;
+	return surplus ? surplus->out_of_profile.tail : NULL;
 }
 
 /* Takes the start of a ticket that was next into account. */
-void gate_order_started(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us)
+void gate_order_started(struct gate *gate, const struct gate_ticket *ticket)
 {
 	struct gate_class *class = &gate->classes[ticket->class_index];
-	uint64_t since_us = class->surplus_start_us;
 
 	if (ticket->ahead_of_rank)
 		gate->ahead_in_use++;
@@ -120,37 +119,27 @@
 		class->surplus_us = gate->surplus_us;
 	gate->surplus_us = class->surplus_us;
 	class->surplus_us += surplus_cost_us(class);
-	if (since_us < ticket->arrival_us)
-		since_us = ticket->arrival_us;
-	class->surplus_gap_us = (class->surplus_gap_us * 7 + now_us - since_us) / 8;
-	class->surplus_start_us = now_us;
 }
 
-/* Gives the slot time that waits before a ticket in profile, in microseconds. */
-static uint64_t time_before_us(const struct gate *gate, const struct gate_ticket *ticket)
+/* Tells whether the work in profile of a class is served before a ticket. */
+static bool comes_before(const struct gate *gate, const struct gate_class *class,
+			 const struct gate_ticket *ticket)
 {
-	const struct gate_class *own = &gate->classes[ticket->class_index];
-	uint64_t sum_us = 0;
-
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		const struct gate_class *class = &gate->classes[i];
-
-		if (class->in_profile.count && class->target.rank <= own->target.rank)
-			sum_us += class->in_profile.count * class->service.recent_us;
-	}
-	return sum_us;
+	return !ticket->in_profile ||
+	       class->target.rank <= gate->classes[ticket->class_index].target.rank;
 }
 
-/*
- * Gives the expected wait of a ticket that would be queued now, in microseconds. Out of profile, it
- * is the queue before it at the rate at which the class was last served.
- */
+/* Gives the expected wait of a ticket that would be queued now, in microseconds. */
 uint64_t gate_order_wait_us(const struct gate *gate, const struct gate_ticket *ticket)
 {
-	const struct gate_class *class = &gate->classes[ticket->class_index];
 	uint32_t limit = gate->limit.current ? gate->limit.current : 1;
+	uint64_t before_us = gate->service_us / 2;
+
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		const struct gate_class *class = &gate->classes[i];
 
-	if (!ticket->in_profile)
-		return class->out_of_profile.count * class->surplus_gap_us;
-	return (time_before_us(gate, ticket) + gate->service_us / 2) / limit;
+		if (class->in_profile.count && comes_before(gate, class, ticket))
+			before_us += class->in_profile.count * class->service.recent_us;
+	}
+	return before_us / limit;
 }
--- a/src/fescuemill/decide/gate_order.h
+++ b/src/fescuemill/decide/gate_order.h
@@ -7,7 +7,7 @@
 #include "fescuemill/decide/gate_defs.h"
 
 struct gate_ticket *gate_order_next(struct gate *gate);
-void gate_order_started(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us);
+void gate_order_started(struct gate *gate, const struct gate_ticket *ticket);
 uint64_t gate_order_wait_us(const struct gate *gate, const struct gate_ticket *ticket);
 
 #endif
--- a/src/fescuemill/decide/gate_queue.c
+++ b/src/fescuemill/decide/gate_queue.c
@@ -79,9 +79,9 @@
 }
 
 /* Gives the ticket of a class that is served next, or NULL. */
-struct gate_ticket *gate_queue_head(const struct gate_class *class)
+struct gate_ticket *gate_queue_next(const struct gate_class *class)
 {
-	return class->in_profile.head ? class->in_profile.head : class->out_of_profile.head;
+	return class->in_profile.head ? class->in_profile.head : class->out_of_profile.tail;
 }
 
 /* Tells whether a class has no place left, by its own bound or by that of the gate. */
@@ -122,17 +122,15 @@
 
 /*
  * Gives the waiting ticket that has to make place for a new one when the queue is full, or NULL
- * when the new one has to go. Only work in profile takes another's place.
+ * when the new one has to go. Out of profile the oldest of the same class goes.
  */
 struct gate_ticket *gate_queue_victim(struct gate *gate, const struct gate_ticket *ticket)
 {
 	const struct gate_class *class = &gate->classes[ticket->class_index];
-	struct gate_ticket *victim;
+	struct gate_ticket *victim = class->out_of_profile.head;
 
-	if (!ticket->in_profile)
-		return NULL;
-	if (gate_queue_length(class) >= GATE_CLASS_QUEUE_MAX)
-		return class->out_of_profile.head;
+	if (!ticket->in_profile || gate_queue_length(class) >= GATE_CLASS_QUEUE_MAX)
+		return victim;
 	victim = surplus_victim(gate);
 	return victim ? victim : urgency_victim(gate, class->target.rank);
 }
--- /dev/null
+++ b/test/unit/decide/gate_flood_test.cc
@@ -0,0 +1,105 @@
+// The gate against its baselines in floods of the least and of the most urgent class: one table
+// for each, from one seed.
+#include <gtest/gtest.h>
+
+#include "support/gate_loop.h"
+
+using namespace gate_loop;
+
+namespace
+{
+
+constexpr size_t PURCHASE = 0;
+constexpr size_t PHOTO = 3;
+
+// Four classes whose stated amounts take 4.7 of 6 slots; nine tenths of each arrive.
+Scenario usual()
+{
+	Scenario s;
+
+	s.classes = {
+		{{"purchase", 0, 60000, 990, 150}, 135, 8000},
+		{{"listing", 1, 100000, 990, 100}, 90, 10000},
+		{{"browse", 2, 200000, 950, 150}, 135, 10000},
+		{{"photo", 3, 1000000, 950, 25}, 22.5, 40000},
+	};
+	return s;
+}
+
+Scenario flood_low()
+{
+	Scenario s = usual();
+
+	s.classes[PHOTO].calls_per_s = 10.0 * s.slots * 1e6 / (double)s.classes[PHOTO].service_us;
+	return s;
+}
+
+Scenario flood_high()
+{
+	Scenario s = usual();
+
+	s.classes[PURCHASE].calls_per_s = 10.0 * s.classes[PURCHASE].target.calls_per_s;
+	return s;
+}
+
+Result run_gate(const Scenario &scenario, const char *name)
+{
+	GatePolicy policy(scenario);
+	Result result = Loop(scenario, policy).run();
+
+	print_result(name, scenario, result);
+	return result;
+}
+
+void run_baselines(const Scenario &scenario)
+{
+	const std::pair<const char *, Order> orders[] = {
+		{"fifo", Order::fifo},
+		{"strict-priority", Order::strict_priority},
+		{"weighted-fair", Order::weighted_fair}};
+
+	for (auto [name, order] : orders) {
+		BaselinePolicy policy(scenario, order);
+		Result result = Loop(scenario, policy).run();
+
+		print_result(name, scenario, result);
+	}
+}
+
+// Slots that the stated amount of a class takes.
+double stated_slots(const ClassLoad &load)
+{
+	return load.target.calls_per_s * (double)load.service_us / 1e6;
+}
+
+} // namespace
+
+TEST(GateFlood, LeastUrgentAtTenTimesCapacity)
+{
+	Result calm = run_gate(usual(), "gate, no flood");
+	Scenario scenario = flood_low();
+	Result flood = run_gate(scenario, "gate, flood");
+	uint64_t calm_us = calm.classes[PURCHASE].quantile_us(0.99);
+	uint64_t flood_us = flood.classes[PURCHASE].quantile_us(0.99);
+
+	run_baselines(scenario);
+	EXPECT_LE(flood_us, scenario.classes[PURCHASE].target.latency_us);
+	EXPECT_LE((double)flood_us, 1.3 * (double)calm_us);
+	EXPECT_GE(flood.slots_used, 0.95 * scenario.slots);
+}
+
+TEST(GateFlood, MostUrgentAtTenTimesItsStatedAmount)
+{
+	Scenario scenario = flood_high();
+	Result flood = run_gate(scenario, "gate, flood");
+
+	run_baselines(scenario);
+	for (size_t i = PURCHASE + 1; i < scenario.classes.size(); i++) {
+		double arrives = scenario.classes[i].calls_per_s *
+				 (double)scenario.classes[i].service_us / 1e6;
+		double floor = std::min(arrives, stated_slots(scenario.classes[i]));
+
+		EXPECT_GE(flood.classes[i].slot_us / (double)scenario.run_us, 0.9 * floor);
+	}
+	EXPECT_GE(flood.slots_used, 0.95 * scenario.slots);
+}
