fescuemilld: the thin whole path as separate processes

A caller's request goes over HTTP to the entry, over ZeroMQ to the gate, over loopback HTTP to the backend server, and back whole. The shells carry out what the pure modules decide: attempt_entry, choice, peer and retry at the entry; attempt_gate and gate at the gate. Large bodies go over a link of their own both ways. A planned stop finishes its work, leaves the roster and exits with 0.

--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -19,7 +19,7 @@
 #define GONE_POLL_MS	  10 /* also the age from which a call is polled */
 #define IDLE_MS		  60000
 #define POLL_CHUNK	  64
-#define BODY_SLACK_BYTES  (1024U * 1024) /* read over the cap, so that the refusal arrives */
+#define BODY_SLACK_BYTES  (1024UL * 1024) /* read over the cap, so that the refusal arrives */
 #define NUMBER_TEXT_BYTES 16
 #define OUTCOME_HEADER	  "x-fescue-outcome"
 
@@ -332,7 +332,7 @@
 		.ip = opt->ip,
 		.port = opt->port,
 		/* h2o resets the connection of a body over its own cap, and with it the answer. */
-		.body_bytes_max = (size_t)opt->body_bytes_max + BODY_SLACK_BYTES,
+		.body_bytes_max = opt->body_bytes_max + BODY_SLACK_BYTES,
 		.idle_ms = IDLE_MS,
 		.on_request = take_request,
 		.on_respond = complete_answer,
--- /dev/null
+++ b/src/fescuemilld/entry.h
@@ -0,0 +1,43 @@
+/*
+ * Entry: the shell of the entry role. It takes callers' requests, carries out what the pure
+ * modules decide about each call, and answers.
+ */
+#ifndef FESCUEMILLD_ENTRY_H
+#define FESCUEMILLD_ENTRY_H
+
+#include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/member.h"
+#include "fescuemill/http/caller.h"
+#include "fescuemill/settings/settings_defs.h"
+#include "fescuemill/wire/channel.h"
+
+#include <uv.h>
+
+struct entry;
+
+struct entry_options {
+	const struct settings *settings;
+	struct node_life life;
+	struct channel *channel;
+	struct config_store *config;
+	struct member_table *members;
+	/* Why the node takes no calls now; REASON_NONE when it does. */
+	enum call_reason (*refusal)(void *user);
+	void *user;
+};
+
+int entry_open(struct entry **out, uv_loop_t *loop, const struct entry_options *options,
+	       struct error *err);
+/* Every call must have ended. */
+void entry_close(struct entry *entry);
+
+/* Takes a caller's request, and word that a caller went away. User is the entry. */
+void entry_take_call(void *user, struct caller_call *caller, const struct call_request *req);
+void entry_caller_gone(void *user, struct caller_call *caller);
+
+/* Ends the attempts at gates that died or restarted, and closes idle links. Call it when the member
+ * table has changed, and now and then. */
+void entry_sweep(struct entry *entry);
+uint32_t entry_calls(const struct entry *entry);
+
+#endif
--- /dev/null
+++ b/src/fescuemilld/entry_link.h
@@ -0,0 +1,20 @@
+/*
+ * Entry links: the connections to gates, by the gate's node id; one for calls and one for large
+ * bodies, each with its epochs and heartbeats.
+ */
+#ifndef FESCUEMILLD_ENTRY_LINK_H
+#define FESCUEMILLD_ENTRY_LINK_H
+
+#include "fescuemilld/entry_defs.h"
+
+struct gate_link *entry_link_get(struct entry *entry, const struct node_life *gate,
+				 struct error *err);
+int entry_link_prepare(struct link_side *side, struct error *err);
+int entry_link_send(struct link_side *side, struct message *msg, struct error *err);
+void entry_link_add_call(struct link_side *side, struct entry_call *call);
+void entry_link_remove_call(struct entry_call *call);
+void entry_links_tick(struct entry *entry);
+void entry_links_sweep(struct entry *entry);
+void entry_links_free(struct entry *entry);
+
+#endif
--- /dev/null
+++ b/src/fescuemilld/entry_service.c
@@ -0,0 +1,107 @@
+/*
+ * Entry services: the choice of a gate and the retry budget of each service in use.
+ */
+#include "fescuemilld/entry_service.h"
+
+#include "fescuemill/base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Fills the settings of every choice from the node's. Distances are one way in the settings. */
+void entry_service_settings(const struct settings *settings, uint64_t own_id,
+			    struct choice_settings *out)
+{
+	choice_default_settings(out);
+	out->policy = settings->choice_policy;
+	out->own_id = own_id;
+	out->round_trip_us[DISTANCE_DOMAIN] = 2 * settings->own_domain_distance_us;
+	out->round_trip_us[DISTANCE_REGION] = 2 * settings->own_region_distance_us;
+	out->round_trip_us[DISTANCE_OTHER_REGION] = 2 * settings->other_region_distance_us;
+}
+
+/* Gives the state of a service, made at its first call. Errors: ERROR_MEMORY, ERROR_RANGE. */
+struct entry_service *entry_service_get(struct entry *entry, const char *name, struct error *err)
+{
+	struct entry_service *service = entry->services;
+
+	while (service && strcmp(service->name, name) != 0)
+		service = service->next;
+	if (service)
+		return service;
+	service = calloc(1, sizeof(*service));
+	if (!service) {
+		error_set(err, ERROR_MEMORY, "no memory for a service");
+		return NULL;
+	}
+	if (choice_create(&service->choice, &entry->choice_settings, err) != 0) {
+		free(service);
+		return NULL;
+	}
+	memcpy(service->name, name, strlen(name) + 1);
+	retry_bucket_init(&service->bucket);
+	service->members_revision = UINT64_MAX;
+	service->next = entry->services;
+	entry->services = service;
+	return service;
+}
+
+/* Tells how far a member is from this node. */
+static enum choice_distance distance_of(const struct settings *settings,
+					const struct member *member)
+{
+	if (strcmp(member->region, settings->region) != 0)
+		return DISTANCE_OTHER_REGION;
+	if (strcmp(member->domain, settings->failure_domain) != 0)
+		return DISTANCE_REGION;
+	return DISTANCE_DOMAIN;
+}
+
+/* Fills what the choice knows of a member. */
+static void fill_member(const struct settings *settings, const struct member *member,
+			struct choice_member *out)
+{
+	out->life = member->life;
+	out->domain = (uint32_t)member_id_of(member->domain);
+	out->slots = member->slots;
+	out->distance = (uint8_t)distance_of(settings, member);
+	out->usable = member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
+}
+
+/* Gives a service's choice its members anew when the member table has changed. */
+void entry_service_refresh(struct entry *entry, struct entry_service *service)
+{
+	const struct member_table *table = entry->options.members;
+	uint64_t revision = member_table_revision(table);
+	size_t room = member_count_service(table, service->name);
+	const struct member *member = NULL;
+	struct choice_member *list;
+	struct error err;
+	uint32_t count = 0;
+
+	if (service->members_revision == revision)
+		return;
+	list = calloc(room + 1, sizeof(*list));
+	if (!list)
+		return;
+	while (count < room &&
+	       (member = member_next_of_service(table, service->name, member)) != NULL)
+		fill_member(entry->options.settings, member, &list[count++]);
+	if (choice_set_members(service->choice, list, count, &err) == 0)
+		service->members_revision = revision;
+	else
+		log_failure(LOG_WARNING, LOG_PART_ENTRY, "Members could not be set.", &err);
+	free(list);
+}
+
+/* Frees every service. */
+void entry_services_free(struct entry *entry)
+{
+	while (entry->services) {
+		struct entry_service *service = entry->services;
+
+		entry->services = service->next;
+		choice_destroy(service->choice);
+		free(service);
+	}
+}
--- /dev/null
+++ b/src/fescuemilld/gate_shell.c
@@ -0,0 +1,678 @@
+/*
+ * Gate shell: carries out what the attempt table and the admission decide.
+ */
+#include "fescuemilld/gate_shell.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/decide/attempt_gate.h"
+#include "fescuemill/decide/gate.h"
+#include "fescuemill/http/backend.h"
+
+#include <h2o/memory.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RECORDS_MAX    16384
+#define LIVE_MAX       2048
+#define ENTRIES_MAX    4096
+#define KEEP_MARGIN_US (2 * USEC_PER_SEC)
+#define TICK_LIVE_MS   (GATE_TICK_INTERVAL_US / USEC_PER_MSEC)
+#define TICK_IDLE_MS   1000
+#define HTTP_ERROR_MIN 500
+#define RATE_MILLI     1000ULL
+
+/* What the shell holds of one attempt, from its offer until the table forgets it. */
+struct gate_attempt {
+	struct gate_ticket ticket;
+	struct gate_shell *shell;
+	struct attempt_id id;
+	struct channel_route route; /* of the latest message about it */
+	h2o_mem_pool_t request_arena;
+	h2o_mem_pool_t answer_arena;
+	struct message_call call; /* lies in the request's arena, until the run ends */
+	struct message_answer answer;
+	uint64_t deadline_us;
+	uint64_t offered_us;
+	uint64_t started_us;
+	struct backend_call *run; /* NULL unless it runs */
+};
+
+struct gate_shell {
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	struct gate_shell_options options;
+	struct attempt_gate *table;
+	struct gate admission;
+	struct backend_client *client;
+	struct announcement backend;
+	bool is_draining;
+};
+
+/* Where a message came from while it is being handled; NULL route otherwise. */
+struct origin {
+	const struct channel_route *route;
+	const struct message *msg;
+};
+
+static const struct origin no_origin = {NULL, NULL};
+
+static void run_step(struct gate_shell *shell, const struct attempt_gate_event *event,
+		     const struct origin *origin);
+static void run_admission(const struct gate_actions *actions);
+
+/* Copies bytes to an arena. */
+static struct wire_bytes copy_bytes(h2o_mem_pool_t *arena, struct wire_bytes from)
+{
+	uint8_t *data;
+
+	if (from.size == 0)
+		return (struct wire_bytes){NULL, 0};
+	data = h2o_mem_alloc_pool(arena, from.size);
+	memcpy(data, from.data, from.size);
+	return (struct wire_bytes){data, from.size};
+}
+
+/* Makes headers own their bytes in an arena. */
+static void own_headers(h2o_mem_pool_t *arena, struct wire_headers *headers)
+{
+	for (uint32_t i = 0; i < headers->count; i++) {
+		struct wire_header *header = &headers->list[i];
+
+		header->name = copy_bytes(arena, header->name);
+		header->value = copy_bytes(arena, header->value);
+	}
+}
+
+/* Sums the bytes that an attempt's request holds. */
+static uint64_t call_bytes(const struct message_call *call)
+{
+	uint64_t bytes = call->path.size + call->key.size + call->body.size;
+
+	for (uint32_t i = 0; i < call->headers.count; i++)
+		bytes += call->headers.list[i].name.size + call->headers.list[i].value.size;
+	return bytes;
+}
+
+/* Copies a call message into a new attempt; NULL without memory. */
+static struct gate_attempt *attempt_new(struct gate_shell *shell, const struct origin *origin)
+{
+	struct gate_attempt *attempt = calloc(1, sizeof(*attempt));
+
+	if (!attempt)
+		return NULL;
+	attempt->shell = shell;
+	attempt->ticket.owner = attempt;
+	attempt->id = origin->msg->id;
+	attempt->route = *origin->route;
+	h2o_mem_init_pool(&attempt->request_arena);
+	h2o_mem_init_pool(&attempt->answer_arena);
+	attempt->call = origin->msg->call;
+	attempt->call.method = copy_bytes(&attempt->request_arena, attempt->call.method);
+	attempt->call.path = copy_bytes(&attempt->request_arena, attempt->call.path);
+	attempt->call.key = copy_bytes(&attempt->request_arena, attempt->call.key);
+	attempt->call.body = copy_bytes(&attempt->request_arena, attempt->call.body);
+	own_headers(&attempt->request_arena, &attempt->call.headers);
+	return attempt;
+}
+
+/* Frees an attempt that the table has forgotten. */
+static void attempt_free(struct gate_attempt *attempt)
+{
+	struct gate_actions actions;
+
+	if (attempt->run)
+		backend_call_cancel(attempt->run);
+	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
+	run_admission(&actions);
+	h2o_mem_clear_pool(&attempt->request_arena);
+	h2o_mem_clear_pool(&attempt->answer_arena);
+	free(attempt);
+}
+
+/* Starts an event about an attempt. */
+static struct attempt_gate_event event_about(enum attempt_gate_event_type type,
+					     const struct attempt_id *id)
+{
+	struct attempt_gate_event event;
+
+	memset(&event, 0, sizeof(event));
+	event.type = type;
+	event.id = *id;
+	return event;
+}
+
+/* Tells the table that a run ended, and replies. */
+static void report_finished(struct gate_attempt *attempt, enum call_outcome outcome,
+			    enum call_reason reason, uint64_t bytes)
+{
+	struct attempt_gate_event event = event_about(GATE_EVENT_FINISHED, &attempt->id);
+
+	event.finished.outcome = outcome;
+	event.finished.reason = reason;
+	event.finished.bytes = bytes;
+	run_step(attempt->shell, &event, &no_origin);
+}
+
+/* Maps the end of a run to what admission learns from it. */
+static enum gate_result result_of(const struct backend_answer *answer)
+{
+	switch (answer->end) {
+	case BACKEND_END_ANSWERED:
+		return answer->status < HTTP_ERROR_MIN ? GATE_RESULT_OK : GATE_RESULT_ERROR;
+	case BACKEND_END_REFUSED:
+		return GATE_RESULT_SHED;
+	case BACKEND_END_TIMEOUT:
+	case BACKEND_END_EXPIRED:
+		return GATE_RESULT_TIMEOUT;
+	default:
+		return GATE_RESULT_ERROR;
+	}
+}
+
+/* Keeps a whole answer in the attempt. Returns its bytes. */
+static uint64_t keep_answer(struct gate_attempt *attempt, const struct backend_answer *answer)
+{
+	struct message_answer *kept = &attempt->answer;
+	uint64_t bytes = answer->body.size;
+
+	kept->status = answer->status;
+	kept->server_us = answer->server_us;
+	kept->headers = answer->headers;
+	own_headers(&attempt->answer_arena, &kept->headers);
+	kept->body = copy_bytes(&attempt->answer_arena, answer->body);
+	for (uint32_t i = 0; i < kept->headers.count; i++)
+		bytes += kept->headers.list[i].name.size + kept->headers.list[i].value.size;
+	return bytes;
+}
+
+/* Takes the end of a run from the backend client. */
+static void on_backend_done(void *user, const struct backend_answer *answer)
+{
+	struct gate_attempt *attempt = user;
+	struct gate_shell *shell = attempt->shell;
+	struct gate_actions actions;
+	enum call_reason reason;
+	enum call_outcome outcome = backend_end_outcome(answer->end, &reason);
+	uint64_t bytes = 0;
+
+	attempt->run = NULL;
+	gate_finish(&shell->admission, &attempt->ticket, result_of(answer), clock_monotonic_us(),
+		    &actions);
+	if (outcome == OUTCOME_ANSWERED)
+		bytes = keep_answer(attempt, answer);
+	else
+		attempt->answer.server_us = answer->server_us;
+	h2o_mem_clear_pool(&attempt->request_arena);
+	report_finished(attempt, outcome, reason, bytes);
+	run_admission(&actions);
+}
+
+/* Sends an admitted attempt to the backend server. */
+static void start_run(struct gate_attempt *attempt)
+{
+	struct gate_shell *shell = attempt->shell;
+	struct gate_actions actions;
+	struct error err = {0};
+	uint64_t now_us = clock_monotonic_us();
+	struct backend_request req = {.id = attempt->id, .call = &attempt->call};
+
+	counter_add(COUNTER_GATE_ADMITTED, 1);
+	attempt->started_us = now_us;
+	if (attempt->deadline_us > now_us)
+		req.time_left_us = attempt->deadline_us - now_us;
+	if (backend_call_start(shell->client, &req, on_backend_done, attempt, &attempt->run,
+			       &err) == 0)
+		return;
+	log_failure(LOG_WARNING, LOG_PART_GATE, "A call could not be started.", &err);
+	gate_finish(&shell->admission, &attempt->ticket, GATE_RESULT_ERROR, now_us, &actions);
+	report_finished(attempt, OUTCOME_NOT_RUN, REASON_NO_BACKEND, 0);
+	run_admission(&actions);
+}
+
+/* Stops a running attempt, whose end must be reported. */
+static void cancel_run(struct gate_attempt *attempt)
+{
+	struct gate_shell *shell = attempt->shell;
+	struct gate_actions actions;
+	uint64_t now_us = clock_monotonic_us();
+	bool is_expired = now_us >= attempt->deadline_us;
+	enum call_reason reason = is_expired ? REASON_EXPIRED : REASON_CANCELLED;
+	bool begun = attempt->run && backend_call_cancel(attempt->run);
+
+	counter_add(COUNTER_GATE_CANCELLED, 1);
+	attempt->run = NULL;
+	if (is_expired)
+		gate_finish(&shell->admission, &attempt->ticket, GATE_RESULT_TIMEOUT, now_us,
+			    &actions);
+	else
+		gate_cancel(&shell->admission, &attempt->ticket, now_us, &actions);
+	report_finished(attempt, begun ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, reason, 0);
+	run_admission(&actions);
+}
+
+/* Passes admission's word about an attempt to the table. */
+static void report_verdict(struct gate_attempt *attempt, struct gate_verdict verdict)
+{
+	struct attempt_gate_event event;
+
+	switch (verdict.kind) {
+	case GATE_START:
+		event = event_about(GATE_EVENT_ADMITTED, &attempt->id);
+		break;
+	case GATE_REFUSE:
+		event = event_about(GATE_EVENT_REFUSED, &attempt->id);
+		event.refused.reason = verdict.reason;
+		break;
+	case GATE_WAIT:
+		return;
+	}
+	run_step(attempt->shell, &event, &no_origin);
+	if (verdict.kind == GATE_REFUSE)
+		h2o_mem_clear_pool(&attempt->request_arena);
+}
+
+/* Carries out admission's actions. */
+static void run_admission(const struct gate_actions *actions)
+{
+	for (uint32_t i = 0; i < actions->count; i++)
+		report_verdict(actions->list[i].ticket->owner, actions->list[i].verdict);
+}
+
+/* Offers a new attempt to admission. */
+static void offer(struct gate_shell *shell, const struct attempt_gate_action *action,
+		  const struct origin *origin)
+{
+	struct gate_attempt *attempt = attempt_new(shell, origin);
+	struct gate_actions actions;
+	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
+	uint64_t now_us = clock_monotonic_us();
+	uint32_t class_index;
+
+	if (!attempt) {
+		struct attempt_gate_event event = event_about(GATE_EVENT_REFUSED, &action->id);
+
+		event.refused.reason = REASON_OVERLOAD;
+		run_step(shell, &event, origin);
+		return;
+	}
+	actions.count = 0;
+	attempt->deadline_us = action->deadline_us;
+	attempt->offered_us = now_us;
+	attempt_gate_set_user(shell->table, &action->id, attempt);
+	class_index = (uint32_t)gate_find_class(&shell->admission, attempt->call.class_name);
+	if (strcmp(attempt->call.service, shell->backend.service) == 0)
+		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
+				     action->deadline_us, now_us, &actions);
+	report_verdict(attempt, verdict);
+	run_admission(&actions);
+}
+
+/* Sends a message about an attempt to its entry. An entry that cannot be reached asks again. */
+static void reply(struct gate_shell *shell, const struct attempt_gate_action *action,
+		  const struct origin *origin, struct message *msg)
+{
+	const struct gate_attempt *attempt = action->user;
+	const struct channel_route *route = origin->route;
+	struct error err;
+
+	if (!route && attempt)
+		route = &attempt->route;
+	if (!route)
+		return;
+	msg->epoch = action->epoch;
+	msg->id = action->id;
+	if (channel_reply(shell->options.channel, route, msg, &err) != 0)
+		log_failure(LOG_DEBUG, LOG_PART_GATE, "A reply could not be sent.", &err);
+}
+
+/* Fills what every answer tells. */
+static void fill_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
+			struct message *msg)
+{
+	const struct gate_attempt *attempt = action->user;
+
+	msg->type = MESSAGE_ANSWER;
+	msg->answer.outcome = action->outcome;
+	msg->answer.reason = action->reason;
+	msg->answer.gate_incarnation = shell->options.incarnation;
+	gate_get_load(&shell->admission, &msg->answer.load);
+	if (!attempt)
+		return;
+	msg->answer.server_us = attempt->answer.server_us;
+	if (attempt->started_us)
+		msg->answer.gate_queue_us = (uint32_t)(attempt->started_us - attempt->offered_us);
+}
+
+/* Sends the kept answer, or word of it when it is too large for the link that calls use. */
+static void reply_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
+			 const struct origin *origin)
+{
+	const struct gate_attempt *attempt = action->user;
+	struct message msg = {0};
+
+	if (link_kind_of(action->epoch) == LINK_CALLS &&
+	    attempt->answer.body.size > WIRE_SMALL_BODY_BYTES) {
+		msg.type = MESSAGE_HELD;
+		msg.held.gate_incarnation = shell->options.incarnation;
+		msg.held.body_size = attempt->answer.body.size;
+	} else {
+		fill_answer(shell, action, &msg);
+		msg.answer.status = attempt->answer.status;
+		msg.answer.headers = attempt->answer.headers;
+		msg.answer.body = attempt->answer.body;
+	}
+	reply(shell, action, origin, &msg);
+}
+
+/* Sends an outcome without an answer. */
+static void reply_outcome(struct gate_shell *shell, const struct attempt_gate_action *action,
+			  const struct origin *origin)
+{
+	struct message msg = {0};
+
+	if (action->outcome == OUTCOME_NOT_RUN && !action->duplicate)
+		counter_add(COUNTER_GATE_REFUSED, 1);
+	fill_answer(shell, action, &msg);
+	reply(shell, action, origin, &msg);
+}
+
+/* Counts a message that is not answered. */
+static void count_drop(const struct attempt_gate_action *action)
+{
+	if (action->reason == REASON_STALE_EPOCH)
+		counter_add(COUNTER_GATE_STALE_EPOCH, 1);
+	else if (action->reason == REASON_INCARNATION)
+		counter_add(COUNTER_GATE_WRONG_INCARNATION, 1);
+}
+
+/* Takes an attempt out of admission's queue. */
+static void withdraw(struct gate_attempt *attempt)
+{
+	struct gate_actions actions;
+
+	h2o_mem_clear_pool(&attempt->request_arena);
+	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
+	run_admission(&actions);
+}
+
+/* Carries out one action of the table. */
+static void run_action(struct gate_shell *shell, const struct attempt_gate_action *action,
+		       const struct origin *origin)
+{
+	struct gate_attempt *attempt = action->user;
+	struct message msg = {.type = MESSAGE_PENDING};
+
+	if (action->duplicate)
+		counter_add(COUNTER_GATE_DUPLICATES, 1);
+	switch (action->type) {
+	case GATE_ACTION_OFFER:
+		offer(shell, action, origin);
+		break;
+	case GATE_ACTION_START:
+		start_run(attempt);
+		break;
+	case GATE_ACTION_WITHDRAW:
+		withdraw(attempt);
+		break;
+	case GATE_ACTION_CANCEL_RUN:
+		cancel_run(attempt);
+		break;
+	case GATE_ACTION_REPLY_ANSWER:
+		reply_answer(shell, action, origin);
+		break;
+	case GATE_ACTION_REPLY_OUTCOME:
+		reply_outcome(shell, action, origin);
+		break;
+	case GATE_ACTION_REPLY_PENDING:
+		reply(shell, action, origin, &msg);
+		break;
+	case GATE_ACTION_RELEASE_ANSWER:
+		attempt->answer.body.size = 0;
+		attempt->answer.headers.count = 0;
+		h2o_mem_clear_pool(&attempt->answer_arena);
+		break;
+	case GATE_ACTION_FREE:
+		if (attempt)
+			attempt_free(attempt);
+		break;
+	case GATE_ACTION_DROP:
+		count_drop(action);
+		break;
+	}
+}
+
+/* Notes the route of a message for later replies about its attempt. A message that is dropped
+ * changes nothing. */
+static void note_route(struct gate_shell *shell, const struct origin *origin,
+		       const struct attempt_gate_actions *actions)
+{
+	struct gate_attempt *attempt;
+
+	if (!origin->route)
+		return;
+	if (actions->count > 0 && actions->list[0].type == GATE_ACTION_DROP)
+		return;
+	attempt = attempt_gate_user(shell->table, &origin->msg->id);
+	if (attempt)
+		attempt->route = *origin->route;
+}
+
+/* Passes an event to the table and carries out its actions. */
+static void run_step(struct gate_shell *shell, const struct attempt_gate_event *event,
+		     const struct origin *origin)
+{
+	struct attempt_gate_actions actions;
+	struct error err = {0};
+
+	if (attempt_gate_step(shell->table, event, clock_monotonic_us(), &actions, &err) != 0) {
+		log_failure(LOG_WARNING, LOG_PART_GATE, "An event did not fit its attempt.", &err);
+		return;
+	}
+	note_route(shell, origin, &actions);
+	for (uint32_t i = 0; i < actions.count; i++)
+		run_action(shell, &actions.list[i], origin);
+}
+
+/* Lets time pass in the table and in admission. */
+static void tick(struct gate_shell *shell)
+{
+	struct attempt_gate_event event = {.type = GATE_EVENT_TICK};
+	struct gate_actions actions;
+	uint64_t now_us = clock_monotonic_us();
+
+	while (attempt_gate_next_due_us(shell->table) <= now_us)
+		run_step(shell, &event, &no_origin);
+	gate_tick(&shell->admission, now_us, &actions);
+	run_admission(&actions);
+}
+
+static void on_timer(uv_timer_t *timer);
+
+/* Runs the timer often while attempts live, and seldom otherwise. */
+static void set_timer(struct gate_shell *shell)
+{
+	uint64_t ms = gate_shell_live(shell) > 0 ? TICK_LIVE_MS : TICK_IDLE_MS;
+
+	if (uv_is_active((uv_handle_t *)&shell->timer) && uv_timer_get_due_in(&shell->timer) <= ms)
+		return;
+	uv_timer_start(&shell->timer, on_timer, ms, 0);
+}
+
+/* Lets time pass. */
+static void on_timer(uv_timer_t *timer)
+{
+	struct gate_shell *shell = timer->data;
+
+	tick(shell);
+	set_timer(shell);
+}
+
+/* Answers a ping with the gate's load. */
+static void reply_pong(struct gate_shell *shell, const struct origin *origin)
+{
+	struct message msg = {.type = MESSAGE_PONG, .epoch = origin->msg->epoch};
+	struct error err;
+
+	msg.pong.gate_incarnation = shell->options.incarnation;
+	gate_get_load(&shell->admission, &msg.pong.load);
+	if (channel_reply(shell->options.channel, origin->route, &msg, &err) != 0)
+		log_failure(LOG_DEBUG, LOG_PART_GATE, "A pong could not be sent.", &err);
+}
+
+/* Takes a message of an entry. */
+void gate_shell_message(struct gate_shell *shell, const struct channel_route *from,
+			const struct message *msg)
+{
+	struct origin origin = {from, msg};
+	struct attempt_gate_event event = event_about(GATE_EVENT_CALL, &msg->id);
+
+	event.epoch = msg->epoch;
+	switch (msg->type) {
+	case MESSAGE_CALL:
+		event.call.gate_incarnation = msg->call.gate_incarnation;
+		event.call.time_left_us = msg->call.time_left_us;
+		event.call.bytes = call_bytes(&msg->call);
+		break;
+	case MESSAGE_ASK:
+		event.type = GATE_EVENT_ASK;
+		event.ask.gate_incarnation = msg->ask.gate_incarnation;
+		break;
+	case MESSAGE_CANCEL:
+		event.type = GATE_EVENT_CANCEL;
+		break;
+	case MESSAGE_ACK:
+		event.type = GATE_EVENT_ACK;
+		break;
+	case MESSAGE_PING:
+		reply_pong(shell, &origin);
+		return;
+	default:
+		counter_add(COUNTER_WIRE_BAD_MESSAGES, 1);
+		return;
+	}
+	run_step(shell, &event, &origin);
+	set_timer(shell);
+}
+
+/* Tells admission the backend server's state; a draining node outweighs it. */
+static void apply_backend(struct gate_shell *shell)
+{
+	struct gate_actions actions;
+	enum backend_state state = shell->backend.state;
+
+	if (shell->is_draining && state != BACKEND_NONE)
+		state = BACKEND_DRAINING;
+	gate_set_backend(&shell->admission, state, shell->backend.slots, clock_monotonic_us(),
+			 &actions);
+	run_admission(&actions);
+}
+
+/* Sets what the backend server announced last. */
+void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now)
+{
+	shell->backend = *now;
+	/* A lease can lapse while the server still runs calls, so the port is kept. */
+	if (now->port != 0)
+		backend_client_set_port(shell->client, now->port);
+	apply_backend(shell);
+}
+
+/* Sets the classes and this gate's equal part of their rates. */
+void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config,
+			   uint32_t peers)
+{
+	uint64_t rates[CLASSES_PER_SERVICE_MAX] = {0};
+	struct gate_actions actions;
+
+	if (strcmp(config->service, shell->admission.service) != 0 ||
+	    config->version != shell->admission.config_version) {
+		gate_set_config(&shell->admission, config, clock_monotonic_us(), &actions);
+		run_admission(&actions);
+	}
+	for (uint32_t i = 0; i < config->class_count; i++) {
+		const struct class_target *target = &config->classes[i];
+		int index = gate_find_class(&shell->admission, target->name);
+
+		if (index >= 0)
+			rates[index] = RATE_MILLI * target->calls_per_s / (peers ? peers : 1);
+	}
+	gate_set_rates(&shell->admission, rates, clock_monotonic_us());
+}
+
+/* Takes no new work from now on. */
+void gate_shell_drain(struct gate_shell *shell)
+{
+	shell->is_draining = true;
+	apply_backend(shell);
+}
+
+/* Counts attempts that wait or run. */
+uint32_t gate_shell_live(const struct gate_shell *shell)
+{
+	return attempt_gate_live(shell->table);
+}
+
+/* Counts attempts that are remembered. */
+uint32_t gate_shell_records(const struct gate_shell *shell)
+{
+	return attempt_gate_records(shell->table);
+}
+
+/* Gives the gate's load. */
+void gate_shell_get_load(const struct gate_shell *shell, struct gate_load *load)
+{
+	gate_get_load(&shell->admission, load);
+}
+
+/* Opens the gate role. Errors: ERROR_MEMORY and those of the charts. */
+int gate_shell_open(struct gate_shell **out, uv_loop_t *loop,
+		    const struct gate_shell_options *options, struct error *err)
+{
+	struct gate_shell *shell = calloc(1, sizeof(*shell));
+	struct attempt_gate_settings settings = {
+		.incarnation = options->incarnation,
+		.records_max = RECORDS_MAX,
+		.live_max = LIVE_MAX,
+		.entries_max = ENTRIES_MAX,
+		.bytes_max = options->memory_bytes_max,
+		.keep_margin_us = KEEP_MARGIN_US,
+	};
+
+	if (!shell)
+		return error_set(err, ERROR_MEMORY, "no memory for the gate");
+	shell->loop = loop;
+	shell->options = *options;
+	gate_init(&shell->admission, clock_monotonic_us());
+	if (attempt_gate_create(&shell->table, &settings, err) != 0) {
+		free(shell);
+		return -1;
+	}
+	if (backend_client_open(&shell->client, loop, options->answer_bytes_max, err) != 0) {
+		attempt_gate_destroy(shell->table);
+		free(shell);
+		return -1;
+	}
+	uv_timer_init(loop, &shell->timer);
+	shell->timer.data = shell;
+	uv_timer_start(&shell->timer, on_timer, TICK_IDLE_MS, 0);
+	*out = shell;
+	return 0;
+}
+
+/* Frees the gate after its timer is closed. */
+static void free_shell(uv_handle_t *handle)
+{
+	struct gate_shell *shell = handle->data;
+
+	attempt_gate_destroy(shell->table);
+	free(shell);
+}
+
+/* Closes a gate without live attempts. */
+void gate_shell_close(struct gate_shell *shell)
+{
+	backend_client_close(shell->client);
+	uv_close((uv_handle_t *)&shell->timer, free_shell);
+}
--- /dev/null
+++ b/src/fescuemilld/gate_shell.h
@@ -0,0 +1,44 @@
+/*
+ * Gate shell: carries out what the attempt table and the admission decide: messages from entries
+ * in, calls to the backend server, answers out.
+ */
+#ifndef FESCUEMILLD_GATE_SHELL_H
+#define FESCUEMILLD_GATE_SHELL_H
+
+#include "fescuemill/decide/gate_defs.h"
+#include "fescuemill/http/announce.h"
+#include "fescuemill/wire/channel.h"
+
+#include <uv.h>
+
+struct gate_shell;
+
+struct gate_shell_options {
+	struct channel *channel;
+	uint64_t incarnation;
+	uint32_t answer_bytes_max;
+	uint64_t memory_bytes_max;
+};
+
+int gate_shell_open(struct gate_shell **out, uv_loop_t *loop,
+		    const struct gate_shell_options *options, struct error *err);
+void gate_shell_close(struct gate_shell *shell);
+
+/* Takes a message about an attempt, or a ping. */
+void gate_shell_message(struct gate_shell *shell, const struct channel_route *from,
+			const struct message *msg);
+/* Sets what the backend server announced last. */
+void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now);
+/* Sets the classes of the service; peers is the number of gates that share their rates. */
+void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config,
+			   uint32_t peers);
+/* Takes no new work from now on, and refuses what waits. */
+void gate_shell_drain(struct gate_shell *shell);
+
+/* Attempts that wait or run. */
+uint32_t gate_shell_live(const struct gate_shell *shell);
+/* Attempts that are remembered, those included whose outcome the entry has not acknowledged. */
+uint32_t gate_shell_records(const struct gate_shell *shell);
+void gate_shell_get_load(const struct gate_shell *shell, struct gate_load *load);
+
+#endif
--- /dev/null
+++ b/test/functional/path_test.cc
@@ -0,0 +1,258 @@
+// The whole path as separate processes: caller, entry, gate, backend server, and back.
+#include "functional/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+using support::Fleet;
+using support::FleetOptions;
+using support::Host;
+using support::http_json;
+using support::HttpAnswer;
+using support::Json;
+
+namespace
+{
+constexpr size_t BODY_LIMIT = 8 * 1024 * 1024;
+constexpr int EVENT_MS = 5000;
+
+class Path : public ::testing::Test
+{
+      protected:
+	Fleet fleet{FleetOptions::small(2)};
+
+	void SetUp() override
+	{
+		fleet.start();
+	}
+
+	HttpAnswer buy(const Host &entry, const std::string &body = "copper",
+		       std::vector<std::string> headers = {})
+	{
+		return fleet.call(entry, "POST", "/ledger/buy", "purchase", body, headers);
+	}
+
+	// Gives how often calls started at a host's backend server.
+	int64_t requests(Host &host)
+	{
+		Json stats = http_json(host.backend->port(), "GET", "/control/stats");
+
+		return json_integer_value(json_object_get(stats.get(), "requests"));
+	}
+
+	int64_t running(Host &host)
+	{
+		Json stats = http_json(host.backend->port(), "GET", "/control/stats");
+
+		return json_integer_value(json_object_get(stats.get(), "running"));
+	}
+
+	// Waits until the backend servers run this many calls together.
+	bool wait_running(int64_t wanted)
+	{
+		for (int i = 0; i < EVENT_MS; i++) {
+			if (running(fleet.hosts[0]) + running(fleet.hosts[1]) == wanted)
+				return true;
+			std::this_thread::sleep_for(std::chrono::milliseconds(1));
+		}
+		return false;
+	}
+
+	void slow_down(double factor)
+	{
+		for (Host &host : fleet.hosts)
+			Fleet::control(*host.backend,
+				       "{\"slow_factor\":" + std::to_string(factor) + "}");
+	}
+};
+
+void expect_not_run(HttpAnswer answer, int status, const std::string &reason)
+{
+	EXPECT_EQ(answer.status, status) << answer.body;
+	EXPECT_EQ(answer.headers["x-fescue-outcome"], "not-run");
+	EXPECT_EQ(answer.headers["x-fescue-reason"], reason);
+}
+
+int connect_to(uint16_t port)
+{
+	sockaddr_in addr{};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	addr.sin_family = AF_INET;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	addr.sin_port = htons(port);
+	EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&addr), sizeof(addr)), 0);
+	return fd;
+}
+} // namespace
+
+TEST_F(Path, EveryEntryReachesEveryGate)
+{
+	for (int i = 0; i < 40; i++) {
+		HttpAnswer answer = buy(fleet.hosts[(size_t)i % 2]);
+		ASSERT_EQ(answer.status, 200) << answer.body;
+		EXPECT_EQ(answer.headers["x-fescue-outcome"], "answered");
+		EXPECT_EQ(answer.headers["x-fescue-attempts"], "1");
+		EXPECT_GT(std::stoi(answer.headers["x-fescue-server-us"]), 0);
+		EXPECT_EQ(answer.body.size(), 16u);
+	}
+	// Each entry also uses the gate of the other host.
+	HttpAnswer answer;
+	slow_down(40);
+	std::vector<std::thread> callers;
+	for (int i = 0; i < 12; i++)
+		callers.emplace_back([this] { EXPECT_EQ(buy(fleet.hosts[0]).status, 200); });
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_GT(requests(fleet.hosts[0]), 0);
+	EXPECT_GT(requests(fleet.hosts[1]), 0);
+}
+
+TEST_F(Path, BodiesOfAnySizeArriveWholeBothWays)
+{
+	std::string first_sum;
+	for (size_t size :
+	     {size_t(0), size_t(1), size_t(65536), size_t(65537), size_t(1000000), BODY_LIMIT}) {
+		std::string body(size, 'p');
+		std::string sizes = "x-standin-size: " + std::to_string(size);
+		HttpAnswer here = buy(fleet.hosts[0], body, {sizes, "x-call: c"});
+		HttpAnswer there = buy(fleet.hosts[1], body, {sizes, "x-call: c"});
+
+		ASSERT_EQ(here.status, 200) << size << here.headers["x-fescue-reason"];
+		ASSERT_EQ(there.status, 200) << size << there.headers["x-fescue-reason"];
+		EXPECT_EQ(here.body.size(), size);
+		EXPECT_TRUE(here.body == there.body) << size;
+		EXPECT_EQ(here.headers["x-standin-body-sum"], there.headers["x-standin-body-sum"]);
+		EXPECT_NE(here.headers["x-standin-body-sum"], first_sum);
+		first_sum = here.headers["x-standin-body-sum"];
+	}
+}
+
+TEST_F(Path, RefusalsAreTyped)
+{
+	Host &host = fleet.hosts[0];
+	int64_t before = requests(fleet.hosts[0]) + requests(fleet.hosts[1]);
+
+	expect_not_run(fleet.call(host, "GET", "/nowhere/x", "purchase"), 404, "unknown-service");
+	expect_not_run(fleet.call(host, "GET", "/ledger/x", "nobody"), 404, "unknown-class");
+	expect_not_run(fleet.call(host, "GET", "/ledger/x", "not a name"), 400, "bad-request");
+	expect_not_run(buy(host, "", {"x-fescue-deadline-ms: 600001"}), 400, "bad-request");
+	expect_not_run(buy(host, "", {"x-fescue-deadline-ms: -1"}), 400, "bad-request");
+	expect_not_run(buy(host, "", {"x-fescue-depth: 21"}), 400, "too-deep");
+	expect_not_run(buy(host, std::string(BODY_LIMIT + 1, 'x')), 413, "too-large");
+	EXPECT_EQ(requests(fleet.hosts[0]) + requests(fleet.hosts[1]), before);
+}
+
+TEST_F(Path, AShedCallIsTriedElsewhereOrToldNotRun)
+{
+	Fleet::control(*fleet.hosts[0].backend, "{\"shed\":true}");
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(buy(fleet.hosts[0]).status, 200);
+	Fleet::control(*fleet.hosts[1].backend, "{\"shed\":true}");
+	expect_not_run(buy(fleet.hosts[0]), 503, "shed");
+}
+
+TEST_F(Path, ASilentBackendConnectionIsUnknownAtTheDeadlineAndThenReplaced)
+{
+	int unknown = 0;
+
+	for (int i = 0; i < 4; i++)
+		ASSERT_EQ(buy(fleet.hosts[0]).status, 200);
+	for (Host &host : fleet.hosts)
+		Fleet::control(*host.backend, "{\"freeze\":true}");
+	for (int i = 0; i < 8; i++) {
+		HttpAnswer answer = buy(fleet.hosts[0], "x", {"x-fescue-deadline-ms: 200"});
+
+		if (answer.status == 200)
+			continue;
+		EXPECT_EQ(answer.status, 504);
+		EXPECT_EQ(answer.headers["x-fescue-outcome"], "unknown");
+		EXPECT_EQ(answer.headers["x-fescue-reason"], "expired");
+		unknown++;
+	}
+	// At most one call of each host meets a silent connection; all idle ones go with it.
+	EXPECT_GE(unknown, 1);
+	EXPECT_LE(unknown, 2);
+}
+
+TEST_F(Path, ACallerThatGoesAwayCancelsItsCall)
+{
+	std::string text = "POST /ledger/buy HTTP/1.1\r\nhost: n\r\nx-fescue-class: purchase\r\n"
+			   "content-length: 0\r\n\r\n";
+	slow_down(2000);
+	int fd = connect_to(fleet.hosts[0].node->port("caller_port"));
+	ASSERT_EQ(send(fd, text.data(), text.size(), 0), (ssize_t)text.size());
+	ASSERT_TRUE(wait_running(1));
+	close(fd);
+	EXPECT_TRUE(wait_running(0));
+}
+
+TEST_F(Path, GarbageOnTheNodePortHarmsNobody)
+{
+	uint16_t port = fleet.hosts[1].node->port("node_port");
+	std::string greeting("\xff\0\0\0\0\0\0\0\x01\x7f\x03\0NULL", 16);
+	const std::string garbage[] = {std::string(200, '\0'), "GET / HTTP/1.1\r\n\r\n",
+				       std::string(70000, '\xff'), greeting,
+				       greeting + std::string(64, '\x04') + std::string(9, '\xff')};
+
+	for (const std::string &bytes : garbage) {
+		int fd = connect_to(port);
+		send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+		EXPECT_EQ(buy(fleet.hosts[0]).status, 200);
+		close(fd);
+	}
+	EXPECT_TRUE(fleet.hosts[1].node->is_running());
+}
+
+TEST_F(Path, APlannedStopCutsNoCall)
+{
+	std::atomic<bool> over{false};
+	std::atomic<int> answered{0};
+	std::vector<std::thread> callers;
+
+	slow_down(10);
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back([this, &over, &answered] {
+			while (!over) {
+				HttpAnswer answer = buy(fleet.hosts[0]);
+				EXPECT_EQ(answer.status, 200)
+					<< answer.headers["x-fescue-outcome"] << " "
+					<< answer.headers["x-fescue-reason"];
+				answered++;
+			}
+		});
+	ASSERT_TRUE(wait_running(8));
+	fleet.hosts[1].node->signal(SIGTERM);
+	EXPECT_EQ(fleet.hosts[1].node->wait(10000), 0) << fleet.hosts[1].node->log_tail();
+	over = true;
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_GT(answered, 8);
+}
+
+TEST_F(Path, ASecondSignalCutsAndSaysSo)
+{
+	slow_down(2000);
+	std::thread caller([this] {
+		HttpAnswer answer = buy(fleet.hosts[0]);
+		EXPECT_NE(answer.status, 200);
+	});
+	ASSERT_TRUE(wait_running(1));
+	for (Host &host : fleet.hosts)
+		host.node->signal(SIGTERM);
+	std::this_thread::sleep_for(std::chrono::milliseconds(300));
+	for (Host &host : fleet.hosts)
+		host.node->signal(SIGTERM);
+	EXPECT_EQ(fleet.hosts[0].node->wait(EVENT_MS), 18);
+	EXPECT_NE(fleet.hosts[0].node->log_tail().find("cut off: 1 calls"), std::string::npos)
+		<< fleet.hosts[0].node->log_tail();
+	caller.join();
+}
