--- a/src/fescuemill/platform/session.c
+++ b/src/fescuemill/platform/session.c
@@ -8,10 +8,9 @@
 
 #include <string.h>
 
-#define BURST_CALLS	      4.0
-#define SECONDS_PER_MINUTE    60.0
-#define RELIST_AFTER_FAILURES 3U /* an outage, after which a watch alone is not trusted */
-#define BACKOFF_SHIFT_MAX     16U
+#define BURST_CALLS	   4.0
+#define SECONDS_PER_MINUTE 60.0
+#define BACKOFF_SHIFT_MAX  16U
 
 /* Starts a session that is off and has nothing. */
 void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
@@ -29,14 +28,16 @@
 void session_set_on(struct session *session, bool on)
 {
 	if (on && !session->on)
-		session->list_needed = true;
+		session->fresh_needed = true;
 	session->on = on;
 }
 
-/* Makes the next call a list, without waiting for a back-off's end. */
+/* Asks at once for everything that is new, without waiting for a back-off's end or for the call
+ * that runs, whose answer no longer counts. */
 void session_refresh(struct session *session)
 {
-	session->list_needed = true;
+	session->fresh_needed = true;
+	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
 }
@@ -86,37 +87,43 @@
 	session->state = session->list_needed ? SESSION_LISTING : SESSION_WATCHING;
 	action.type = session->list_needed ? SESSION_DO_LIST : SESSION_DO_WATCH;
 	action.after = session->list_needed ? 0 : session->version;
-	session->list_needed = false;
+	action.wait_ms = session->fresh_needed ? 0 : session->limits.watch_ms;
 	return action;
 }
 
 /* Takes the end of a call that was answered; version is the store's. */
-void session_succeeded(struct session *session, uint64_t version, uint64_t now_us)
+void session_succeeded(struct session *session, uint64_t version)
 {
-	(void)now_us;
 	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
-	if (session->state == SESSION_LISTING || version > session->version)
-		session->version = version;
+	session->fresh_needed = false;
+	/* A store that went back was replaced: only a list tells what it holds. */
+	session->list_needed = session->state == SESSION_WATCHING && version < session->version;
+	session->version = version;
+}
+
+/* Gives the wait after a number of earlier failures in a row: doubled each time up to a limit, the
+ * upper half of it at random, so that many nodes do not return at the same moment. */
+uint64_t session_backoff_us(const struct session_limits *limits, uint32_t failures,
+			    struct random *rng)
+{
+	uint32_t shift = failures < BACKOFF_SHIFT_MAX ? failures : BACKOFF_SHIFT_MAX;
+	uint64_t wait = limits->backoff_first_us << shift;
+
+	if (wait > limits->backoff_highest_us)
+		wait = limits->backoff_highest_us;
+	return wait / 2 + (uint64_t)(random_unit(rng) * (double)wait / 2);
 }
 
 /* Takes the end of a call that failed or whose answer was not understood. */
 void session_failed(struct session *session, uint64_t now_us)
 {
-	uint64_t backoff = session->limits.backoff_first_us;
-	uint32_t shift =
-		session->failures < BACKOFF_SHIFT_MAX ? session->failures : BACKOFF_SHIFT_MAX;
+	uint64_t backoff = session_backoff_us(&session->limits, session->failures, &session->rng);
 
 	session->in_call = false;
 	session->failures++;
-	if (session->state == SESSION_LISTING || session->failures >= RELIST_AFTER_FAILURES)
-		session->list_needed = true;
-	backoff <<= shift;
-	if (backoff > session->limits.backoff_highest_us)
-		backoff = session->limits.backoff_highest_us;
-	session->not_before_us =
-		now_us + backoff / 2 + (uint64_t)(random_unit(&session->rng) * (double)backoff / 2);
+	session->not_before_us = now_us + backoff;
 }
 
 /* Gives the limits of a session: the failure domain's calls are shared by the nodes that may call
