--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -64,6 +64,7 @@
 	struct call_place places[LINK_KIND_COUNT];
 	uint64_t sent_us;
 	uint32_t slot;
+	uint8_t class_index; /* in the service's configuration */
 };
 
 struct entry {
