Node: membership by gossip, configuration from peers

Only the platform's roster told nodes of each other, and every node watched the platform. The node now runs gossip over UDP; two nodes of a failure domain watch the platform, and the others pull from the peer whose gossip tells of a newer version. A gate that three connections in a row did not reach is reported to gossip, and gates of a region that cannot be reached are not chosen.

--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -23,6 +23,10 @@
 	struct member_table *members;
 	/* Why the node takes no calls now; REASON_NONE when it does. */
 	enum call_reason (*refusal)(void *user);
+	/* Whether a region can be reached at all. */
+	bool (*region_is_usable)(void *user, const char *region);
+	/* A gate did not answer over several connections. */
+	void (*on_unreachable)(void *user, uint64_t node_id);
 	void *user;
 };
 
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -51,6 +51,7 @@
 	struct choice *choice;
 	struct retry_bucket bucket;
 	uint64_t members_revision;
+	uint64_t refreshed_us;
 };
 
 /* One call of a caller; lies in the call's arena. */
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -281,6 +281,7 @@
 /* Replaces a silent connection and asks again for every attempt on it. */
 static void replace_side(struct link_side *side)
 {
+	const struct entry_options *options = &side->owner->entry->options;
 	struct attempt_entry_event event = {.type = ENTRY_EVENT_LINK_REPLACED};
 	struct error err = {0};
 	bool is_opened = open_side(side, &err) == 0;
@@ -291,6 +292,7 @@
 	if (!is_opened)
 		log_failure(LOG_WARNING, LOG_PART_ENTRY, "A connection could not be opened.", &err);
 	if (!is_opened || peer_is_unreachable(&side->peer)) {
+		options->on_unreachable(options->user, side->owner->life.node_id);
 		tell_gone(side->owner);
 		return;
 	}
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry_service.c
@@ -3,11 +3,14 @@
  */
 #include "fescuemilld/entry_service.h"
 
+#include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+#define REFRESH_US (500 * USEC_PER_MSEC) /* regions come and go without a new revision */
+
 /* Fills the settings of every choice from the node's. Distances are one way in the settings. */
 void entry_service_settings(const struct settings *settings, uint64_t own_id,
 			    struct choice_settings *out)
@@ -58,14 +61,16 @@
 }
 
 /* Fills what the choice knows of a member. */
-static void fill_member(const struct settings *settings, const struct member *member,
+static void fill_member(const struct entry_options *options, const struct member *member,
 			struct choice_member *out)
 {
+	bool is_serving = member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
+
 	out->life = member->life;
 	out->domain = (uint32_t)member_id_of(member->domain);
 	out->slots = member->slots;
-	out->distance = (uint8_t)distance_of(settings, member);
-	out->usable = member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
+	out->distance = (uint8_t)distance_of(options->settings, member);
+	out->usable = is_serving && options->region_is_usable(options->user, member->region);
 }
 
 /* Gives a service's choice its members anew when the member table has changed. */
@@ -73,20 +78,22 @@
 {
 	const struct member_table *table = entry->options.members;
 	uint64_t revision = member_table_revision(table);
+	uint64_t now_us = clock_monotonic_us();
 	size_t room = member_count_service(table, service->name);
 	const struct member *member = NULL;
 	struct choice_member *list;
 	struct error err;
 	uint32_t count = 0;
 
-	if (service->members_revision == revision)
+	if (service->members_revision == revision && now_us < service->refreshed_us + REFRESH_US)
 		return;
+	service->refreshed_us = now_us;
 	list = calloc(room + 1, sizeof(*list));
 	if (!list)
 		return;
 	while (count < room &&
 	       (member = member_next_of_service(table, service->name, member)) != NULL)
-		fill_member(entry->options.settings, member, &list[count++]);
+		fill_member(&entry->options, member, &list[count++]);
 	if (choice_set_members(service->choice, list, count, &err) == 0)
 		service->members_revision = revision;
 	else
--- /dev/null
+++ b/src/fescuemilld/gossip_shell.c
@@ -0,0 +1,166 @@
+/*
+ * Gossip shell: the UDP socket and the timer of membership and of the configuration's version.
+ */
+#include "fescuemilld/gossip_shell.h"
+
+#include "fescuemill/base/clock.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS		50
+#define RECEIVE_BYTES	2048
+#define CLOSING_HANDLES 2
+
+struct gossip_shell {
+	uv_udp_t socket;
+	uv_timer_t timer;
+	struct gossip_shell_options options;
+	struct gossip *gossip; /* NULL until started */
+	char buf[RECEIVE_BYTES];
+	uint16_t port;
+	uint32_t open_handles;
+};
+
+/* Sends one packet. One that does not fit the socket's buffer now is lost, as UDP may. */
+static void send_packet(void *user, uint32_t ip, uint16_t port, const uint8_t *data, size_t size)
+{
+	struct gossip_shell *shell = user;
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	uv_buf_t buf = uv_buf_init((char *)data, (unsigned int)size);
+
+	addr.sin_addr.s_addr = htonl(ip);
+	addr.sin_port = htons(port);
+	uv_udp_try_send(&shell->socket, &buf, 1, (struct sockaddr *)&addr);
+}
+
+/* Passes on word of a newer configuration. */
+static void on_newer_config(void *user, uint64_t node_id, uint64_t version)
+{
+	struct gossip_shell *shell = user;
+
+	shell->options.newer_config(shell->options.user, node_id, version);
+}
+
+/* Gives libuv the shell's one buffer: a packet is handled before the next is read. */
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct gossip_shell *shell = handle->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(shell->buf, sizeof(shell->buf));
+}
+
+/* Hands a packet to the gossip. */
+static void on_receive(uv_udp_t *socket, ssize_t size, const uv_buf_t *buf,
+		       const struct sockaddr *from, unsigned int flags)
+{
+	struct gossip_shell *shell = socket->data;
+	const struct sockaddr_in *addr = (const struct sockaddr_in *)from;
+
+	if (size <= 0 || !from || (flags & UV_UDP_PARTIAL))
+		return;
+	gossip_receive(shell->gossip, ntohl(addr->sin_addr.s_addr), ntohs(addr->sin_port),
+		       (const uint8_t *)buf->base, (size_t)size, clock_monotonic_us());
+}
+
+/* Lets time pass. */
+static void on_timer(uv_timer_t *timer)
+{
+	struct gossip_shell *shell = timer->data;
+
+	gossip_tick(shell->gossip, clock_monotonic_us());
+}
+
+/* Frees the shell once both handles are closed. */
+static void on_closed(uv_handle_t *handle)
+{
+	struct gossip_shell *shell = handle->data;
+
+	if (--shell->open_handles == 0)
+		free(shell);
+}
+
+/* Closes both handles. */
+static void close_handles(struct gossip_shell *shell)
+{
+	uv_close((uv_handle_t *)&shell->socket, on_closed);
+	uv_close((uv_handle_t *)&shell->timer, on_closed);
+}
+
+/* Binds the socket; returns 0 or a libuv error number. */
+static int bind_socket(struct gossip_shell *shell)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	int size = sizeof(addr);
+	int rc;
+
+	addr.sin_addr.s_addr = htonl(shell->options.ip);
+	addr.sin_port = htons(shell->options.port);
+	rc = uv_udp_bind(&shell->socket, (struct sockaddr *)&addr, 0);
+	if (rc == 0)
+		rc = uv_udp_getsockname(&shell->socket, (struct sockaddr *)&addr, &size);
+	shell->port = ntohs(addr.sin_port);
+	return rc;
+}
+
+/* Opens the socket. Errors: ERROR_SYSTEM, ERROR_MEMORY. */
+int gossip_shell_open(struct gossip_shell **out, uv_loop_t *loop,
+		      const struct gossip_shell_options *options, struct error *err)
+{
+	struct gossip_shell *shell = calloc(1, sizeof(*shell));
+	int rc;
+
+	if (!shell)
+		return error_set(err, ERROR_MEMORY, "no memory for gossip");
+	shell->options = *options;
+	shell->open_handles = CLOSING_HANDLES;
+	uv_udp_init(loop, &shell->socket);
+	uv_timer_init(loop, &shell->timer);
+	shell->socket.data = shell;
+	shell->timer.data = shell;
+	rc = bind_socket(shell);
+	if (rc != 0) {
+		close_handles(shell);
+		return error_set_errno(err, -rc, "cannot bind UDP port %u", options->port);
+	}
+	*out = shell;
+	return 0;
+}
+
+/* Gives the port that the socket really has. */
+uint16_t gossip_shell_port(const struct gossip_shell *shell)
+{
+	return shell->port;
+}
+
+/* Starts to gossip as self. Errors: ERROR_SYSTEM, ERROR_MEMORY. */
+int gossip_shell_start(struct gossip_shell *shell, const struct member *self, uint64_t seed,
+		       struct error *err)
+{
+	struct gossip_io io = {send_packet, on_newer_config, shell};
+	int rc;
+
+	if (gossip_open(&shell->gossip, self, shell->options.members, shell->options.budget, &io,
+			seed, clock_monotonic_us(), err) != 0)
+		return -1;
+	rc = uv_udp_recv_start(&shell->socket, on_alloc, on_receive);
+	if (rc != 0)
+		return error_set_errno(err, -rc, "cannot receive gossip");
+	uv_timer_start(&shell->timer, on_timer, TICK_MS, TICK_MS);
+	return 0;
+}
+
+/* Gives the gossip. */
+struct gossip *gossip_shell_gossip(struct gossip_shell *shell)
+{
+	return shell->gossip;
+}
+
+/* Ends the gossip and closes the socket. */
+void gossip_shell_close(struct gossip_shell *shell)
+{
+	gossip_close(shell->gossip);
+	close_handles(shell);
+}
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -12,8 +12,10 @@
 #include "fescuemill/http/caller.h"
 #include "fescuemill/platform/client.h"
 #include "fescuemill/platform/follow.h"
+#include "fescuemilld/config_pull.h"
 #include "fescuemilld/entry.h"
 #include "fescuemilld/gate_shell.h"
+#include "fescuemilld/gossip_shell.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -21,7 +23,7 @@
 #include <string.h>
 
 #define HOUSEKEEPING_MS	   100
-#define TIME_SKIP_US	   (2 * USEC_PER_SEC)
+#define TIME_SKIP_US	   GOSSIP_PAUSE_US
 #define LEAVE_GRACE_US	   USEC_PER_SEC
 #define ACK_WAIT_US	   (2 * USEC_PER_SEC)
 #define BACKOFF_FIRST_US   (200 * USEC_PER_MSEC)
@@ -39,8 +41,8 @@
 struct node {
 	uv_loop_t loop;
 	struct settings settings;
-	struct member self;
-	uint32_t state; /* enum node_state */
+	struct member self; /* as at the start; gossip keeps what is said of it now */
+	uint32_t state;	    /* enum node_state */
 	enum stop_phase stop_phase;
 	uint64_t phase_since_us;
 	uint64_t stop_since_us;
@@ -58,6 +60,10 @@
 	struct platform_client *platform;
 	struct follow *follow;
 	struct keeper *keeper;
+	struct budget budget;
+	struct gossip_shell *gossip_shell;
+	struct gossip *gossip;
+	struct config_pull *pull;
 	struct entry *entry;
 	struct gate_shell *gate;
 };
@@ -90,19 +96,38 @@
 	}
 }
 
-/* Spreads a change of what this node says of itself. */
-static void publish_self(struct node *node)
+/* Tells the entry whether a region can be reached. */
+static bool region_is_usable(void *user, const char *region)
 {
-	node->self.revision++;
-	member_upsert(node->members, &node->self);
-	keeper_set_self(node->keeper, &node->self);
+	const struct node *node = user;
+
+	return gossip_region_is_reachable(node->gossip, region);
+}
+
+/* Has a gate probed that the entry could not reach. */
+static void on_unreachable(void *user, uint64_t node_id)
+{
+	struct node *node = user;
+
+	gossip_report_failure(node->gossip, node_id, clock_monotonic_us());
+}
+
+/* Notes that a peer has a newer configuration, and fetches it. */
+static void on_newer_config(void *user, uint64_t node_id, uint64_t version)
+{
+	struct node *node = user;
+
+	config_note_version(node->config, version);
+	if (config_is_behind(node->config))
+		config_pull_from(node->pull, node_id, clock_monotonic_us());
 }
 
 /* Gives the gate the classes of its service, and its part of their rates. */
 static void apply_config(struct node *node)
 {
-	const struct service_config *config = config_find(node->config, node->self.service);
-	size_t gates = member_count_service(node->members, node->self.service);
+	const char *service = gossip_self(node->gossip)->service;
+	const struct service_config *config = config_find(node->config, service);
+	size_t gates = member_count_service(node->members, service);
 
 	if (config)
 		gate_shell_set_config(node->gate, config, (uint32_t)gates);
@@ -116,10 +141,8 @@
 	log_write(LOG_INFO, LOG_PART_GATE, "The backend server changed.",
 		  "service=%s port=%u slots=%u state=%s", now->service, now->port, now->slots,
 		  backend_state_name(now->state));
-	memcpy(node->self.service, now->service, sizeof(node->self.service));
-	node->self.slots = now->slots;
-	node->self.backend = now->state;
-	publish_self(node);
+	gossip_set_backend(node->gossip, now->service, now->state, now->slots);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
 	apply_config(node);
 	gate_shell_set_backend(node->gate, now);
 }
@@ -190,6 +213,21 @@
 	move(node, NODE_INPUT_TIME_SKIPPED);
 }
 
+/* Divides the budget of the link between regions among the nodes of this region. */
+static void share_link(struct node *node)
+{
+	uint32_t nodes = 0;
+
+	for (size_t i = 0; i < member_count(node->members); i++) {
+		const struct member *member = member_at(node->members, i);
+
+		if (member->state != MEMBER_DEAD &&
+		    strcmp(member->region, node->settings.region) == 0)
+			nodes++;
+	}
+	budget_share_link(&node->budget, nodes);
+}
+
 /* Passes on what has changed in the configuration and in the member table. */
 static void pass_changes(struct node *node)
 {
@@ -198,16 +236,34 @@
 
 	if (config != node->config_revision || members != node->members_revision)
 		apply_config(node);
+	if (members != node->members_revision)
+		share_link(node);
 	node->config_revision = config;
 	node->members_revision = members;
 	entry_sweep(node->entry);
-	if (config_is_ready(node->config))
+}
+
+/* Keeps up with the configuration: few nodes watch the platform, the others ask their peers. A
+ * node that is not ready does both. */
+static void keep_up(struct node *node, uint64_t now_us)
+{
+	bool is_ready = config_is_ready(node->config);
+	const struct member *self = gossip_self(node->gossip);
+
+	follow_set_on(node->follow, !is_ready || config_is_watcher(node->members, self));
+	config_pull_tick(node->pull, now_us);
+	if (!is_ready)
+		return;
+	gossip_set_config_version(node->gossip, config_version(node->config));
+	if (gossip_is_joined(node->gossip))
 		move(node, NODE_INPUT_CAUGHT_UP);
 }
 
 /* Closes every part, so that the loop can end. */
 static void close_parts(struct node *node)
 {
+	gossip_shell_close(node->gossip_shell);
+	config_pull_close(node->pull);
 	keeper_close(node->keeper);
 	follow_close(node->follow);
 	platform_client_close(node->platform);
@@ -251,6 +307,7 @@
 		if (gate_shell_records(node->gate) > 0 && in_phase_us < ACK_WAIT_US)
 			break;
 		enter_phase(node, STOP_LEAVING, now_us);
+		gossip_leave(node->gossip, now_us);
 		keeper_leave(node->keeper, on_left, node);
 		break;
 	case STOP_LEFT:
@@ -276,18 +333,6 @@
 	uv_stop(&node->loop);
 }
 
-/* Does what is due from time to time. */
-static void on_housekeeping(uv_timer_t *timer)
-{
-	struct node *node = timer->data;
-	uint64_t now_us = clock_monotonic_us();
-
-	check_time(node, now_us);
-	pass_changes(node);
-	advance_stop(node, now_us);
-	check_stop_limit(node, now_us);
-}
-
 /* Begins a graceful stop: no new work from here on. */
 static void begin_stop(struct node *node)
 {
@@ -300,8 +345,23 @@
 	enter_phase(node, STOP_FINISHING, now_us);
 	caller_drain(node->caller);
 	gate_shell_drain(node->gate);
-	node->self.state = MEMBER_LEAVING;
-	publish_self(node);
+	gossip_set_leaving(node->gossip);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
+}
+
+/* Does what is due from time to time. */
+static void on_housekeeping(uv_timer_t *timer)
+{
+	struct node *node = timer->data;
+	uint64_t now_us = clock_monotonic_us();
+
+	check_time(node, now_us);
+	pass_changes(node);
+	keep_up(node, now_us);
+	if (gossip_is_superseded(node->gossip) && node->stop_phase == STOP_NONE)
+		begin_stop(node);
+	advance_stop(node, now_us);
+	check_stop_limit(node, now_us);
 }
 
 /* Takes a signal: the first begins a stop, the second ends it at once. */
@@ -332,7 +392,6 @@
 	self->life.incarnation = clock_wall_us();
 	self->state = MEMBER_ALIVE;
 	self->internal.ip = settings->node_address.ip;
-	self->internal.gossip_port = settings->gossip_address.port;
 	self->external.ip = settings->external_ip;
 	self->external.node_port = (uint16_t)settings->external_node_port;
 	self->external.gossip_port = (uint16_t)settings->external_gossip_port;
@@ -374,6 +433,8 @@
 		.config = node->config,
 		.members = node->members,
 		.refusal = refusal,
+		.region_is_usable = region_is_usable,
+		.on_unreachable = on_unreachable,
 		.user = node,
 	};
 	struct gate_shell_options gate = {
@@ -412,11 +473,46 @@
 	if (follow_open(&node->follow, &node->loop, platform, CONFIG_KIND, &limits, seed,
 			on_config_batch, node, err) != 0)
 		return -1;
-	follow_set_on(node->follow, true);
 	return keeper_open(&node->keeper, &node->loop, platform, node->members, &limits, seed + 1,
 			   err);
 }
 
+/* Opens membership and the exchange of configuration with peers. */
+static int open_gossip(struct node *node, struct error *err)
+{
+	const struct settings *settings = &node->settings;
+	uint64_t seed = node->self.life.node_id ^ node->self.life.incarnation;
+	struct gossip_shell_options gossip = {
+		.ip = settings->gossip_address.ip,
+		.port = settings->gossip_address.port,
+		.members = node->members,
+		.budget = &node->budget,
+		.newer_config = on_newer_config,
+		.user = node,
+	};
+	struct config_pull_options pull = {
+		.channel = node->channel,
+		.config = node->config,
+		.members = node->members,
+		.budget = &node->budget,
+		.self_id = node->self.life.node_id,
+		.region = settings->region,
+		.seed = seed + 2,
+	};
+
+	budget_init(&node->budget, settings->node_bytes_per_s, settings->region_link_bytes_per_s,
+		    clock_monotonic_us());
+	if (config_pull_open(&node->pull, &pull, err) != 0)
+		return -1;
+	if (gossip_shell_open(&node->gossip_shell, &node->loop, &gossip, err) != 0)
+		return -1;
+	node->self.internal.gossip_port = gossip_shell_port(node->gossip_shell);
+	if (gossip_shell_start(node->gossip_shell, &node->self, seed + 3, err) != 0)
+		return -1;
+	node->gossip = gossip_shell_gossip(node->gossip_shell);
+	return 0;
+}
+
 /* Starts the timers and signals of a node whose parts are open. */
 static void start_handles(struct node *node)
 {
@@ -449,11 +545,12 @@
 		return -1;
 	if (member_table_open(&node->members, err) != 0)
 		return -1;
-	if (open_roles(node, err) != 0 || open_platform(node, err) != 0)
+	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0)
 		return -1;
-	if (open_listeners(node, err) != 0)
+	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
 		return -1;
-	publish_self(node);
+	keeper_set_watching(node->keeper, false);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
 	start_handles(node);
 	move(node, NODE_INPUT_LISTENING);
 	return 0;
@@ -465,7 +562,7 @@
 	printf("{\"name\":\"%s\",\"caller_port\":%u,\"node_port\":%u,\"gossip_port\":%u,"
 	       "\"backend_port\":%u,\"admin_port\":%u}\n",
 	       node->settings.name, caller_port(node->caller), channel_port(node->channel),
-	       node->settings.gossip_address.port, announce_port(node->announce),
+	       gossip_shell_port(node->gossip_shell), announce_port(node->announce),
 	       node->settings.admin_address.port);
 	fflush(stdout);
 }
