--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -52,3 +52,12 @@
 # The program behind scripts/demo.sh.
 add_executable(demo-fleet test/functional/demo/main.cc)
 target_link_libraries(demo-fleet PRIVATE functional_support)
+
+# Measurements are programs, not tests: one a file under test/measure/, run by scripts/measure.sh.
+file(GLOB measurements CONFIGURE_DEPENDS test/measure/*.cc)
+foreach(source ${measurements})
+	get_filename_component(module ${source} NAME_WE)
+	string(REPLACE "_" "-" module ${module})
+	add_executable(measure-${module} ${source})
+	target_link_libraries(measure-${module} PRIVATE fescuemill)
+endforeach()
