--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -49,6 +49,8 @@
 	set_tests_properties(functional-${module} PROPERTIES LABELS functional PROCESSORS 4)
 endforeach()
 
-# The program behind scripts/demo.sh.
+# Programs that run a whole fleet: demo-fleet is behind scripts/demo.sh.
 add_executable(demo-fleet test/functional/demo/main.cc)
 target_link_libraries(demo-fleet PRIVATE functional_support)
+add_executable(overhead test/functional/demo/overhead.cc)
+target_link_libraries(overhead PRIVATE functional_support)
--- a/test/functional/support/fleet.h
+++ b/test/functional/support/fleet.h
@@ -78,6 +78,12 @@
 	// Posts a control message to a stand-in.
 	static void control(Process &standin, const std::string &body);
 
+	// The temporary folder, for whatever a test writes.
+	const std::string &folder() const
+	{
+		return folder_;
+	}
+
 	std::vector<Host> hosts;
 	std::unique_ptr<Process> platform;
 	std::unique_ptr<Process> link;
