--- a/test/functional/support/fleet.cc
+++ b/test/functional/support/fleet.cc
@@ -203,8 +203,9 @@
 
 void Fleet::start_node(Host &host)
 {
-	host.node = Process::start_server({program("fescuemilld"), host.settings_file},
-					  folder_ + "/" + host.name + ".log");
+	host.node =
+		Process::start_server({program("fescuemilld"), "--settings", host.settings_file},
+				      folder_ + "/" + host.name + ".log");
 	if (!link)
 		return;
 	http_json(link->port(), "POST", "/forwards/" + std::to_string(host.forward),
