fescue-load: backend servers that may fail

Tests that kill hosts lose the records of their backend servers. With backends_may_fail, records that are missing and answered calls that no record shows are still counted, but are no violation; calls told not run that ran, and doubled calls, stay violations.

--- a/src/fescue_load/ledger.c
+++ b/src/fescue_load/ledger.c
@@ -149,10 +149,14 @@
 }
 
 /* Counts what must never be: lost, cut, corrupt and doubled calls, outcomes that the backend
- * servers' records contradict, and records that are missing. */
+ * servers' records contradict, and, unless backend servers may fail, records that are missing. */
 uint64_t ledger_violations(const struct ledger *ledger, const struct ledger_sums *total)
 {
-	return total->results[CALL_OPEN] + total->results[CALL_LOST] + total->results[CALL_CUT] +
-	       total->results[CALL_CORRUPT] + total->doubled + total->not_run_ran +
-	       total->answered_never_ran + ledger->attempts_doubled + ledger->records_missing;
+	uint64_t count = total->results[CALL_OPEN] + total->results[CALL_LOST] +
+			 total->results[CALL_CUT] + total->results[CALL_CORRUPT] + total->doubled +
+			 total->not_run_ran + ledger->attempts_doubled;
+
+	if (!ledger->plan->backends_may_fail)
+		count += total->answered_never_ran + ledger->records_missing;
+	return count;
 }
--- a/src/fescue_load/plan.c
+++ b/src/fescue_load/plan.c
@@ -275,22 +275,25 @@
 	json_int_t duration_ms = plan->duration_ms;
 	json_int_t grace_ms = plan->grace_ms;
 	json_int_t max_calls = plan->max_calls;
-	int may_fail = 0;
+	int entries_may_fail = 0;
+	int backends_may_fail = 0;
 	json_t *entries = NULL;
 	json_t *backends = NULL;
 	json_t *streams = NULL;
 	json_error_t json_err;
 
-	if (json_unpack_ex(root, &json_err, JSON_STRICT, "{s?I,s?I,s?I,s?I,s?b,s?o,s?o,s:o}",
+	if (json_unpack_ex(root, &json_err, JSON_STRICT, "{s?I,s?I,s?I,s?I,s?b,s?b,s?o,s?o,s:o}",
 			   "seed", &seed, "duration_ms", &duration_ms, "grace_ms", &grace_ms,
-			   "max_calls", &max_calls, "entries_may_fail", &may_fail, "entries",
-			   &entries, "backends", &backends, "streams", &streams))
+			   "max_calls", &max_calls, "entries_may_fail", &entries_may_fail,
+			   "backends_may_fail", &backends_may_fail, "entries", &entries, "backends",
+			   &backends, "streams", &streams))
 		return unpack_failed("", &json_err, err);
 	if (!json_is_array(streams) || (entries && !json_is_array(entries)) ||
 	    (backends && !json_is_array(backends)))
 		return error_set(err, ERROR_TYPE, "streams, entries, backends: not an array");
 	plan->seed = (uint64_t)seed;
-	plan->entries_may_fail = may_fail;
+	plan->entries_may_fail = entries_may_fail;
+	plan->backends_may_fail = backends_may_fail;
 	if (store_u32(&plan->duration_ms, duration_ms, "", "duration_ms", err) ||
 	    store_u32(&plan->grace_ms, grace_ms, "", "grace_ms", err) ||
 	    store_u32(&plan->max_calls, max_calls, "", "max_calls", err))
--- a/src/fescue_load/plan_defs.h
+++ b/src/fescue_load/plan_defs.h
@@ -50,8 +50,9 @@
 	uint32_t duration_ms;
 	uint32_t grace_ms; /* past a call's deadline until it counts as lost */
 	uint32_t max_calls;
-	bool entries_may_fail; /* a connection closed unanswered is unknown, not lost */
-	bool direct;	       /* call the backend servers, not the entries */
+	bool entries_may_fail;	/* a connection closed unanswered is unknown, not lost */
+	bool backends_may_fail; /* records may be missing, with whatever ran there */
+	bool direct;		/* call the backend servers, not the entries */
 	uint32_t stream_count;
 	uint32_t entry_count;
 	uint32_t backend_count;
--- a/test/unit/fescue_load/ledger_test.cc
+++ b/test/unit/fescue_load/ledger_test.cc
@@ -83,6 +83,18 @@
 	EXPECT_EQ(1u, ledger_violations(&ledger, &total));
 }
 
+TEST_F(Ledger, MissingRecordsCountUnlessBackendServersMayFail)
+{
+	call(0, CALL_WHOLE, 0);
+	ledger.records_missing = 1;
+	EXPECT_EQ(2u, ledger_violations(&ledger, &total));
+	plan->backends_may_fail = true;
+	EXPECT_EQ(0u, ledger_violations(&ledger, &total));
+	call(1, CALL_NOT_RUN, 1);
+	call(1, CALL_WHOLE, 2);
+	EXPECT_EQ(2u, ledger_violations(&ledger, &total));
+}
+
 TEST_F(Ledger, NonIdempotentMayRunOnlyOnceWhateverItsOutcome)
 {
 	call(1, CALL_WHOLE, 2, 2);
