--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,5 +15,8 @@
 done
 scripts/install-deps.sh
 cmake --preset release >/dev/null
-cmake --build --preset release >/dev/null
+cmake --build --preset release >build/demo-build.log || {
+	cat build/demo-build.log >&2
+	exit 1
+}
 FESCUEMILL_BIN=build/release exec build/release/demo-fleet "$deployment" "$seconds"
