--- a/test/functional/demo/main.cc
+++ b/test/functional/demo/main.cc
@@ -21,6 +21,8 @@
 	std::cerr << "demo: " << fleet.hosts.size() << " nodes of " << deployment << " are ready\n";
 	int load = fleet.run_load(
 		plan, {"--label", "demo", "--duration-ms", std::to_string(seconds * 1000)});
+	std::cerr << "demo: the link carried "
+		  << support::http(fleet.link->port(), "GET", "/control/stats").body << "\n";
 	std::vector<std::string> failures = fleet.stop();
 	for (const std::string &failure : failures)
 		std::cerr << "demo: " << failure << "\n";
