--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -59,7 +59,7 @@
 			  enum choice_result_kind kind)
 {
 	uint64_t now_us = clock_monotonic_us();
-	struct choice_result result = {.kind = kind};
+	struct choice_result result = {.kind = kind, .class_index = call->class_index};
 
 	if (!call->link)
 		return;
@@ -125,7 +125,8 @@
 static bool pick_gate(struct entry_call *call, struct attempt_target *target)
 {
 	struct entry *entry = call->entry;
-	struct choice_query query = {call->state.excluded, call->state.excluded_count};
+	struct choice_query query = {call->state.excluded, call->state.excluded_count,
+				     call->class_index};
 	struct gate_link *link;
 	struct link_side *side;
 	struct error err;
@@ -303,19 +304,23 @@
 	}
 }
 
-/* Classifies a request: finds out why it cannot be taken; REASON_NONE when it can. */
-static enum call_reason classify(const struct entry *entry, const struct call_request *req)
+/* Classifies a request: finds its class, or why it cannot be taken. */
+static enum call_reason classify(const struct entry *entry, const struct call_request *req,
+				 uint8_t *class_index)
 {
 	enum call_reason reason = entry->options.refusal(entry->options.user);
 	const struct service_config *config;
+	const struct class_target *target;
 
 	if (reason != REASON_NONE)
 		return reason;
 	config = config_find(entry->options.config, req->service);
 	if (!config)
 		return REASON_UNKNOWN_SERVICE;
-	if (!config_class(config, req->class_name))
+	target = config_class(config, req->class_name);
+	if (!target)
 		return REASON_UNKNOWN_CLASS;
+	*class_index = (uint8_t)(target - config->classes);
 	return entry->free_count > 0 ? REASON_NONE : REASON_OVERLOAD;
 }
 
@@ -351,8 +356,10 @@
 {
 	struct entry *entry = user;
 	struct attempt_entry_event event = {.type = ENTRY_EVENT_START};
-	enum call_reason reason = classify(entry, req);
+	uint8_t class_index = 0;
+	enum call_reason reason = classify(entry, req, &class_index);
 	struct entry_service *service;
+	struct entry_call *call;
 	struct error err = {0};
 
 	if (reason != REASON_NONE) {
@@ -367,7 +374,9 @@
 	}
 	if (!uv_is_active((uv_handle_t *)&entry->timer))
 		uv_timer_start(&entry->timer, on_timer, TICK_MS, TICK_MS);
-	entry_call_step(call_new(entry, caller, req, service), &event, &no_input);
+	call = call_new(entry, caller, req, service);
+	call->class_index = class_index;
+	entry_call_step(call, &event, &no_input);
 }
 
 /* Takes word that a caller went away. */
