--- /dev/null
+++ b/src/fescuemilld/gate_reply.c
@@ -0,0 +1,98 @@
+/*
+ * Gate replies: what the gate tells entries. A reply that cannot be sent is made up for by the
+ * entry, which asks again over a new connection.
+ */
+#include "fescuemilld/gate_reply.h"
+
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+
+/* Sends a message about an attempt to its entry. An entry that cannot be reached asks again. */
+static void send_reply(struct gate_shell *shell, const struct attempt_gate_action *action,
+		       const struct origin *origin, struct message *msg)
+{
+	const struct gate_attempt *attempt = action->user;
+	const struct channel_route *route = origin->route;
+	struct error err;
+
+	if (!route && attempt)
+		route = &attempt->route;
+	if (!route)
+		return;
+	msg->epoch = action->epoch;
+	msg->id = action->id;
+	if (channel_reply(shell->options.channel, route, msg, &err) != 0)
+		log_failure(LOG_DEBUG, LOG_PART_GATE, "A reply could not be sent.", &err);
+}
+
+/* Fills what every answer tells. */
+static void fill_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
+			struct message *msg)
+{
+	const struct gate_attempt *attempt = action->user;
+
+	msg->type = MESSAGE_ANSWER;
+	msg->answer.outcome = action->outcome;
+	msg->answer.reason = action->reason;
+	msg->answer.gate_incarnation = shell->options.incarnation;
+	gate_get_load(&shell->admission, &msg->answer.load);
+	if (!attempt)
+		return;
+	msg->answer.server_us = attempt->answer.server_us;
+	if (attempt->started_us)
+		msg->answer.gate_queue_us = (uint32_t)(attempt->started_us - attempt->offered_us);
+}
+
+/* Sends the kept answer, or word of it when it is too large for the link that calls use. */
+void gate_reply_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
+		       const struct origin *origin)
+{
+	const struct gate_attempt *attempt = action->user;
+	struct message msg = {0};
+
+	if (link_kind_of(action->epoch) == LINK_CALLS &&
+	    attempt->answer.body.size > WIRE_SMALL_BODY_BYTES) {
+		msg.type = MESSAGE_HELD;
+		msg.held.gate_incarnation = shell->options.incarnation;
+		msg.held.body_size = attempt->answer.body.size;
+	} else {
+		fill_answer(shell, action, &msg);
+		msg.answer.status = attempt->answer.status;
+		msg.answer.headers = attempt->answer.headers;
+		msg.answer.body = attempt->answer.body;
+	}
+	send_reply(shell, action, origin, &msg);
+}
+
+/* Sends an outcome without an answer. */
+void gate_reply_outcome(struct gate_shell *shell, const struct attempt_gate_action *action,
+			const struct origin *origin)
+{
+	struct message msg = {0};
+
+	if (action->outcome == OUTCOME_NOT_RUN && !action->duplicate)
+		counter_add(COUNTER_GATE_REFUSED, 1);
+	fill_answer(shell, action, &msg);
+	send_reply(shell, action, origin, &msg);
+}
+
+/* Says that the attempt waits or runs. */
+void gate_reply_pending(struct gate_shell *shell, const struct attempt_gate_action *action,
+			const struct origin *origin)
+{
+	struct message msg = {.type = MESSAGE_PENDING};
+
+	send_reply(shell, action, origin, &msg);
+}
+
+/* Answers a ping with the gate's load. */
+void gate_reply_pong(struct gate_shell *shell, const struct origin *origin)
+{
+	struct message msg = {.type = MESSAGE_PONG, .epoch = origin->msg->epoch};
+	struct error err;
+
+	msg.pong.gate_incarnation = shell->options.incarnation;
+	gate_get_load(&shell->admission, &msg.pong.load);
+	if (channel_reply(shell->options.channel, origin->route, &msg, &err) != 0)
+		log_failure(LOG_DEBUG, LOG_PART_GATE, "A pong could not be sent.", &err);
+}
--- /dev/null
+++ b/src/fescuemilld/gate_reply.h
@@ -0,0 +1,17 @@
+/*
+ * Gate replies: what the gate tells entries.
+ */
+#ifndef FESCUEMILLD_GATE_REPLY_H
+#define FESCUEMILLD_GATE_REPLY_H
+
+#include "fescuemilld/gate_shell_defs.h"
+
+void gate_reply_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
+		       const struct origin *origin);
+void gate_reply_outcome(struct gate_shell *shell, const struct attempt_gate_action *action,
+			const struct origin *origin);
+void gate_reply_pending(struct gate_shell *shell, const struct attempt_gate_action *action,
+			const struct origin *origin);
+void gate_reply_pong(struct gate_shell *shell, const struct origin *origin);
+
+#endif
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -6,11 +6,10 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemill/decide/attempt_gate.h"
-#include "fescuemill/decide/gate.h"
-#include "fescuemill/http/backend.h"
+#include "fescuemilld/gate_attempt.h"
+#include "fescuemilld/gate_reply.h"
+#include "fescuemilld/gate_shell_defs.h"
 
-#include <h2o/memory.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,102 +22,14 @@
 #define HTTP_ERROR_MIN 500
 #define RATE_MILLI     1000ULL
 
-/* What the shell holds of one attempt, from its offer until the table forgets it. */
-struct gate_attempt {
-	struct gate_ticket ticket;
-	struct gate_shell *shell;
-	struct attempt_id id;
-	struct channel_route route; /* of the latest message about it */
-	h2o_mem_pool_t request_arena;
-	h2o_mem_pool_t answer_arena;
-	struct message_call call; /* lies in the request's arena, until the run ends */
-	struct message_answer answer;
-	uint64_t deadline_us;
-	uint64_t offered_us;
-	uint64_t started_us;
-	struct backend_call *run; /* NULL unless it runs */
-};
-
-struct gate_shell {
-	uv_loop_t *loop;
-	uv_timer_t timer;
-	struct gate_shell_options options;
-	struct attempt_gate *table;
-	struct gate admission;
-	struct backend_client *client;
-	struct announcement backend;
-	bool is_draining;
-};
-
-/* Where a message came from while it is being handled; NULL route otherwise. */
-struct origin {
-	const struct channel_route *route;
-	const struct message *msg;
-};
-
 static const struct origin no_origin = {NULL, NULL};
 
 static void run_step(struct gate_shell *shell, const struct attempt_gate_event *event,
 		     const struct origin *origin);
 static void run_admission(const struct gate_actions *actions);
 
-/* Copies bytes to an arena. */
-static struct wire_bytes copy_bytes(h2o_mem_pool_t *arena, struct wire_bytes from)
-{
-	uint8_t *data;
-
-	if (from.size == 0)
-		return (struct wire_bytes){NULL, 0};
-	data = h2o_mem_alloc_pool(arena, from.size);
-	memcpy(data, from.data, from.size);
-	return (struct wire_bytes){data, from.size};
-}
-
-/* Makes headers own their bytes in an arena. */
-static void own_headers(h2o_mem_pool_t *arena, struct wire_headers *headers)
-{
-	for (uint32_t i = 0; i < headers->count; i++) {
-		struct wire_header *header = &headers->list[i];
-
-		header->name = copy_bytes(arena, header->name);
-		header->value = copy_bytes(arena, header->value);
-	}
-}
-
-/* Sums the bytes that an attempt's request holds. */
-static uint64_t call_bytes(const struct message_call *call)
-{
-	uint64_t bytes = call->path.size + call->key.size + call->body.size;
-
-	for (uint32_t i = 0; i < call->headers.count; i++)
-		bytes += call->headers.list[i].name.size + call->headers.list[i].value.size;
-	return bytes;
-}
-
-/* Copies a call message into a new attempt; NULL without memory. */
-static struct gate_attempt *attempt_new(struct gate_shell *shell, const struct origin *origin)
-{
-	struct gate_attempt *attempt = calloc(1, sizeof(*attempt));
-
-	if (!attempt)
-		return NULL;
-	attempt->shell = shell;
-	attempt->ticket.owner = attempt;
-	attempt->id = origin->msg->id;
-	attempt->route = *origin->route;
-	h2o_mem_init_pool(&attempt->request_arena);
-	h2o_mem_init_pool(&attempt->answer_arena);
-	attempt->call = origin->msg->call;
-	attempt->call.method = copy_bytes(&attempt->request_arena, attempt->call.method);
-	attempt->call.path = copy_bytes(&attempt->request_arena, attempt->call.path);
-	attempt->call.key = copy_bytes(&attempt->request_arena, attempt->call.key);
-	attempt->call.body = copy_bytes(&attempt->request_arena, attempt->call.body);
-	own_headers(&attempt->request_arena, &attempt->call.headers);
-	return attempt;
-}
-
 /* Frees an attempt that the table has forgotten. */
-static void attempt_free(struct gate_attempt *attempt)
+static void end_attempt(struct gate_attempt *attempt)
 {
 	struct gate_actions actions;
 
@@ -126,9 +37,7 @@
 		backend_call_cancel(attempt->run);
 	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
 	run_admission(&actions);
-	h2o_mem_clear_pool(&attempt->request_arena);
-	h2o_mem_clear_pool(&attempt->answer_arena);
-	free(attempt);
+	gate_attempt_free(attempt);
 }
 
 /* Starts an event about an attempt. */
@@ -171,22 +80,6 @@
 	}
 }
 
-/* Keeps a whole answer in the attempt. Returns its bytes. */
-static uint64_t keep_answer(struct gate_attempt *attempt, const struct backend_answer *answer)
-{
-	struct message_answer *kept = &attempt->answer;
-	uint64_t bytes = answer->body.size;
-
-	kept->status = answer->status;
-	kept->server_us = answer->server_us;
-	kept->headers = answer->headers;
-	own_headers(&attempt->answer_arena, &kept->headers);
-	kept->body = copy_bytes(&attempt->answer_arena, answer->body);
-	for (uint32_t i = 0; i < kept->headers.count; i++)
-		bytes += kept->headers.list[i].name.size + kept->headers.list[i].value.size;
-	return bytes;
-}
-
 /* Takes the end of a run from the backend client. */
 static void on_backend_done(void *user, const struct backend_answer *answer)
 {
@@ -201,10 +94,10 @@
 	gate_finish(&shell->admission, &attempt->ticket, result_of(answer), clock_monotonic_us(),
 		    &actions);
 	if (outcome == OUTCOME_ANSWERED)
-		bytes = keep_answer(attempt, answer);
+		bytes = gate_attempt_keep(attempt, answer);
 	else
 		attempt->answer.server_us = answer->server_us;
-	h2o_mem_clear_pool(&attempt->request_arena);
+	gate_attempt_release_request(attempt);
 	report_finished(attempt, outcome, reason, bytes);
 	run_admission(&actions);
 }
@@ -270,7 +163,7 @@
 	}
 	run_step(attempt->shell, &event, &no_origin);
 	if (verdict.kind == GATE_REFUSE)
-		h2o_mem_clear_pool(&attempt->request_arena);
+		gate_attempt_release_request(attempt);
 }
 
 /* Carries out admission's actions. */
@@ -284,7 +177,7 @@
 static void offer(struct gate_shell *shell, const struct attempt_gate_action *action,
 		  const struct origin *origin)
 {
-	struct gate_attempt *attempt = attempt_new(shell, origin);
+	struct gate_attempt *attempt = gate_attempt_new(shell, origin);
 	struct gate_actions actions;
 	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
 	uint64_t now_us = clock_monotonic_us();
@@ -309,75 +202,6 @@
 	run_admission(&actions);
 }
 
-/* Sends a message about an attempt to its entry. An entry that cannot be reached asks again. */
-static void reply(struct gate_shell *shell, const struct attempt_gate_action *action,
-		  const struct origin *origin, struct message *msg)
-{
-	const struct gate_attempt *attempt = action->user;
-	const struct channel_route *route = origin->route;
-	struct error err;
-
-	if (!route && attempt)
-		route = &attempt->route;
-	if (!route)
-		return;
-	msg->epoch = action->epoch;
-	msg->id = action->id;
-	if (channel_reply(shell->options.channel, route, msg, &err) != 0)
-		log_failure(LOG_DEBUG, LOG_PART_GATE, "A reply could not be sent.", &err);
-}
-
-/* Fills what every answer tells. */
-static void fill_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
-			struct message *msg)
-{
-	const struct gate_attempt *attempt = action->user;
-
-	msg->type = MESSAGE_ANSWER;
-	msg->answer.outcome = action->outcome;
-	msg->answer.reason = action->reason;
-	msg->answer.gate_incarnation = shell->options.incarnation;
-	gate_get_load(&shell->admission, &msg->answer.load);
-	if (!attempt)
-		return;
-	msg->answer.server_us = attempt->answer.server_us;
-	if (attempt->started_us)
-		msg->answer.gate_queue_us = (uint32_t)(attempt->started_us - attempt->offered_us);
-}
-
-/* Sends the kept answer, or word of it when it is too large for the link that calls use. */
-static void reply_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
-			 const struct origin *origin)
-{
-	const struct gate_attempt *attempt = action->user;
-	struct message msg = {0};
-
-	if (link_kind_of(action->epoch) == LINK_CALLS &&
-	    attempt->answer.body.size > WIRE_SMALL_BODY_BYTES) {
-		msg.type = MESSAGE_HELD;
-		msg.held.gate_incarnation = shell->options.incarnation;
-		msg.held.body_size = attempt->answer.body.size;
-	} else {
-		fill_answer(shell, action, &msg);
-		msg.answer.status = attempt->answer.status;
-		msg.answer.headers = attempt->answer.headers;
-		msg.answer.body = attempt->answer.body;
-	}
-	reply(shell, action, origin, &msg);
-}
-
-/* Sends an outcome without an answer. */
-static void reply_outcome(struct gate_shell *shell, const struct attempt_gate_action *action,
-			  const struct origin *origin)
-{
-	struct message msg = {0};
-
-	if (action->outcome == OUTCOME_NOT_RUN && !action->duplicate)
-		counter_add(COUNTER_GATE_REFUSED, 1);
-	fill_answer(shell, action, &msg);
-	reply(shell, action, origin, &msg);
-}
-
 /* Counts a message that is not answered. */
 static void count_drop(const struct attempt_gate_action *action)
 {
@@ -392,7 +216,7 @@
 {
 	struct gate_actions actions;
 
-	h2o_mem_clear_pool(&attempt->request_arena);
+	gate_attempt_release_request(attempt);
 	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
 	run_admission(&actions);
 }
@@ -402,7 +226,6 @@
 		       const struct origin *origin)
 {
 	struct gate_attempt *attempt = action->user;
-	struct message msg = {.type = MESSAGE_PENDING};
 
 	if (action->duplicate)
 		counter_add(COUNTER_GATE_DUPLICATES, 1);
@@ -420,22 +243,20 @@
 		cancel_run(attempt);
 		break;
 	case GATE_ACTION_REPLY_ANSWER:
-		reply_answer(shell, action, origin);
+		gate_reply_answer(shell, action, origin);
 		break;
 	case GATE_ACTION_REPLY_OUTCOME:
-		reply_outcome(shell, action, origin);
+		gate_reply_outcome(shell, action, origin);
 		break;
 	case GATE_ACTION_REPLY_PENDING:
-		reply(shell, action, origin, &msg);
+		gate_reply_pending(shell, action, origin);
 		break;
 	case GATE_ACTION_RELEASE_ANSWER:
-		attempt->answer.body.size = 0;
-		attempt->answer.headers.count = 0;
-		h2o_mem_clear_pool(&attempt->answer_arena);
+		gate_attempt_release_answer(attempt);
 		break;
 	case GATE_ACTION_FREE:
 		if (attempt)
-			attempt_free(attempt);
+			end_attempt(attempt);
 		break;
 	case GATE_ACTION_DROP:
 		count_drop(action);
@@ -509,18 +330,6 @@
 	set_timer(shell);
 }
 
-/* Answers a ping with the gate's load. */
-static void reply_pong(struct gate_shell *shell, const struct origin *origin)
-{
-	struct message msg = {.type = MESSAGE_PONG, .epoch = origin->msg->epoch};
-	struct error err;
-
-	msg.pong.gate_incarnation = shell->options.incarnation;
-	gate_get_load(&shell->admission, &msg.pong.load);
-	if (channel_reply(shell->options.channel, origin->route, &msg, &err) != 0)
-		log_failure(LOG_DEBUG, LOG_PART_GATE, "A pong could not be sent.", &err);
-}
-
 /* Takes a message of an entry. */
 void gate_shell_message(struct gate_shell *shell, const struct channel_route *from,
 			const struct message *msg)
@@ -533,7 +342,7 @@
 	case MESSAGE_CALL:
 		event.call.gate_incarnation = msg->call.gate_incarnation;
 		event.call.time_left_us = msg->call.time_left_us;
-		event.call.bytes = call_bytes(&msg->call);
+		event.call.bytes = gate_attempt_bytes(&msg->call);
 		break;
 	case MESSAGE_ASK:
 		event.type = GATE_EVENT_ASK;
@@ -546,7 +355,7 @@
 		event.type = GATE_EVENT_ACK;
 		break;
 	case MESSAGE_PING:
-		reply_pong(shell, &origin);
+		gate_reply_pong(shell, &origin);
 		return;
 	default:
 		counter_add(COUNTER_WIRE_BAD_MESSAGES, 1);
--- /dev/null
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -0,0 +1,47 @@
+/*
+ * Gate shell types that its parts share: attempts, the shell, where a message came from.
+ */
+#ifndef FESCUEMILLD_GATE_SHELL_DEFS_H
+#define FESCUEMILLD_GATE_SHELL_DEFS_H
+
+#include "fescuemill/decide/attempt_gate.h"
+#include "fescuemill/decide/gate.h"
+#include "fescuemill/http/backend.h"
+#include "fescuemilld/gate_shell.h"
+
+#include <h2o/memory.h>
+
+/* What the shell holds of one attempt, from its offer until the table forgets it. */
+struct gate_attempt {
+	struct gate_ticket ticket;
+	struct gate_shell *shell;
+	struct attempt_id id;
+	struct channel_route route; /* of the latest message about it */
+	h2o_mem_pool_t request_arena;
+	h2o_mem_pool_t answer_arena;
+	struct message_call call; /* lies in the request's arena, until the run ends */
+	struct message_answer answer;
+	uint64_t deadline_us;
+	uint64_t offered_us;
+	uint64_t started_us;
+	struct backend_call *run; /* NULL unless it runs */
+};
+
+struct gate_shell {
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	struct gate_shell_options options;
+	struct attempt_gate *table;
+	struct gate admission;
+	struct backend_client *client;
+	struct announcement backend;
+	bool is_draining;
+};
+
+/* Where a message came from while it is being handled; NULL route otherwise. */
+struct origin {
+	const struct channel_route *route;
+	const struct message *msg;
+};
+
+#endif
