--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -7,7 +7,7 @@
 
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemill/settings/value.h"
+#include "fescuemill/fleet/config_batch.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -38,13 +38,6 @@
 	bool ready;
 };
 
-/* One delivered object: a value or, when json is NULL, a deletion. */
-struct delivery {
-	const char *name;
-	uint64_t version;
-	json_t *json;
-};
-
 /* Opens an empty store, which is not ready. Errors: ERROR_MEMORY. */
 int config_open(struct config_store **out, struct error *err)
 {
@@ -235,70 +228,17 @@
 	return 0;
 }
 
-/* Reads one item of a batch. */
-static int read_item(const struct value *item, struct delivery *out, struct error *err)
-{
-	struct value name;
-	struct value version;
-	char text[SERVICE_NAME_BYTES];
-
-	if (value_member(item, "name", &name, err) || value_member(item, "version", &version, err))
-		return -1;
-	if (value_text(&name, text, sizeof(text), 1, err) ||
-	    value_number(&version, 1, INT64_MAX, "", &out->version, err))
-		return -1;
-	out->name = json_string_value(name.json);
-	out->json = json_object_get(item->json, "value");
-	if (!out->json && !json_is_true(json_object_get(item->json, "deleted")))
-		return value_error(item, ERROR_MISSING, err, "\"value\" or \"deleted\":true");
-	return 0;
-}
-
-/* Walks the items of a batch: checks them all, or applies them all. */
-static int walk_items(struct config_store *store, const struct value *items, bool apply,
-		      struct error *err)
-{
-	uint32_t count = (uint32_t)json_array_size(items->json);
-
-	for (uint32_t i = 0; i < count; i++) {
-		struct value item = value_item(items, i);
-		struct delivery delivery;
-
-		if (read_item(&item, &delivery, err))
-			return -1;
-		if (apply)
-			apply_delivery(store, &delivery, NULL);
-	}
-	return 0;
-}
-
-/* Tells whether a batch has a value of a service. */
-static bool batch_has(const json_t *items, const char *name)
-{
-	size_t index;
-	json_t *item;
-
-	json_array_foreach(items, index, item)
-	{
-		const char *text = json_string_value(json_object_get(item, "name"));
-
-		if (text && json_object_get(item, "value") && strcmp(text, name) == 0)
-			return true;
-	}
-	return false;
-}
-
 /* Deletes what a batch of everything through `version` does not have. */
-static void delete_absent(struct config_store *store, const json_t *items, uint64_t version)
+static void delete_absent(struct config_store *store, const struct batch *batch)
 {
 	for (uint32_t i = 0; i < store->entry_count; i++) {
 		struct config_entry *entry = store->entries[i];
 
 		if ((entry->in_force || entry->rejected) &&
-		    (!entry->in_force || entry->object.config.version <= version) &&
-		    (!entry->rejected || entry->rejected_version <= version) &&
-		    !batch_has(items, entry->name))
-			apply_deletion(store, entry, version);
+		    (!entry->in_force || entry->object.config.version <= batch->version) &&
+		    (!entry->rejected || entry->rejected_version <= batch->version) &&
+		    !batch_has(batch, entry->name))
+			apply_deletion(store, entry, batch->version);
 	}
 }
 
@@ -328,62 +268,6 @@
 	counter_set(COUNTER_CONFIG_READY, 1);
 }
 
-struct batch {
-	json_t *root;
-	struct value items;
-	uint64_t version;
-	uint64_t from;
-	uint64_t known; /* the sender does not know of all deletions up to this version */
-	bool has_same;
-	uint64_t same; /* there are no items since sender and asker had this content */
-	bool watch;    /* the platform's answer to a watch */
-};
-
-static int read_version(const struct value *root, const char *name, uint64_t *out,
-			struct error *err)
-{
-	struct value member;
-
-	if (value_member(root, name, &member, err))
-		return -1;
-	return value_number(&member, 0, INT64_MAX, "", out, err);
-}
-
-/* Reads the head of a batch and checks all items, so that a batch applies whole or not at all. */
-static int batch_read(struct batch *batch, bool peer, const char *json, size_t size,
-		      struct error *err)
-{
-	struct value root = {.source = "batch", .path = "$"};
-	json_error_t fault;
-
-	batch->root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
-	if (!batch->root)
-		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
-	root.json = batch->root;
-	if (read_version(&root, "version", &batch->version, err))
-		goto fail;
-	if (peer && (read_version(&root, "from", &batch->from, err) ||
-		     read_version(&root, "known", &batch->known, err)))
-		goto fail;
-	batch->has_same = peer && json_object_get(batch->root, "same");
-	if (batch->has_same && read_version(&root, "same", &batch->same, err))
-		goto fail;
-	if (!peer)
-		batch->known = batch->from ? 0 : batch->version;
-	if (value_member(&root, "items", &batch->items, err))
-		goto fail;
-	if (!json_is_array(batch->items.json)) {
-		value_error(&batch->items, ERROR_TYPE, err, "a list");
-		goto fail;
-	}
-	if (walk_items(NULL, &batch->items, false, err))
-		goto fail;
-	return 0;
-fail:
-	json_decref(batch->root);
-	return -1;
-}
-
 static uint64_t name_hash(const char *name, uint64_t version)
 {
 	return XXH3_64bits_withSeed(name, strlen(name), version);
@@ -411,14 +295,19 @@
 	bool joins = batch->from <= store->through &&
 		     (!batch->has_same || batch->same == config_content(store));
 
-	walk_items(store, &batch->items, true, NULL);
+	for (uint32_t i = 0; i < batch->count; i++) {
+		struct delivery delivery;
+
+		batch_item(batch, i, &delivery, NULL);
+		apply_delivery(store, &delivery, NULL);
+	}
 	if (batch->from == 0)
-		delete_absent(store, batch->items.json, batch->version);
+		delete_absent(store, batch);
 	if (joins && batch->known > batch->from && batch->known > store->pruned_version)
 		store->pruned_version = batch->known;
 	if (joins)
 		raise_complete(store, batch->version, batch->watch);
-	json_decref(batch->root);
+	batch_free(batch);
 	return joins;
 }
 
@@ -426,9 +315,9 @@
 int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
 		       struct error *err)
 {
-	struct batch batch = {.from = from, .watch = from > 0};
+	struct batch batch;
 
-	if (batch_read(&batch, false, json, size, err))
+	if (batch_read(&batch, false, from, json, size, err))
 		return -1;
 	if (!batch_apply(store, &batch))
 		return 0;
@@ -442,9 +331,9 @@
 int config_apply_peer_batch(struct config_store *store, uint64_t ticket, const char *json,
 			    size_t size, struct error *err)
 {
-	struct batch batch = {0};
+	struct batch batch;
 
-	if (batch_read(&batch, true, json, size, err))
+	if (batch_read(&batch, true, 0, json, size, err))
 		return -1;
 	if (!batch_apply(store, &batch))
 		return 0;
--- /dev/null
+++ b/src/fescuemill/fleet/config_batch.c
@@ -0,0 +1,108 @@
+/*
+ * Config batch: a batch is read and checked whole before any of it is applied.
+ */
+#include "fescuemill/fleet/config_batch.h"
+
+#include <string.h>
+
+/* Reads one item of a batch. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+int batch_item(const struct batch *batch, uint32_t index, struct delivery *out, struct error *err)
+{
+	struct value item = value_item(&batch->items, index);
+	struct value name;
+	struct value version;
+	char text[SERVICE_NAME_BYTES];
+
+	if (value_member(&item, "name", &name, err) ||
+	    value_member(&item, "version", &version, err))
+		return -1;
+	if (value_text(&name, text, sizeof(text), 1, err) ||
+	    value_number(&version, 1, INT64_MAX, "", &out->version, err))
+		return -1;
+	out->name = json_string_value(name.json);
+	out->json = json_object_get(item.json, "value");
+	if (!out->json && !json_is_true(json_object_get(item.json, "deleted")))
+		return value_error(&item, ERROR_MISSING, err, "\"value\" or \"deleted\":true");
+	return 0;
+}
+
+static int check_items(const struct batch *batch, struct error *err)
+{
+	for (uint32_t i = 0; i < batch->count; i++) {
+		struct delivery unused;
+
+		if (batch_item(batch, i, &unused, err))
+			return -1;
+	}
+	return 0;
+}
+
+/* Tells whether a batch has a value of a service. */
+bool batch_has(const struct batch *batch, const char *name)
+{
+	size_t index;
+	json_t *item;
+
+	json_array_foreach(batch->items.json, index, item)
+	{
+		const char *text = json_string_value(json_object_get(item, "name"));
+
+		if (text && json_object_get(item, "value") && strcmp(text, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static int read_version(const struct value *root, const char *name, uint64_t *out,
+			struct error *err)
+{
+	struct value member;
+
+	if (value_member(root, name, &member, err))
+		return -1;
+	return value_number(&member, 0, INT64_MAX, "", out, err);
+}
+
+/* Reads the head of a batch and checks all items, so that a batch applies whole or not at all. */
+int batch_read(struct batch *batch, bool peer, uint64_t from, const char *json, size_t size,
+	       struct error *err)
+{
+	struct value root = {.source = "batch", .path = "$"};
+	json_error_t fault;
+
+	*batch = (struct batch){.from = from, .watch = from > 0};
+	batch->root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
+	if (!batch->root)
+		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
+	root.json = batch->root;
+	if (read_version(&root, "version", &batch->version, err))
+		goto fail;
+	if (peer && (read_version(&root, "from", &batch->from, err) ||
+		     read_version(&root, "known", &batch->known, err)))
+		goto fail;
+	batch->has_same = peer && json_object_get(batch->root, "same");
+	if (batch->has_same && read_version(&root, "same", &batch->same, err))
+		goto fail;
+	if (!peer)
+		batch->known = batch->from ? 0 : batch->version;
+	if (value_member(&root, "items", &batch->items, err))
+		goto fail;
+	if (!json_is_array(batch->items.json)) {
+		value_error(&batch->items, ERROR_TYPE, err, "a list");
+		goto fail;
+	}
+	batch->count = (uint32_t)json_array_size(batch->items.json);
+	if (check_items(batch, err))
+		goto fail;
+	return 0;
+fail:
+	json_decref(batch->root);
+	return -1;
+}
+
+/* Frees what a batch holds. */
+void batch_free(struct batch *batch)
+{
+	json_decref(batch->root);
+	batch->root = NULL;
+}
--- a/src/fescuemill/fleet/service_json.c
+++ b/src/fescuemill/fleet/service_json.c
@@ -24,14 +24,15 @@
 					 "percentile", "calls_per_s", NULL};
 static const char *const change_keys[] = {"id", "by", "at_ms", NULL};
 
-/* Reads the required member `name` of an object as a text. */
-static int read_text(const struct value *object, const char *name, char *out, size_t size,
+/* Reads the required member `name` of an object as a name. */
+static int read_name(const struct value *object, const char *name, char *out, size_t size,
 		     struct error *err)
 {
 	struct value value;
 
-	return value_member(object, name, &value, err) || value_text(&value, out, size, 1, err) ? -1
-												: 0;
+	if (value_member(object, name, &value, err))
+		return -1;
+	return value_name(&value, out, size, err);
 }
 
 /* Reads the required member `name` of an object as a whole number. */
@@ -66,7 +67,7 @@
 	uint64_t number;
 
 	if (value_keys(value, class_keys, err) ||
-	    read_text(value, "name", out->name, sizeof(out->name), err) ||
+	    read_name(value, "name", out->name, sizeof(out->name), err) ||
 	    read_number(value, "rank", SERVICE_RANK_MAX, "", &number, err))
 		return -1;
 	out->rank = (uint32_t)number;
@@ -107,9 +108,12 @@
 
 static int read_change(const struct value *value, struct service_change *out, struct error *err)
 {
+	struct value by;
+
 	if (value_keys(value, change_keys, err) ||
-	    read_text(value, "id", out->id, sizeof(out->id), err) ||
-	    read_text(value, "by", out->by, sizeof(out->by), err))
+	    read_name(value, "id", out->id, sizeof(out->id), err) ||
+	    value_member(value, "by", &by, err) ||
+	    value_text(&by, out->by, sizeof(out->by), 1, err))
 		return -1;
 	return read_number(value, "at_ms", WALL_MS_MAX, "ms", &out->at_ms, err);
 }
@@ -134,6 +138,14 @@
 	return 0;
 }
 
+/* Reads and checks one class. Errors as the header says. */
+int service_read_class(json_t *json, struct class_target *out, struct error *err)
+{
+	struct value root = {.json = json, .source = "class", .path = "$"};
+
+	return read_class(&root, out, err);
+}
+
 /* Reads and checks a service object from a JSON value. Errors as the header says. */
 int service_read(json_t *json, struct service_object *out, struct error *err)
 {
@@ -141,8 +153,8 @@
 
 	memset(out, 0, sizeof(*out));
 	if (value_keys(&root, object_keys, err) ||
-	    read_text(&root, "service", out->config.service, sizeof(out->config.service), err) ||
-	    read_text(&root, "team", out->team, sizeof(out->team), err) ||
+	    read_name(&root, "service", out->config.service, sizeof(out->config.service), err) ||
+	    read_name(&root, "team", out->team, sizeof(out->team), err) ||
 	    read_classes(&root, &out->config, err) || read_changes(&root, out, err))
 		return -1;
 	return 0;
@@ -163,7 +175,8 @@
 	return status;
 }
 
-static json_t *pack_class(const struct class_target *target)
+/* Gives a class as a new JSON value, or NULL without memory. */
+json_t *service_pack_class(const struct class_target *target)
 {
 	return json_pack("{s:s, s:I, s:f, s:f, s:I}", "name", target->name, "rank",
 			 (json_int_t)target->rank, "latency_ms", target->latency_us / USEC_PER_MS,
@@ -178,7 +191,7 @@
 	json_t *changes = json_array();
 
 	for (uint32_t i = 0; i < object->config.class_count; i++)
-		json_array_append_new(classes, pack_class(&object->config.classes[i]));
+		json_array_append_new(classes, service_pack_class(&object->config.classes[i]));
 	for (uint32_t i = 0; i < object->change_count; i++) {
 		const struct service_change *change = &object->changes[i];
 
--- a/src/fescuemill/fleet/service_json.h
+++ b/src/fescuemill/fleet/service_json.h
@@ -40,6 +40,9 @@
 		  struct error *err);
 /* The object as a new JSON value, or NULL without memory. */
 json_t *service_pack(const struct service_object *object);
+/* One class alone, as it stands in a service object. */
+int service_read_class(json_t *json, struct class_target *out, struct error *err);
+json_t *service_pack_class(const struct class_target *target);
 /* Adds a change, forgetting the oldest when there are SERVICE_CHANGES_MAX. */
 void service_add_change(struct service_object *object, const struct service_change *change);
 bool service_has_change(const struct service_object *object, const char *id);
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -40,7 +40,9 @@
 int admin_open(struct admin **out, uv_loop_t *loop, const struct admin_node *node,
 	       struct error *err);
 uint16_t admin_port(const struct admin *admin);
-/* Stops listening and frees everything once the open connections ended. */
+/* Stops listening; open connections close after their present answer. */
 void admin_close(struct admin *admin);
+/* Frees a closed API; its connections must have ended and its changes with it. */
+void admin_free(struct admin *admin);
 
 #endif
--- a/src/fescuemill/platform/change.c
+++ b/src/fescuemill/platform/change.c
@@ -45,6 +45,7 @@
 {
 	if (kind == ERROR_NONE) {
 		change->version = version;
+		change->exact = true;
 		return CHANGE_ACCEPTED;
 	}
 	if (kind == ERROR_CONFLICT || kind == ERROR_NOT_FOUND) {
@@ -102,7 +103,10 @@
 		return try_again(change, CHANGE_WRITE);
 	if (!object)
 		return change->doubtful ? CHANGE_UNKNOWN : CHANGE_CONFLICT;
-	if (service_has_change(object, change->id))
+	if (service_has_change(object, change->id)) {
+		change->exact =
+			strcmp(object->changes[object->change_count - 1].id, change->id) == 0;
 		return CHANGE_ACCEPTED;
+	}
 	return judge_other(change, object);
 }
--- a/src/fescuemill/platform/change.h
+++ b/src/fescuemill/platform/change.h
@@ -27,6 +27,7 @@
 	bool doubtful;			    /* an earlier write may have taken effect */
 	bool lost;			    /* the platform refused the base version */
 	uint32_t attempts;
+	bool exact;	  /* accepted: the version is that of this change */
 	uint64_t version; /* accepted: a version with the change; conflict: the current one */
 	struct service_change other; /* conflict: the newest change of the other writer, if known */
 };
--- a/src/fescuemill/platform/submit.c
+++ b/src/fescuemill/platform/submit.c
@@ -57,6 +57,7 @@
 {
 	struct submit_result result = {.step = step,
 				       .version = submit->change.version,
+				       .exact = submit->change.exact,
 				       .object = submit->json ? &submit->object : NULL};
 
 	if (step == CHANGE_CONFLICT)
--- a/src/fescuemill/platform/submit.h
+++ b/src/fescuemill/platform/submit.h
@@ -14,6 +14,7 @@
 	enum change_step step; /* one of the four final steps */
 	struct error err; /* ERROR_NONE when accepted; else typed, with who and when if known */
 	uint64_t version;
+	bool exact; /* accepted: the version is that of this change, not of a later one */
 	const struct service_object *object; /* as it was written; NULL for a deletion */
 };
 
--- a/src/fescuemill/settings/value.c
+++ b/src/fescuemill/settings/value.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define SOURCE_BYTES_SHOWN 60
+#define NAME_LETTERS	   "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
 #define FOUND_BYTES	   48
 #define FILE_BYTES_MAX	   ((size_t)1024 * 1024)
 
@@ -104,6 +105,16 @@
 	return 0;
 }
 
+/* Copies a name: 1 to size - 1 letters, digits, "-", "_" or ".". */
+int value_name(const struct value *value, char *out, size_t size, struct error *err)
+{
+	if (value_text(value, out, size, 1, err))
+		return -1;
+	if (out[strspn(out, NAME_LETTERS)])
+		return value_error(value, ERROR_RANGE, err, "letters, digits, \"-\", \"_\", \".\"");
+	return 0;
+}
+
 /* Like value_text(), but an error never shows the value. */
 int value_secret(const struct value *value, char *out, size_t size, size_t lowest,
 		 struct error *err)
--- a/src/fescuemill/settings/value.h
+++ b/src/fescuemill/settings/value.h
@@ -27,6 +27,7 @@
 int value_member(const struct value *value, const char *name, struct value *out, struct error *err);
 struct value value_item(const struct value *value, uint32_t index);
 int value_text(const struct value *value, char *out, size_t size, size_t lowest, struct error *err);
+int value_name(const struct value *value, char *out, size_t size, struct error *err);
 int value_secret(const struct value *value, char *out, size_t size, size_t lowest,
 		 struct error *err);
 int value_number(const struct value *value, uint64_t lowest, uint64_t highest, const char *unit,
--- /dev/null
+++ b/test/functional/support/loop_thread.h
@@ -0,0 +1,73 @@
+// An event loop of the product in a thread of the test, so that C modules run as in a node while
+// the test speaks to them over real sockets.
+#pragma once
+
+#include <functional>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <uv.h>
+#include <vector>
+
+namespace support
+{
+class LoopThread
+{
+      public:
+	LoopThread()
+	{
+		uv_loop_init(&loop);
+		async.data = this;
+		uv_async_init(&loop, &async, [](uv_async_t *handle) {
+			static_cast<LoopThread *>(handle->data)->run_jobs();
+		});
+		thread = std::thread([this] { uv_run(&loop, UV_RUN_DEFAULT); });
+	}
+
+	// Ends once the loop has nothing left to do.
+	~LoopThread()
+	{
+		run([this] { uv_close((uv_handle_t *)&async, nullptr); });
+		thread.join();
+		uv_loop_close(&loop);
+	}
+
+	// Runs a job in the loop's thread and waits for its end.
+	void run(std::function<void()> job)
+	{
+		std::promise<void> done;
+
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			jobs.push_back([&] {
+				job();
+				done.set_value();
+			});
+		}
+		uv_async_send(&async);
+		done.get_future().wait();
+	}
+
+	uv_loop_t loop;
+
+      private:
+	void run_jobs()
+	{
+		std::vector<std::function<void()>> ready;
+
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			ready.swap(jobs);
+		}
+		for (auto &job : ready)
+			job();
+	}
+
+	uv_async_t async;
+	std::mutex mutex;
+	std::vector<std::function<void()>> jobs;
+	std::thread thread;
+};
+} // namespace support
