--- a/test/functional/admin_test.cc
+++ b/test/functional/admin_test.cc
@@ -164,7 +164,7 @@
 	}
 
 	std::unique_ptr<settings> s = std::make_unique<settings>();
-	LoopThread loop;
+	LoopThread &loop = LoopThread::shared();
 	platform_client *client = nullptr;
 	struct keeper *keeper = nullptr;
 	struct admin *admin = nullptr;
--- a/test/functional/support/loop_thread.h
+++ b/test/functional/support/loop_thread.h
@@ -14,22 +14,13 @@
 class LoopThread
 {
       public:
-	LoopThread()
+	// One loop serves all tests of a program: h2o keeps free lists by thread, which would be
+	// lost with a thread that ends.
+	static LoopThread &shared()
 	{
-		uv_loop_init(&loop);
-		async.data = this;
-		uv_async_init(&loop, &async, [](uv_async_t *handle) {
-			static_cast<LoopThread *>(handle->data)->run_jobs();
-		});
-		thread = std::thread([this] { uv_run(&loop, UV_RUN_DEFAULT); });
-	}
+		static LoopThread *one = new LoopThread;
 
-	// Ends once the loop has nothing left to do.
-	~LoopThread()
-	{
-		run([this] { uv_close((uv_handle_t *)&async, nullptr); });
-		thread.join();
-		uv_loop_close(&loop);
+		return *one;
 	}
 
 	// Runs a job in the loop's thread and waits for its end.
@@ -52,6 +43,16 @@
 	uv_loop_t loop;
 
       private:
+	LoopThread()
+	{
+		uv_loop_init(&loop);
+		async.data = this;
+		uv_async_init(&loop, &async, [](uv_async_t *handle) {
+			static_cast<LoopThread *>(handle->data)->run_jobs();
+		});
+		thread = std::thread([this] { uv_run(&loop, UV_RUN_DEFAULT); });
+	}
+
 	void run_jobs()
 	{
 		std::vector<std::function<void()>> ready;
