--- a/src/fescuemill/admin/change_task.c
+++ b/src/fescuemill/admin/change_task.c
@@ -35,6 +35,7 @@
 {
 	if (task->req)
 		*task->link = NULL;
+	(*task->options.running)--;
 	free(task);
 }
 
@@ -152,6 +153,7 @@
 	task->link =
 		h2o_mem_alloc_shared(&req->pool, sizeof(struct change_task *), on_request_gone);
 	*task->link = task;
+	(*options->running)++;
 	platform_start(options->platform, &request, on_read, task);
 	return 0;
 }
--- a/src/fescuemill/admin/change_task.h
+++ b/src/fescuemill/admin/change_task.h
@@ -17,6 +17,7 @@
 	struct platform *platform;
 	struct config_store *config;
 	const struct auth *auth;
+	uint32_t *running; /* counts the tasks that run */
 	void (*respond)(h2o_req_t *req, int status, json_t *view);
 	void (*respond_error)(h2o_req_t *req, const struct error *err);
 };
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -31,6 +31,8 @@
 	struct http_server *server;
 	struct auth auth;
 	struct random rng;
+	uint32_t changes; /* that run */
+	bool closing;
 };
 
 /* One request: its path in parts and the team that asks. */
@@ -292,11 +294,17 @@
 					      .platform = admin->node.platform,
 					      .config = admin->node.config,
 					      .auth = &admin->auth,
+					      .running = &admin->changes,
 					      .respond = respond,
 					      .respond_error = respond_error};
 	struct edit edit = {0};
 	struct error err;
 
+	if (admin->closing) {
+		error_set(&err, ERROR_STATE, "this node is stopping");
+		respond_error(request->req, &err);
+		return;
+	}
 	if (read_edit(admin, request, &edit, &err) ||
 	    change_task_start(&options, &edit, request->req, &err))
 		respond_error(request->req, &err);
@@ -409,10 +417,17 @@
 {
 	if (!admin)
 		return;
+	admin->closing = true;
 	http_server_drain(admin->server);
 	http_server_close(admin->server);
 }
 
+/* Counts the changes that still run; the platform client must outlive them. */
+uint32_t admin_changes(const struct admin *admin)
+{
+	return admin->changes;
+}
+
 /* Frees a closed API; its connections must have ended. */
 void admin_free(struct admin *admin)
 {
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -42,6 +42,8 @@
 uint16_t admin_port(const struct admin *admin);
 /* Stops listening; open connections close after their present answer. */
 void admin_close(struct admin *admin);
+/* Counts the changes that still run; the platform client must outlive them. */
+uint32_t admin_changes(const struct admin *admin);
 /* Frees a closed API; its connections must have ended and its changes with it. */
 void admin_free(struct admin *admin);
 
--- /dev/null
+++ b/src/fescuemill/http/fetch.c
@@ -0,0 +1,287 @@
+/*
+ * Fetch: h2o's HTTP/1 client, one connection for each request, so that a connection gone silent can
+ * hold up only its own request.
+ */
+#include "fescuemill/http/fetch.h"
+
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <stdlib.h>
+
+#define ANSWER_BYTES_MAX ((size_t)32 * 1024 * 1024)
+#define HEAD_BYTES	 1024
+#define IP_BYTES	 16
+#define IO_TIMEOUT_MS	 (10ULL * 60 * 1000) /* the request's own timer ends it first */
+
+struct fetcher {
+	uv_loop_t *loop;
+	uv_timer_t closer; /* its close callback frees the fetcher after all other handles */
+	h2o_multithread_queue_t *queue;
+	h2o_multithread_receiver_t receiver;
+	h2o_timeout_t io_timeout;
+	h2o_http1client_ctx_t context;
+	struct fetch *fetches; /* list of those that run */
+};
+
+struct fetch {
+	struct fetcher *fetcher;
+	struct fetch *next;
+	struct fetch *previous;
+	fetch_done_fn done;
+	void *user;
+	uv_timer_t timer;
+	h2o_http1client_t *http; /* NULL once the library has ended it */
+	struct fetch_result result;
+	char wanted[FETCH_HEADER_BYTES];
+	char *body; /* of the answer */
+	char *sent_body;
+	char head[HEAD_BYTES];
+	h2o_iovec_t buffers[2];
+};
+
+static void on_fetch_closed(uv_handle_t *handle)
+{
+	struct fetch *fetch = handle->data;
+
+	free(fetch->body);
+	free(fetch->sent_body);
+	free(fetch);
+}
+
+static void unlink_fetch(struct fetch *fetch)
+{
+	if (fetch->previous)
+		fetch->previous->next = fetch->next;
+	else
+		fetch->fetcher->fetches = fetch->next;
+	if (fetch->next)
+		fetch->next->previous = fetch->previous;
+}
+
+/* Ends a fetch: tells its starter, and frees it once its timer is closed. */
+static void finish(struct fetch *fetch)
+{
+	fetch->http = NULL;
+	fetch->result.body = fetch->body ? fetch->body : "";
+	unlink_fetch(fetch);
+	uv_close((uv_handle_t *)&fetch->timer, on_fetch_closed);
+	fetch->done(fetch->user, &fetch->result);
+}
+
+static void finish_error(struct fetch *fetch, enum error_kind kind, const char *what)
+{
+	error_set(&fetch->result.err, kind, "%s", what);
+	finish(fetch);
+}
+
+static int append_body(struct fetch *fetch, h2o_buffer_t **input)
+{
+	size_t had = fetch->result.body_size;
+	size_t size = (*input)->size;
+	char *body;
+
+	if (had + size > ANSWER_BYTES_MAX)
+		return -1;
+	body = realloc(fetch->body, had + size + 1);
+	if (!body)
+		return -1;
+	memcpy(body + had, (*input)->bytes, size);
+	fetch->body = body;
+	fetch->result.body_size = had + size;
+	body[had + size] = '\0';
+	h2o_buffer_consume(input, size);
+	return 0;
+}
+
+static int on_body(h2o_http1client_t *http, const char *errstr)
+{
+	struct fetch *fetch = http->data;
+
+	if (errstr && errstr != h2o_http1client_error_is_eos) {
+		finish_error(fetch, ERROR_UNREACHABLE, errstr);
+		return 0;
+	}
+	if (append_body(fetch, &http->sock->input)) {
+		finish_error(fetch, ERROR_TOO_LARGE, "answer over the limit");
+		return -1;
+	}
+	if (errstr)
+		finish(fetch);
+	return 0;
+}
+
+/* Keeps the value of the header that was asked for. */
+static void keep_header(struct fetch *fetch, const h2o_header_t *header)
+{
+	size_t size = header->value.len;
+
+	if (!fetch->wanted[0] || size >= FETCH_HEADER_BYTES ||
+	    !h2o_memis(header->name->base, header->name->len, fetch->wanted, strlen(fetch->wanted)))
+		return;
+	memcpy(fetch->result.header, header->value.base, size);
+	fetch->result.header[size] = '\0';
+}
+
+static h2o_http1client_body_cb on_head(h2o_http1client_t *http, const char *errstr,
+				       int minor_version, int status, h2o_iovec_t msg,
+				       h2o_header_t *headers, size_t header_count, int header_size)
+{
+	struct fetch *fetch = http->data;
+
+	(void)minor_version;
+	(void)msg;
+	(void)header_size;
+	if (errstr && errstr != h2o_http1client_error_is_eos) {
+		finish_error(fetch, ERROR_UNREACHABLE, errstr);
+		return NULL;
+	}
+	fetch->result.status = status;
+	for (size_t i = 0; i < header_count; i++)
+		keep_header(fetch, &headers[i]);
+	if (errstr) {
+		finish(fetch);
+		return NULL;
+	}
+	return on_body;
+}
+
+static h2o_http1client_head_cb on_connect(h2o_http1client_t *http, const char *errstr,
+					  h2o_iovec_t **buffers, size_t *count, int *is_head)
+{
+	struct fetch *fetch = http->data;
+
+	if (errstr) {
+		finish_error(fetch, ERROR_UNREACHABLE, errstr);
+		return NULL;
+	}
+	fetch->result.sent = true;
+	*buffers = fetch->buffers;
+	*count = fetch->buffers[1].len ? 2 : 1;
+	*is_head = 0;
+	return on_head;
+}
+
+static void cancel(struct fetch *fetch, enum error_kind kind, const char *what)
+{
+	if (fetch->http)
+		h2o_http1client_cancel(fetch->http);
+	finish_error(fetch, kind, what);
+}
+
+static void on_timeout(uv_timer_t *timer)
+{
+	cancel(timer->data, ERROR_TIMEOUT, "no answer in time");
+}
+
+/* Prepares the buffers that are sent. Errors: ERROR_MEMORY, ERROR_TOO_LARGE. */
+static int prepare(struct fetch *fetch, const struct fetch_request *request, struct error *err)
+{
+	int used = snprintf(fetch->head, HEAD_BYTES,
+			    "%s %s HTTP/1.1\r\nhost: node\r\nconnection: close\r\n%s"
+			    "content-length: %zu\r\n\r\n",
+			    request->method, request->path,
+			    request->headers ? request->headers : "", request->body_size);
+
+	if (used < 0 || used >= HEAD_BYTES)
+		return error_set(err, ERROR_TOO_LARGE, "path and headers over %d bytes",
+				 HEAD_BYTES);
+	fetch->buffers[0] = h2o_iovec_init(fetch->head, (size_t)used);
+	fetch->buffers[1] = h2o_iovec_init(NULL, 0);
+	if (request->wanted_header)
+		strncpy(fetch->wanted, request->wanted_header, sizeof(fetch->wanted) - 1);
+	if (!request->body_size)
+		return 0;
+	fetch->sent_body = malloc(request->body_size);
+	if (!fetch->sent_body)
+		return error_set(err, ERROR_MEMORY, "no memory for a request");
+	memcpy(fetch->sent_body, request->body, request->body_size);
+	fetch->buffers[1] = h2o_iovec_init(fetch->sent_body, request->body_size);
+	return 0;
+}
+
+/* Links a fetch into its fetcher, starts its timer and connects. */
+static void launch(struct fetch *fetch, const struct fetch_request *request)
+{
+	struct fetcher *fetcher = fetch->fetcher;
+	uint32_t ip = request->to.ip;
+	char text[IP_BYTES];
+	int used = snprintf(text, sizeof(text), "%u.%u.%u.%u", ip >> 24, (ip >> 16) & 255,
+			    (ip >> 8) & 255, ip & 255);
+
+	fetch->next = fetcher->fetches;
+	if (fetch->next)
+		fetch->next->previous = fetch;
+	fetcher->fetches = fetch;
+	uv_timer_init(fetcher->loop, &fetch->timer);
+	fetch->timer.data = fetch;
+	uv_timer_start(&fetch->timer, on_timeout, request->timeout_ms, 0);
+	h2o_http1client_connect(&fetch->http, fetch, &fetcher->context,
+				h2o_iovec_init(text, (size_t)used), request->to.port, 0,
+				on_connect);
+}
+
+/* Starts a request. Errors as the header says. */
+int fetch_start(struct fetcher *fetcher, const struct fetch_request *request, fetch_done_fn done,
+		void *user, struct error *err)
+{
+	struct fetch *fetch = calloc(1, sizeof(*fetch));
+
+	if (!fetch)
+		return error_set(err, ERROR_MEMORY, "no memory for a request");
+	fetch->fetcher = fetcher;
+	fetch->done = done;
+	fetch->user = user;
+	if (prepare(fetch, request, err)) {
+		free(fetch);
+		return -1;
+	}
+	launch(fetch, request);
+	return 0;
+}
+
+static void on_message(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages)
+{
+	(void)receiver;
+	(void)messages;
+}
+
+/* Opens a fetcher. Errors: ERROR_MEMORY. */
+int fetcher_open(struct fetcher **out, uv_loop_t *loop, struct error *err)
+{
+	struct fetcher *fetcher = calloc(1, sizeof(*fetcher));
+
+	if (!fetcher)
+		return error_set(err, ERROR_MEMORY, "no memory for an HTTP client");
+	fetcher->loop = loop;
+	/* Hosts have no disks: buffers never spill to a file. */
+	h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+	fetcher->queue = h2o_multithread_create_queue(loop);
+	h2o_multithread_register_receiver(fetcher->queue, &fetcher->receiver, on_message);
+	h2o_timeout_init(loop, &fetcher->io_timeout, IO_TIMEOUT_MS);
+	fetcher->context.loop = loop;
+	fetcher->context.getaddr_receiver = &fetcher->receiver;
+	fetcher->context.io_timeout = &fetcher->io_timeout;
+	uv_timer_init(loop, &fetcher->closer);
+	fetcher->closer.data = fetcher;
+	*out = fetcher;
+	return 0;
+}
+
+static void on_fetcher_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+/* Ends a fetcher. */
+void fetcher_close(struct fetcher *fetcher)
+{
+	if (!fetcher)
+		return;
+	while (fetcher->fetches)
+		cancel(fetcher->fetches, ERROR_STATE, "the client is closing");
+	/* libuv runs close callbacks newest first, so the closer's comes last. */
+	uv_close((uv_handle_t *)&fetcher->closer, on_fetcher_closed);
+	h2o_timeout_dispose(fetcher->loop, &fetcher->io_timeout);
+	h2o_multithread_unregister_receiver(fetcher->queue, &fetcher->receiver);
+	h2o_multithread_destroy_queue(fetcher->queue);
+}
--- a/src/fescuemill/platform/change.c
+++ b/src/fescuemill/platform/change.c
@@ -35,8 +35,7 @@
 /* Tells whether an error may pass, so that trying again makes sense. */
 static bool may_pass(enum error_kind kind)
 {
-	return kind == ERROR_UNREACHABLE || kind == ERROR_TIMEOUT || kind == ERROR_LIMIT ||
-	       kind == ERROR_STATE;
+	return kind == ERROR_UNREACHABLE || kind == ERROR_TIMEOUT || kind == ERROR_LIMIT;
 }
 
 /* Takes the end of a write and gives the next step. */
