--- /dev/null
+++ b/src/fescuectl/command.c
@@ -0,0 +1,413 @@
+/*
+ * Commands: each asks nodes and prints a table, or JSON with --json.
+ */
+#include "fescuectl/command.h"
+
+#include "fescuectl/table.h"
+#include "fescuectl/watch.h"
+#include "fescuemill/base/random.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#define PATH_BYTES	 128
+#define HEADERS_BYTES	 256
+#define CHANGE_ID_DIGITS 32
+
+static void print_json(const json_t *json)
+{
+	json_dumpf(json, stdout, JSON_INDENT(2));
+	puts("");
+}
+
+static int make_path(char *path, const char *service, const char *class_name, struct error *err)
+{
+	int used = class_name ? snprintf(path, PATH_BYTES, "/v1/services/%s/classes/%s", service,
+					 class_name)
+			      : snprintf(path, PATH_BYTES, "/v1/services/%s", service);
+
+	if (used >= PATH_BYTES || strpbrk(path, " \r\n?#%"))
+		return error_set(err, ERROR_USAGE, "\"%.40s\" is not a name", service);
+	return 0;
+}
+
+static int get(struct asker *asker, const char *path, json_t **json, struct error *err)
+{
+	struct question question = {.method = "GET", .path = path};
+
+	return ask_any(asker, &question, json, err);
+}
+
+/* Gives the version that a change is based on: as given, else the one in force at a node. */
+static int base_version(struct asker *asker, const char *service, uint64_t *version,
+			struct error *err)
+{
+	char path[PATH_BYTES];
+	json_t *json;
+
+	*version = asker->options->if_version;
+	if (asker->options->has_if_version)
+		return 0;
+	if (make_path(path, service, NULL, err))
+		return -1;
+	if (get(asker, path, &json, err)) {
+		*version = 0;
+		return err->kind == ERROR_NOT_FOUND ? 0 : -1;
+	}
+	*version = (uint64_t)json_integer_value(json_object_get(json, "version"));
+	json_decref(json);
+	return 0;
+}
+
+/* Writes 32 random hex digits. */
+static void make_change_id(char *id)
+{
+	uint8_t bytes[CHANGE_ID_DIGITS / 2];
+
+	if (getrandom(bytes, sizeof(bytes), 0) != (ssize_t)sizeof(bytes))
+		memset(bytes, 0, sizeof(bytes));
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		snprintf(id + 2 * i, 3, "%02x", bytes[i]);
+}
+
+/* Prints an accepted change, and follows it when that was asked for. */
+static int accepted(struct asker *asker, const json_t *json, struct error *err)
+{
+	const char *service = json_string_value(json_object_get(json, "service"));
+	json_int_t version = json_integer_value(json_object_get(json, "version"));
+	const char *change = json_string_value(json_object_get(json, "change"));
+
+	if (asker->options->json)
+		print_json(json);
+	else
+		printf("accepted: service %s, version %lld, change %s\n", service,
+		       (long long)version, change);
+	if (!asker->options->follow)
+		return 0;
+	return watch_run(asker, service, (uint64_t)version, err);
+}
+
+static int change(struct asker *asker, const char *method, const char *service,
+		  const char *class_name, const char *body, struct error *err)
+{
+	char path[PATH_BYTES];
+	char headers[HEADERS_BYTES];
+	char id[CHANGE_ID_DIGITS + 1];
+	const char *by = asker->options->by;
+	struct question question = {
+		.method = method, .path = path, .headers = headers, .body = body};
+	uint64_t version;
+	json_t *json;
+	int status;
+
+	if (make_path(path, service, class_name, err) ||
+	    base_version(asker, service, &version, err))
+		return -1;
+	make_change_id(id);
+	snprintf(headers, sizeof(headers),
+		 "if-version: %" PRIu64 "\r\nx-fescue-change-id: %s\r\n%s%s%s", version, id,
+		 by[0] ? "x-fescue-by: " : "", by, by[0] ? "\r\n" : "");
+	if (ask_any(asker, &question, &json, err))
+		return -1;
+	status = accepted(asker, json, err);
+	json_decref(json);
+	return status;
+}
+
+static int class_put(struct asker *asker, const char *const *words, struct error *err)
+{
+	const struct target_options *target = &asker->options->target;
+	json_t *body;
+	char *text;
+	int status;
+
+	if (!target->whole)
+		return error_set(err, ERROR_USAGE,
+				 "class put needs --rank, --latency-ms, "
+				 "--percentile and --calls-per-s");
+	body = json_pack("{s:i, s:f, s:f, s:i}", "rank", target->rank, "latency_ms",
+			 target->latency_ms, "percentile", target->percentile, "calls_per_s",
+			 target->calls_per_s);
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	status = change(asker, "PUT", words[0], words[1], text, err);
+	free(text);
+	return status;
+}
+
+static int class_delete(struct asker *asker, const char *const *words, struct error *err)
+{
+	return change(asker, "DELETE", words[0], words[1], NULL, err);
+}
+
+static int service_delete(struct asker *asker, const char *const *words, struct error *err)
+{
+	return change(asker, "DELETE", words[0], NULL, NULL, err);
+}
+
+/* Puts a whole service from a file like those under etc/. */
+static int service_put(struct asker *asker, const char *const *words, struct error *err)
+{
+	json_error_t fault;
+	json_t *root = json_load_file(words[0], 0, &fault);
+	const char *service = json_string_value(json_object_get(root, "service"));
+	char *text;
+	int status;
+
+	if (!root)
+		return error_set(err, ERROR_SYNTAX, "%s:%d: %s", words[0], fault.line, fault.text);
+	if (!service) {
+		json_decref(root);
+		return error_set(err, ERROR_MISSING, "%s: $.service: missing", words[0]);
+	}
+	text = json_dumps(root, JSON_COMPACT);
+	status = change(asker, "PUT", service, NULL, text, err);
+	free(text);
+	json_decref(root);
+	return status;
+}
+
+static const char *const class_columns[] = {"service",	  "name",	 "rank",    "latency_ms",
+					    "percentile", "calls_per_s", "version", NULL};
+
+static int class_get(struct asker *asker, const char *const *words, struct error *err)
+{
+	char path[PATH_BYTES];
+	json_t *rows;
+	json_t *json;
+
+	if (make_path(path, words[0], words[1], err) || get(asker, path, &json, err))
+		return -1;
+	rows = json_pack("[O]", json);
+	if (asker->options->json)
+		print_json(json);
+	else
+		table_print(class_columns, rows);
+	json_decref(rows);
+	json_decref(json);
+	return 0;
+}
+
+/* Appends the classes of a service as rows of their own. */
+static void append_classes(json_t *rows, const json_t *service)
+{
+	size_t index;
+	json_t *entry;
+
+	json_array_foreach(json_object_get(service, "classes"), index, entry)
+	{
+		json_object_set(entry, "service", json_object_get(service, "service"));
+		json_object_set(entry, "version", json_object_get(service, "version"));
+		json_array_append(rows, entry);
+	}
+}
+
+static int class_list(struct asker *asker, const char *const *words, struct error *err)
+{
+	json_t *rows = json_array();
+	size_t index;
+	json_t *service;
+	json_t *json;
+
+	if (get(asker, "/v1/services", &json, err)) {
+		json_decref(rows);
+		return -1;
+	}
+	json_array_foreach(json_object_get(json, "services"), index, service)
+	{
+		const char *name = json_string_value(json_object_get(service, "service"));
+
+		if (!words[0] || (name && strcmp(words[0], name) == 0))
+			append_classes(rows, service);
+	}
+	if (asker->options->json)
+		print_json(rows);
+	else
+		table_print(class_columns, rows);
+	json_decref(rows);
+	json_decref(json);
+	return 0;
+}
+
+/* Asks all nodes the same; nodes that do not answer are named and make the exit code. */
+static int each(struct asker *asker, const char *path, const char *const *columns,
+		struct error *err)
+{
+	struct question question = {.method = "GET", .path = path};
+	struct answer answers[NODES_MAX];
+	json_t *rows = json_array();
+	int status = 0;
+
+	if (!asker->options->node_count) {
+		json_decref(rows);
+		return error_set(err, ERROR_USAGE, "no nodes");
+	}
+	ask_all(asker, &question, answers);
+	for (uint32_t i = 0; i < asker->options->node_count; i++) {
+		if (!answers[i].err.kind) {
+			json_array_append(rows, answers[i].json);
+			continue;
+		}
+		status = error_set(err, answers[i].err.kind, "%u.%u.%u.%u:%u: %.120s",
+				   answers[i].node.ip >> 24, (answers[i].node.ip >> 16) & 255,
+				   (answers[i].node.ip >> 8) & 255, answers[i].node.ip & 255,
+				   answers[i].node.port, answers[i].err.detail);
+		fprintf(stderr, "fescuectl: %s\n", err->detail);
+	}
+	if (asker->options->json)
+		print_json(rows);
+	else
+		table_print(columns, rows);
+	json_decref(rows);
+	answers_free(answers, asker->options->node_count);
+	return status;
+}
+
+static int show_status(struct asker *asker, const char *const *words, struct error *err)
+{
+	static const char *const columns[] = {
+		"name",	 "failure_domain",  "state",	     "service",	       "slots_in_use",
+		"slots", "calls_in_flight", "members_alive", "config_version", "uptime_ms",
+		NULL};
+
+	(void)words;
+	return each(asker, "/v1/status", columns, err);
+}
+
+static int show_members(struct asker *asker, const char *const *words, struct error *err)
+{
+	static const char *const columns[] = {
+		"name",	 "region",  "failure_domain", "state",	     "service", "backend",
+		"slots", "address", "node_port",      "incarnation", NULL};
+	json_t *json;
+
+	(void)words;
+	if (get(asker, "/v1/members", &json, err))
+		return -1;
+	if (asker->options->json)
+		print_json(json);
+	else
+		table_print(columns, json_object_get(json, "members"));
+	json_decref(json);
+	return 0;
+}
+
+/* Prints the counters of one node as a table. */
+static int show_counters(struct asker *asker, const char *const *words, struct error *err)
+{
+	static const char *const columns[] = {"counter", "value", "unit", NULL};
+	json_t *rows = json_array();
+	const char *name;
+	json_t *entry;
+	json_t *json;
+
+	(void)words;
+	if (get(asker, "/v1/counters", &json, err)) {
+		json_decref(rows);
+		return -1;
+	}
+	json_object_foreach(json_object_get(json, "counters"), name, entry)
+	{
+		json_object_set_new(entry, "counter", json_string(name));
+		json_array_append(rows, entry);
+	}
+	if (asker->options->json)
+		print_json(json);
+	else
+		table_print(columns, rows);
+	json_decref(rows);
+	json_decref(json);
+	return 0;
+}
+
+static int drain(struct asker *asker, const char *const *words, struct error *err)
+{
+	struct question question = {.method = "POST", .path = "/v1/drain"};
+	json_t *json;
+
+	(void)words;
+	if (asker->options->node_count != 1)
+		return error_set(err, ERROR_USAGE, "drain needs exactly one node, found %u",
+				 asker->options->node_count);
+	if (ask_any(asker, &question, &json, err))
+		return -1;
+	if (asker->options->json)
+		print_json(json);
+	else
+		puts("draining");
+	json_decref(json);
+	return 0;
+}
+
+static int watch(struct asker *asker, const char *const *words, struct error *err)
+{
+	char *end;
+	uint64_t version;
+
+	errno = 0;
+	version = strtoull(words[1], &end, 10);
+	if (*end || errno || !version)
+		return error_set(err, ERROR_USAGE, "found \"%.40s\", allowed a version", words[1]);
+	return watch_run(asker, words[0], version, err);
+}
+
+struct command {
+	const char *words[3]; /* the command's own words */
+	int lowest;	      /* arguments after them */
+	int highest;
+	const char *arguments;
+	int (*fn)(struct asker *asker, const char *const *words, struct error *err);
+};
+
+static const struct command commands[] = {
+	{{"class", "put", NULL}, 2, 2, "SERVICE CLASS", class_put},
+	{{"class", "get", NULL}, 2, 2, "SERVICE CLASS", class_get},
+	{{"class", "list", NULL}, 0, 1, "[SERVICE]", class_list},
+	{{"class", "delete", NULL}, 2, 2, "SERVICE CLASS", class_delete},
+	{{"service", "put", NULL}, 1, 1, "FILE", service_put},
+	{{"service", "delete", NULL}, 1, 1, "SERVICE", service_delete},
+	{{"status", NULL}, 0, 0, "", show_status},
+	{{"members", NULL}, 0, 0, "", show_members},
+	{{"counters", NULL}, 0, 0, "", show_counters},
+	{{"drain", NULL}, 0, 0, "", drain},
+	{{"watch", NULL}, 2, 2, "SERVICE VERSION", watch},
+};
+
+/* Gives how many words a command has if the options begin with them, else 0. */
+static int matching_words(const struct command *command, const struct options *options)
+{
+	int count = 0;
+
+	while (command->words[count]) {
+		if (count >= options->word_count ||
+		    strcmp(command->words[count], options->words[count]) != 0)
+			return 0;
+		count++;
+	}
+	return count;
+}
+
+/* Runs the command. Errors as the header says. */
+int command_run(struct asker *asker, struct error *err)
+{
+	const struct options *options = asker->options;
+
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+		int own = matching_words(&commands[i], options);
+		int given = options->word_count - own;
+
+		if (!own)
+			continue;
+		if (given < commands[i].lowest || given > commands[i].highest)
+			return error_set(err, ERROR_USAGE, "%s takes %s", options->words[0],
+					 commands[i].arguments[0] ? commands[i].arguments
+								  : "no arguments");
+		return commands[i].fn(asker, options->words + own, err);
+	}
+	return error_set(err, ERROR_USAGE, "no command \"%.40s\"; see --help",
+			 options->word_count ? options->words[0] : "");
+}
--- /dev/null
+++ b/src/fescuectl/command.h
@@ -0,0 +1,12 @@
+/*
+ * Commands of fescuectl.
+ */
+#ifndef FESCUECTL_COMMAND_H
+#define FESCUECTL_COMMAND_H
+
+#include "fescuectl/ask.h"
+
+/* Runs the command that the options name. Errors: ERROR_USAGE and those of the nodes. */
+int command_run(struct asker *asker, struct error *err);
+
+#endif
--- a/test/functional/admin_test.cc
+++ b/test/functional/admin_test.cc
@@ -1,6 +1,6 @@
 // Functional tests of the administration API and the platform client, over real sockets against the
 // platform stand-in.
-#include "functional/support/loop_thread.h"
+#include "functional/support/admin_node.h"
 #include "functional/support/process.h"
 
 #include <chrono>
@@ -13,17 +13,13 @@
 
 extern "C" {
 #include "fescuemill/base/counter.h"
-#include "fescuemill/fleet/keeper.h"
-#include "fescuemill/http/admin.h"
-#include "fescuemill/platform/client.h"
-#include "fescuemill/platform/follow.h"
 }
 
 using support::http;
 using support::HttpAnswer;
 using support::Json;
-using support::LoopThread;
 using support::Process;
+using Node = support::AdminNode;
 
 namespace
 {
@@ -32,144 +28,6 @@
 const std::string root_key = "x-fescue-key: key-of-the-operators-..";
 const std::string purchase = R"({"rank":0,"latency_ms":50,"percentile":99.0,"calls_per_s":200})";
 
-// What a node is made of, as far as configuration and administration go.
-class Node
-{
-      public:
-	explicit Node(uint16_t platform_port, const std::string &name = "n1")
-	{
-		fill(platform_port, name);
-		loop.run([this] { open(); });
-	}
-
-	~Node()
-	{
-		loop.run([this] {
-			follow_close(follow);
-			keeper_close(keeper);
-			admin_close(admin);
-			platform_client_close(client);
-		});
-		std::this_thread::sleep_for(std::chrono::milliseconds(50));
-		loop.run([this] {
-			admin_free(admin);
-			config_close(config);
-			member_table_close(members);
-		});
-	}
-
-	HttpAnswer call(const std::string &method, const std::string &path, const std::string &body,
-			std::vector<std::string> headers, int timeout_ms = 15000)
-	{
-		return http(port, method, path, body, headers, timeout_ms);
-	}
-
-	uint64_t version_of(const char *service)
-	{
-		uint64_t version = 0;
-
-		loop.run([&] {
-			const service_config *found = config_find(config, service);
-
-			version = found ? found->version : 0;
-		});
-		return version;
-	}
-
-	bool wait(const std::function<bool()> &until, int timeout_ms)
-	{
-		for (int i = 0; i < timeout_ms / 10; i++) {
-			bool reached = false;
-
-			loop.run([&] { reached = until(); });
-			if (reached)
-				return true;
-			std::this_thread::sleep_for(std::chrono::milliseconds(10));
-		}
-		return false;
-	}
-
-	bool drained = false;
-	uint16_t port = 0;
-	config_store *config = nullptr;
-	member_table *members = nullptr;
-	struct follow *follow = nullptr;
-
-      private:
-	void fill(uint16_t platform_port, const std::string &name)
-	{
-		memset(s.get(), 0, sizeof(*s));
-		strcpy(s->name, name.c_str());
-		strcpy(s->region, "north-island");
-		strcpy(s->failure_domain, "north-a");
-		s->admin_address.ip = 0x7f000001;
-		s->platform_count = 1;
-		s->platform[0] = {0x7f000001, platform_port};
-		s->platform_timeout_ms = 300;
-		s->platform_watch_ms = 1000;
-		s->admin_key_count = 3;
-		s->admin_keys[0] = {"ledger-team", "key-of-the-ledger-team"};
-		s->admin_keys[1] = {"assay-team", "key-of-the-assay-team-"};
-		s->admin_keys[2] = {"operators", "key-of-the-operators-.."};
-		s->team_rights_count = 3;
-		s->team_rights[0] = {"ledger-team", 1, {"ledger"}};
-		s->team_rights[1] = {"assay-team", 1, {"assay"}};
-		s->team_rights[2] = {"operators", 1, {"*"}};
-	}
-
-	void open()
-	{
-		session_limits limits = {50000, 400000, 100000, s->platform_watch_ms};
-		admin_node node = {};
-		error err;
-
-		ASSERT_EQ(0, config_open(&config, &err));
-		ASSERT_EQ(0, member_table_open(&members, &err));
-		ASSERT_EQ(0, platform_client_open(&client, &loop.loop, s.get(), &err));
-		platform *platform = platform_client_interface(client);
-
-		ASSERT_EQ(0, follow_open(&follow, &loop.loop, platform, CONFIG_KIND, &limits, 1,
-					 on_batch, this, &err));
-		follow_set_on(follow, true);
-		ASSERT_EQ(0, keeper_open(&keeper, &loop.loop, platform, members, &limits, 2, &err));
-		set_self();
-		node.settings = s.get();
-		node.config = config;
-		node.members = members;
-		node.platform = platform;
-		node.user = this;
-		node.status = [](void *, admin_status *out) { out->state = "ready"; };
-		node.drain = [](void *user) { static_cast<Node *>(user)->drained = true; };
-		ASSERT_EQ(0, admin_open(&admin, &loop.loop, &node, &err)) << err.detail;
-		port = admin_port(admin);
-	}
-
-	void set_self()
-	{
-		member self = {};
-
-		strcpy(self.name, s->name);
-		strcpy(self.region, s->region);
-		strcpy(self.domain, s->failure_domain);
-		self.life = {member_id_of(s->name), 1};
-		self.internal = {0x7f000001, 1, 2};
-		member_upsert(members, &self);
-		keeper_set_self(keeper, &self);
-	}
-
-	static void on_batch(void *user, uint64_t from, const char *json, size_t size)
-	{
-		EXPECT_EQ(0, config_apply_batch(static_cast<Node *>(user)->config, from, json, size,
-						nullptr));
-	}
-
-	std::unique_ptr<settings> s = std::make_unique<settings>();
-	LoopThread &loop = LoopThread::shared();
-	platform_client *client = nullptr;
-	struct keeper *keeper = nullptr;
-	struct admin *admin = nullptr;
-};
-
 class Admin : public testing::Test
 {
       protected:
--- /dev/null
+++ b/test/functional/ctl_test.cc
@@ -0,0 +1,150 @@
+// Functional tests of fescuectl against an administration API over the platform stand-in.
+#include "functional/support/admin_node.h"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+using support::AdminNode;
+using support::Json;
+using support::Process;
+
+namespace
+{
+struct Outcome {
+	int exit_code;
+	std::string output; // both standard output and standard error
+};
+
+class Ctl : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		platform = Process::start_server({support::program("standin-platform")}, "");
+		node = std::make_unique<AdminNode>(platform->port());
+		ASSERT_TRUE(node->wait([&] { return config_is_ready(node->config); }, 5000));
+	}
+
+	std::string address(const AdminNode &of) const
+	{
+		return "127.0.0.1:" + std::to_string(of.port);
+	}
+
+	Outcome raw(const std::string &arguments, const std::string &environment = "")
+	{
+		std::string command = environment + " " + support::program("fescuectl") + " " +
+				      arguments + " 2>&1";
+		FILE *pipe = popen(command.c_str(), "r");
+		char text[4096];
+		std::string output;
+		size_t size;
+
+		while ((size = fread(text, 1, sizeof(text), pipe)) > 0)
+			output.append(text, size);
+		return {WEXITSTATUS(pclose(pipe)), output};
+	}
+
+	Outcome ctl(const std::string &arguments)
+	{
+		return raw("-n " + address(*node) + " -k key-of-the-ledger-team " + arguments);
+	}
+
+	const std::string target = " --rank 0 --latency-ms 50 --percentile 99 --calls-per-s 200";
+	std::unique_ptr<Process> platform;
+	std::unique_ptr<AdminNode> node;
+};
+} // namespace
+
+TEST_F(Ctl, AClassIsPutShownListedAndDeleted)
+{
+	Outcome put = ctl("--by ana class put ledger purchase" + target);
+
+	ASSERT_EQ(0, put.exit_code) << put.output;
+	EXPECT_EQ(0, ctl("class put ledger balance" + target).exit_code);
+	Outcome get = ctl("--json class get ledger purchase");
+	Json shown(json_loads(get.output.c_str(), 0, nullptr));
+
+	EXPECT_EQ(200, json_integer_value(json_object_get(shown.get(), "calls_per_s")));
+	Outcome list = ctl("class list ledger");
+
+	EXPECT_NE(std::string::npos, list.output.find("purchase"));
+	EXPECT_NE(std::string::npos, list.output.find("balance"));
+	EXPECT_EQ(0, ctl("class delete ledger purchase").exit_code);
+	EXPECT_EQ(14, ctl("class get ledger purchase").exit_code);
+}
+
+TEST_F(Ctl, AConflictTellsWhoAndWhenAndHasItsExitCode)
+{
+	ctl("--by ana class put ledger purchase" + target);
+	Outcome lost = ctl("--if-version 1 class put ledger purchase" + target);
+
+	EXPECT_EQ(13, lost.exit_code);
+	EXPECT_NE(std::string::npos, lost.output.find("changed by ana at ")) << lost.output;
+}
+
+TEST_F(Ctl, BadTargetsNameThePath)
+{
+	Outcome bad = ctl("class put ledger purchase --rank 16 --latency-ms 50 --percentile 99 "
+			  "--calls-per-s 1");
+
+	EXPECT_EQ(9, bad.exit_code);
+	EXPECT_NE(std::string::npos, bad.output.find("$.rank: found 16, allowed")) << bad.output;
+	EXPECT_EQ(2, ctl("class put ledger purchase --rank 1").exit_code);
+}
+
+TEST_F(Ctl, AnUnreachableNodeIsNamedAndTheOthersAnswer)
+{
+	Outcome status =
+		raw("-n " + address(*node) + " -n 127.0.0.1:1 -k key-of-the-ledger-team status");
+
+	EXPECT_EQ(17, status.exit_code);
+	EXPECT_NE(std::string::npos, status.output.find("127.0.0.1:1: "));
+	EXPECT_NE(std::string::npos, status.output.find("north-a"));
+	EXPECT_EQ(0,
+		  raw("-n 127.0.0.1:1 -n " + address(*node) + " -k key-of-the-ledger-team members")
+			  .exit_code);
+}
+
+TEST_F(Ctl, AChangeIsWatchedUntilItIsInForceEverywhere)
+{
+	AdminNode other(platform->port(), "n2");
+	Outcome put = raw("-n " + address(*node) + "," + address(other) +
+			  " -k key-of-the-ledger-team --watch class put ledger purchase" + target);
+
+	EXPECT_EQ(0, put.exit_code) << put.output;
+	EXPECT_NE(std::string::npos, put.output.find("in_force")) << put.output;
+	EXPECT_NE(0U, other.version_of("ledger"));
+}
+
+TEST_F(Ctl, TheEnvironmentOutranksOptionsWhichOutrankTheFile)
+{
+	std::string file = testing::TempDir() + "ctl-settings.json";
+
+	std::ofstream(file) << R"({"nodes":["127.0.0.1:1"],"key":"key-of-the-ledger-team"})";
+	EXPECT_EQ(17, raw("-s " + file + " members").exit_code);
+	EXPECT_EQ(0, raw("-s " + file + " -n " + address(*node) + " members").exit_code);
+	EXPECT_EQ(17, raw("-s " + file + " -n " + address(*node) + " members",
+			  "FESCUECTL_NODES=127.0.0.1:1")
+			      .exit_code);
+	EXPECT_EQ(15, raw("-s " + file + " -n " + address(*node) + " members",
+			  "FESCUECTL_KEY=some-other-key-here")
+			      .exit_code);
+	std::ofstream(file) << R"({"colour":1})";
+	EXPECT_EQ(7, raw("-s " + file + " members").exit_code);
+}
+
+TEST_F(Ctl, AServiceIsPutFromASampleAndCountersAndDrainAnswer)
+{
+	std::string sample = FESCUEMILL_SOURCE_DIR "/etc/rangitoto/services/ledger.json";
+
+	EXPECT_EQ(0, ctl("service put " + sample).exit_code);
+	EXPECT_NE(std::string::npos, ctl("class list").output.find("statement"));
+	EXPECT_NE(std::string::npos, ctl("counters").output.find("admin_requests"));
+	EXPECT_EQ(15, ctl("drain").exit_code);
+	EXPECT_EQ(0, raw("-n " + address(*node) + " -k key-of-the-operators-.. drain").exit_code);
+	EXPECT_TRUE(node->drained);
+	EXPECT_EQ(2, ctl("class").exit_code);
+	EXPECT_EQ(2, ctl("--colour").exit_code);
+}
