--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -51,6 +51,7 @@
 	struct choice *choice;
 	struct retry_bucket bucket;
 	uint64_t members_revision;
+	uint64_t refreshed_us;
 };
 
 /* One call of a caller; lies in the call's arena. */
@@ -64,6 +65,7 @@
 	struct call_place places[LINK_KIND_COUNT];
 	uint64_t sent_us;
 	uint32_t slot;
+	uint8_t class_index; /* in the service's configuration */
 };
 
 struct entry {
