--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -209,6 +209,8 @@
 	struct service_object object;
 	struct error fault;
 
+	if (!entry && delivery->version <= store->pruned_version)
+		return 0;
 	if (!entry)
 		return error_set(err, ERROR_MEMORY, "no room for service %s", delivery->name);
 	if (!delivery->json) {
@@ -294,12 +296,14 @@
 {
 	bool joins = batch->from <= store->through &&
 		     (!batch->has_same || batch->same == config_content(store));
+	struct error err;
 
 	for (uint32_t i = 0; i < batch->count; i++) {
 		struct delivery delivery;
 
 		batch_item(batch, i, &delivery, NULL);
-		apply_delivery(store, &delivery, NULL);
+		if (apply_delivery(store, &delivery, &err) && err.kind == ERROR_MEMORY)
+			log_failure(LOG_ERROR, LOG_PART_CONFIG, "Service left out.", &err);
 	}
 	if (batch->from == 0)
 		delete_absent(store, batch);
--- /dev/null
+++ b/src/fescuemilld/admin_shell.c
@@ -0,0 +1,83 @@
+/*
+ * Admin shell: gathers a node's status from its parts.
+ */
+#include "fescuemilld/admin_shell.h"
+
+#include "fescuemill/base/clock.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct admin_shell {
+	struct admin_shell_options options;
+	struct admin *admin;
+	uint64_t started_us;
+};
+
+static void fill_status(void *user, struct admin_status *out)
+{
+	const struct admin_shell *shell = user;
+	const struct admin_shell_options *options = &shell->options;
+	const struct member *self = options->self(options->user);
+	struct gate_load load;
+
+	gate_shell_get_load(options->gate, &load);
+	out->state = options->state(options->user);
+	out->incarnation = options->incarnation;
+	out->uptime_ms = (clock_monotonic_us() - shell->started_us) / USEC_PER_MSEC;
+	out->calls_in_flight = entry_calls(options->entry);
+	out->attempts_waiting = load.queued;
+	out->slots = self->slots;
+	out->slots_in_use = load.in_use;
+	memcpy(out->service, self->service, sizeof(out->service));
+}
+
+static void drain(void *user)
+{
+	const struct admin_shell *shell = user;
+
+	shell->options.drain(shell->options.user);
+}
+
+/* Opens the administration API of a node. Errors: ERROR_MEMORY, ERROR_SYSTEM. */
+int admin_shell_open(struct admin_shell **out, uv_loop_t *loop,
+		     const struct admin_shell_options *options, struct error *err)
+{
+	struct admin_shell *shell = calloc(1, sizeof(*shell));
+	struct admin_node node = {.settings = options->settings,
+				  .config = options->config,
+				  .members = options->members,
+				  .platform = options->platform,
+				  .user = shell,
+				  .status = fill_status,
+				  .drain = drain};
+
+	if (!shell)
+		return error_set(err, ERROR_MEMORY, "no memory for the administration API");
+	shell->options = *options;
+	shell->started_us = clock_monotonic_us();
+	if (admin_open(&shell->admin, loop, &node, err)) {
+		free(shell);
+		return -1;
+	}
+	*out = shell;
+	return 0;
+}
+
+/* Gives the port that the API listens on. */
+uint16_t admin_shell_port(const struct admin_shell *shell)
+{
+	return admin_port(shell->admin);
+}
+
+/* Counts the changes of configuration that still run. */
+uint32_t admin_shell_changes(const struct admin_shell *shell)
+{
+	return admin_changes(shell->admin);
+}
+
+/* Stops listening. */
+void admin_shell_close(struct admin_shell *shell)
+{
+	admin_close(shell->admin);
+}
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -12,6 +12,7 @@
 #include "fescuemill/http/caller.h"
 #include "fescuemill/platform/client.h"
 #include "fescuemill/platform/follow.h"
+#include "fescuemilld/admin_shell.h"
 #include "fescuemilld/config_pull.h"
 #include "fescuemilld/entry.h"
 #include "fescuemilld/gate_shell.h"
@@ -66,6 +67,7 @@
 	struct config_pull *pull;
 	struct entry *entry;
 	struct gate_shell *gate;
+	struct admin_shell *admin;
 };
 
 /* Moves the node along its chart; an input that the present state does not take is ignored. */
@@ -262,6 +264,7 @@
 /* Closes every part, so that the loop can end. */
 static void close_parts(struct node *node)
 {
+	admin_shell_close(node->admin);
 	gossip_shell_close(node->gossip_shell);
 	config_pull_close(node->pull);
 	keeper_close(node->keeper);
@@ -300,7 +303,8 @@
 
 	switch (node->stop_phase) {
 	case STOP_FINISHING:
-		if (entry_calls(node->entry) == 0 && gate_shell_live(node->gate) == 0)
+		if (entry_calls(node->entry) == 0 && gate_shell_live(node->gate) == 0 &&
+		    admin_shell_changes(node->admin) == 0)
 			enter_phase(node, STOP_ACKED, now_us);
 		break;
 	case STOP_ACKED:
@@ -513,6 +517,49 @@
 	return 0;
 }
 
+/* Gives the node's state by its name in the chart. */
+static const char *state_name(void *user)
+{
+	const struct node *node = user;
+
+	return chart_names_of(CHART_NODE)->states[node->state];
+}
+
+static const struct member *self_now(void *user)
+{
+	const struct node *node = user;
+
+	return gossip_self(node->gossip);
+}
+
+/* Begins a stop that an operator asked for, unless one is under way. */
+static void on_drain(void *user)
+{
+	struct node *node = user;
+
+	if (node->stop_phase == STOP_NONE)
+		begin_stop(node);
+}
+
+static int open_admin(struct node *node, struct error *err)
+{
+	struct admin_shell_options options = {
+		.settings = &node->settings,
+		.config = node->config,
+		.members = node->members,
+		.platform = platform_client_interface(node->platform),
+		.entry = node->entry,
+		.gate = node->gate,
+		.incarnation = node->self.life.incarnation,
+		.state = state_name,
+		.self = self_now,
+		.drain = on_drain,
+		.user = node,
+	};
+
+	return admin_shell_open(&node->admin, &node->loop, &options, err);
+}
+
 /* Starts the timers and signals of a node whose parts are open. */
 static void start_handles(struct node *node)
 {
@@ -547,7 +594,8 @@
 		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0)
 		return -1;
-	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
+	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0 ||
+	    open_admin(node, err) != 0)
 		return -1;
 	keeper_set_watching(node->keeper, false);
 	keeper_set_self(node->keeper, gossip_self(node->gossip));
@@ -563,7 +611,7 @@
 	       "\"backend_port\":%u,\"admin_port\":%u}\n",
 	       node->settings.name, caller_port(node->caller), channel_port(node->channel),
 	       gossip_shell_port(node->gossip_shell), announce_port(node->announce),
-	       node->settings.admin_address.port);
+	       admin_shell_port(node->admin));
 	fflush(stdout);
 }
 
--- a/test/property/config_property_test.cc
+++ b/test/property/config_property_test.cc
@@ -183,10 +183,11 @@
 			node.watched = std::max(node.watched, m.version);
 	}
 
+	// What a peer sent to the process before may still arrive.
 	void restart(int index)
 	{
 		nodes[index] = std::make_unique<Node>();
-		forget(index, false);
+		forget_platform(index);
 	}
 
 	// A pause abandons the calls to the platform, but an answer of a peer may still arrive.
@@ -194,18 +195,16 @@
 	{
 		config_mark_stale(nodes[index]->store);
 		nodes[index]->watched = 0;
-		forget(index, true);
+		forget_platform(index);
 		RC_ASSERT(!config_is_ready(nodes[index]->store));
 	}
 
-	void forget(int index, bool only_platform)
+	void forget_platform(int index)
 	{
-		messages.erase(std::remove_if(messages.begin(), messages.end(),
-					      [&](const Message &m) {
-						      return m.to == index &&
-							     (!only_platform || !m.peer);
-					      }),
-			       messages.end());
+		messages.erase(
+			std::remove_if(messages.begin(), messages.end(),
+				       [&](const Message &m) { return m.to == index && !m.peer; }),
+			messages.end());
 	}
 
 	void check() const
--- /dev/null
+++ b/test/unit/fleet/config_test.cc
@@ -0,0 +1,248 @@
+// Unit tests of the configuration store: the cases that the properties seldom draw, and its bounds.
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/fleet/config.h"
+}
+
+static std::string object(const std::string &name, int calls = 1)
+{
+	return R"({"service":")" + name + R"(","team":"t","classes":[{"name":"c","rank":1,)" +
+	       R"("latency_ms":5,"percentile":99,"calls_per_s":)" + std::to_string(calls) + "}]}";
+}
+
+static std::string item(const std::string &name, uint64_t version, const std::string &value = "")
+{
+	std::string head = R"({"name":")" + name + R"(","version":)" + std::to_string(version);
+
+	return head + (value.empty() ? R"(,"deleted":true})" : R"(,"value":)" + value + "}");
+}
+
+static std::string batch(uint64_t version, const std::string &items)
+{
+	return R"({"version":)" + std::to_string(version) + R"(,"items":[)" + items + "]}";
+}
+
+class Store
+{
+      public:
+	Store()
+	{
+		log_set_level(LOG_ERROR);
+		config_open(&store, nullptr);
+	}
+	~Store()
+	{
+		config_close(store);
+	}
+	Store(const Store &) = delete;
+
+	int apply(uint64_t from, const std::string &json, error *err = nullptr)
+	{
+		return config_apply_batch(store, from, json.data(), json.size(), err);
+	}
+
+	int apply_peer(const std::string &json, uint64_t ticket)
+	{
+		return config_apply_peer_batch(store, ticket, json.data(), json.size(), nullptr);
+	}
+
+	// The answer that this store gives to a pull of another.
+	std::string answer(const Store &asker)
+	{
+		char *json;
+		size_t size;
+
+		if (config_write_batch(store, config_version(asker.store),
+				       config_content(asker.store), &json, &size, nullptr))
+			return "";
+		std::string text(json, size);
+
+		free(json);
+		return text;
+	}
+
+	uint64_t version_of(const char *service) const
+	{
+		const service_config *config = config_find(store, service);
+
+		return config ? config->version : 0;
+	}
+
+	config_store *store;
+};
+
+TEST(ConfigStore, IsReadyOnlyAfterAWholeAnswer)
+{
+	Store store;
+
+	EXPECT_FALSE(config_is_ready(store.store));
+	EXPECT_EQ("", store.answer(store));
+	std::string ledger = object("ledger");
+
+	config_apply_object(store.store, "ledger", 5, ledger.data(), ledger.size(), nullptr);
+	EXPECT_FALSE(config_is_ready(store.store));
+	EXPECT_EQ(5U, store.version_of("ledger"));
+	EXPECT_EQ(0U, config_version(store.store));
+	store.apply(0, batch(5, item("ledger", 5, ledger)));
+	EXPECT_TRUE(config_is_ready(store.store));
+	EXPECT_EQ(5U, config_version(store.store));
+}
+
+TEST(ConfigStore, AnAnswerThatDoesNotJoinIsAppliedButClaimsNothing)
+{
+	Store store;
+
+	store.apply(10, batch(12, item("ledger", 12, object("ledger"))));
+	EXPECT_EQ(12U, store.version_of("ledger"));
+	EXPECT_EQ(0U, config_version(store.store));
+	EXPECT_FALSE(config_is_ready(store.store));
+}
+
+TEST(ConfigStore, SameIsNotTakenOnceTheContentHasChanged)
+{
+	Store asker;
+	Store newer;
+	Store older;
+
+	asker.apply(0, batch(1, ""));
+	newer.apply(0, batch(3, ""));
+	older.apply(0, batch(2, item("ledger", 2, object("ledger"))));
+	std::string same = newer.answer(asker);
+	std::string full = older.answer(asker);
+
+	ASSERT_NE(std::string::npos, same.find("\"same\""));
+	asker.apply_peer(full, 1);
+	EXPECT_EQ(2U, asker.version_of("ledger"));
+	asker.apply_peer(same, 1);
+	EXPECT_EQ(2U, config_version(asker.store));
+	asker.apply_peer(newer.answer(asker), 1);
+	EXPECT_EQ(0U, asker.version_of("ledger"));
+	EXPECT_EQ(3U, config_version(asker.store));
+}
+
+TEST(ConfigStore, ABatchThatIsNotUnderstoodAppliesNothing)
+{
+	Store store;
+	error err;
+	std::string good = item("ledger", 2, object("ledger"));
+
+	for (const std::string &bad :
+	     {std::string("{"), std::string("[]"), batch(2, good + ",{}"),
+	      batch(2, good + "," + item("assay", 0, object("assay"))),
+	      batch(2, good + R"(,{"name":"assay","version":2})"), R"({"items":[)" + good + "]}",
+	      std::string(R"({"version":2,"items":{}})")}) {
+		EXPECT_EQ(-1, store.apply(0, bad, &err)) << bad;
+		EXPECT_EQ(0U, config_count(store.store));
+	}
+	EXPECT_FALSE(config_is_ready(store.store));
+}
+
+TEST(ConfigStore, AnObjectThatDoesNotParseIsCountedOnce)
+{
+	Store store;
+	uint64_t before = counter_get(COUNTER_CONFIG_REJECTED);
+
+	store.apply(0, batch(2, item("ledger", 2, object("ledger"))));
+	for (int i = 0; i < 3; i++)
+		store.apply(2, batch(3, item("ledger", 3, R"({"service":"ledger"})")));
+	EXPECT_EQ(before + 1, counter_get(COUNTER_CONFIG_REJECTED));
+	EXPECT_EQ(2U, store.version_of("ledger"));
+	store.apply(3, batch(4, item("ledger", 4, object("other"))));
+	EXPECT_EQ(2U, store.version_of("ledger"));
+	store.apply(4, batch(5, item("ledger", 5, object("ledger"))));
+	EXPECT_EQ(5U, store.version_of("ledger"));
+}
+
+TEST(ConfigStore, APeerPassesOnWhatItDoesNotUnderstandWithTheLastGoodOne)
+{
+	Store peer;
+	Store fresh;
+
+	peer.apply(0, batch(2, item("ledger", 2, object("ledger"))));
+	peer.apply(2, batch(3, item("ledger", 3, R"({"service":"ledger"})")));
+	std::string answer = peer.answer(fresh);
+
+	EXPECT_NE(std::string::npos, answer.find(R"("version":3)"));
+	fresh.apply_peer(answer, config_ticket(fresh.store));
+	EXPECT_EQ(2U, fresh.version_of("ledger"));
+	EXPECT_EQ(3U, config_version(fresh.store));
+	EXPECT_TRUE(config_is_ready(fresh.store));
+}
+
+TEST(ConfigStore, ForgottenDeletionsAreNotUndoneByLateDeliveries)
+{
+	Store store;
+	uint64_t version = 1;
+
+	store.apply(0, batch(1, ""));
+	for (int i = 0; i < CONFIG_SERVICES_MAX + 100; i++) {
+		std::string name = "s" + std::to_string(i);
+
+		store.apply(version, batch(version + 1, item(name, version + 1, object(name))));
+		store.apply(version + 1, batch(version + 2, item(name, version + 2)));
+		version += 2;
+	}
+	EXPECT_EQ(0U, config_count(store.store));
+	store.apply(1, batch(2, item("s0", 2, object("s0"))));
+	EXPECT_EQ(0U, config_count(store.store));
+	store.apply(version, batch(version + 1, item("s0", version + 1, object("s0"))));
+	EXPECT_EQ(1U, config_count(store.store));
+}
+
+TEST(ConfigStore, MoreServicesThanItHoldsAreRefusedAndTheOthersStay)
+{
+	Store store;
+	std::string items;
+
+	for (int i = 0; i < CONFIG_SERVICES_MAX + 1; i++) {
+		std::string name = "s" + std::to_string(i);
+
+		items += (i ? "," : "") + item(name, (uint64_t)i + 1, object(name));
+	}
+	store.apply(0, batch(CONFIG_SERVICES_MAX + 1, items));
+	EXPECT_EQ((size_t)CONFIG_SERVICES_MAX, config_count(store.store));
+	EXPECT_EQ(1U, store.version_of("s0"));
+}
+
+TEST(ConfigStore, ADigestThatNoPeerBacksEndsWithThePlatformsWord)
+{
+	Store store;
+
+	config_note_version(store.store, 1000);
+	EXPECT_TRUE(config_is_behind(store.store));
+	store.apply(0, batch(2, ""));
+	EXPECT_FALSE(config_is_behind(store.store));
+	EXPECT_TRUE(config_is_ready(store.store));
+}
+
+// The cost of one change to a fleet at its full number of services, for docs/CAPACITY.md.
+TEST(ConfigStore, AnAnswerToAPullHasOnlyWhatIsNewer)
+{
+	Store peer;
+	Store asker;
+	std::string items;
+
+	for (int i = 0; i < 150; i++) {
+		std::string name = "service-" + std::to_string(i);
+
+		items += (i ? "," : "") + item(name, (uint64_t)i + 1, object(name));
+	}
+	peer.apply(0, batch(150, items));
+	std::string whole = peer.answer(asker);
+
+	asker.apply_peer(whole, 1);
+	peer.apply(150, batch(151, item("service-7", 151, object("service-7", 2))));
+	std::string one = peer.answer(asker);
+
+	RecordProperty("whole_bytes", (int)whole.size());
+	RecordProperty("one_change_bytes", (int)one.size());
+	EXPECT_LT(one.size(), 2 * object("service-7").size() + 200);
+	asker.apply_peer(one, 1);
+	EXPECT_EQ(151U, asker.version_of("service-7"));
+	EXPECT_LT(peer.answer(asker).size(), 100U);
+}
