Gate: the limit probes what causes inflated service times

Change: the usual service time comes from attempts started beside few others; two inflated rounds start one probe of 32 answers at few slots, which tells concurrency from a slow dependency. The property's calls now also fail, shed and time out.

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -50,6 +50,7 @@
 	gate->classes[ticket->class_index].running++;
 	ticket->state = TICKET_RUNNING;
 	ticket->start_us = now_us;
+	ticket->beside = gate->in_use;
 	gate_order_started(gate, ticket);
 	if (gate->in_use >= gate->limit.current)
 		limit_note_full(&gate->limit);
@@ -268,14 +269,14 @@
 }
 
 /* Takes the announced slots; a backend server that was not ready before starts cold. */
-static void set_slots(struct gate *gate, bool was_serving, uint32_t slots)
+static void set_slots(struct gate *gate, bool was_serving, uint32_t slots, uint64_t now_us)
 {
 	if (slots > GATE_SLOTS_MAX)
 		slots = GATE_SLOTS_MAX;
 	if (!was_serving)
-		limit_start(&gate->limit, slots);
+		limit_start(&gate->limit, slots, now_us);
 	else if (slots != gate->limit.slots)
-		limit_set_slots(&gate->limit, slots);
+		limit_set_slots(&gate->limit, slots, now_us);
 	gate_account_share_floors(gate);
 }
 
@@ -291,7 +292,7 @@
 
 	begin(gate, now_us, actions);
 	gate->state = state;
-	set_slots(gate, was_serving, slots);
+	set_slots(gate, was_serving, slots, now_us);
 	if (state == BACKEND_LEAVING)
 		refuse_all(gate, REASON_DRAINING, actions);
 	else if (!may_start(gate))
--- a/src/fescuemill/decide/gate_account.c
+++ b/src/fescuemill/decide/gate_account.c
@@ -83,16 +83,20 @@
 }
 
 /* Takes the service time of an answered attempt. */
-static void take_service_time(struct gate *gate, struct gate_class *class, uint64_t spent_us)
+static void take_service_time(struct gate *gate, const struct gate_ticket *ticket, uint64_t now_us)
 {
-	struct gate_service *service = &class->service;
+	struct gate_service *service = &gate->classes[ticket->class_index].service;
+	struct limit_sample sample = {ticket->start_us, now_us, service->usual_us};
+	uint64_t spent_us = now_us - ticket->start_us;
 
-	if (service->samples < GATE_USUAL_SAMPLES)
-		service->samples++;
-	limit_served(&gate->limit, spent_us, service->usual_us);
 	service->recent_us = mean_towards(service->recent_us, spent_us, RECENT_WEIGHT);
-	service->usual_us = mean_towards(service->usual_us, spent_us, service->samples);
 	gate->service_us = mean_towards(gate->service_us, spent_us, RECENT_WEIGHT);
+	if (ticket->beside <= limit_low(&gate->limit)) {
+		if (service->usual_count < GATE_USUAL_SAMPLES)
+			service->usual_count++;
+		service->usual_us = mean_towards(service->usual_us, spent_us, service->usual_count);
+	}
+	limit_served(&gate->limit, &sample);
 }
 
 /* Moves the penalty towards what a failed attempt cost its caller, or towards nothing. */
@@ -108,17 +112,16 @@
 void gate_account_result(struct gate *gate, const struct gate_ticket *ticket,
 			 enum gate_result result, uint64_t now_us)
 {
-	struct gate_class *class = &gate->classes[ticket->class_index];
 	uint64_t spent_us = now_us - ticket->start_us;
-	uint64_t target_us = class->target.latency_us;
+	uint64_t target_us = gate->classes[ticket->class_index].target.latency_us;
 
 	switch (result) {
 	case GATE_RESULT_OK:
-		take_service_time(gate, class, spent_us);
+		take_service_time(gate, ticket, now_us);
 		take_penalty(gate, 0);
 		return;
 	case GATE_RESULT_SHED:
-		limit_shed(&gate->limit);
+		limit_shed(&gate->limit, now_us);
 		break;
 	case GATE_RESULT_ERROR:
 	case GATE_RESULT_TIMEOUT:
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -17,7 +17,7 @@
 #define GATE_QUEUE_MAX	      256	     /* places of all classes together */
 #define GATE_ACTIONS_MAX      GATE_QUEUE_MAX /* one operation decides at most all that waits */
 #define GATE_TICK_INTERVAL_US 5000
-#define GATE_USUAL_SAMPLES    512
+#define GATE_USUAL_SAMPLES    256
 #define GATE_PENALTY_HALF_US  500000 /* a failure counts half as much after this time */
 
 enum ticket_state {
@@ -35,6 +35,7 @@
 	uint64_t deadline_us; /* the caller's */
 	uint64_t due_us;      /* arrival and latency target, never later than the deadline */
 	uint64_t start_us;
+	uint32_t beside; /* attempts that ran when it started, itself included */
 	uint8_t class_index;
 	uint8_t generation; /* of the class's place */
 	uint8_t state;	    /* enum ticket_state */
@@ -82,8 +83,8 @@
 /* Service times of a class, from answered attempts; 0 while unknown. */
 struct gate_service {
 	uint64_t recent_us; /* mean over the last few */
-	uint64_t usual_us;  /* mean over the last few hundred */
-	uint32_t samples;   /* counted up to GATE_USUAL_SAMPLES */
+	uint64_t usual_us;  /* mean over the last GATE_USUAL_SAMPLES with few attempts at once */
+	uint32_t usual_count;
 };
 
 struct gate_class {
--- a/src/fescuemill/decide/limit.c
+++ b/src/fescuemill/decide/limit.c
@@ -1,16 +1,21 @@
 /*
- * Limit: how many slots of the backend server the gate uses at once. It starts low, grows by one a
- * round while it is reached, and shrinks when service times inflate or the backend server sheds.
+ * Limit: how many slots of the backend server the gate uses at once.
+ *
+ * It starts low and grows by one a round while it is reached. When service times inflate, one round
+ * at few slots tells whether concurrency causes it: if so (a noisy neighbour took processors) the
+ * limit shrinks until the inflation is gone; if not (a slow dependency) the limit stays, and the
+ * longer time becomes the usual one.
  */
 #include "fescuemill/decide/limit.h"
 
 #include <string.h>
 
 /* Begins a new round of measurement. */
-static void begin_round(struct limit *limit)
+static void begin_round(struct limit *limit, uint64_t now_us)
 {
 	limit->round_count = 0;
 	limit->round_percent = 0;
+	limit->round_us = now_us;
 	limit->round_full = false;
 	limit->round_shed = false;
 }
@@ -31,69 +36,108 @@
 		limit->current++;
 }
 
-/* Tells whether the last shrink brought the service time down by at least half of its cut. */
-static bool shrink_helped(const struct limit *limit, uint64_t percent)
+/* Takes an inflation that a probe explained as usual. */
+static void take_as_usual(struct limit *limit, uint64_t percent)
 {
-	uint64_t cut = 100 - 100ULL * limit->current / limit->before_shrink;
+	limit->explained_percent = percent > 100 ? percent : 100;
+	limit->usual_percent = limit->explained_percent;
+	limit->probe_age = 0;
+	limit->inflated_rounds = 0;
+}
 
-	return percent * 100 <= limit->shrink_percent * (100 - cut / 2);
+/* Moves the usual inflation towards that of a round, between none and what a probe explained. */
+static void follow_usual(struct limit *limit, uint64_t percent)
+{
+	limit->usual_percent = (limit->usual_percent * 7 + percent) / 8;
+	if (limit->usual_percent < 100)
+		limit->usual_percent = 100;
+	if (limit->usual_percent > limit->explained_percent)
+		limit->usual_percent = limit->explained_percent;
 }
 
-/*
- * Decides on a round whose service times were too long. A shrink that did not help is taken back,
- * and the longer service time becomes the usual one: fewer attempts at once do not cure it.
- */
-static void end_inflated_round(struct limit *limit, uint64_t percent)
+/* Goes down to few slots for one round. */
+static void begin_probe(struct limit *limit, uint64_t percent)
 {
-	if (limit->before_shrink && !shrink_helped(limit, percent)) {
-		limit->current = limit->before_shrink;
-		limit->before_shrink = 0;
-		limit->usual_percent = percent;
-		return;
+	limit->mode = LIMIT_PROBE;
+	limit->before_probe = limit->current;
+	limit->probe_percent = percent;
+	limit->current = limit_low(limit);
+}
+
+/* Returns from few slots to the limit before, or to less when concurrency caused the inflation. */
+static void end_probe(struct limit *limit, uint64_t percent)
+{
+	limit->mode = LIMIT_STEADY;
+	limit->current = limit->before_probe;
+	if (percent * LIMIT_INFLATED_PERCENT < limit->probe_percent * 100) {
+		take_as_usual(limit, percent);
+		shrink(limit);
+	} else {
+		take_as_usual(limit,
+			      percent > limit->probe_percent ? percent : limit->probe_percent);
 	}
-	limit->before_shrink = limit->current;
-	limit->shrink_percent = percent;
-	shrink(limit);
-	if (limit->current == limit->before_shrink)
-		limit->before_shrink = 0;
 }
 
-/* Decides on a full round of measurement. */
-static void end_round(struct limit *limit)
+/* Decides after rounds of inflated service times. */
+static void react(struct limit *limit, uint64_t percent)
 {
-	uint64_t percent = limit->round_percent / limit->round_count;
+	if (limit->current <= limit_low(limit))
+		take_as_usual(limit, percent);
+	else if (limit->probe_age >= LIMIT_PROBE_ROUNDS)
+		begin_probe(limit, percent);
+	else
+		shrink(limit);
+}
 
-	if (percent < limit->usual_percent)
-		limit->usual_percent = percent > 100 ? percent : 100;
+/* Decides on a round at the usual number of slots. */
+static void end_steady_round(struct limit *limit, uint64_t percent)
+{
+	if (limit->probe_age < LIMIT_PROBE_ROUNDS)
+		limit->probe_age++;
 	if (percent * 100 > limit->usual_percent * LIMIT_INFLATED_PERCENT) {
-		end_inflated_round(limit, percent);
-	} else if (limit->round_full && !limit->round_shed) {
-		limit->before_shrink = 0;
-		grow(limit);
+		limit->inflated_rounds++;
+		if (limit->inflated_rounds >= LIMIT_INFLATED_ROUNDS)
+			react(limit, percent);
+		return;
 	}
-	begin_round(limit);
+	limit->inflated_rounds = 0;
+	follow_usual(limit, percent);
+	if (limit->round_full && !limit->round_shed)
+		grow(limit);
 }
 
 /* Begins with a backend server that has just started. */
-void limit_start(struct limit *limit, uint32_t slots)
+void limit_start(struct limit *limit, uint32_t slots, uint64_t now_us)
 {
 	memset(limit, 0, sizeof(*limit));
 	limit->usual_percent = 100;
+	limit->explained_percent = 100;
+	limit->probe_age = LIMIT_PROBE_ROUNDS;
 	limit->slots = slots;
-	limit->current = slots / LIMIT_COLD_DIVISOR;
-	if (!limit->current && slots)
-		limit->current = 1;
+	limit->current = limit_low(limit);
+	begin_round(limit, now_us);
 }
 
 /* Takes a changed number of announced slots. */
-void limit_set_slots(struct limit *limit, uint32_t slots)
+void limit_set_slots(struct limit *limit, uint32_t slots, uint64_t now_us)
 {
+	if (limit->mode == LIMIT_PROBE)
+		limit->current = limit->before_probe;
+	limit->mode = LIMIT_STEADY;
 	limit->slots = slots;
-	limit->before_shrink = 0;
 	if (limit->current > slots)
 		limit->current = slots;
 	if (!limit->current && slots)
 		limit->current = 1;
+	begin_round(limit, now_us);
+}
+
+/* Gives how many attempts at once count as few: they do not slow each other down. */
+uint32_t limit_low(const struct limit *limit)
+{
+	uint32_t low = limit->slots / LIMIT_LOW_DIVISOR;
+
+	return low || !limit->slots ? low : 1;
 }
 
 /* Notes that all slots under the limit are taken: only then is there reason to grow. */
@@ -102,24 +146,46 @@
 	limit->round_full = true;
 }
 
-/* Takes the service time of an answered attempt and the usual one of its class. */
-void limit_served(struct limit *limit, uint64_t service_us, uint64_t usual_us)
+/* Gives how many answered attempts make a round: a probe decides for long, so it takes more. */
+static uint32_t round_size(const struct limit *limit)
 {
-	if (!usual_us)
+	if (limit->mode == LIMIT_PROBE)
+		return LIMIT_PROBE_SAMPLES;
+	return limit->current > LIMIT_ROUND_MIN ? limit->current : LIMIT_ROUND_MIN;
+}
+
+/* Takes an answered attempt, unless it started before this round. */
+void limit_served(struct limit *limit, const struct limit_sample *sample)
+{
+	uint64_t percent;
+
+	if (!sample->usual_us || sample->start_us < limit->round_us)
 		return;
-	limit->round_percent += service_us * 100 / usual_us;
+	limit->round_percent += (sample->end_us - sample->start_us) * 100 / sample->usual_us;
 	limit->round_count++;
-	if (limit->round_count >= LIMIT_ROUND_MIN && limit->round_count >= limit->current)
-		end_round(limit);
+	if (limit->round_count < round_size(limit))
+		return;
+	percent = limit->round_percent / limit->round_count;
+	switch (limit->mode) {
+	case LIMIT_STEADY:
+		end_steady_round(limit, percent);
+		break;
+	case LIMIT_PROBE:
+		end_probe(limit, percent);
+		break;
+	}
+	begin_round(limit, sample->end_us);
 }
 
 /* Takes a refusal by the backend server; shrinks once a round. */
-void limit_shed(struct limit *limit)
+void limit_shed(struct limit *limit, uint64_t now_us)
 {
 	if (limit->round_shed)
 		return;
+	if (limit->mode == LIMIT_PROBE)
+		limit->current = limit->before_probe;
+	limit->mode = LIMIT_STEADY;
 	shrink(limit);
-	begin_round(limit);
+	begin_round(limit, now_us);
 	limit->round_shed = true;
-	limit->before_shrink = 0;
 }
--- a/src/fescuemill/decide/limit.h
+++ b/src/fescuemill/decide/limit.h
@@ -7,27 +7,48 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define LIMIT_COLD_DIVISOR     4   /* a cold start begins at slots over this */
-#define LIMIT_ROUND_MIN	       16  /* finished attempts that make one measurement */
-#define LIMIT_INFLATED_PERCENT 150 /* of the usual service time; above it the limit shrinks */
+#define LIMIT_LOW_DIVISOR      4   /* a cold start and a probe use slots over this */
+#define LIMIT_ROUND_MIN	       16  /* answered attempts that make one measurement */
+#define LIMIT_INFLATED_PERCENT 150 /* of the usual service time; above it a round is inflated */
+#define LIMIT_INFLATED_ROUNDS  2   /* in a row, before the limit reacts */
 #define LIMIT_KEEP_PERCENT     75  /* of the limit that a shrink keeps */
+#define LIMIT_PROBE_SAMPLES    32  /* answered attempts that make a probe */
+#define LIMIT_PROBE_ROUNDS     64  /* between two probes, while service times stay inflated */
+
+enum limit_mode {
+	LIMIT_STEADY,
+	LIMIT_PROBE, /* few slots for one round: does concurrency cause the inflation? */
+};
 
 struct limit {
 	uint32_t slots;
 	uint32_t current; /* 1 to slots; 0 without a backend server */
+	enum limit_mode mode;
+	uint32_t before_probe;	/* the limit that a probe interrupted */
+	uint64_t probe_percent; /* the inflation that a probe examines */
+	uint32_t probe_age;	/* rounds since the last probe */
 	uint32_t round_count;
-	uint64_t round_percent;	 /* sum of service times as percent of the usual one */
-	bool round_full;	 /* the limit was reached in this round */
-	bool round_shed;	 /* the limit shrank for a shed in this round */
-	uint32_t before_shrink;	 /* limit before the last shrink; 0 when the last round grew */
-	uint64_t shrink_percent; /* service time that caused the last shrink */
-	uint64_t usual_percent;	 /* service time that concurrency does not explain; 100 at rest */
+	uint64_t round_percent;	    /* sum of service times as percent of the usual one */
+	uint64_t round_us;	    /* only attempts started since count */
+	uint32_t inflated_rounds;   /* in a row */
+	bool round_full;	    /* the limit was reached in this round */
+	bool round_shed;	    /* the limit shrank for a shed in this round */
+	uint64_t usual_percent;	    /* inflation that concurrency does not cause; 100 at rest */
+	uint64_t explained_percent; /* the most that it may be, from the last probe */
+};
+
+/* One answered attempt. */
+struct limit_sample {
+	uint64_t start_us;
+	uint64_t end_us;
+	uint64_t usual_us; /* service time of its class with few attempts at once; 0: unknown */
 };
 
-void limit_start(struct limit *limit, uint32_t slots);
-void limit_set_slots(struct limit *limit, uint32_t slots);
+void limit_start(struct limit *limit, uint32_t slots, uint64_t now_us);
+void limit_set_slots(struct limit *limit, uint32_t slots, uint64_t now_us);
+uint32_t limit_low(const struct limit *limit);
 void limit_note_full(struct limit *limit);
-void limit_served(struct limit *limit, uint64_t service_us, uint64_t usual_us);
-void limit_shed(struct limit *limit);
+void limit_served(struct limit *limit, const struct limit_sample *sample);
+void limit_shed(struct limit *limit, uint64_t now_us);
 
 #endif
--- a/test/property/gate_property_test.cc
+++ b/test/property/gate_property_test.cc
@@ -18,6 +18,7 @@
 constexpr uint32_t CLASSES = 6; // more than GATE_QUEUE_MAX / GATE_CLASS_QUEUE_MAX
 constexpr uint32_t SLOTS = 6;
 constexpr uint64_t SERVICE_US_MAX = 20000;
+constexpr uint32_t PATIENCE_US = 1000007; // of calls that are answered, by result_of
 // The longest a floor may lag: the slack either way, then the turns of the other classes.
 constexpr uint64_t FLOOR_LAG_US_MAX = 2 * FLOOR_SLACK_US + (CLASSES + 3) * SERVICE_US_MAX;
 
@@ -35,6 +36,7 @@
 	bool ahead = false;
 	uint64_t service_us = 0;
 	uint64_t end_us = 0;
+	enum gate_result result = GATE_RESULT_OK;
 };
 
 struct Command {
@@ -94,6 +96,21 @@
 	}
 
       private:
+	// Three in eight commands offer calls that fail.
+	static enum gate_result result_of(const Command &command)
+	{
+		switch (command.patience_us % 8) {
+		case 0:
+			return GATE_RESULT_SHED;
+		case 1:
+			return GATE_RESULT_ERROR;
+		case 2:
+			return GATE_RESULT_TIMEOUT;
+		default:
+			return GATE_RESULT_OK;
+		}
+	}
+
 	void offer(const Command &command)
 	{
 		auto call = std::make_unique<Call>();
@@ -101,6 +118,7 @@
 		struct gate_verdict verdict;
 
 		call->service_us = command.service_us;
+		call->result = result_of(command);
 		call->ticket.owner = call.get();
 		verdict = gate_offer(&gate, &call->ticket, command.class_index, deadline_us, now_us,
 				     &actions);
@@ -149,7 +167,7 @@
 
 			if (next && next->end_us <= at_us) {
 				move_to(next->end_us);
-				gate_finish(&gate, &next->ticket, GATE_RESULT_OK, now_us, &actions);
+				gate_finish(&gate, &next->ticket, next->result, now_us, &actions);
 				next->fate = Fate::finished;
 				running.erase(std::find(running.begin(), running.end(), next));
 				apply_actions();
@@ -341,8 +359,8 @@
 	for (uint32_t i = 0; i < 300; i++) {
 		uint32_t other = *rc::gen::inRange<uint32_t>(1, CLASSES);
 
-		driver.run({0, 0, 6, 200, service_us, 1000000});
-		driver.run({0, other, 1, 200, service_us, 1000000});
+		driver.run({0, 0, 6, 200, service_us, PATIENCE_US});
+		driver.run({0, other, 1, 200, service_us, PATIENCE_US});
 	}
 	driver.finish_all();
 }
--- a/test/support/gate_loop.h
+++ b/test/support/gate_loop.h
@@ -118,11 +118,16 @@
 
 	void tick(uint64_t now_us) override
 	{
+		if (hold_limit)
+			limit_start(&gate.limit, gate.limit.slots, now_us);
+		if (hold_limit)
+			gate.limit.current = gate.limit.slots;
 		gate_tick(&gate, now_us, &actions);
 		apply();
 	}
 
 	struct gate gate;
+	bool hold_limit = false; // at the slots, as a baseline
 
       private:
 	void apply()
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -30,8 +30,7 @@
 	// Makes a backend server ready whose limit has climbed to its slots.
 	void make_ready(uint32_t slots)
 	{
-		gate_set_backend(&gate, BACKEND_READY, slots * LIMIT_COLD_DIVISOR, now_us,
-				 &actions);
+		gate_set_backend(&gate, BACKEND_READY, slots * LIMIT_LOW_DIVISOR, now_us, &actions);
 		gate_set_backend(&gate, BACKEND_READY, slots, now_us, &actions);
 		ASSERT_EQ(slots, gate.limit.current);
 	}
--- /dev/null
+++ b/test/unit/decide/limit_test.cc
@@ -0,0 +1,153 @@
+// The concurrency limit against a fixed one: cold start, noisy neighbour, slow dependency.
+#include <gtest/gtest.h>
+
+#include "support/gate_loop.h"
+
+using namespace gate_loop;
+
+namespace
+{
+
+constexpr size_t URGENT = 0;
+constexpr uint64_t DISTURBED_US = 10 * USEC_PER_SEC;
+
+// A little urgent work and a flood, for a backend server that carries 800 calls a second.
+Scenario busy(double calls_per_s)
+{
+	Scenario s;
+
+	s.classes = {{{"purchase", 0, 200000, 990, 50}, 25, 10000},
+		     {{"browse", 3, 200000, 990, 100}, calls_per_s - 25, 10000}};
+	s.slots = 8;
+	s.warm_us = DISTURBED_US + 2 * USEC_PER_SEC;
+	s.run_us = 20 * USEC_PER_SEC;
+	return s;
+}
+
+// A neighbour takes three quarters of the processors: more than two at once slow each other down.
+double noisy_neighbour(uint32_t running, uint64_t now_us)
+{
+	return now_us < DISTURBED_US ? 1 : std::max(1.0, (running + 1) / 2.0);
+}
+
+// Past two at once, each further one costs throughput as well (thrashing).
+double thrashing_neighbour(uint32_t running, uint64_t now_us)
+{
+	double over = std::max(0.0, running + 1 - 2.0);
+
+	return noisy_neighbour(running, now_us) * (now_us < DISTURBED_US ? 1 : 1 + over / 6);
+}
+
+// Whatever the server calls takes four times as long, however few run at once.
+double slow_dependency(uint32_t, uint64_t now_us)
+{
+	return now_us < DISTURBED_US ? 1 : 4;
+}
+
+struct Comparison {
+	Result moved; // the gate as it is
+	Result fixed; // the same gate with its limit held at the slots
+	double mean_limit = 0;
+
+	double answered_ratio()
+	{
+		return (double)answered(moved) / (double)answered(fixed);
+	}
+
+	static size_t answered(const Result &result)
+	{
+		size_t sum = 0;
+
+		for (const ClassResult &c : result.classes)
+			sum += c.latencies_us.size();
+		return sum;
+	}
+};
+
+Comparison compare(const char *title, const Scenario &scenario)
+{
+	GatePolicy gate(scenario);
+	GatePolicy held(scenario);
+	Loop loop(scenario, gate);
+	Comparison result;
+	uint64_t ticks = 0;
+
+	held.hold_limit = true;
+	loop.on_tick = [&](uint64_t now_us) {
+		EXPECT_GE(gate.gate.limit.current, 1U);
+		EXPECT_LE(gate.gate.limit.current, scenario.slots);
+		if (now_us < scenario.warm_us)
+			return;
+		result.mean_limit += gate.gate.limit.current;
+		ticks++;
+	};
+	result.moved = loop.run();
+	result.fixed = Loop(scenario, held).run();
+	result.mean_limit /= (double)ticks;
+	printf("%s: mean limit %.2f of %u\n", title, result.mean_limit, scenario.slots);
+	print_result("gate", scenario, result.moved);
+	print_result("limit held", scenario, result.fixed);
+	return result;
+}
+
+} // namespace
+
+TEST(Limit, CalmServerKeepsItsThroughput)
+{
+	EXPECT_GE(compare("calm, flooded", busy(1200)).answered_ratio(), 0.95);
+	EXPECT_GE(compare("calm, three quarters", busy(600)).answered_ratio(), 0.95);
+}
+
+TEST(Limit, SlowDependencyKeepsItsThroughput)
+{
+	Scenario s = busy(1200);
+
+	s.inflation = slow_dependency;
+	EXPECT_GE(compare("slow, flooded", s).answered_ratio(), 0.95);
+	s = busy(150);
+	s.inflation = slow_dependency;
+	EXPECT_GE(compare("slow, three quarters", s).answered_ratio(), 0.95);
+}
+
+TEST(Limit, NoisyNeighbourLetsUrgentWorkRunFaster)
+{
+	Scenario s = busy(1200);
+
+	s.inflation = noisy_neighbour;
+	Comparison result = compare("noisy", s);
+	EXPECT_LE(result.mean_limit, s.slots - 1.0);
+	EXPECT_GE(result.answered_ratio(), 0.95);
+	EXPECT_LT(result.moved.classes[URGENT].quantile_us(0.99),
+		  result.fixed.classes[URGENT].quantile_us(0.99));
+}
+
+TEST(Limit, ThrashingServerAnswersMoreThanAtItsSlots)
+{
+	Scenario s = busy(1200);
+
+	s.inflation = thrashing_neighbour;
+	Comparison result = compare("thrashing", s);
+	EXPECT_LE(result.mean_limit, s.slots - 1.0);
+	EXPECT_GT(result.answered_ratio(), 1.0);
+	EXPECT_LT(result.moved.classes[URGENT].quantile_us(0.99),
+		  result.fixed.classes[URGENT].quantile_us(0.99));
+}
+
+TEST(Limit, ShrinksOnceARoundForSheds)
+{
+	struct limit limit;
+
+	limit_start(&limit, 16, 0);
+	EXPECT_EQ(4U, limit.current);
+	limit_shed(&limit, 0);
+	limit_shed(&limit, 0);
+	EXPECT_EQ(3U, limit.current);
+	for (uint64_t i = 1; i < 100000; i++) {
+		struct limit_sample sample = {i * 1000, i * 1000 + 100, 100};
+
+		if (i % 100 == 0)
+			limit_shed(&limit, sample.end_us);
+		limit_served(&limit, &sample);
+		ASSERT_GE(limit.current, 1U);
+	}
+}
