Share: a gate's part of a fleet-wide amount, by demand

Cause: an equal split marks calls out of profile at busy gates while others have room. Gates count what is offered by class.

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -321,6 +321,7 @@
 {
 	struct gate_class *class = &gate->classes[class_index];
 
+	class->offered++;
 	ticket->class_index = (uint8_t)class_index;
 	ticket->generation = class->generation;
 	ticket->state = TICKET_IDLE;
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -92,6 +92,7 @@
 	bool active;
 	uint8_t generation; /* raised when the place is given to another class */
 	uint32_t running;
+	uint64_t offered; /* since the class was added; the demand to share by */
 	struct gate_service service;
 	struct profile profile;
 	struct floor_account floor;
--- /dev/null
+++ b/test/unit/decide/share_test.cc
@@ -0,0 +1,247 @@
+// The ways to share a fleet-wide amount among gates: examples, and the error of each by skew.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+extern "C" {
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/random.h"
+#include "fescuemill/decide/profile.h"
+#include "fescuemill/decide/share.h"
+}
+
+namespace
+{
+
+constexpr uint32_t GATES = 20;
+constexpr uint32_t CALLS_PER_S = 1000;
+constexpr uint64_t STEP_US = 1000;
+constexpr uint64_t REPORT_US = USEC_PER_SEC;
+constexpr uint64_t WARM_US = 5 * USEC_PER_SEC;
+constexpr uint64_t RUN_US = 60 * USEC_PER_SEC;
+constexpr uint64_t HOTSPOT_US = 10 * USEC_PER_SEC;
+constexpr uint64_t BORROW_PAUSE_US = 10000;
+constexpr uint32_t BORROW_BYTES = 2 * (28 + 24); // question and answer, with IP and UDP headers
+
+enum class Way {
+	equal,
+	by_demand,
+	borrow
+};
+enum class Skew {
+	even,
+	zipf,
+	moving_half
+};
+
+struct Gate {
+	struct profile profile = {};
+	uint64_t offered = 0; // since the last report
+	uint64_t demand_milli = 0;
+	uint64_t asked_us = 0;
+};
+
+struct Outcome {
+	double offered = 0;
+	double in_profile = 0;
+	double bytes = 0;
+
+	double per_s(double count) const
+	{
+		return count * 1e6 / (double)RUN_US;
+	}
+
+	// Of the calls that the fleet-wide amount has room for, the part marked out of profile.
+	double under() const
+	{
+		double room = std::min(per_s(offered), (double)CALLS_PER_S);
+
+		return std::max(0.0, 1 - per_s(in_profile) / room);
+	}
+
+	// In profile beyond the fleet-wide amount.
+	double over() const
+	{
+		return std::max(0.0, per_s(in_profile) / CALLS_PER_S - 1);
+	}
+};
+
+double weight(Skew skew, uint32_t gate, uint64_t now_us)
+{
+	double harmonic = 0;
+
+	switch (skew) {
+	case Skew::even:
+		return 1.0 / GATES;
+	case Skew::zipf:
+		for (uint32_t i = 1; i <= GATES; i++)
+			harmonic += 1.0 / i;
+		return 1.0 / (gate + 1) / harmonic;
+	case Skew::moving_half:
+		return (now_us / HOTSPOT_US * 7) % GATES == gate ? 0.5 : 0.5 / (GATES - 1);
+	}
+	return 0;
+}
+
+class Fleet
+{
+      public:
+	Fleet(Way way, Skew skew, double load) : way(way), skew(skew), load(load)
+	{
+		random_seed(&rng, 7);
+		for (Gate &gate : gates)
+			profile_set_rate(&gate.profile, share_equal_milli(CALLS_PER_S, GATES), 0);
+	}
+
+	Outcome run()
+	{
+		for (now_us = STEP_US; now_us <= WARM_US + RUN_US; now_us += STEP_US) {
+			if (way == Way::by_demand && now_us % REPORT_US == 0)
+				report();
+			for (uint32_t i = 0; i < GATES; i++)
+				arrive(i);
+		}
+		return outcome;
+	}
+
+      private:
+	// Each gate hears of its peers' demands of one report before, and of its own of now.
+	void report()
+	{
+		uint64_t stale_milli = 0;
+
+		for (const Gate &gate : gates)
+			stale_milli += gate.demand_milli;
+		for (Gate &gate : gates) {
+			uint64_t old_milli = gate.demand_milli;
+
+			gate.demand_milli = share_smooth_milli(old_milli, gate.offered, REPORT_US);
+			gate.offered = 0;
+			struct share_demand demand = {gate.demand_milli,
+						      stale_milli - old_milli + gate.demand_milli,
+						      GATES, GATES};
+			uint64_t rate_milli = share_by_demand_milli(CALLS_PER_S, &demand);
+
+			profile_set_rate(&gate.profile, rate_milli, now_us);
+		}
+	}
+
+	void arrive(uint32_t index)
+	{
+		Gate &gate = gates[index];
+		double rate = load * CALLS_PER_S * weight(skew, index, now_us);
+
+		if (random_unit(&rng) >= rate * (double)STEP_US / 1e6)
+			return;
+		bool fits = profile_take(&gate.profile, now_us);
+
+		if (!fits && way == Way::borrow)
+			fits = borrow(gate);
+		gate.offered++;
+		if (now_us <= WARM_US)
+			return;
+		outcome.offered++;
+		outcome.in_profile += fits;
+	}
+
+	// Asks one peer for half of its tokens.
+	bool borrow(Gate &gate)
+	{
+		Gate &peer = gates[random_below(&rng, GATES)];
+
+		if (now_us - gate.asked_us < BORROW_PAUSE_US)
+			return false;
+		gate.asked_us = now_us;
+		if (now_us > WARM_US)
+			outcome.bytes += BORROW_BYTES;
+		if (&peer == &gate)
+			return false;
+		uint64_t half_nano = peer.profile.tokens_nano / 2;
+
+		peer.profile.tokens_nano -= half_nano;
+		gate.profile.tokens_nano += half_nano;
+		return profile_take(&gate.profile, now_us);
+	}
+
+	Way way;
+	Skew skew;
+	double load;
+	struct random rng;
+	uint64_t now_us = 0;
+	std::array<Gate, GATES> gates;
+	Outcome outcome;
+};
+
+Outcome measure(const char *way_name, Way way, const char *skew_name, Skew skew, double load)
+{
+	Outcome outcome = Fleet(way, skew, load).run();
+
+	printf("%-9s %-11s load %.1f: under %5.1f%% over %5.1f%% bytes/s a gate %6.0f\n", way_name,
+	       skew_name, load, 100 * outcome.under(), 100 * outcome.over(),
+	       outcome.per_s(outcome.bytes) / GATES);
+	return outcome;
+}
+
+} // namespace
+
+TEST(Share, EqualPartsAddUp)
+{
+	EXPECT_EQ(50000U, share_equal_milli(1000, 20));
+	EXPECT_EQ(1000000U, share_equal_milli(1000, 0));
+}
+
+TEST(Share, IsEqualWithoutReports)
+{
+	struct share_demand demand = {5000, 5000, 20, 1};
+
+	EXPECT_EQ(50000U, share_by_demand_milli(1000, &demand));
+}
+
+TEST(Share, GivesTheOwnDemandAndAPartOfTheRest)
+{
+	struct share_demand demand = {300000, 600000, 20, 20};
+
+	EXPECT_EQ(300000U + 20000U, share_by_demand_milli(1000, &demand));
+}
+
+TEST(Share, IsProportionalPastTheStatedAmount)
+{
+	struct share_demand demand = {1000000, 4000000, 20, 20};
+
+	EXPECT_EQ(250000U, share_by_demand_milli(1000, &demand));
+}
+
+TEST(Share, SmoothsADemand)
+{
+	EXPECT_EQ(50000U, share_smooth_milli(0, 100, USEC_PER_SEC));
+	EXPECT_EQ(100000U, share_smooth_milli(100000, 100, USEC_PER_SEC));
+	EXPECT_EQ(7000U, share_smooth_milli(7000, 100, 0));
+}
+
+TEST(Share, ErrorBySkew)
+{
+	const std::pair<const char *, Way> ways[] = {
+		{"equal", Way::equal}, {"by demand", Way::by_demand}, {"borrow", Way::borrow}};
+	const std::pair<const char *, Skew> skews[] = {
+		{"even", Skew::even}, {"zipf", Skew::zipf}, {"moving half", Skew::moving_half}};
+
+	for (double load : {0.8, 1.0, 3.0}) {
+		for (auto [skew_name, skew] : skews) {
+			double equal_under = 0;
+
+			for (auto [way_name, way] : ways) {
+				Outcome o = measure(way_name, way, skew_name, skew, load);
+
+				if (way == Way::equal)
+					equal_under = o.under();
+				if (way != Way::by_demand)
+					continue;
+				EXPECT_LE(o.under(), std::max(0.1, equal_under / 2));
+				EXPECT_LE(o.over(), 0.05);
+			}
+		}
+	}
+}
