--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -7,14 +7,17 @@
 file(GLOB_RECURSE functional_tests CONFIGURE_DEPENDS test/functional/*_test.cc)
 file(GLOB functional_support CONFIGURE_DEPENDS test/functional/support/*.cc)
 
-# Stand-ins are programs: one a folder under test/standin/.
+# Stand-ins are programs: one a folder under test/standin/, over what common/ holds for all.
+file(GLOB standin_common CONFIGURE_DEPENDS test/standin/common/*.c)
+add_library(standin_common STATIC ${standin_common})
+target_link_libraries(standin_common PUBLIC fescue_load_parts)
 file(GLOB standins RELATIVE ${CMAKE_SOURCE_DIR}/test/standin CONFIGURE_DEPENDS
 	test/standin/*/main.c)
 foreach(main ${standins})
 	get_filename_component(name ${main} DIRECTORY)
 	file(GLOB sources CONFIGURE_DEPENDS test/standin/${name}/*.c)
 	add_executable(standin-${name} ${sources})
-	target_link_libraries(standin-${name} PRIVATE fescuemill)
+	target_link_libraries(standin-${name} PRIVATE standin_common)
 endforeach()
 
 # add_test_program names the program after its kind and module, and fixes every seed.
@@ -22,8 +25,9 @@
 	get_filename_component(module ${source} NAME_WE)
 	string(REGEX REPLACE "_test$" "" module ${module})
 	set(name ${kind}-${module})
-	add_executable(${name} ${source} ${ARGN})
-	target_link_libraries(${name} PRIVATE fescuemill GTest::gtest_main rapidcheck)
+	add_executable(${name} ${source})
+	target_link_libraries(${name} PRIVATE fescue_load_parts fescuemill
+		GTest::gtest_main rapidcheck)
 	add_test(NAME ${name} COMMAND ${name})
 	set_tests_properties(${name} PROPERTIES TIMEOUT ${timeout_s}
 		ENVIRONMENT "RC_PARAMS=seed=7 max_success=200;FESCUEMILL_BIN=${CMAKE_BINARY_DIR}")
@@ -35,9 +39,27 @@
 foreach(source ${property_tests})
 	add_test_program(property ${source} 240)
 endforeach()
+add_library(functional_support STATIC ${functional_support})
+target_link_libraries(functional_support PUBLIC fescuemill)
 foreach(source ${functional_tests})
-	add_test_program(functional ${source} 240 ${functional_support})
+	add_test_program(functional ${source} 240)
 	get_filename_component(module ${source} NAME_WE)
 	string(REGEX REPLACE "_test$" "" module ${module})
+	target_link_libraries(functional-${module} PRIVATE functional_support)
 	set_tests_properties(functional-${module} PROPERTIES LABELS functional PROCESSORS 4)
 endforeach()
+
+# Programs that run a whole fleet: demo-fleet is behind scripts/demo.sh.
+add_executable(demo-fleet test/functional/demo/main.cc)
+target_link_libraries(demo-fleet PRIVATE functional_support)
+
+# Measurements are programs, not tests: one a file under test/measure/, run by scripts/measure.sh.
+file(GLOB measurements CONFIGURE_DEPENDS test/measure/*.cc)
+foreach(source ${measurements})
+	get_filename_component(module ${source} NAME_WE)
+	string(REPLACE "_" "-" module ${module})
+	add_executable(measure-${module} ${source})
+	target_link_libraries(measure-${module} PRIVATE fescuemill)
+endforeach()
+add_executable(overhead test/functional/demo/overhead.cc)
+target_link_libraries(overhead PRIVATE functional_support)
--- a/src/fescuemill/decide/peer.c
+++ b/src/fescuemill/decide/peer.c
@@ -12,6 +12,7 @@
 #define PEER_QUIET_US	  100000
 #define PEER_PING_WAIT_US 150000
 #define PEER_IDLE_MAX_US  30000000
+#define PEER_UNHEARD_MAX  2
 
 const struct peer_settings peer_default_settings = {
 	.quiet_us = PEER_QUIET_US,
@@ -48,6 +49,7 @@
 	peer->heard_us = now_us;
 	peer->used_us = now_us;
 	peer->waits_us = now_us;
+	peer->unheard++;
 	return peer->epoch;
 }
 
@@ -61,6 +63,7 @@
 void peer_heard(struct peer *peer, uint64_t now_us)
 {
 	peer->heard_us = now_us;
+	peer->unheard = 0;
 	peer_move(peer, CONNECTION_INPUT_HEARD);
 }
 
@@ -118,6 +121,12 @@
 	return PEER_PING;
 }
 
+/* Tells whether new connections do not help: nothing came over the latest ones. */
+bool peer_is_unreachable(const struct peer *peer)
+{
+	return peer->unheard > PEER_UNHEARD_MAX;
+}
+
 /* Gives the time of the next action, UINT64_MAX when none is due. */
 uint64_t peer_next_due_us(const struct peer *peer, const struct peer_settings *settings)
 {
