Keyed calls: a node that serves again after it left knows nothing of the time between

Cause: a backend server may drain and come back without a restart of its node; others had its keys meanwhile.

Change: whenever this node comes back into its own view, or back to alive, its table counts as complete from then on only.

--- a/src/fescuemill/decide/key_home.c
+++ b/src/fescuemill/decide/key_home.c
@@ -145,6 +145,19 @@
 	view->contact_ms = now_ms;
 }
 
+/* Notes what this node says of itself. When it serves again after it had left, others had its keys
+ * meanwhile. */
+static void own_update(struct key_view *view, const struct key_settings *settings,
+		       const struct key_member *member, uint64_t now_ms)
+{
+	const struct key_seat *own = seat_find(view, settings->own_id);
+
+	if (member->node_id != settings->own_id || member->state != KEY_MEMBER_ALIVE)
+		return;
+	if (!own || own->state != KEY_MEMBER_ALIVE)
+		view->complete_ms = now_ms;
+}
+
 /* Sets the members of the service as they are known now. One that was known and is not listed any
  * more counts as dead. Errors: ERROR_LIMIT when they do not fit; the rest is then as before. */
 int key_view_set(struct key_view *view, const struct key_settings *settings,
@@ -159,6 +172,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		struct key_seat *seat = seat_find(view, members[i].node_id);
 
+		own_update(view, settings, &members[i], now_ms);
 		if (!seat && view->count == view->capacity)
 			return error_set(err, ERROR_LIMIT, "more than %u members", view->capacity);
 		if (!seat) {
--- a/test/property/key_property_test.cc
+++ b/test/property/key_property_test.cc
@@ -28,7 +28,7 @@
 
 struct Node {
 	key_table *table = nullptr;
-	bool up = true, leaving = false;
+	bool up = true, leaving = false, returns = false;
 	uint64_t paused_until = 0, up_at = 0, seen_at = 0;
 	int group = 0; // nodes of different groups cannot reach each other
 };
@@ -79,9 +79,14 @@
 			run(now + op.b % 1500);
 			break;
 		case 3: // a crash, or a planned stop
-			node.leaving = op.b % 2 == 0;
+			node.leaving = op.b % 3 != 0;
 			node.up = node.up && node.leaving;
+			node.returns = op.b % 3 == 2; // it serves again without a restart
 			node.up_at = now + 200 + op.b % 15000;
+			if (can_work(int(op.a % NODES)))
+				look(int(op.a % NODES)); // a node knows at once that it leaves
+			else
+				node.returns = false;
 			break;
 		case 4:
 			node.group = int(op.b % 2);
@@ -133,6 +138,7 @@
 		RC_ASSERT(key_create(&nodes[i].table, &settings, &err) == 0);
 		nodes[i].up = true;
 		nodes[i].leaving = false;
+		nodes[i].returns = false;
 		nodes[i].up_at = 0;
 		for (size_t r = running.size(); r-- > 0;) {
 			if (running[r].node == i)
@@ -181,12 +187,17 @@
 		Node &node = nodes[i];
 		void *user;
 
-		if (node.up_at != 0 && node.up_at <= now) {
+		if (node.up_at != 0 && node.up_at <= now && !node.returns) {
 			boot(i);
 			look(i);
 		}
 		if (!can_work(i))
 			return;
+		if (node.up_at != 0 && node.up_at <= now) {
+			node.up_at = 0;
+			node.leaving = false;
+			look(i);
+		}
 		if (node.paused_until != 0) {
 			node.paused_until = 0;
 			look(i);
