--- a/src/fescuectl/table.c
+++ b/src/fescuectl/table.c
@@ -49,7 +49,7 @@
 	json_t *row;
 	int count = 0;
 
-	for (; keys[count] && count < COLUMNS_MAX; count++) {
+	for (; count < COLUMNS_MAX && keys[count]; count++) {
 		widths[count] = column_width(keys[count], rows);
 		printf("%-*s%s", (int)widths[count], keys[count], keys[count + 1] ? "  " : "\n");
 	}
