--- /dev/null
+++ b/src/fescuemilld/node_defs.h
@@ -0,0 +1,64 @@
+/*
+ * Node types that its parts share.
+ */
+#ifndef FESCUEMILLD_NODE_DEFS_H
+#define FESCUEMILLD_NODE_DEFS_H
+
+#include "fescuemill/chart/chart_defs.h"
+#include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/keeper.h"
+#include "fescuemill/http/announce.h"
+#include "fescuemill/http/caller.h"
+#include "fescuemill/platform/client.h"
+#include "fescuemill/platform/follow.h"
+#include "fescuemilld/admin_shell.h"
+#include "fescuemilld/config_pull.h"
+#include "fescuemilld/entry.h"
+#include "fescuemilld/gate_shell.h"
+#include "fescuemilld/gossip_shell.h"
+
+#include "fescuemilld/node.h"
+
+#include <uv.h>
+
+/* How far a stop has come. */
+enum stop_phase {
+	STOP_NONE,
+	STOP_FINISHING, /* work in progress ends */
+	STOP_ACKED,	/* the last answers are on their way to the entries */
+	STOP_LEAVING,	/* the roster is told */
+	STOP_LEFT,	/* the others hear of it; new work is still refused properly */
+};
+
+struct node {
+	uv_loop_t loop;
+	struct settings settings;
+	struct member self; /* as at the start; gossip keeps what is said of it now */
+	uint32_t state;	    /* enum node_state */
+	enum stop_phase stop_phase;
+	uint64_t phase_since_us;
+	uint64_t stop_since_us;
+	uint64_t housekept_us;
+	uint64_t config_revision;
+	uint64_t members_revision;
+	bool was_cut;
+	uv_timer_t housekeeping;
+	uv_signal_t signals[2];
+	struct config_store *config;
+	struct member_table *members;
+	struct channel *channel;
+	struct caller *caller;
+	struct announce *announce;
+	struct platform_client *platform;
+	struct follow *follow;
+	struct keeper *keeper;
+	struct budget budget;
+	struct gossip_shell *gossip_shell;
+	struct gossip *gossip;
+	struct config_pull *pull;
+	struct entry *entry;
+	struct gate_shell *gate;
+	struct admin_shell *admin;
+};
+
+#endif
--- /dev/null
+++ b/src/fescuemilld/node_events.h
@@ -0,0 +1,23 @@
+/*
+ * Node events: what the parts of a node ask of it and tell it. User is the node.
+ */
+#ifndef FESCUEMILLD_NODE_EVENTS_H
+#define FESCUEMILLD_NODE_EVENTS_H
+
+#include "fescuemilld/node_defs.h"
+
+void node_move(struct node *node, enum node_input input);
+void node_apply_config(struct node *node);
+
+enum call_reason node_refusal(void *user);
+bool node_region_is_usable(void *user, const char *region);
+void node_on_unreachable(void *user, uint64_t node_id);
+void node_on_newer_config(void *user, uint64_t node_id, uint64_t version);
+void node_on_announcement(void *user, const struct announcement *now);
+uint32_t node_slots_in_use(void *user);
+void node_on_message(void *user, const struct channel_route *from, const struct message *msg);
+void node_on_config_batch(void *user, uint64_t from, const char *json, size_t size);
+const char *node_state_name(void *user);
+const struct member *node_self(void *user);
+
+#endif
--- /dev/null
+++ b/src/fescuemilld/node_parts.c
@@ -0,0 +1,207 @@
+/*
+ * Node parts: opens and closes what a node consists of.
+ */
+#include "fescuemilld/node_parts.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/chart/chart.h"
+#include "fescuemilld/node_events.h"
+#include "fescuemilld/node_stop.h"
+
+#include <string.h>
+
+#define BACKOFF_FIRST_US   (200 * USEC_PER_MSEC)
+#define BACKOFF_HIGHEST_US (10 * USEC_PER_SEC)
+
+/* Fills what this node says of itself. */
+static void init_self(struct node *node)
+{
+	const struct settings *settings = &node->settings;
+	struct member *self = &node->self;
+
+	memcpy(self->name, settings->name, sizeof(self->name));
+	memcpy(self->region, settings->region, sizeof(self->region));
+	memcpy(self->domain, settings->failure_domain, sizeof(self->domain));
+	self->life.node_id = member_id_of(settings->name);
+	/* Never reused, because the wall clock never shows a time of an earlier start again. */
+	self->life.incarnation = clock_wall_us();
+	self->state = MEMBER_ALIVE;
+	self->internal.ip = settings->node_address.ip;
+	self->external.ip = settings->external_ip;
+	self->external.node_port = (uint16_t)settings->external_node_port;
+	self->external.gossip_port = (uint16_t)settings->external_gossip_port;
+}
+
+/* Opens what faces callers, the backend server and other nodes. */
+static int open_listeners(struct node *node, struct error *err)
+{
+	const struct settings *settings = &node->settings;
+	struct caller_options caller = {
+		.ip = settings->caller_address.ip,
+		.port = settings->caller_address.port,
+		.body_bytes_max = settings->body_limit_bytes,
+		.memory_bytes_max = settings->memory_limit_bytes,
+		.on_call = entry_take_call,
+		.on_gone = entry_caller_gone,
+		.user = node->entry,
+	};
+	struct announce_options announce = {
+		.ip = settings->backend_address.ip,
+		.port = settings->backend_address.port,
+		.on_change = node_on_announcement,
+		.in_use = node_slots_in_use,
+		.user = node,
+	};
+
+	if (caller_open(&node->caller, &node->loop, &caller, err) != 0)
+		return -1;
+	return announce_open(&node->announce, &node->loop, &announce, err);
+}
+
+/* Opens the entry and the gate over one channel. */
+static int open_roles(struct node *node, struct error *err)
+{
+	const struct settings *settings = &node->settings;
+	struct entry_options entry = {
+		.settings = settings,
+		.life = node->self.life,
+		.config = node->config,
+		.members = node->members,
+		.refusal = node_refusal,
+		.region_is_usable = node_region_is_usable,
+		.on_unreachable = node_on_unreachable,
+		.user = node,
+	};
+	struct gate_shell_options gate = {
+		.incarnation = node->self.life.incarnation,
+		.answer_bytes_max = settings->body_limit_bytes,
+		.memory_bytes_max = settings->memory_limit_bytes,
+	};
+
+	if (channel_open(&node->channel, &node->loop, settings->node_address.ip,
+			 settings->node_address.port, node_on_message, node, err) != 0)
+		return -1;
+	node->self.internal.node_port = channel_port(node->channel);
+	entry.channel = node->channel;
+	gate.channel = node->channel;
+	if (entry_open(&node->entry, &node->loop, &entry, err) != 0)
+		return -1;
+	return gate_shell_open(&node->gate, &node->loop, &gate, err);
+}
+
+/* Opens what faces the platform. */
+static int open_platform(struct node *node, struct error *err)
+{
+	const struct settings *settings = &node->settings;
+	uint64_t seed = node->self.life.node_id ^ node->self.life.incarnation;
+	struct platform *platform;
+	struct session_limits limits = {
+		.backoff_first_us = BACKOFF_FIRST_US,
+		.backoff_highest_us = BACKOFF_HIGHEST_US,
+		.calls_per_minute = settings->platform_calls_per_minute,
+		.watch_ms = settings->platform_watch_ms,
+	};
+
+	if (platform_client_open(&node->platform, &node->loop, settings, err) != 0)
+		return -1;
+	platform = platform_client_interface(node->platform);
+	if (follow_open(&node->follow, &node->loop, platform, CONFIG_KIND, &limits, seed,
+			node_on_config_batch, node, err) != 0)
+		return -1;
+	return keeper_open(&node->keeper, &node->loop, platform, node->members, &limits, seed + 1,
+			   err);
+}
+
+/* Opens membership and the exchange of configuration with peers. */
+static int open_gossip(struct node *node, struct error *err)
+{
+	const struct settings *settings = &node->settings;
+	uint64_t seed = node->self.life.node_id ^ node->self.life.incarnation;
+	struct gossip_shell_options gossip = {
+		.ip = settings->gossip_address.ip,
+		.port = settings->gossip_address.port,
+		.members = node->members,
+		.budget = &node->budget,
+		.newer_config = node_on_newer_config,
+		.user = node,
+	};
+	struct config_pull_options pull = {
+		.channel = node->channel,
+		.config = node->config,
+		.members = node->members,
+		.budget = &node->budget,
+		.self_id = node->self.life.node_id,
+		.region = settings->region,
+		.seed = seed + 2,
+	};
+
+	budget_init(&node->budget, settings->node_bytes_per_s, settings->region_link_bytes_per_s,
+		    clock_monotonic_us());
+	if (config_pull_open(&node->pull, &pull, err) != 0)
+		return -1;
+	if (gossip_shell_open(&node->gossip_shell, &node->loop, &gossip, err) != 0)
+		return -1;
+	node->self.internal.gossip_port = gossip_shell_port(node->gossip_shell);
+	if (gossip_shell_start(node->gossip_shell, &node->self, seed + 3, err) != 0)
+		return -1;
+	node->gossip = gossip_shell_gossip(node->gossip_shell);
+	return 0;
+}
+
+/* Opens the administration API. */
+static int open_admin(struct node *node, struct error *err)
+{
+	struct admin_shell_options options = {
+		.settings = &node->settings,
+		.config = node->config,
+		.members = node->members,
+		.platform = platform_client_interface(node->platform),
+		.entry = node->entry,
+		.gate = node->gate,
+		.incarnation = node->self.life.incarnation,
+		.state = node_state_name,
+		.self = node_self,
+		.drain = node_on_drain,
+		.user = node,
+	};
+
+	return admin_shell_open(&node->admin, &node->loop, &options, err);
+}
+
+/* Opens every part, in the order in which they need each other. */
+int node_open_parts(struct node *node, struct error *err)
+{
+	init_self(node);
+	if (charts_load(err) != 0 || config_open(&node->config, err) != 0)
+		return -1;
+	if (member_table_open(&node->members, err) != 0)
+		return -1;
+	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0)
+		return -1;
+	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
+		return -1;
+	if (open_admin(node, err) != 0)
+		return -1;
+	keeper_set_watching(node->keeper, false);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
+	return 0;
+}
+
+/* Closes every part, so that the loop can end. */
+void node_close_parts(struct node *node)
+{
+	admin_shell_close(node->admin);
+	gossip_shell_close(node->gossip_shell);
+	config_pull_close(node->pull);
+	keeper_close(node->keeper);
+	follow_close(node->follow);
+	platform_client_close(node->platform);
+	entry_close(node->entry);
+	gate_shell_close(node->gate);
+	channel_close(node->channel);
+	announce_close(node->announce);
+	caller_close(node->caller);
+	uv_close((uv_handle_t *)&node->housekeeping, NULL);
+	for (int i = 0; i < 2; i++)
+		uv_close((uv_handle_t *)&node->signals[i], NULL);
+}
--- /dev/null
+++ b/src/fescuemilld/node_stop.c
@@ -0,0 +1,93 @@
+/*
+ * Node stop: the phases of a graceful stop.
+ */
+#include "fescuemilld/node_stop.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/log.h"
+#include "fescuemilld/node_events.h"
+
+#define LEAVE_GRACE_US USEC_PER_SEC
+#define ACK_WAIT_US    (2 * USEC_PER_SEC)
+
+/* Goes on to the next phase of a stop. */
+static void enter_phase(struct node *node, enum stop_phase phase, uint64_t now_us)
+{
+	node->stop_phase = phase;
+	node->phase_since_us = now_us;
+}
+
+/* Notes that this node is out of the roster, or that this could not be had. */
+static void on_left(void *user)
+{
+	struct node *node = user;
+
+	if (node->stop_phase == STOP_LEAVING)
+		enter_phase(node, STOP_LEFT, clock_monotonic_us());
+}
+
+/* Takes a stop one phase further when it is due. */
+void node_stop_advance(struct node *node, uint64_t now_us)
+{
+	uint64_t in_phase_us = now_us - node->phase_since_us;
+
+	switch (node->stop_phase) {
+	case STOP_FINISHING:
+		if (entry_calls(node->entry) == 0 && gate_shell_live(node->gate) == 0 &&
+		    admin_shell_changes(node->admin) == 0)
+			enter_phase(node, STOP_ACKED, now_us);
+		break;
+	case STOP_ACKED:
+		if (gate_shell_records(node->gate) > 0 && in_phase_us < ACK_WAIT_US)
+			break;
+		enter_phase(node, STOP_LEAVING, now_us);
+		gossip_leave(node->gossip, now_us);
+		keeper_leave(node->keeper, on_left, node);
+		break;
+	case STOP_LEFT:
+		if (in_phase_us < LEAVE_GRACE_US)
+			break;
+		node_move(node, NODE_INPUT_IDLE);
+		uv_stop(&node->loop);
+		break;
+	case STOP_NONE:
+	case STOP_LEAVING:
+		break;
+	}
+}
+
+/* Ends a stop that takes too long. */
+void node_stop_check_limit(struct node *node, uint64_t now_us)
+{
+	uint64_t limit_us = node->settings.stop_limit_ms * USEC_PER_MSEC;
+
+	if (node->stop_phase == STOP_NONE || now_us < node->stop_since_us + limit_us)
+		return;
+	node->was_cut = true;
+	uv_stop(&node->loop);
+}
+
+/* Begins a graceful stop: no new work from here on. */
+void node_stop_begin(struct node *node)
+{
+	uint64_t now_us = clock_monotonic_us();
+
+	log_write(LOG_INFO, LOG_PART_MAIN, "The node stops.", "calls=%u attempts=%u",
+		  entry_calls(node->entry), gate_shell_live(node->gate));
+	node_move(node, NODE_INPUT_STOP);
+	node->stop_since_us = now_us;
+	enter_phase(node, STOP_FINISHING, now_us);
+	caller_drain(node->caller);
+	gate_shell_drain(node->gate);
+	gossip_set_leaving(node->gossip);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
+}
+
+/* Begins a stop that an operator asked for, unless one is under way. */
+void node_on_drain(void *user)
+{
+	struct node *node = user;
+
+	if (node->stop_phase == STOP_NONE)
+		node_stop_begin(node);
+}
