--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
+#include "fescuemill/decide/share.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_reply.h"
 #include "fescuemilld/gate_shell_defs.h"
@@ -20,7 +21,6 @@
 #define TICK_LIVE_MS   (GATE_TICK_INTERVAL_US / USEC_PER_MSEC)
 #define TICK_IDLE_MS   1000
 #define HTTP_ERROR_MIN 500
-#define RATE_MILLI     1000ULL
 
 static const struct origin no_origin = {NULL, NULL};
 
@@ -405,7 +405,7 @@
 		int index = gate_find_class(&shell->admission, target->name);
 
 		if (index >= 0)
-			rates[index] = RATE_MILLI * target->calls_per_s / (peers ? peers : 1);
+			rates[index] = share_equal_milli(target->calls_per_s, peers);
 	}
 	gate_set_rates(&shell->admission, rates, clock_monotonic_us());
 }
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -63,15 +63,25 @@
 		config_pull_from(node->pull, node_id, clock_monotonic_us());
 }
 
+/* Counts the gates of a service that take calls. */
+static uint32_t count_ready_gates(const struct node *node, const char *service)
+{
+	const struct member *member = NULL;
+	uint32_t count = 0;
+
+	while ((member = member_next_of_service(node->members, service, member)) != NULL)
+		count += member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
+	return count;
+}
+
 /* Gives the gate the classes of its service, and its part of their rates. */
 void node_apply_config(struct node *node)
 {
 	const char *service = gossip_self(node->gossip)->service;
 	const struct service_config *config = config_find(node->config, service);
-	size_t gates = member_count_service(node->members, service);
 
 	if (config)
-		gate_shell_set_config(node->gate, config, (uint32_t)gates);
+		gate_shell_set_config(node->gate, config, count_ready_gates(node, service));
 }
 
 /* Takes what the backend server announced, or the end of its lease. */
