Gate: calls that can be in time go first in their class, and headroom for urgent work

Cause: a class in profile that the backend server cannot carry answered every call late (browse, all service times doubled: 0/s of 76/s in target). Long calls of the least urgent class held every slot for longer than an urgent call has time (400 ms calls, target 40 ms: purchase p99 177 ms). A probe at one slot with a 400 ms call in it held up urgent work, started by a usual service time of one sample. Ruled out: demoting late calls out of profile (the urgent tail would fall behind every surplus); headroom whatever the cost (useful slots 4.86 of 6 when hardly anything uses it). Change: within a class the earliest due that can still be answered in time goes first; a class whose calls would make a more urgent one miss its target leaves the last free slot, if others keep that slot busy; few slots are at least two; a usual service time counts from 16 samples on.

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -6,6 +6,7 @@
 #include "fescuemill/decide/gate_account.h"
 #include "fescuemill/decide/gate_order.h"
 #include "fescuemill/decide/gate_queue.h"
+#include "fescuemill/decide/headroom.h"
 
 #include <string.h>
 
@@ -120,8 +121,10 @@
 static void refuse_class(struct gate *gate, struct gate_class *class, enum call_reason reason,
 			 struct gate_actions *actions)
 {
-	while (gate_queue_next(class))
-		refuse(gate, gate_queue_next(class), reason, actions);
+	while (class->in_profile.head)
+		refuse(gate, class->in_profile.head, reason, actions);
+	while (class->out_of_profile.head)
+		refuse(gate, class->out_of_profile.head, reason, actions);
 }
 
 /* Refuses all that waits. */
@@ -143,6 +146,8 @@
 	while (may_start(gate) && gate->in_use < gate->limit.current && gate->queued) {
 		struct gate_ticket *ticket = gate_order_next(gate);
 
+		if (!ticket)
+			return;
 		if (!can_make_deadline(gate, ticket, 0, now_us)) {
 			refuse(gate, ticket, REASON_EXPIRED, actions);
 			continue;
@@ -351,6 +356,28 @@
 	return REASON_NONE;
 }
 
+/* Tells whether a slot is free for a class. */
+static bool may_take_slot(const struct gate *gate, uint32_t class_index)
+{
+	return gate->in_use < gate->limit.current &&
+	       !headroom_holds_back(gate, &gate->classes[class_index]);
+}
+
+/* Takes the decision about a ticket out of the actions; without one the ticket waits. */
+static struct gate_verdict take_verdict(struct gate_actions *actions,
+					const struct gate_ticket *ticket)
+{
+	for (uint32_t i = 0; i < actions->count; i++) {
+		struct gate_verdict verdict = actions->list[i].verdict;
+
+		if (actions->list[i].ticket != ticket)
+			continue;
+		actions->list[i] = actions->list[--actions->count];
+		return verdict;
+	}
+	return verdict_wait;
+}
+
 /*
  * Offers an idle ticket. deadline_us is the caller's, on the clock of now_us. The verdict is about
  * this ticket; the actions are about others.
@@ -365,13 +392,15 @@
 	if (reason != REASON_NONE)
 		return verdict_refuse(reason);
 	fill_ticket(gate, ticket, class_index, deadline_us, now_us);
-	if (gate->in_use < gate->limit.current) {
+	if (gate->queued == 0 && may_take_slot(gate, class_index)) {
 		start(gate, ticket, now_us);
 		return verdict_start;
 	}
 	reason = enqueue(gate, ticket, now_us, actions);
-	if (reason == REASON_NONE)
-		return verdict_wait;
+	if (reason == REASON_NONE) {
+		dispatch(gate, now_us, actions);
+		return take_verdict(actions, ticket);
+	}
 	if (ticket->in_profile)
 		profile_refund(&gate->classes[class_index].profile);
 	return verdict_refuse(reason);
@@ -400,12 +429,12 @@
 		return;
 	case TICKET_WAITING:
 		withdraw(gate, ticket);
-		return;
+		break;
 	case TICKET_RUNNING:
 		release(gate, ticket);
-		dispatch(gate, now_us, actions);
-		return;
+		break;
 	}
+	dispatch(gate, now_us, actions);
 }
 
 /* Moves time on; call it every GATE_TICK_INTERVAL_US. */
@@ -413,6 +442,7 @@
 {
 	begin(gate, now_us, actions);
 	gate_account_share_floors(gate);
+	headroom_update(gate);
 	expire(gate, now_us, actions);
 	dispatch(gate, now_us, actions);
 }
--- a/src/fescuemill/decide/gate_account.c
+++ b/src/fescuemill/decide/gate_account.c
@@ -8,6 +8,7 @@
 #include <stddef.h>
 
 #define RECENT_WEIGHT  8 /* a mean over about as many samples */
+#define STEADY_WEIGHT  64
 #define PENALTY_WEIGHT 16
 #define NEED_GUESS     2 /* an unknown service time is guessed as the latency target over this */
 
@@ -35,7 +36,7 @@
 		struct gate_class *class = &gate->classes[i];
 
 		if (class->active)
-			floor_advance(&class->floor, gate_queue_next(class) != NULL, class->running,
+			floor_advance(&class->floor, gate_queue_length(class) > 0, class->running,
 				      passed_us);
 	}
 	gate->advanced_us = now_us;
@@ -86,10 +87,12 @@
 static void take_service_time(struct gate *gate, const struct gate_ticket *ticket, uint64_t now_us)
 {
 	struct gate_service *service = &gate->classes[ticket->class_index].service;
-	struct limit_sample sample = {ticket->start_us, now_us, service->usual_us};
+	bool known = service->usual_count >= GATE_USUAL_KNOWN;
+	struct limit_sample sample = {ticket->start_us, now_us, known ? service->usual_us : 0};
 	uint64_t spent_us = now_us - ticket->start_us;
 
 	service->recent_us = mean_towards(service->recent_us, spent_us, RECENT_WEIGHT);
+	service->steady_us = mean_towards(service->steady_us, spent_us, STEADY_WEIGHT);
 	gate->service_us = mean_towards(gate->service_us, spent_us, RECENT_WEIGHT);
 	if (ticket->beside <= limit_low(&gate->limit)) {
 		if (service->usual_count < GATE_USUAL_SAMPLES)
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -17,6 +17,8 @@
 #define GATE_QUEUE_MAX	      256	     /* places of all classes together */
 #define GATE_ACTIONS_MAX      GATE_QUEUE_MAX /* one operation decides at most all that waits */
 #define GATE_TICK_INTERVAL_US 5000
+#define GATE_DUE_MARGIN	      2	 /* service times that answering in time takes */
+#define GATE_USUAL_KNOWN      16 /* samples that make a usual service time known */
 #define GATE_USUAL_SAMPLES    256
 #define GATE_PENALTY_HALF_US  500000 /* a failure counts half as much after this time */
 
@@ -83,6 +85,7 @@
 /* Service times of a class, from answered attempts; 0 while unknown. */
 struct gate_service {
 	uint64_t recent_us; /* mean over the last few */
+	uint64_t steady_us; /* mean over some dozens */
 	uint64_t usual_us;  /* mean over the last GATE_USUAL_SAMPLES with few attempts at once */
 	uint32_t usual_count;
 };
@@ -99,6 +102,8 @@
 	struct gate_list in_profile;	 /* by due time */
 	struct gate_list out_of_profile; /* by arrival */
 	uint64_t surplus_us;		 /* virtual time of its share of the surplus */
+	uint64_t busy_micro;		 /* mean slots that it runs on, in millionths */
+	bool leaves_headroom;		 /* may not take the last free slot; see headroom.c */
 };
 
 struct gate {
--- a/src/fescuemill/decide/gate_order.c
+++ b/src/fescuemill/decide/gate_order.c
@@ -9,15 +9,17 @@
 #include "fescuemill/decide/gate_order.h"
 
 #include "fescuemill/decide/gate_queue.h"
+#include "fescuemill/decide/headroom.h"
 
 #include <stddef.h>
 
-/* Tells whether a is served before b when both are in profile. */
-static bool is_before(const struct gate_class *a, const struct gate_class *b)
+/* Tells whether a is served before b when both have work in profile. */
+static bool is_before(const struct gate_class *a, const struct gate_class *b, uint64_t now_us)
 {
 	if (a->target.rank != b->target.rank)
 		return a->target.rank < b->target.rank;
-	return a->in_profile.head->due_us < b->in_profile.head->due_us;
+	return gate_queue_next_in_profile(a, now_us)->due_us <
+	       gate_queue_next_in_profile(b, now_us)->due_us;
 }
 
 /* Gives the most urgent class with work in profile, or NULL. */
@@ -28,7 +30,7 @@
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		struct gate_class *class = &gate->classes[i];
 
-		if (class->in_profile.head && (!best || is_before(class, best)))
+		if (class->in_profile.head && (!best || is_before(class, best, gate->advanced_us)))
 			best = class;
 	}
 	return best;
@@ -42,7 +44,7 @@
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		struct gate_class *class = &gate->classes[i];
 
-		if (!gate_queue_next(class) || !floor_is_owed(&class->floor, class->running))
+		if (!gate_queue_length(class) || !floor_is_owed(&class->floor, class->running))
 			continue;
 		if (!best || floor_lag_us(&class->floor) > floor_lag_us(&best->floor))
 			best = class;
@@ -58,7 +60,7 @@
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		struct gate_class *class = &gate->classes[i];
 
-		if (!class->out_of_profile.head)
+		if (!class->out_of_profile.head || headroom_holds_back(gate, class))
 			continue;
 		if (!best || class->surplus_us < best->surplus_us)
 			best = class;
@@ -85,7 +87,7 @@
 	       gate->classes[ticket->class_index].target.rank > urgent->target.rank;
 }
 
-/* Gives the waiting ticket that gets the next free slot, or NULL when none waits. */
+/* Gives the waiting ticket that gets the next free slot, or NULL when none may have it. */
 struct gate_ticket *gate_order_next(struct gate *gate)
 {
 	struct gate_class *urgent = find_urgent(gate);
@@ -93,15 +95,17 @@
 	struct gate_class *surplus;
 
 	if (owed) {
-		struct gate_ticket *ticket = gate_queue_next(owed);
+		struct gate_ticket *ticket = gate_queue_next(owed, gate->advanced_us);
 
 		ticket->ahead_of_rank = is_ahead(gate, ticket, urgent);
 		if (!ticket->ahead_of_rank || gate->ahead_in_use < floor_slots(gate->limit.current))
 			return ticket;
 		ticket->ahead_of_rank = false;
 	}
+	if (urgent && headroom_holds_back(gate, urgent))
+		return NULL;
 	if (urgent)
-		return urgent->in_profile.head;
+		return gate_queue_next_in_profile(urgent, gate->advanced_us);
 	surplus = find_surplus(gate);
 	return surplus ? surplus->out_of_profile.tail : NULL;
 }
--- a/src/fescuemill/decide/gate_queue.c
+++ b/src/fescuemill/decide/gate_queue.c
@@ -78,10 +78,26 @@
 	return class->in_profile.count + class->out_of_profile.count;
 }
 
+/*
+ * Gives the ticket in profile that a class serves next, or NULL: the earliest due that can still be
+ * answered in time. A class that falls behind would else answer every call late.
+ */
+struct gate_ticket *gate_queue_next_in_profile(const struct gate_class *class, uint64_t now_us)
+{
+	uint64_t least_us = now_us + class->service.recent_us * GATE_DUE_MARGIN;
+	struct gate_ticket *ticket = class->in_profile.head;
+
+	while (ticket && ticket->due_us < least_us)
+		ticket = ticket->next;
+	return ticket ? ticket : class->in_profile.head;
+}
+
 /* Gives the ticket of a class that is served next, or NULL. */
-struct gate_ticket *gate_queue_next(const struct gate_class *class)
+struct gate_ticket *gate_queue_next(const struct gate_class *class, uint64_t now_us)
 {
-	return class->in_profile.head ? class->in_profile.head : class->out_of_profile.tail;
+	if (class->in_profile.head)
+		return gate_queue_next_in_profile(class, now_us);
+	return class->out_of_profile.tail;
 }
 
 /* Tells whether a class has no place left, by its own bound or by that of the gate. */
--- a/src/fescuemill/decide/limit.c
+++ b/src/fescuemill/decide/limit.c
@@ -137,7 +137,9 @@
 {
 	uint32_t low = limit->slots / LIMIT_LOW_DIVISOR;
 
-	return low || !limit->slots ? low : 1;
+	if (low < LIMIT_LOW_MIN)
+		low = LIMIT_LOW_MIN;
+	return low < limit->slots ? low : limit->slots;
 }
 
 /* Notes that all slots under the limit are taken: only then is there reason to grow. */
@@ -157,11 +159,13 @@
 /* Takes an answered attempt, unless it started before this round. */
 void limit_served(struct limit *limit, const struct limit_sample *sample)
 {
-	uint64_t percent;
+	uint64_t percent = limit->usual_percent;
 
-	if (!sample->usual_us || sample->start_us < limit->round_us)
+	if (sample->start_us < limit->round_us)
 		return;
-	limit->round_percent += (sample->end_us - sample->start_us) * 100 / sample->usual_us;
+	if (sample->usual_us)
+		percent = (sample->end_us - sample->start_us) * 100 / sample->usual_us;
+	limit->round_percent += percent;
 	limit->round_count++;
 	if (limit->round_count < round_size(limit))
 		return;
--- a/src/fescuemill/decide/limit.h
+++ b/src/fescuemill/decide/limit.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #define LIMIT_LOW_DIVISOR      4   /* a cold start and a probe use slots over this */
+#define LIMIT_LOW_MIN	       2   /* so that one long call does not stop all others */
 #define LIMIT_ROUND_MIN	       16  /* answered attempts that make one measurement */
 #define LIMIT_INFLATED_PERCENT 150 /* of the usual service time; above it a round is inflated */
 #define LIMIT_INFLATED_ROUNDS  2   /* in a row, before the limit reacts */
@@ -41,7 +42,8 @@
 struct limit_sample {
 	uint64_t start_us;
 	uint64_t end_us;
-	uint64_t usual_us; /* service time of its class with few attempts at once; 0: unknown */
+	uint64_t usual_us; /* service time of its class with few attempts at once; 0: unknown, then
+			      it tells nothing */
 };
 
 void limit_start(struct limit *limit, uint32_t slots, uint64_t now_us);
