--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs one measurement over real processes, each against its baselines in the same run:
-#   scripts/measure.sh choice|fail-fast|flood-low|flood-high|link|overhead|gossip [SECONDS]
+#   scripts/measure.sh choice|fail-fast|flood-low|flood-high|link|overhead|rest|gossip [SECONDS]
 # Each prints a table and a last line with its ratio to the target.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -17,6 +17,9 @@
 overhead)
 	exec build/release/overhead "$seconds"
 	;;
+rest)
+	exec build/release/measure-rest "$seconds" 8 16 32 64
+	;;
 gossip)
 	exec build/release/measure-gossip-slope 100 300 1000 2000 3100 2>/dev/null
 	;;
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -40,7 +40,14 @@
 	X(ROSTER_REJECTED, "roster_objects_rejected", "objects", "rosters that do not parse")      \
 	X(ADMIN_REQUESTS, "admin_requests", "requests", "requests to the administration API")      \
 	X(ADMIN_REFUSED, "admin_requests_refused", "requests",                                     \
-	  "administration requests answered with an error")
+	  "administration requests answered with an error")                                        \
+	X(CONTROL_SPENT, "control_spent", "bytes", "measuring and control, sent and received")     \
+	X(CONTROL_REFUSED, "control_refused", "bytes", "measuring that waited for its budget")     \
+	X(CONTROL_ALLOWED, "control_allowed", "bytes/s", "budget of this node for measuring")      \
+	X(LINK_SPENT, "link_spent", "bytes", "measuring over links to other regions")              \
+	X(LINK_REFUSED, "link_refused", "bytes", "measuring that waited for the link's budget")    \
+	X(LINK_ALLOWED, "link_allowed", "bytes/s", "this node's share of the link's budget")       \
+	X(MEMBERS_ALIVE, "members_alive", "members", "live members that this node knows")
 
 enum counter {
 #define COUNTER_ENUM(symbol, name, unit, help) COUNTER_##symbol,
--- a/src/fescuemilld/gossip_shell.c
+++ b/src/fescuemilld/gossip_shell.c
@@ -4,6 +4,7 @@
 #include "fescuemilld/gossip_shell.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -65,12 +66,28 @@
 		       (const uint8_t *)buf->base, (size_t)size, clock_monotonic_us());
 }
 
+/* Shows what measuring and control have cost, and how many members live. */
+static void set_counters(const struct gossip_shell *shell)
+{
+	const struct budget *bud = shell->options.budget;
+
+	counter_set(COUNTER_CONTROL_SPENT, bud->node.spent_bytes);
+	counter_set(COUNTER_CONTROL_REFUSED, bud->node.refused_bytes);
+	counter_set(COUNTER_CONTROL_ALLOWED, bud->node.rate_bytes_per_s);
+	counter_set(COUNTER_LINK_SPENT, bud->link.spent_bytes);
+	counter_set(COUNTER_LINK_REFUSED, bud->link.refused_bytes);
+	counter_set(COUNTER_LINK_ALLOWED, bud->link.rate_bytes_per_s);
+	counter_set(COUNTER_MEMBERS_ALIVE,
+		    member_count_state(shell->options.members, MEMBER_ALIVE));
+}
+
 /* Lets time pass. */
 static void on_timer(uv_timer_t *timer)
 {
 	struct gossip_shell *shell = timer->data;
 
 	gossip_tick(shell->gossip, clock_monotonic_us());
+	set_counters(shell);
 }
 
 /* Frees the shell once both handles are closed. */
--- /dev/null
+++ b/test/measure/rest.cc
@@ -0,0 +1,126 @@
+// Measures what a fleet of real nodes costs while nobody calls: processor time, memory, control
+// bytes and platform calls of a node, at growing numbers of nodes.
+// Usage: measure-rest SECONDS NODES...
+#include "functional/support/fleet.h"
+
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace
+{
+struct Usage {
+	double processor_s = 0;
+	double resident_bytes = 0;
+	double control_bytes = 0;
+};
+
+// Reads the processor time and the resident memory of a process.
+void add_process(pid_t id, Usage &usage)
+{
+	std::ifstream stat("/proc/" + std::to_string(id) + "/stat");
+	std::ifstream statm("/proc/" + std::to_string(id) + "/statm");
+	std::string field;
+	double pages = 0;
+	const int user_field = 14;
+
+	for (int i = 1; i < user_field; i++)
+		stat >> field;
+	for (int i = 0; i < 2; i++) {
+		stat >> field;
+		usage.processor_s += std::stod(field) / (double)sysconf(_SC_CLK_TCK);
+	}
+	statm >> field >> pages;
+	usage.resident_bytes += pages * (double)sysconf(_SC_PAGESIZE);
+}
+
+// Reads one counter of a node.
+double counter(const support::Host &host, const std::string &name)
+{
+	support::HttpAnswer answer =
+		support::http(host.node->port("admin_port"), "GET", "/metrics");
+	std::string head = "\nfescuemill_" + name + " ";
+	size_t at = answer.body.find(head);
+
+	return at == std::string::npos ? 0 : std::stod(answer.body.substr(at + head.size()));
+}
+
+Usage usage_of(const support::Fleet &fleet)
+{
+	Usage usage;
+
+	for (const support::Host &host : fleet.hosts) {
+		add_process(host.node->id(), usage);
+		usage.control_bytes += counter(host, "control_spent");
+	}
+	return usage;
+}
+
+double platform_calls(const support::Fleet &fleet)
+{
+	support::Json stats = support::http_json(fleet.platform->port(), "GET", "/control/stats");
+	const char *key;
+	json_t *value;
+	double calls = 0;
+
+	json_object_foreach(stats.get(), key, value)
+	{
+		std::string name = key;
+
+		if (name != "waiting_watches" && name != "version" && name != "refused")
+			calls += (double)json_integer_value(value);
+	}
+	return calls;
+}
+
+void measure(int nodes, long seconds)
+{
+	support::FleetOptions options = support::FleetOptions::rangitoto();
+
+	for (support::ServiceSize &service : options.services)
+		service.servers = nodes / 4;
+	support::Fleet fleet(options);
+	fleet.start();
+	std::this_thread::sleep_for(std::chrono::seconds(12)); // The news of the start dies down.
+	Usage before = usage_of(fleet);
+	double calls = platform_calls(fleet);
+	std::this_thread::sleep_for(std::chrono::seconds(seconds));
+	Usage after = usage_of(fleet);
+	double count = (double)fleet.hosts.size();
+
+	printf("%6.0f %14.4f %12.1f %14.0f %18.3f\n", count,
+	       100 * (after.processor_s - before.processor_s) / count / (double)seconds,
+	       after.resident_bytes / count / 1e6,
+	       (after.control_bytes - before.control_bytes) / count / (double)seconds,
+	       (platform_calls(fleet) - calls) / (double)seconds);
+	fflush(stdout);
+	fleet.stop();
+}
+} // namespace
+
+int main(int argc, char **argv)
+{
+	long seconds = argc > 1 ? std::atol(argv[1]) : 0;
+
+	if (seconds < 1 || seconds > 600 || argc < 3) {
+		std::cerr << "usage: measure-rest SECONDS (1 to 600) NODES...\n";
+		return 2;
+	}
+	printf("%6s %14s %12s %14s %18s\n", "nodes", "% of a core", "resident MB", "control B/s",
+	       "platform calls/s");
+	try {
+		for (int i = 2; i < argc; i++)
+			measure(std::atoi(argv[i]), seconds);
+	} catch (const std::exception &failure) {
+		std::cerr << "measure-rest: " << failure.what() << "\n";
+		return 1;
+	}
+	return 0;
+}
