A large body on a slow link is not taken for a silent connection

A ping waits behind a body on its connection, and 8 MB at 30 Mbit/s take longer than a silence may last: the connection was replaced in mid-body and the call told not run (503 connection-lost in ALargeBodyOnTheSlowLinkIsNotTakenForSilence). Raising the silence for all links was ruled out, as it would slow down the finding of dead ones. The peer module now adds the time that the bodies under way may take, and the gate says the size of a large answer before it sends it, also on the link for large bodies.

--- a/src/fescuemill/decide/peer.c
+++ b/src/fescuemill/decide/peer.c
@@ -12,11 +12,14 @@
 #define PEER_QUIET_US	  100000
 #define PEER_PING_WAIT_US 150000
 #define PEER_IDLE_MAX_US  30000000
+#define PEER_BYTES_PER_S  1000000
+#define PEER_USEC_PER_SEC 1000000
 #define PEER_UNHEARD_MAX  2
 
 const struct peer_settings peer_default_settings = {
 	.quiet_us = PEER_QUIET_US,
 	.ping_wait_us = PEER_PING_WAIT_US,
+	.bytes_per_s = PEER_BYTES_PER_S,
 	.idle_max_us = PEER_IDLE_MAX_US,
 };
 
@@ -76,11 +79,20 @@
 	peer->used_us = now_us;
 }
 
+/* Notes a large body that passes over the link either way. A ping waits behind it, so that silence
+ * may last longer by the time that the body takes. */
+void peer_transfer(struct peer *peer, const struct peer_settings *settings, uint64_t bytes)
+{
+	peer->transfer_us += bytes * PEER_USEC_PER_SEC / settings->bytes_per_s;
+}
+
 /* Notes that an attempt's answer is no longer due. */
 void peer_attempt_done(struct peer *peer)
 {
 	if (peer->outstanding > 0)
 		peer->outstanding--;
+	if (peer->outstanding == 0)
+		peer->transfer_us = 0;
 }
 
 /* Tells whether the link must be replaced (or first opened) before it carries an attempt. */
@@ -105,7 +117,7 @@
 static bool peer_overslept(const struct peer *peer, const struct peer_settings *settings,
 			   uint64_t now_us)
 {
-	return now_us >= peer->pinged_us + 2 * settings->ping_wait_us;
+	return now_us >= peer->pinged_us + peer->transfer_us + 2 * settings->ping_wait_us;
 }
 
 /* Tells what is due now: a ping after silence, a replacement after an unanswered ping. */
@@ -133,6 +145,6 @@
 	if (peer->state == PEER_CLOSED || peer->outstanding == 0)
 		return UINT64_MAX;
 	if (peer->state == PEER_PINGED)
-		return peer->pinged_us + settings->ping_wait_us;
+		return peer->pinged_us + settings->ping_wait_us + peer->transfer_us;
 	return peer_silent_since_us(peer) + settings->quiet_us;
 }
--- a/src/fescuemill/decide/peer.h
+++ b/src/fescuemill/decide/peer.h
@@ -13,6 +13,7 @@
 	uint64_t quiet_us;     /* silent for so long with work outstanding: ping */
 	uint64_t ping_wait_us; /* no answer to the ping for so long: replace */
 	uint64_t idle_max_us;  /* unused for so long: replace before the next use */
+	uint64_t bytes_per_s;  /* least rate at which large bodies are expected to pass */
 };
 
 enum peer_action {
@@ -22,11 +23,12 @@
 };
 
 struct peer {
-	uint64_t heard_us;  /* last message from the gate */
-	uint64_t used_us;   /* last message to the gate, pings included */
-	uint64_t waits_us;  /* since when an answer is due */
-	uint64_t pinged_us; /* when the present ping was sent */
-	uint32_t epoch;	    /* of the open link; 0 before the first */
+	uint64_t heard_us;    /* last message from the gate */
+	uint64_t used_us;     /* last message to the gate, pings included */
+	uint64_t waits_us;    /* since when an answer is due */
+	uint64_t pinged_us;   /* when the present ping was sent */
+	uint64_t transfer_us; /* expected time of the large bodies under way */
+	uint32_t epoch;	      /* of the open link; 0 before the first */
 	uint32_t outstanding;
 	uint32_t unheard; /* connections opened in a row over which nothing came */
 	uint8_t kind;	  /* enum link_kind */
@@ -40,6 +42,7 @@
 void peer_closed(struct peer *peer);
 void peer_heard(struct peer *peer, uint64_t now_us);
 void peer_attempt_sent(struct peer *peer, uint64_t now_us);
+void peer_transfer(struct peer *peer, const struct peer_settings *settings, uint64_t bytes);
 void peer_attempt_done(struct peer *peer);
 enum peer_action peer_before_use(const struct peer *peer, const struct peer_settings *settings,
 				 uint64_t now_us);
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -18,7 +18,7 @@
 #define ANSWER_MARGIN_US 2000
 #define HTTP_ERROR_MIN	 500
 
-static const struct entry_input no_input = {NULL, NULL};
+static const struct entry_input no_input = {NULL, NULL, 0};
 
 static void on_timer(uv_timer_t *timer);
 
@@ -205,6 +205,8 @@
 		counter_add(COUNTER_RETRIES_SENT, 1);
 	choice_sent(call->service->choice, side->owner->life.node_id, call->sent_us);
 	entry_link_add_call(side, call);
+	if (side->peer.kind == LINK_BULK)
+		peer_transfer(&side->peer, &call->entry->peer_settings, msg.call.body.size);
 	if (entry_link_send(side, &msg, &err) == 0)
 		return;
 	log_failure(LOG_DEBUG, LOG_PART_ENTRY, "An attempt could not be sent.", &err);
@@ -225,7 +227,8 @@
 }
 
 /* Fetches a large answer over the bulk link. */
-static void ask_bulk(struct entry_call *call, const struct attempt_entry_action *action)
+static void ask_bulk(struct entry_call *call, const struct attempt_entry_action *action,
+		     uint32_t held_bytes)
 {
 	struct link_side *side = &call->link->sides[LINK_BULK];
 	struct error err;
@@ -235,6 +238,7 @@
 		return;
 	}
 	send_ask(call, action, side);
+	peer_transfer(&side->peer, &call->entry->peer_settings, held_bytes);
 }
 
 /* Sends a message that carries an identity only. */
@@ -267,7 +271,7 @@
 		return true;
 	case ENTRY_ACTION_ASK_BULK:
 		if (call->link)
-			ask_bulk(call, action);
+			ask_bulk(call, action, input->held_bytes);
 		return true;
 	case ENTRY_ACTION_SEND_ACK:
 		send_plain(input->side, MESSAGE_ACK, &action->target.id);
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -90,6 +90,7 @@
 struct entry_input {
 	struct link_side *side; /* NULL when no message is being handled */
 	const struct message_answer *answer;
+	uint32_t held_bytes; /* of a large answer that waits at the gate */
 };
 
 void entry_call_step(struct entry_call *call, const struct attempt_entry_event *event,
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -180,6 +180,7 @@
 		input.answer = &msg->answer;
 	} else {
 		event.type = msg->type == MESSAGE_HELD ? ENTRY_EVENT_HELD : ENTRY_EVENT_PENDING;
+		input.held_bytes = msg->type == MESSAGE_HELD ? msg->held.body_size : 0;
 	}
 	entry_call_step(call, &event, &input);
 }
--- a/src/fescuemilld/gate_reply.c
+++ b/src/fescuemilld/gate_reply.c
@@ -43,15 +43,22 @@
 		msg->answer.gate_queue_us = (uint32_t)(attempt->started_us - attempt->offered_us);
 }
 
-/* Sends the kept answer, or word of it when it is too large for the link that calls use. */
+/* Tells whether a large answer may go now: on the link for large bodies, to an entry that asked for
+ * it and so knows how long it may take. */
+static bool may_send_large(const struct attempt_gate_action *action, const struct origin *origin)
+{
+	return link_kind_of(action->epoch) == LINK_BULK && origin->msg &&
+	       origin->msg->type == MESSAGE_ASK;
+}
+
+/* Sends the kept answer, or word of it when it is large. */
 void gate_reply_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
 		       const struct origin *origin)
 {
 	const struct gate_attempt *attempt = action->user;
 	struct message msg = {0};
 
-	if (link_kind_of(action->epoch) == LINK_CALLS &&
-	    attempt->answer.body.size > WIRE_SMALL_BODY_BYTES) {
+	if (attempt->answer.body.size > WIRE_SMALL_BODY_BYTES && !may_send_large(action, origin)) {
 		msg.type = MESSAGE_HELD;
 		msg.held.gate_incarnation = shell->options.incarnation;
 		msg.held.body_size = attempt->answer.body.size;
--- a/test/functional/failure_test.cc
+++ b/test/functional/failure_test.cc
@@ -245,3 +245,21 @@
 		EXPECT_EQ(starts(fleet)[id], 1);
 	}
 }
+
+// A body of 8 MB takes over 2 s each way at the link's rate, longer than a silence may last.
+TEST(Failure, ALargeBodyOnTheSlowLinkIsNotTakenForSilence)
+{
+	Fleet fleet(across_regions());
+	fleet.start();
+	size_t size = 8 * 1024 * 1024;
+	HttpAnswer answer = fleet.call(fleet.hosts[2], "POST", "/ledger/plate", "purchase",
+				       std::string(size, 'p'),
+				       {"x-call: plate", "x-standin-size: " + std::to_string(size),
+					"x-fescue-deadline-ms: 20000"},
+				       25000);
+
+	EXPECT_EQ(answer.status, 200) << answer.headers["x-fescue-reason"];
+	EXPECT_EQ(answer.headers["x-fescue-attempts"], "1");
+	EXPECT_EQ(answer.body.size(), size);
+	EXPECT_EQ(starts(fleet)["plate"], 1);
+}
