Gate: learn usual service times before climbing, and keep as many slots free as pays

Ruled out: growing only in rounds with known times (400 ms calls took longer than 5 s to start cold); inflation from 150% (probes without cause) and from 200% (mean limit 7.2 of 8 beside a noisy neighbour).

--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -103,7 +103,7 @@
 	struct gate_list out_of_profile; /* by arrival */
 	uint64_t surplus_us;		 /* virtual time of its share of the surplus */
 	uint64_t busy_micro;		 /* mean slots that it runs on, in millionths */
-	bool leaves_headroom;		 /* may not take the last free slot; see headroom.c */
+	bool leaves_headroom;		 /* its calls are long; see headroom.c */
 };
 
 struct gate {
@@ -114,6 +114,7 @@
 	struct limit limit;
 	uint32_t in_use;
 	uint32_t queued;
+	uint32_t headroom;     /* slots kept from classes of long calls */
 	uint32_t ahead_in_use; /* slots that hold work started ahead of its rank */
 	uint64_t advanced_us;  /* slot time is accounted up to here */
 	uint64_t shared_us;    /* floors were last shared out */
--- a/src/fescuemill/decide/headroom.c
+++ b/src/fescuemill/decide/headroom.c
@@ -38,22 +38,31 @@
 }
 
 /*
- * Tells whether a slot that only work of this many mean slots may take is idle seldom enough.
- * Random arrivals leave it idle for e to the power of minus that load.
+ * Gives how many slots may be kept for work of a mean load. Of h slots, random arrivals of a mean
+ * of m at once leave idle the sum over k < h of P(at most k).
  */
-static bool is_cheap(uint64_t busy_micro, uint32_t limit)
+static uint32_t affordable(uint64_t busy_micro, uint32_t limit)
 {
-	double idle = exp(-(double)busy_micro / SLOT_MICRO);
+	double mean = (double)busy_micro / SLOT_MICRO;
+	double most_idle = (double)limit * HEADROOM_COST_PERMILLE / 1000;
+	double exactly = exp(-mean);
+	double at_most = exactly;
+	double idle = at_most;
+	uint32_t slots = 0;
 
-	return idle * 1000 <= (double)limit * HEADROOM_COST_PERMILLE;
+	while (idle <= most_idle && slots + 1 < limit) {
+		slots++;
+		exactly *= mean / slots;
+		at_most += exactly;
+		idle += at_most;
+	}
+	return slots;
 }
 
 /* Works out anew which classes leave headroom; call it at every tick. */
 void headroom_update(struct gate *gate)
 {
-	bool leaves[CLASSES_PER_SERVICE_MAX] = {false};
 	uint64_t others_micro = 0;
-	bool cheap;
 
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		struct gate_class *class = &gate->classes[i];
@@ -61,17 +70,23 @@
 		if (!class->active)
 			continue;
 		follow_busy(class);
-		leaves[i] = gate->limit.current > 1 && blocks_any(gate, class);
-		if (!leaves[i])
+		class->leaves_headroom = gate->limit.current > 1 && blocks_any(gate, class);
+		if (!class->leaves_headroom)
 			others_micro += class->busy_micro;
 	}
-	cheap = is_cheap(others_micro, gate->limit.current);
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++)
-		gate->classes[i].leaves_headroom = cheap && leaves[i];
+	gate->headroom = affordable(others_micro, gate->limit.current);
 }
 
 /* Tells whether a class may not take a slot now, although one is free. */
 bool headroom_holds_back(const struct gate *gate, const struct gate_class *class)
 {
-	return class->leaves_headroom && gate->in_use + 1 >= gate->limit.current;
+	uint32_t running = 0;
+
+	if (!class->leaves_headroom || !gate->headroom)
+		return false;
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		if (gate->classes[i].leaves_headroom)
+			running += gate->classes[i].running;
+	}
+	return running + gate->headroom >= gate->limit.current;
 }
--- a/src/fescuemill/decide/headroom.h
+++ b/src/fescuemill/decide/headroom.h
@@ -1,5 +1,5 @@
 /*
- * Headroom: which classes leave the last free slot to others.
+ * Headroom: slots that classes of long calls leave to others.
  */
 #ifndef FESCUEMILL_DECIDE_HEADROOM_H
 #define FESCUEMILL_DECIDE_HEADROOM_H
--- a/src/fescuemill/decide/limit.c
+++ b/src/fescuemill/decide/limit.c
@@ -81,6 +81,7 @@
 /* Decides after rounds of inflated service times. */
 static void react(struct limit *limit, uint64_t percent)
 {
+	limit->cold = false;
 	if (limit->current <= limit_low(limit))
 		take_as_usual(limit, percent);
 	else if (limit->probe_age >= LIMIT_PROBE_ROUNDS)
@@ -102,7 +103,7 @@
 	}
 	limit->inflated_rounds = 0;
 	follow_usual(limit, percent);
-	if (limit->round_full && !limit->round_shed)
+	if (limit->round_full && !limit->round_shed && !limit->cold)
 		grow(limit);
 }
 
@@ -115,6 +116,7 @@
 	limit->probe_age = LIMIT_PROBE_ROUNDS;
 	limit->slots = slots;
 	limit->current = limit_low(limit);
+	limit->cold = limit->current < slots;
 	begin_round(limit, now_us);
 }
 
@@ -148,6 +150,22 @@
 	limit->round_full = true;
 }
 
+/*
+ * Grows by one for every limit's worth of answers after a cold start. At few slots these have to be
+ * of a class whose usual service time is known, since it is learnt there only.
+ */
+static void climb_cold(struct limit *limit, const struct limit_sample *sample)
+{
+	if (!limit->round_full || (!sample->usual_us && limit->current <= limit_low(limit)))
+		return;
+	limit->cold_count++;
+	if (limit->cold_count < limit->current)
+		return;
+	limit->cold_count = 0;
+	grow(limit);
+	limit->cold = limit->current < limit->slots;
+}
+
 /* Gives how many answered attempts make a round: a probe decides for long, so it takes more. */
 static uint32_t round_size(const struct limit *limit)
 {
@@ -166,6 +184,8 @@
 	if (sample->usual_us)
 		percent = (sample->end_us - sample->start_us) * 100 / sample->usual_us;
 	limit->round_percent += percent;
+	if (limit->cold)
+		climb_cold(limit, sample);
 	limit->round_count++;
 	if (limit->round_count < round_size(limit))
 		return;
@@ -189,6 +209,7 @@
 	if (limit->mode == LIMIT_PROBE)
 		limit->current = limit->before_probe;
 	limit->mode = LIMIT_STEADY;
+	limit->cold = false;
 	shrink(limit);
 	begin_round(limit, now_us);
 	limit->round_shed = true;
--- a/src/fescuemill/decide/limit.h
+++ b/src/fescuemill/decide/limit.h
@@ -10,7 +10,7 @@
 #define LIMIT_LOW_DIVISOR      4   /* a cold start and a probe use slots over this */
 #define LIMIT_LOW_MIN	       2   /* so that one long call does not stop all others */
 #define LIMIT_ROUND_MIN	       16  /* answered attempts that make one measurement */
-#define LIMIT_INFLATED_PERCENT 150 /* of the usual service time; above it a round is inflated */
+#define LIMIT_INFLATED_PERCENT 175 /* of the usual service time; above it a round is inflated */
 #define LIMIT_INFLATED_ROUNDS  2   /* in a row, before the limit reacts */
 #define LIMIT_KEEP_PERCENT     75  /* of the limit that a shrink keeps */
 #define LIMIT_PROBE_SAMPLES    32  /* answered attempts that make a probe */
@@ -25,6 +25,8 @@
 	uint32_t slots;
 	uint32_t current; /* 1 to slots; 0 without a backend server */
 	enum limit_mode mode;
+	bool cold;		/* has not yet climbed to the slots, nor had to shrink */
+	uint32_t cold_count;	/* answers since the last growth while cold */
 	uint32_t before_probe;	/* the limit that a probe interrupted */
 	uint64_t probe_percent; /* the inflation that a probe examines */
 	uint32_t probe_age;	/* rounds since the last probe */
