--- /dev/null
+++ b/src/fescuemill/decide/attempt_gate.c
@@ -0,0 +1,424 @@
+/*
+ * Attempts at the gate. Three things together keep an attempt from running twice: the table of
+ * attempts, the highest epoch seen of each link, and the highest sequence forgotten of each link.
+ * An entry draws a sequence at the moment of sending and a link keeps order, so an attempt that is
+ * not in the table and not above the forgotten sequence has been here before. That holds however
+ * late a frame comes, which a tombstone with an expiry alone would not.
+ */
+#include "fescuemill/decide/attempt_gate.h"
+
+#include "fescuemill/chart/chart.h"
+#include "fescuemill/decide/attempt_gate_table.h"
+
+#include <string.h>
+
+#define REFUSED_KEEP_US 10000000ULL /* for a refusal whose deadline is not known */
+
+/* The arguments of one step, passed down together. */
+struct step {
+	struct attempt_gate *gate;
+	const struct attempt_gate_event *event;
+	uint64_t now_us;
+	struct attempt_gate_actions *out;
+	struct error *err;
+};
+
+/* Adds an action about an attempt. */
+static struct attempt_gate_action *emit(struct step *st, enum attempt_gate_action_type type,
+					const struct record *rec)
+{
+	struct attempt_gate_action *action = &st->out->list[st->out->count++];
+
+	memset(action, 0, sizeof(*action));
+	action->type = type;
+	action->id = st->event->id;
+	action->epoch = st->event->epoch;
+	if (!rec)
+		return action;
+	action->id = rec->id;
+	action->epoch = rec->epoch;
+	action->outcome = (enum call_outcome)rec->outcome;
+	action->reason = (enum call_reason)rec->reason;
+	action->deadline_us = rec->deadline_us;
+	action->user = rec->user;
+	return action;
+}
+
+/* Answers the message with an outcome that no record holds. */
+static int reply_without_record(struct step *st, enum call_outcome outcome, enum call_reason reason)
+{
+	struct attempt_gate_action *action = emit(st, GATE_ACTION_REPLY_OUTCOME, NULL);
+
+	action->outcome = outcome;
+	action->reason = reason;
+	return 0;
+}
+
+/* Leaves the message unanswered. */
+static int drop(struct step *st, enum call_reason reason)
+{
+	emit(st, GATE_ACTION_DROP, NULL)->reason = reason;
+	return 0;
+}
+
+static bool state_is_live(uint32_t state)
+{
+	return state == GATE_ATTEMPT_WAITING || state == GATE_ATTEMPT_RUNNING ||
+	       state == GATE_ATTEMPT_STOPPING;
+}
+
+/* Moves a record along its chart and keeps the count of live ones. */
+static int record_move(struct step *st, struct record *rec, enum attempt_gate_input input)
+{
+	uint32_t next;
+
+	if (chart_next(CHART_ATTEMPT_GATE, rec->state, input, &next, st->err))
+		return -1;
+	st->gate->live -= state_is_live(rec->state);
+	st->gate->live += state_is_live(next);
+	rec->state = (uint8_t)next;
+	return 0;
+}
+
+/* Removes a record that reached the end of its chart. */
+static void record_end(struct step *st, struct record *rec)
+{
+	emit(st, GATE_ACTION_FREE, rec);
+	record_remove(st->gate, rec);
+}
+
+/* Gives when a record is to be forgotten if no acknowledgement comes. */
+static uint64_t record_end_us(const struct step *st, const struct record *rec)
+{
+	return rec->deadline_us + st->gate->settings.keep_margin_us;
+}
+
+/* Marks a record as not run, for good. */
+static void record_refuse(struct step *st, struct record *rec, enum call_reason reason)
+{
+	rec->outcome = OUTCOME_NOT_RUN;
+	rec->reason = (uint8_t)reason;
+	record_set_bytes(st->gate, rec, 0);
+	record_set_due(st->gate, rec, record_end_us(st, rec));
+}
+
+/* Refuses an attempt that is not in the table. A record keeps the refusal for repeats of the call;
+ * without room for one, the forgotten sequence keeps the call from running, and a later question
+ * is answered "unknown". */
+static int refuse_new(struct step *st, struct entry_peer *peer, enum attempt_gate_input input,
+		      enum call_reason reason, uint64_t deadline_us)
+{
+	struct record *rec = record_add(st->gate, peer, &st->event->id, st->event->epoch);
+
+	if (!rec) {
+		entry_peer_forget(peer, link_kind_of(st->event->epoch), st->event->id.sequence);
+		return reply_without_record(st, OUTCOME_NOT_RUN, reason);
+	}
+	if (record_move(st, rec, input))
+		return -1;
+	rec->deadline_us = deadline_us;
+	record_refuse(st, rec, reason);
+	emit(st, GATE_ACTION_REPLY_OUTCOME, rec);
+	return 0;
+}
+
+/* Repeats what is known of an attempt to whoever called or asked again. */
+static int reply_known(struct step *st, struct record *rec, enum attempt_gate_input input)
+{
+	enum attempt_gate_action_type type = GATE_ACTION_REPLY_OUTCOME;
+
+	if (record_move(st, rec, input))
+		return -1;
+	if (state_is_live(rec->state))
+		type = GATE_ACTION_REPLY_PENDING;
+	else if (rec->has_answer)
+		type = GATE_ACTION_REPLY_ANSWER;
+	emit(st, type, rec)->duplicate = true;
+	return 0;
+}
+
+/* Tells why a call that was never seen cannot be taken now; REASON_NONE when it can. */
+static enum call_reason call_refusal(const struct step *st)
+{
+	const struct attempt_gate *gate = st->gate;
+
+	if (st->event->call.time_left_us == 0)
+		return REASON_EXPIRED;
+	if (gate->live >= gate->settings.live_max)
+		return REASON_OVERLOAD;
+	if (gate->bytes + st->event->call.bytes > gate->settings.bytes_max)
+		return REASON_OVERLOAD;
+	if (gate->record_map.count == gate->record_map.capacity)
+		return REASON_OVERLOAD;
+	return REASON_NONE;
+}
+
+/* Takes a call that was never seen. */
+static int call_new(struct step *st, struct entry_peer *peer)
+{
+	enum call_reason reason = call_refusal(st);
+	uint64_t left_us = st->event->call.time_left_us;
+	struct record *rec;
+
+	if (left_us > CALL_DEADLINE_US_MAX)
+		left_us = CALL_DEADLINE_US_MAX;
+	if (reason != REASON_NONE)
+		return refuse_new(st, peer, GATE_INPUT_REFUSED, reason, st->now_us + left_us);
+	rec = record_add(st->gate, peer, &st->event->id, st->event->epoch);
+	if (record_move(st, rec, GATE_INPUT_CALL))
+		return -1;
+	rec->deadline_us = st->now_us + left_us;
+	record_set_bytes(st->gate, rec, st->event->call.bytes);
+	record_set_due(st->gate, rec, rec->deadline_us);
+	emit(st, GATE_ACTION_OFFER, rec);
+	return 0;
+}
+
+/* Takes a call message. */
+static int on_call(struct step *st, struct entry_peer *peer, struct record *rec)
+{
+	enum link_kind kind = link_kind_of(st->event->epoch);
+
+	if (st->event->call.gate_incarnation != st->gate->settings.incarnation)
+		return reply_without_record(st, OUTCOME_NOT_RUN, REASON_INCARNATION);
+	if (rec)
+		return reply_known(st, rec, GATE_INPUT_CALL);
+	if (st->event->id.sequence <= peer->forgotten[kind])
+		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_STALE_EPOCH);
+	return call_new(st, peer);
+}
+
+/* Takes a question. An attempt that was never seen is refused from now on. */
+static int on_ask(struct step *st, struct entry_peer *peer, struct record *rec)
+{
+	if (st->event->ask.gate_incarnation != st->gate->settings.incarnation)
+		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_INCARNATION);
+	if (rec)
+		return reply_known(st, rec, GATE_INPUT_ASK);
+	if (entry_peer_forgot_any(peer, st->event->id.sequence))
+		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST);
+	return refuse_new(st, peer, GATE_INPUT_ASK, REASON_CONNECTION_LOST,
+			  st->now_us + REFUSED_KEEP_US);
+}
+
+/* Takes a cancellation. The slot or queue place is given up at once. */
+static int on_cancel(struct step *st, struct entry_peer *peer, struct record *rec)
+{
+	uint32_t before = rec ? rec->state : GATE_ATTEMPT_NEW;
+
+	if (!rec && st->event->id.sequence <= peer->forgotten[link_kind_of(st->event->epoch)])
+		return drop(st, REASON_STALE_EPOCH);
+	if (!rec)
+		return refuse_new(st, peer, GATE_INPUT_CANCEL, REASON_CANCELLED,
+				  st->now_us + REFUSED_KEEP_US);
+	if (record_move(st, rec, GATE_INPUT_CANCEL))
+		return -1;
+	if (before == GATE_ATTEMPT_RUNNING)
+		emit(st, GATE_ACTION_CANCEL_RUN, rec);
+	if (before != GATE_ATTEMPT_WAITING)
+		return 0;
+	emit(st, GATE_ACTION_WITHDRAW, rec);
+	record_refuse(st, rec, REASON_CANCELLED);
+	emit(st, GATE_ACTION_REPLY_OUTCOME, rec);
+	return 0;
+}
+
+/* Takes an acknowledgement: the entry has its outcome. */
+static int on_ack(struct step *st, struct record *rec)
+{
+	if (!rec)
+		return 0;
+	if (record_move(st, rec, GATE_INPUT_ACK))
+		return -1;
+	if (rec->state == GATE_ATTEMPT_FORGOTTEN)
+		record_end(st, rec);
+	return 0;
+}
+
+/* Takes a message from an entry node: refuses those of an earlier life or an older connection. */
+static int on_message(struct step *st)
+{
+	const struct attempt_id *id = &st->event->id;
+	struct entry_peer *peer = entry_peer_get(st->gate, &id->entry, st->now_us);
+	enum link_kind kind = link_kind_of(st->event->epoch);
+	struct record *rec;
+
+	if (!peer)
+		return drop(st, REASON_OVERLOAD);
+	if (id->entry.incarnation < peer->life.incarnation)
+		return drop(st, REASON_INCARNATION);
+	if (id->entry.incarnation > peer->life.incarnation) {
+		entry_peer_restarted(peer, id->entry.incarnation);
+	}
+	if (st->event->epoch < peer->epochs[kind])
+		return drop(st, REASON_STALE_EPOCH);
+	peer->epochs[kind] = st->event->epoch;
+	peer->seen_us = st->now_us;
+	rec = record_find(st->gate, id);
+	if (rec)
+		rec->epoch = st->event->epoch;
+	switch (st->event->type) {
+	case GATE_EVENT_CALL:
+		return on_call(st, peer, rec);
+	case GATE_EVENT_ASK:
+		return on_ask(st, peer, rec);
+	case GATE_EVENT_CANCEL:
+		return on_cancel(st, peer, rec);
+	default:
+		return on_ack(st, rec);
+	}
+}
+
+/* Takes admission's word. An attempt that was cancelled meanwhile gives its slot back. */
+static int on_admission(struct step *st, struct record *rec)
+{
+	bool is_admitted = st->event->type == GATE_EVENT_ADMITTED;
+
+	if (!rec || rec->state == GATE_ATTEMPT_REFUSED)
+		return is_admitted ? drop(st, REASON_CANCELLED) : 0;
+	if (record_move(st, rec, is_admitted ? GATE_INPUT_ADMITTED : GATE_INPUT_REFUSED))
+		return -1;
+	if (is_admitted) {
+		emit(st, GATE_ACTION_START, rec);
+		return 0;
+	}
+	record_refuse(st, rec, st->event->refused.reason);
+	emit(st, GATE_ACTION_REPLY_OUTCOME, rec);
+	return 0;
+}
+
+/* Takes the end of a run: the answer is kept if it fits, and sent. */
+static int on_finished(struct step *st, struct record *rec)
+{
+	bool is_answered = st->event->finished.outcome == OUTCOME_ANSWERED;
+
+	if (!rec)
+		return drop(st, REASON_EXPIRED);
+	if (record_move(st, rec, GATE_INPUT_FINISHED))
+		return -1;
+	rec->outcome = (uint8_t)st->event->finished.outcome;
+	rec->reason = (uint8_t)st->event->finished.reason;
+	record_set_bytes(st->gate, rec, 0);
+	record_set_due(st->gate, rec, record_end_us(st, rec));
+	emit(st, is_answered ? GATE_ACTION_REPLY_ANSWER : GATE_ACTION_REPLY_OUTCOME, rec);
+	if (!is_answered)
+		return 0;
+	rec->has_answer =
+		st->gate->bytes + st->event->finished.bytes <= st->gate->settings.bytes_max;
+	if (rec->has_answer) {
+		record_set_bytes(st->gate, rec, st->event->finished.bytes);
+		return 0;
+	}
+	emit(st, GATE_ACTION_RELEASE_ANSWER, rec);
+	rec->outcome = OUTCOME_UNKNOWN;
+	rec->reason = REASON_OVERLOAD;
+	return 0;
+}
+
+/* Ends what is due for one record: its deadline, or its time in the table. */
+static int on_due(struct step *st, struct record *rec)
+{
+	bool is_running = rec->state == GATE_ATTEMPT_RUNNING;
+
+	if (!is_running && rec->state != GATE_ATTEMPT_WAITING) {
+		if (record_move(st, rec, GATE_INPUT_EXPIRE))
+			return -1;
+		record_end(st, rec);
+		return 0;
+	}
+	if (record_move(st, rec, GATE_INPUT_DEADLINE))
+		return -1;
+	if (is_running) {
+		record_set_due(st->gate, rec, record_end_us(st, rec));
+		emit(st, GATE_ACTION_CANCEL_RUN, rec);
+		return 0;
+	}
+	emit(st, GATE_ACTION_WITHDRAW, rec);
+	record_refuse(st, rec, REASON_EXPIRED);
+	emit(st, GATE_ACTION_REPLY_OUTCOME, rec);
+	return 0;
+}
+
+/* Does all that is due, as far as the list of actions has room. */
+static int on_tick(struct step *st)
+{
+	struct due_heap *due = &st->gate->due;
+
+	while (due_heap_first_us(due) <= st->now_us) {
+		if (st->out->count + 2 > ATTEMPT_GATE_ACTIONS_MAX) {
+			st->out->more = true;
+			return 0;
+		}
+		if (on_due(st, &st->gate->records[due_heap_first(due)]))
+			return -1;
+	}
+	return 0;
+}
+
+/* Takes one event and fills the actions to do in their order. Errors: ERROR_STATE when the chart
+ * does not allow the event for its attempt; then there is no action. */
+int attempt_gate_step(struct attempt_gate *gate, const struct attempt_gate_event *event,
+		      uint64_t now_us, struct attempt_gate_actions *out, struct error *err)
+{
+	struct step st = {gate, event, now_us, out, err};
+
+	out->count = 0;
+	out->more = false;
+	switch (event->type) {
+	case GATE_EVENT_CALL:
+	case GATE_EVENT_ASK:
+	case GATE_EVENT_CANCEL:
+	case GATE_EVENT_ACK:
+		return on_message(&st);
+	case GATE_EVENT_ADMITTED:
+	case GATE_EVENT_REFUSED:
+		return on_admission(&st, record_find(gate, &event->id));
+	case GATE_EVENT_FINISHED:
+		return on_finished(&st, record_find(gate, &event->id));
+	case GATE_EVENT_TICK:
+		return on_tick(&st);
+	}
+	return 0;
+}
+
+/* Attaches the shell's own data to an attempt; GATE_ACTION_FREE gives it back. Does nothing for an
+ * attempt that is not in the table. */
+void attempt_gate_set_user(struct attempt_gate *gate, const struct attempt_id *id, void *user)
+{
+	struct record *rec = record_find(gate, id);
+
+	if (rec)
+		rec->user = user;
+}
+
+/* Gives the shell's own data of an attempt, NULL when there is none. */
+void *attempt_gate_user(struct attempt_gate *gate, const struct attempt_id *id)
+{
+	struct record *rec = record_find(gate, id);
+
+	return rec ? rec->user : NULL;
+}
+
+/* Gives the time of the next tick with something to do, UINT64_MAX when there is none. */
+uint64_t attempt_gate_next_due_us(const struct attempt_gate *gate)
+{
+	return due_heap_first_us(&gate->due);
+}
+
+/* Gives the number of attempts that wait or run. */
+uint32_t attempt_gate_live(const struct attempt_gate *gate)
+{
+	return gate->live;
+}
+
+/* Gives the number of attempts in the table. */
+uint32_t attempt_gate_records(const struct attempt_gate *gate)
+{
+	return gate->record_map.count;
+}
+
+/* Gives the bytes that the shell holds for the attempts in the table. */
+uint64_t attempt_gate_bytes(const struct attempt_gate *gate)
+{
+	return gate->bytes;
+}
--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -7,12 +7,15 @@
 
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemill/settings/value.h"
+#include "fescuemill/fleet/config_batch.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 struct config_entry {
 	char name[SERVICE_NAME_BYTES];
 	bool in_force;
@@ -30,18 +33,11 @@
 	uint64_t through;	 /* everything up to this version was delivered */
 	uint64_t complete;	 /* version of the newest change up to `through` */
 	uint64_t noted;		 /* highest digest heard from a peer */
-	uint64_t pruned_version; /* deletions up to this version may be forgotten */
+	uint64_t pruned_version; /* deletions up to this version may not be known here */
 	uint64_t ticket;
 	bool ready;
 };
 
-/* One delivered object: a value or, when json is NULL, a deletion. */
-struct delivery {
-	const char *name;
-	uint64_t version;
-	json_t *json;
-};
-
 /* Opens an empty store, which is not ready. Errors: ERROR_MEMORY. */
 int config_open(struct config_store **out, struct error *err)
 {
@@ -186,6 +182,13 @@
 		  entry->name, delivery->version);
 }
 
+/* Tells whether a delivery is older than a whole answer that did not have the service. */
+static bool is_forgotten(const struct config_store *store, const struct config_entry *entry,
+			 const struct delivery *delivery)
+{
+	return !entry->in_force && !entry->rejected && delivery->version <= store->pruned_version;
+}
+
 static int read_object(const struct delivery *delivery, struct service_object *out,
 		       struct error *err)
 {
@@ -206,6 +209,8 @@
 	struct service_object object;
 	struct error fault;
 
+	if (!entry && delivery->version <= store->pruned_version)
+		return 0;
 	if (!entry)
 		return error_set(err, ERROR_MEMORY, "no room for service %s", delivery->name);
 	if (!delivery->json) {
@@ -213,7 +218,7 @@
 		return 0;
 	}
 	if (delivery->version <= entry->object.config.version ||
-	    delivery->version <= entry->deleted_version)
+	    delivery->version <= entry->deleted_version || is_forgotten(store, entry, delivery))
 		return 0;
 	if (read_object(delivery, &object, &fault)) {
 		apply_rejected(entry, delivery, &fault);
@@ -225,78 +230,28 @@
 	return 0;
 }
 
-/* Reads one item of a batch. */
-static int read_item(const struct value *item, struct delivery *out, struct error *err)
-{
-	struct value name;
-	struct value version;
-	char text[SERVICE_NAME_BYTES];
-
-	if (value_member(item, "name", &name, err) || value_member(item, "version", &version, err))
-		return -1;
-	if (value_text(&name, text, sizeof(text), 1, err) ||
-	    value_number(&version, 1, INT64_MAX, "", &out->version, err))
-		return -1;
-	out->name = json_string_value(name.json);
-	out->json = json_object_get(item->json, "value");
-	if (!out->json && !json_is_true(json_object_get(item->json, "deleted")))
-		return value_error(item, ERROR_MISSING, err, "\"value\" or \"deleted\":true");
-	return 0;
-}
-
-/* Walks the items of a batch: checks them all, or applies them all. */
-static int walk_items(struct config_store *store, const struct value *items, bool apply,
-		      struct error *err)
-{
-	uint32_t count = (uint32_t)json_array_size(items->json);
-
-	for (uint32_t i = 0; i < count; i++) {
-		struct value item = value_item(items, i);
-		struct delivery delivery;
-
-		if (read_item(&item, &delivery, err))
-			return -1;
-		if (apply)
-			apply_delivery(store, &delivery, NULL);
-	}
-	return 0;
-}
-
-/* Tells whether a batch names a service. */
-static bool batch_has(const json_t *items, const char *name)
-{
-	size_t index;
-	json_t *item;
-
-	json_array_foreach(items, index, item)
-	{
-		const char *text = json_string_value(json_object_get(item, "name"));
-
-		if (text && strcmp(text, name) == 0)
-			return true;
-	}
-	return false;
-}
-
-/* Deletes what a batch of everything through `version` does not name. */
-static void delete_absent(struct config_store *store, const json_t *items, uint64_t version)
+/* Deletes what a batch of everything through `version` does not have. */
+static void delete_absent(struct config_store *store, const struct batch *batch)
 {
 	for (uint32_t i = 0; i < store->entry_count; i++) {
 		struct config_entry *entry = store->entries[i];
 
 		if ((entry->in_force || entry->rejected) &&
-		    (!entry->in_force || entry->object.config.version <= version) &&
-		    (!entry->rejected || entry->rejected_version <= version) &&
-		    !batch_has(items, entry->name))
-			apply_deletion(store, entry, version);
+		    (!entry->in_force || entry->object.config.version <= batch->version) &&
+		    (!entry->rejected || entry->rejected_version <= batch->version) &&
+		    !batch_has(batch, entry->name))
+			apply_deletion(store, entry, batch->version);
 	}
 }
 
-/* Raises what this node knows to have everything through. */
-static void raise_complete(struct config_store *store, uint64_t through)
+/* Raises what this node knows to have everything through. A watch that moved on without a change
+ * raises no digest, since that would have every node pull. */
+static void raise_complete(struct config_store *store, uint64_t through, bool watch)
 {
 	if (through > store->through)
 		store->through = through;
+	if (!watch && through > store->complete)
+		store->complete = through;
 	for (uint32_t i = 0; i < store->entry_count; i++) {
 		uint64_t newest = entry_newest(store->entries[i]);
 
@@ -315,56 +270,48 @@
 	counter_set(COUNTER_CONFIG_READY, 1);
 }
 
-struct batch {
-	json_t *root;
-	struct value items;
-	uint64_t version;
-	uint64_t from;
-};
+static uint64_t name_hash(const char *name, uint64_t version)
+{
+	return XXH3_64bits_withSeed(name, strlen(name), version);
+}
 
-/* Reads the head of a batch and checks all items, so that a batch applies whole or not at all. */
-static int batch_read(struct batch *batch, bool peer, const char *json, size_t size,
-		      struct error *err)
+/* Gives a hash of every version in force or not understood, whatever was deleted. */
+uint64_t config_content(const struct config_store *store)
 {
-	struct value root = {.source = "batch", .path = "$"};
-	struct value member;
-	json_error_t fault;
+	uint64_t content = 0;
 
-	batch->root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
-	if (!batch->root)
-		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
-	root.json = batch->root;
-	if (value_member(&root, "version", &member, err) ||
-	    value_number(&member, 0, INT64_MAX, "", &batch->version, err))
-		goto fail;
-	if (peer && (value_member(&root, "from", &member, err) ||
-		     value_number(&member, 0, INT64_MAX, "", &batch->from, err)))
-		goto fail;
-	if (value_member(&root, "items", &batch->items, err))
-		goto fail;
-	if (!json_is_array(batch->items.json)) {
-		value_error(&batch->items, ERROR_TYPE, err, "a list");
-		goto fail;
+	for (uint32_t i = 0; i < store->entry_count; i++) {
+		const struct config_entry *entry = store->entries[i];
+
+		if (entry->in_force)
+			content ^= name_hash(entry->name, entry->object.config.version);
+		if (entry->rejected)
+			content ^= name_hash(entry->name, ~entry->rejected_version);
 	}
-	if (walk_items(NULL, &batch->items, false, err))
-		goto fail;
-	return 0;
-fail:
-	json_decref(batch->root);
-	return -1;
+	return content & INT64_MAX; /* JSON carries it as a whole number */
 }
 
 /* Applies a batch; returns whether it joins on to what this node has. */
 static bool batch_apply(struct config_store *store, struct batch *batch)
 {
-	bool joins = batch->from <= store->through;
+	bool joins = batch->from <= store->through &&
+		     (!batch->has_same || batch->same == config_content(store));
+	struct error err;
+
+	for (uint32_t i = 0; i < batch->count; i++) {
+		struct delivery delivery;
 
-	walk_items(store, &batch->items, true, NULL);
+		batch_item(batch, i, &delivery, NULL);
+		if (apply_delivery(store, &delivery, &err) && err.kind == ERROR_MEMORY)
+			log_failure(LOG_ERROR, LOG_PART_CONFIG, "Service left out.", &err);
+	}
 	if (batch->from == 0)
-		delete_absent(store, batch->items.json, batch->version);
+		delete_absent(store, batch);
+	if (joins && batch->known > batch->from && batch->known > store->pruned_version)
+		store->pruned_version = batch->known;
 	if (joins)
-		raise_complete(store, batch->version);
-	json_decref(batch->root);
+		raise_complete(store, batch->version, batch->watch);
+	batch_free(batch);
 	return joins;
 }
 
@@ -372,17 +319,15 @@
 int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
 		       struct error *err)
 {
-	struct batch batch = {.from = from};
+	struct batch batch;
 
-	if (batch_read(&batch, false, json, size, err))
+	if (batch_read(&batch, false, from, json, size, err))
 		return -1;
 	if (!batch_apply(store, &batch))
 		return 0;
-	if (from == 0) {
-		/* The platform's word stands above a digest that no peer can back. */
-		store->noted = store->complete;
-		become_ready(store);
-	}
+	/* The platform's word stands above a digest that no peer can back. */
+	store->noted = store->complete;
+	become_ready(store);
 	return 0;
 }
 
@@ -390,9 +335,9 @@
 int config_apply_peer_batch(struct config_store *store, uint64_t ticket, const char *json,
 			    size_t size, struct error *err)
 {
-	struct batch batch = {0};
+	struct batch batch;
 
-	if (batch_read(&batch, true, json, size, err))
+	if (batch_read(&batch, true, 0, json, size, err))
 		return -1;
 	if (!batch_apply(store, &batch))
 		return 0;
@@ -540,21 +485,25 @@
 }
 
 /* Writes the answer to a peer's pull. Errors as the header says. */
-int config_write_batch(const struct config_store *store, uint64_t after, char **json, size_t *size,
-		       struct error *err)
+int config_write_batch(const struct config_store *store, uint64_t after, uint64_t content,
+		       char **json, size_t *size, struct error *err)
 {
+	bool same = content == config_content(store);
 	json_t *items;
 	json_t *root;
 
 	if (!store->ready)
 		return error_set(err, ERROR_STATE, "the configuration is not caught up");
-	if (after < store->pruned_version)
+	if (!same && (after < store->pruned_version || after >= store->complete))
 		after = 0;
 	items = json_array();
-	for (uint32_t i = 0; i < store->entry_count; i++)
+	for (uint32_t i = 0; i < store->entry_count && !same; i++)
 		append_entry(items, store->entries[i], after);
-	root = json_pack("{s:I, s:I, s:o}", "from", (json_int_t)after, "version",
-			 (json_int_t)store->complete, "items", items);
+	root = json_pack("{s:I, s:I, s:I, s:o}", "from", (json_int_t)after, "known",
+			 (json_int_t)store->pruned_version, "version", (json_int_t)store->complete,
+			 "items", items);
+	if (same)
+		json_object_set_new(root, "same", json_integer((json_int_t)content));
 	*json = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	json_decref(root);
 	if (!*json)
--- /dev/null
+++ b/src/fescuemilld/node.c
@@ -0,0 +1,169 @@
+/*
+ * Node: puts the parts of fescuemilld together. charts/node.json says which state follows which.
+ */
+#include "fescuemilld/node.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/log.h"
+#include "fescuemilld/node_defs.h"
+#include "fescuemilld/node_events.h"
+#include "fescuemilld/node_parts.h"
+#include "fescuemilld/node_stop.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOUSEKEEPING_MS 100
+#define TIME_SKIP_US	GOSSIP_PAUSE_US
+
+/* Notices that the process was paused: what it knows may be old. */
+static void check_time(struct node *node, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - node->housekept_us;
+
+	node->housekept_us = now_us;
+	if (elapsed_us < TIME_SKIP_US)
+		return;
+	log_write(LOG_WARNING, LOG_PART_MAIN, "The process was paused.", "for_us=%llu",
+		  (unsigned long long)elapsed_us);
+	config_mark_stale(node->config);
+	follow_refresh(node->follow);
+	node_move(node, NODE_INPUT_TIME_SKIPPED);
+}
+
+/* Divides the budget of the link between regions among the nodes of this region. */
+static void share_link(struct node *node)
+{
+	uint32_t nodes = 0;
+
+	for (size_t i = 0; i < member_count(node->members); i++) {
+		const struct member *member = member_at(node->members, i);
+
+		if (member->state != MEMBER_DEAD &&
+		    strcmp(member->region, node->settings.region) == 0)
+			nodes++;
+	}
+	budget_share_link(&node->budget, nodes);
+}
+
+/* Passes on what has changed in the configuration and in the member table. */
+static void pass_changes(struct node *node)
+{
+	uint64_t config = config_revision(node->config);
+	uint64_t members = member_table_revision(node->members);
+
+	if (config != node->config_revision || members != node->members_revision)
+		node_apply_config(node);
+	if (members != node->members_revision)
+		share_link(node);
+	node->config_revision = config;
+	node->members_revision = members;
+	entry_sweep(node->entry);
+}
+
+/* Keeps up with the configuration: few nodes watch the platform, the others ask their peers. A
+ * node that is not ready does both. */
+static void keep_up(struct node *node, uint64_t now_us)
+{
+	bool is_ready = config_is_ready(node->config);
+	const struct member *self = gossip_self(node->gossip);
+
+	follow_set_on(node->follow, !is_ready || config_is_watcher(node->members, self));
+	config_pull_tick(node->pull, now_us);
+	if (!is_ready)
+		return;
+	gossip_set_config_version(node->gossip, config_version(node->config));
+	if (gossip_is_joined(node->gossip))
+		node_move(node, NODE_INPUT_CAUGHT_UP);
+}
+
+/* Does what is due from time to time. */
+static void on_housekeeping(uv_timer_t *timer)
+{
+	struct node *node = timer->data;
+	uint64_t now_us = clock_monotonic_us();
+
+	check_time(node, now_us);
+	pass_changes(node);
+	keep_up(node, now_us);
+	if (gossip_is_superseded(node->gossip) && node->stop_phase == STOP_NONE)
+		node_stop_begin(node);
+	node_stop_advance(node, now_us);
+	node_stop_check_limit(node, now_us);
+}
+
+/* Takes a signal: the first begins a stop, the second ends it at once. */
+static void on_signal(uv_signal_t *handle, int number)
+{
+	struct node *node = handle->data;
+
+	(void)number;
+	if (node->stop_phase == STOP_NONE) {
+		node_stop_begin(node);
+		return;
+	}
+	node->was_cut = true;
+	uv_stop(&node->loop);
+}
+
+/* Starts the timers and signals of a node whose parts are open. */
+static void start_handles(struct node *node)
+{
+	static const int numbers[2] = {SIGTERM, SIGINT};
+
+	uv_timer_init(&node->loop, &node->housekeeping);
+	node->housekeeping.data = node;
+	uv_timer_start(&node->housekeeping, on_housekeeping, HOUSEKEEPING_MS, HOUSEKEEPING_MS);
+	for (int i = 0; i < 2; i++) {
+		uv_signal_init(&node->loop, &node->signals[i]);
+		node->signals[i].data = node;
+		uv_signal_start(&node->signals[i], on_signal, numbers[i]);
+	}
+}
+
+/* Opens every part. After an error the process is expected to end. */
+int node_open(struct node **out, const struct settings *settings, struct error *err)
+{
+	struct node *node = calloc(1, sizeof(*node));
+
+	if (!node)
+		return error_set(err, ERROR_MEMORY, "no memory for the node");
+	*out = node;
+	signal(SIGPIPE, SIG_IGN);
+	node->settings = *settings;
+	node->housekept_us = clock_monotonic_us();
+	uv_loop_init(&node->loop);
+	if (node_open_parts(node, err) != 0)
+		return -1;
+	start_handles(node);
+	node_move(node, NODE_INPUT_LISTENING);
+	return 0;
+}
+
+/* Prints the ports that the node really has. */
+static void print_start_line(const struct node *node)
+{
+	printf("{\"name\":\"%s\",\"caller_port\":%u,\"node_port\":%u,\"gossip_port\":%u,"
+	       "\"backend_port\":%u,\"admin_port\":%u}\n",
+	       node->settings.name, caller_port(node->caller), channel_port(node->channel),
+	       gossip_shell_port(node->gossip_shell), announce_port(node->announce),
+	       admin_shell_port(node->admin));
+	fflush(stdout);
+}
+
+/* Runs a node until it is stopped. */
+int node_run(struct node *node, struct error *err)
+{
+	print_start_line(node);
+	uv_run(&node->loop, UV_RUN_DEFAULT);
+	if (node->was_cut)
+		return error_set(err, ERROR_TIMEOUT, "cut off: %u calls and %u attempts",
+				 entry_calls(node->entry), gate_shell_live(node->gate));
+	node_close_parts(node);
+	for (int i = 0; i < 4; i++)
+		uv_run(&node->loop, UV_RUN_NOWAIT);
+	log_write(LOG_INFO, LOG_PART_MAIN, "The node has stopped.", NULL);
+	return 0;
+}
