--- a/src/fescuemill/decide/attempt_gate.c
+++ b/src/fescuemill/decide/attempt_gate.c
@@ -142,6 +142,8 @@
 {
 	const struct attempt_gate *gate = st->gate;
 
+	if (st->event->call.refusal != REASON_NONE)
+		return st->event->call.refusal;
 	if (st->event->call.time_left_us == 0)
 		return REASON_EXPIRED;
 	if (gate->live >= gate->settings.live_max)
--- a/src/fescuemill/decide/attempt_gate.h
+++ b/src/fescuemill/decide/attempt_gate.h
@@ -36,7 +36,8 @@
 		struct {
 			uint64_t gate_incarnation;
 			uint64_t time_left_us;
-			uint64_t bytes; /* of the request */
+			uint64_t bytes;		  /* of the request */
+			enum call_reason refusal; /* why a new call is not taken, or REASON_NONE */
 		} call;
 		struct {
 			uint64_t gate_incarnation;
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -330,20 +330,42 @@
 	set_timer(shell);
 }
 
+/* Takes a call. It is refused for a reason other than REASON_NONE if it is new. */
+static void take_call(struct gate_shell *shell, struct origin *origin, enum call_reason refusal)
+{
+	const struct message *msg = origin->msg;
+	struct attempt_gate_event event = event_about(GATE_EVENT_CALL, &msg->id);
+
+	event.epoch = msg->epoch;
+	event.call.gate_incarnation = msg->call.gate_incarnation;
+	event.call.time_left_us = msg->call.time_left_us;
+	event.call.bytes = gate_attempt_bytes(&msg->call);
+	event.call.refusal = refusal;
+	run_step(shell, &event, origin);
+	set_timer(shell);
+}
+
+/* Takes a call that is not to run unless it is known already. */
+void gate_shell_refuse(struct gate_shell *shell, const struct channel_route *from,
+		       const struct message *msg, enum call_reason reason)
+{
+	struct origin origin = {from, msg};
+
+	take_call(shell, &origin, reason);
+}
+
 /* Takes a message of an entry. */
 void gate_shell_message(struct gate_shell *shell, const struct channel_route *from,
 			const struct message *msg)
 {
 	struct origin origin = {from, msg};
-	struct attempt_gate_event event = event_about(GATE_EVENT_CALL, &msg->id);
+	struct attempt_gate_event event = event_about(GATE_EVENT_ACK, &msg->id);
 
 	event.epoch = msg->epoch;
 	switch (msg->type) {
 	case MESSAGE_CALL:
-		event.call.gate_incarnation = msg->call.gate_incarnation;
-		event.call.time_left_us = msg->call.time_left_us;
-		event.call.bytes = gate_attempt_bytes(&msg->call);
-		break;
+		take_call(shell, &origin, REASON_NONE);
+		return;
 	case MESSAGE_ASK:
 		event.type = GATE_EVENT_ASK;
 		event.ask.gate_incarnation = msg->ask.gate_incarnation;
@@ -352,7 +374,6 @@
 		event.type = GATE_EVENT_CANCEL;
 		break;
 	case MESSAGE_ACK:
-		event.type = GATE_EVENT_ACK;
 		break;
 	case MESSAGE_PING:
 		gate_reply_pong(shell, &origin);
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -27,6 +27,9 @@
 /* Takes a message about an attempt, or a ping. */
 void gate_shell_message(struct gate_shell *shell, const struct channel_route *from,
 			const struct message *msg);
+/* Takes a call that is not to run unless it is known already. */
+void gate_shell_refuse(struct gate_shell *shell, const struct channel_route *from,
+		       const struct message *msg, enum call_reason reason);
 /* Sets what the backend server announced last. */
 void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now);
 /* Sets the classes of the service; peers is the number of gates that share their rates. */
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -15,24 +15,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define HOUSEKEEPING_MS 100
-#define TIME_SKIP_US	GOSSIP_PAUSE_US
-
-/* Notices that the process was paused: what it knows may be old. */
-static void check_time(struct node *node, uint64_t now_us)
-{
-	uint64_t elapsed_us = now_us - node->housekept_us;
-
-	node->housekept_us = now_us;
-	if (elapsed_us < TIME_SKIP_US)
-		return;
-	log_write(LOG_WARNING, LOG_PART_MAIN, "The process was paused.", "for_us=%llu",
-		  (unsigned long long)elapsed_us);
-	config_mark_stale(node->config);
-	follow_refresh(node->follow);
-	node_move(node, NODE_INPUT_TIME_SKIPPED);
-}
-
 /* Divides the budget of the link between regions among the nodes of this region. */
 static void share_link(struct node *node)
 {
@@ -85,7 +67,7 @@
 	struct node *node = timer->data;
 	uint64_t now_us = clock_monotonic_us();
 
-	check_time(node, now_us);
+	node_check_time(node, now_us);
 	pass_changes(node);
 	keep_up(node, now_us);
 	if (gossip_is_superseded(node->gossip) && node->stop_phase == STOP_NONE)
@@ -115,7 +97,8 @@
 
 	uv_timer_init(&node->loop, &node->housekeeping);
 	node->housekeeping.data = node;
-	uv_timer_start(&node->housekeeping, on_housekeeping, HOUSEKEEPING_MS, HOUSEKEEPING_MS);
+	uv_timer_start(&node->housekeeping, on_housekeeping, NODE_HOUSEKEEPING_MS,
+		       NODE_HOUSEKEEPING_MS);
 	for (int i = 0; i < 2; i++) {
 		uv_signal_init(&node->loop, &node->signals[i]);
 		node->signals[i].data = node;
@@ -133,7 +116,7 @@
 	*out = node;
 	signal(SIGPIPE, SIG_IGN);
 	node->settings = *settings;
-	node->housekept_us = clock_monotonic_us();
+	node->time_checked_us = clock_monotonic_us();
 	uv_loop_init(&node->loop);
 	if (node_open_parts(node, err) != 0)
 		return -1;
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -21,6 +21,8 @@
 
 #include <uv.h>
 
+#define NODE_HOUSEKEEPING_MS 100
+
 /* How far a stop has come. */
 enum stop_phase {
 	STOP_NONE,
@@ -38,7 +40,9 @@
 	enum stop_phase stop_phase;
 	uint64_t phase_since_us;
 	uint64_t stop_since_us;
-	uint64_t housekept_us;
+	uint64_t time_checked_us; /* at the latest at the last housekeeping */
+	uint64_t stall_us;	  /* how long the loop stood still last */
+	uint64_t stall_end_us;
 	uint64_t config_revision;
 	uint64_t members_revision;
 	bool was_cut;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -9,6 +9,10 @@
 
 #include <stdlib.h>
 
+#define TIME_SKIP_US  GOSSIP_PAUSE_US
+#define STALL_US_MIN  (2 * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
+#define STALL_READ_US (100 * USEC_PER_MSEC) /* in which all that waited is read */
+
 /* Moves the node along its chart; an input that the present state does not take is ignored. */
 void node_move(struct node *node, enum node_input input)
 {
@@ -21,11 +25,33 @@
 		  chart_names_of(CHART_NODE)->states[next]);
 }
 
-/* Tells the entry why it may not take calls. */
+/* Notices that the loop stood still. After a long pause what the node knows may be old, and it
+ * catches up before it takes calls. */
+void node_check_time(struct node *node, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - node->time_checked_us;
+
+	node->time_checked_us = now_us;
+	if (elapsed_us < STALL_US_MIN)
+		return;
+	node->stall_us = elapsed_us;
+	node->stall_end_us = now_us;
+	if (elapsed_us < TIME_SKIP_US)
+		return;
+	log_write(LOG_WARNING, LOG_PART_MAIN, "The process was paused.", "for_us=%llu",
+		  (unsigned long long)elapsed_us);
+	config_mark_stale(node->config);
+	follow_refresh(node->follow);
+	node_move(node, NODE_INPUT_TIME_SKIPPED);
+}
+
+/* Tells the entry why it may not take calls. What waited for a paused process can be read before
+ * the housekeeping notices the pause, so the time is checked here too. */
 enum call_reason node_refusal(void *user)
 {
-	const struct node *node = user;
+	struct node *node = user;
 
+	node_check_time(node, clock_monotonic_us());
 	switch (node->state) {
 	case NODE_READY:
 		return REASON_NONE;
@@ -118,6 +144,26 @@
 	free(json);
 }
 
+/* Takes a call of another node for the gate. One that is read just after a stall may have waited
+ * for all of it, so that much is taken off its time: its entry may have given it up. */
+static void take_call(struct node *node, const struct channel_route *from,
+		      const struct message *msg)
+{
+	enum call_reason reason = node_refusal(node);
+	struct message call = *msg;
+
+	if (reason == REASON_NOT_READY)
+		gate_shell_refuse(node->gate, from, msg, reason);
+	else if (clock_monotonic_us() > node->stall_end_us + STALL_READ_US)
+		gate_shell_message(node->gate, from, msg);
+	else if (msg->call.time_left_us <= node->stall_us)
+		gate_shell_refuse(node->gate, from, msg, REASON_EXPIRED);
+	else {
+		call.call.time_left_us -= node->stall_us;
+		gate_shell_message(node->gate, from, &call);
+	}
+}
+
 /* Takes a message of another node. */
 void node_on_message(void *user, const struct channel_route *from, const struct message *msg)
 {
@@ -125,6 +171,8 @@
 
 	if (msg->type == MESSAGE_CONFIG_PULL)
 		reply_config(node, from, msg);
+	else if (msg->type == MESSAGE_CALL)
+		take_call(node, from, msg);
 	else
 		gate_shell_message(node->gate, from, msg);
 }
--- a/src/fescuemilld/node_events.h
+++ b/src/fescuemilld/node_events.h
@@ -7,6 +7,7 @@
 #include "fescuemilld/node_defs.h"
 
 void node_move(struct node *node, enum node_input input);
+void node_check_time(struct node *node, uint64_t now_us);
 void node_apply_config(struct node *node);
 
 enum call_reason node_refusal(void *user);
--- /dev/null
+++ b/test/functional/support/drive.cc
@@ -0,0 +1,245 @@
+// Load of a failure test, and its check against the ledgers.
+#include "functional/support/drive.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+extern "C" {
+#include "fescue_load/payload.h"
+}
+
+namespace support
+{
+namespace
+{
+using Clock = std::chrono::steady_clock;
+
+constexpr int CALL_GRACE_MS = 3000;
+constexpr int STEP_MS = 10;
+constexpr int REFUSED_PAUSE_MS = 20;
+const std::string LEDGER_KEY = "x-fescue-key: replace-this-key-of-ledger-team";
+
+int64_t ms_since(Clock::time_point start)
+{
+	return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start).count();
+}
+
+bool is_idempotent(const std::string &method)
+{
+	return method == "GET" || method == "PUT";
+}
+
+// Tells whether a body is the one that follows from a call's id.
+bool is_answer_of(const std::string &id, const std::string &body)
+{
+	payload check;
+
+	payload_start(&check, id.c_str(), id.size());
+	return !body.empty() && payload_check(&check, body.data(), body.size());
+}
+} // namespace
+
+Drive::Drive(Fleet &fleet, DriveOptions options)
+    : fleet_(fleet), options_(std::move(options)), ports_(options_.entries.size())
+{
+	refresh_entries();
+	for (int i = 0; i < options_.callers; i++)
+		threads_.emplace_back([this, i] { run(i); });
+}
+
+Drive::~Drive()
+{
+	stop();
+}
+
+void Drive::refresh_entries()
+{
+	for (size_t i = 0; i < ports_.size(); i++)
+		ports_[i] = fleet_.hosts[options_.entries[i]].node->port("caller_port");
+}
+
+bool Drive::wait_answered(int more, int timeout_ms)
+{
+	int wanted = answered_ + more;
+
+	return wait_until([&] { return answered_ >= wanted; }, timeout_ms);
+}
+
+const ToldCalls &Drive::stop()
+{
+	over_ = true;
+	for (std::thread &thread : threads_)
+		thread.join();
+	threads_.clear();
+	return told_;
+}
+
+Told Drive::call(const std::string &id, size_t entry)
+{
+	Clock::time_point start = Clock::now();
+	HttpAnswer answer =
+		http(ports_[entry], options_.method, "/" + options_.service + "/buy", "x",
+		     {"x-call: " + id, "x-fescue-class: " + options_.class_name,
+		      "x-fescue-deadline-ms: " + std::to_string(options_.deadline_ms)},
+		     options_.deadline_ms + CALL_GRACE_MS);
+	Told told;
+
+	told.outcome = answer.is_connected ? answer.headers["x-fescue-outcome"] : "not-run";
+	told.reason = answer.is_connected ? answer.headers["x-fescue-reason"] : "not-connected";
+	told.took_ms = ms_since(start);
+	if (told.outcome == "answered")
+		told.is_whole = answer.status == 200 && is_answer_of(id, answer.body);
+	return told;
+}
+
+bool Drive::may_try_again(const Told &told) const
+{
+	if (told.outcome == "answered")
+		return false;
+	return told.outcome == "not-run" || is_idempotent(options_.method);
+}
+
+void Drive::run(int caller)
+{
+	for (int i = 0; !over_; i++) {
+		std::string id = options_.prefix + std::to_string(caller) + "-" + std::to_string(i);
+		Told told;
+
+		for (int tried = 0; tried < options_.tries; tried++) {
+			told = call(id, (size_t)(caller + i + tried) % ports_.size());
+			refused_ += told.outcome == "not-run";
+			if (!may_try_again(told))
+				break;
+			pause_ms(REFUSED_PAUSE_MS);
+		}
+		answered_ += told.outcome == "answered";
+		std::lock_guard<std::mutex> lock(mutex_);
+		told_[id] = told;
+		if (options_.pause_ms > 0)
+			pause_ms(options_.pause_ms);
+	}
+}
+
+void pause_ms(int ms)
+{
+	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+bool wait_until(const std::function<bool()> &condition, int timeout_ms)
+{
+	Clock::time_point start = Clock::now();
+
+	while (!condition()) {
+		if (ms_since(start) > timeout_ms)
+			return false;
+		pause_ms(STEP_MS);
+	}
+	return true;
+}
+
+Ledger read_ledger(Fleet &fleet)
+{
+	Ledger ledger;
+
+	for (Host &host : fleet.hosts) {
+		const char *call;
+		json_t *value;
+
+		if (!host.backend->is_running())
+			continue;
+		Json all = http_json(host.backend->port(), "GET", "/executions");
+		EXPECT_EQ(json_integer_value(json_object_get(all.get(), "attempts_doubled")), 0);
+		json_object_foreach(json_object_get(all.get(), "calls"), call, value)
+		{
+			ledger[call] += json_integer_value(json_array_get(value, 0));
+		}
+	}
+	return ledger;
+}
+
+int count_told(const ToldCalls &told, const std::string &outcome)
+{
+	int count = 0;
+
+	for (const auto &[id, one] : told)
+		count += one.outcome == outcome;
+	return count;
+}
+
+void expect_true(const Ledger &ledger, const ToldCalls &told, bool may_run_twice)
+{
+	for (const auto &[id, one] : told) {
+		auto found = ledger.find(id);
+		int64_t ran = found == ledger.end() ? 0 : found->second;
+
+		if (one.outcome == "not-run") {
+			EXPECT_EQ(ran, 0) << id << " told not run: " << one.reason;
+		}
+		if (one.outcome == "answered") {
+			EXPECT_GE(ran, 1) << id;
+			EXPECT_TRUE(one.is_whole) << id;
+		}
+		if (!may_run_twice) {
+			EXPECT_LE(ran, 1) << id << " told " << one.outcome << " " << one.reason;
+		}
+	}
+}
+
+void expect_within_ms(const ToldCalls &told, int64_t bound_ms)
+{
+	for (const auto &[id, one] : told)
+		EXPECT_LE(one.took_ms, bound_ms) << id << " " << one.outcome << " " << one.reason;
+}
+
+HttpAnswer admin(const Host &host, const std::string &method, const std::string &path,
+		 const std::string &body, std::vector<std::string> headers)
+{
+	headers.push_back(LEDGER_KEY);
+	return http(host.node->port("admin_port"), method, path, body, headers, 15000);
+}
+
+int64_t number_in(const HttpAnswer &answer, const char *key)
+{
+	Json root(json_loads(answer.body.c_str(), 0, nullptr));
+
+	return json_integer_value(json_object_get(root.get(), key));
+}
+
+int64_t version_in_force(const Host &host, const std::string &service)
+{
+	return number_in(admin(host, "GET", "/v1/services/" + service), "version");
+}
+
+HttpAnswer put_class(const Host &host, const std::string &name, int latency_ms, int64_t version,
+		     const std::string &by)
+{
+	return admin(host, "PUT", "/v1/services/ledger/classes/" + name,
+		     "{\"rank\":0,\"latency_ms\":" + std::to_string(latency_ms) +
+			     ",\"percentile\":99.0,\"calls_per_s\":200}",
+		     {"if-version: " + std::to_string(version), "x-fescue-by: " + by});
+}
+
+bool wait_version(const Host &host, int64_t version, int timeout_ms)
+{
+	return wait_until([&] { return version_in_force(host) >= version; }, timeout_ms);
+}
+
+std::string state_in_view(const Host &viewer, const Host &member)
+{
+	HttpAnswer answer = admin(viewer, "GET", "/v1/members");
+	Json root(json_loads(answer.body.c_str(), 0, nullptr));
+	size_t i;
+	json_t *one;
+
+	json_array_foreach(json_object_get(root.get(), "members"), i, one)
+	{
+		const char *name = json_string_value(json_object_get(one, "name"));
+		const char *state = json_string_value(json_object_get(one, "state"));
+
+		if (name && state && member.name == name)
+			return state;
+	}
+	return "";
+}
+} // namespace support
--- a/test/functional/support/process.cc
+++ b/test/functional/support/process.cc
@@ -274,8 +274,8 @@
 	addr.sin_family = AF_INET;
 	addr.sin_port = htons(port);
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0 &&
-	    write_all(fd, until, request) && read_all(fd, until, &text)) {
+	answer.is_connected = connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0;
+	if (answer.is_connected && write_all(fd, until, request) && read_all(fd, until, &text)) {
 		size_t end = text.find("\r\n\r\n");
 
 		if (end != std::string::npos) {
--- a/test/functional/support/process.h
+++ b/test/functional/support/process.h
@@ -66,7 +66,8 @@
 };
 
 struct HttpAnswer {
-	int status = 0;				    // 0: no whole answer came
+	int status = 0; // 0: no whole answer came
+	bool is_connected = false;
 	std::map<std::string, std::string> headers; // names in lower case
 	std::string body;
 };
