--- /dev/null
+++ b/test/functional/failure_platform_test.cc
@@ -0,0 +1,211 @@
+// The platform down, slow, and losing answers, and operators who race: what was accepted is in
+// force everywhere in time and never reverts, and calls go on.
+#include "functional/support/drive.h"
+
+#include <gtest/gtest.h>
+
+#include <signal.h>
+
+#include <future>
+
+using namespace support;
+
+namespace
+{
+constexpr int IN_FORCE_MS = 4000;
+constexpr int EVENT_MS = 5000;
+constexpr int READ_MS = 200;
+constexpr int STOP_MS = 30000; // the stop limit of the settings
+
+// Reads the versions in force on some nodes all the time, and notes one that went down.
+class Versions
+{
+      public:
+	explicit Versions(std::vector<const Host *> hosts) : hosts_(std::move(hosts))
+	{
+		thread_ = std::thread([this] { run(); });
+	}
+
+	~Versions()
+	{
+		over_ = true;
+		thread_.join();
+		EXPECT_EQ(reverted_, 0) << "versions went down";
+	}
+
+      private:
+	void run()
+	{
+		std::map<const Host *, int64_t> highest;
+
+		while (!over_) {
+			for (const Host *host : hosts_) {
+				int64_t now = version_in_force(*host);
+
+				reverted_ += now > 0 && now < highest[host];
+				highest[host] = std::max(now, highest[host]);
+			}
+			pause_ms(READ_MS);
+		}
+	}
+
+	std::vector<const Host *> hosts_;
+	std::atomic<bool> over_{false};
+	std::atomic<int> reverted_{0};
+	std::thread thread_;
+};
+
+class Platform : public ::testing::Test
+{
+      protected:
+	static FleetOptions options()
+	{
+		FleetOptions options = FleetOptions::small(4);
+
+		options.keeps_ports = true;
+		return options;
+	}
+
+	Fleet fleet{options()};
+
+	void SetUp() override
+	{
+		fleet.start();
+		for (Host &host : fleet.hosts)
+			ASSERT_TRUE(wait_version(host, 1, IN_FORCE_MS));
+	}
+
+	void mode(const std::string &name, int delay_ms = 0)
+	{
+		Fleet::control(*fleet.platform, "{\"mode\":\"" + name + "\",\"delay_ms\":" +
+							std::to_string(delay_ms) + "}");
+	}
+
+	int64_t in_force()
+	{
+		return version_in_force(fleet.hosts[0]);
+	}
+
+	// Expects a version in force on every node within the stated time.
+	void expect_everywhere(int64_t version)
+	{
+		std::vector<std::future<bool>> all;
+
+		ASSERT_GT(version, 0);
+		for (const Host &host : fleet.hosts)
+			all.push_back(std::async(std::launch::async, [&host, version] {
+				return wait_version(host, version, IN_FORCE_MS);
+			}));
+		for (size_t i = 0; i < all.size(); i++)
+			EXPECT_TRUE(all[i].get()) << fleet.hosts[i].name;
+	}
+
+	static std::vector<const Host *> pointers(const std::vector<Host> &hosts, size_t count)
+	{
+		std::vector<const Host *> list;
+
+		for (size_t i = 0; i < count; i++)
+			list.push_back(&hosts[i]);
+		return list;
+	}
+};
+
+std::string error_kind(const HttpAnswer &answer)
+{
+	Json root(json_loads(answer.body.c_str(), 0, nullptr));
+	const char *kind =
+		json_string_value(json_object_get(json_object_get(root.get(), "error"), "kind"));
+
+	return kind ? kind : "";
+}
+} // namespace
+
+TEST_F(Platform, InAnOutageCallsDrainReplacementAndConfigurationGoOn)
+{
+	Versions versions(pointers(fleet.hosts, 3));
+	Host &last = fleet.hosts[3];
+	int64_t base = in_force();
+	Drive drive(fleet, DriveOptions());
+
+	mode("down");
+	EXPECT_NE(put_class(fleet.hosts[0], "purchase", 60, base).status, 200);
+	last.node->kill();
+	EXPECT_TRUE(wait_until([&] { return state_in_view(fleet.hosts[0], last) == "dead"; },
+			       EVENT_MS));
+	fleet.start_node(last);
+	EXPECT_TRUE(wait_version(last, base, EVENT_MS));
+	EXPECT_NO_THROW(fleet.wait_reaches(last, "ledger", EVENT_MS));
+	fleet.hosts[2].node->signal(SIGTERM);
+	EXPECT_EQ(fleet.hosts[2].node->wait(STOP_MS), 0) << fleet.hosts[2].node->log_tail();
+	EXPECT_NE(state_in_view(fleet.hosts[0], fleet.hosts[2]), "alive");
+	fleet.start_node(fleet.hosts[2]);
+	EXPECT_TRUE(wait_version(fleet.hosts[2], base, EVENT_MS));
+	EXPECT_TRUE(drive.wait_answered(100, EVENT_MS));
+	mode("up");
+	HttpAnswer accepted;
+	EXPECT_TRUE(wait_until(
+		[&] {
+			accepted = put_class(fleet.hosts[1], "purchase", 70, base);
+			return accepted.status == 200;
+		},
+		EVENT_MS))
+		<< accepted.body;
+	expect_everywhere(number_in(accepted, "version"));
+	const ToldCalls &told = drive.stop();
+	expect_true(read_ledger(fleet), told, false);
+	// Only the killed node leaves calls without a certain outcome.
+	EXPECT_GE(count_told(told, "answered") + 8, (int)told.size());
+}
+
+TEST_F(Platform, ChangesAreInForceEverywhereInTimeThoughItIsSlowOrLosesAnswers)
+{
+	Versions versions(pointers(fleet.hosts, 4));
+	Drive drive(fleet, DriveOptions());
+
+	mode("slow", 1500);
+	HttpAnswer slow = put_class(fleet.hosts[0], "purchase", 60, in_force());
+	EXPECT_EQ(slow.status, 200) << slow.body;
+	expect_everywhere(number_in(slow, "version"));
+	mode("lose-answers");
+	HttpAnswer lost = put_class(fleet.hosts[1], "purchase", 70, number_in(slow, "version"));
+	mode("up");
+	EXPECT_EQ(lost.status, 200) << lost.body;
+	expect_everywhere(number_in(lost, "version"));
+	EXPECT_TRUE(drive.wait_answered(100, EVENT_MS));
+	const ToldCalls &told = drive.stop();
+	expect_true(read_ledger(fleet), told, false);
+	EXPECT_EQ(count_told(told, "answered"), (int)told.size());
+}
+
+TEST_F(Platform, OfRacingOperatorsOneIsAcceptedAndInForceEverywhere)
+{
+	Versions versions(pointers(fleet.hosts, 4));
+
+	for (int round = 0; round < 5; round++) {
+		int64_t base = in_force();
+		std::vector<std::future<HttpAnswer>> answers;
+		std::vector<HttpAnswer> accepted;
+
+		for (size_t i = 0; i < 2; i++)
+			answers.push_back(std::async(std::launch::async, [&, i, round] {
+				return put_class(fleet.hosts[i], "purchase",
+						 60 + round * 2 + (int)i, base,
+						 "operator" + std::to_string(i));
+			}));
+		for (auto &future : answers) {
+			HttpAnswer answer = future.get();
+
+			if (answer.status == 200)
+				accepted.push_back(answer);
+			else
+				EXPECT_EQ(error_kind(answer), "conflict") << answer.body;
+		}
+		ASSERT_EQ(accepted.size(), 1U);
+		expect_everywhere(number_in(accepted[0], "version"));
+		std::string body =
+			admin(fleet.hosts[0], "GET", "/v1/services/ledger/classes/purchase").body;
+		for (const Host &host : fleet.hosts)
+			EXPECT_EQ(body,
+				  admin(host, "GET", "/v1/services/ledger/classes/purchase").body);
+	}
+}
--- a/test/functional/support/fleet.h
+++ b/test/functional/support/fleet.h
@@ -29,6 +29,7 @@
 	bool has_link = true; // between the regions; without it they talk straight to each other
 	int link_delay_ms = 8;
 	double link_rate_mbit = 30;
+	bool keeps_ports = false; // a node that starts again has the ports that it had before
 	// Changes a node's settings before it starts.
 	std::function<void(const std::string &name, json_t *settings)> change_settings;
 
@@ -93,6 +94,7 @@
 	void add_host(const ServiceSize &service, int number);
 	void write_settings(Host &host);
 	void add_forward(Host &host);
+	void keep_ports(const Host &host);
 	std::string first_class(const std::string &service) const;
 
 	FleetOptions options_;
