--- /dev/null
+++ b/test/functional/failure_link_test.cc
@@ -0,0 +1,174 @@
+// The link between two regions: split and healed, and connections through it that go silent for
+// good, those to the platform and of callers included.
+#include "functional/support/drive.h"
+
+#include <gtest/gtest.h>
+
+using namespace support;
+
+namespace
+{
+constexpr int IN_FORCE_MS = 4000;
+constexpr int OUT_OF_CHOICE_MS = 5000;
+constexpr int DEADLINE_MS = 3000;
+
+// Two nodes of the ledger in each region; the platform is in the first one, so that the nodes of
+// the second reach it through the link.
+class Link : public ::testing::Test
+{
+      protected:
+	FleetOptions options()
+	{
+		FleetOptions options;
+
+		options.services = {{"ledger", 4}};
+		options.change_settings = [this](const std::string &name, json_t *settings) {
+			if (name.rfind("south", 0) == 0)
+				move_platform(settings);
+		};
+		return options;
+	}
+
+	void move_platform(json_t *settings)
+	{
+		std::string port = std::to_string(add_forward(fleet.platform->port(), 0));
+
+		json_object_set_new(settings, "platform",
+				    json_pack("[s]", ("127.0.0.1:" + port).c_str()));
+	}
+
+	uint16_t add_forward(uint16_t target, int toward)
+	{
+		Json made = http_json(fleet.link->port(), "POST", "/forwards",
+				      "{\"tcp_target\":" + std::to_string(target) +
+					      ",\"toward\":" + std::to_string(toward) + "}");
+
+		return (uint16_t)json_integer_value(json_object_get(made.get(), "tcp_port"));
+	}
+
+	void SetUp() override
+	{
+		fleet.start();
+		for (Host &host : fleet.hosts)
+			ASSERT_TRUE(wait_version(host, 1, IN_FORCE_MS));
+	}
+
+	DriveOptions through(std::vector<size_t> entries, const std::string &prefix)
+	{
+		DriveOptions options;
+
+		options.entries = std::move(entries);
+		options.deadline_ms = DEADLINE_MS;
+		options.prefix = prefix;
+		return options;
+	}
+
+	bool all_see(const std::string &state, int timeout_ms)
+	{
+		return wait_until(
+			[&] {
+				return state_in_view(fleet.hosts[0], fleet.hosts[2]) == state &&
+				       state_in_view(fleet.hosts[2], fleet.hosts[0]) == state;
+			},
+			timeout_ms);
+	}
+
+	int64_t requests(size_t host)
+	{
+		return number_in(http(fleet.hosts[host].backend->port(), "GET", "/control/stats"),
+				 "requests");
+	}
+
+	// Expects that a change through a node is in force on all within the stated time.
+	void expect_change(size_t through)
+	{
+		HttpAnswer put = put_class(fleet.hosts[through], "purchase", 70,
+					   version_in_force(fleet.hosts[through]));
+
+		ASSERT_EQ(put.status, 200) << put.body;
+		for (Host &host : fleet.hosts)
+			EXPECT_TRUE(wait_version(host, number_in(put, "version"), IN_FORCE_MS))
+				<< host.name;
+	}
+
+	Fleet fleet{options()};
+};
+} // namespace
+
+TEST_F(Link, EachRegionServesThroughASplitAndAfterwardsBothAreUsed)
+{
+	Drive all(fleet, through({0, 1, 2, 3}, "a"));
+	ASSERT_TRUE(all.wait_answered(200, DEADLINE_MS));
+	Fleet::control(*fleet.link, "{\"cut\":true}");
+	pause_ms(OUT_OF_CHOICE_MS);
+	Drive north(fleet, through({0, 1}, "n"));
+	Drive south(fleet, through({2, 3}, "s"));
+	EXPECT_TRUE(south.wait_answered(200, DEADLINE_MS));
+	EXPECT_TRUE(north.wait_answered(200, DEADLINE_MS));
+	HttpAnswer put =
+		put_class(fleet.hosts[0], "purchase", 70, version_in_force(fleet.hosts[0]));
+	EXPECT_EQ(put.status, 200) << put.body;
+	EXPECT_TRUE(wait_version(fleet.hosts[1], number_in(put, "version"), IN_FORCE_MS));
+	EXPECT_LT(version_in_force(fleet.hosts[2]), number_in(put, "version"));
+	for (Drive *drive : {&north, &south}) {
+		const ToldCalls &told = drive->stop();
+		EXPECT_EQ(count_told(told, "answered"), (int)told.size());
+	}
+	Fleet::control(*fleet.link, "{\"cut\":false}");
+	for (size_t i : {2, 3})
+		EXPECT_TRUE(wait_version(fleet.hosts[i], number_in(put, "version"), IN_FORCE_MS))
+			<< i;
+	EXPECT_TRUE(all_see("alive", OUT_OF_CHOICE_MS));
+	const ToldCalls &told = all.stop();
+	expect_within_ms(told, DEADLINE_MS + 1000);
+	// More calls at a time than the south has slots.
+	for (Host &host : fleet.hosts)
+		Fleet::control(*host.backend, "{\"slow_factor\":20}");
+	int64_t before = requests(0) + requests(1);
+	DriveOptions many = through({2, 3}, "m");
+	many.callers = 24;
+	Drive flood(fleet, many);
+	EXPECT_TRUE(
+		wait_until([&] { return requests(0) + requests(1) > before + 10; }, DEADLINE_MS));
+	flood.stop();
+	Ledger ledger = read_ledger(fleet);
+	expect_true(ledger, told, false);
+	expect_true(ledger, flood.stop(), false);
+	expect_true(ledger, north.stop(), false);
+	expect_true(ledger, south.stop(), false);
+}
+
+TEST_F(Link, AChangeIsInForceInTimeThoughConnectionsToThePlatformWentSilent)
+{
+	for (size_t through : {2, 0}) {
+		Fleet::control(*fleet.link, "{\"silence\":true}");
+		expect_change(through);
+	}
+}
+
+TEST_F(Link, ACallerThatWentSilentLeavesNoCallBehindAndANewConnectionServes)
+{
+	Host &entry = fleet.hosts[0];
+	uint16_t port = add_forward(entry.node->port("caller_port"), 0);
+	std::vector<std::string> headers = {"x-fescue-class: purchase", "x-call: silent",
+					    "x-fescue-deadline-ms: " + std::to_string(DEADLINE_MS)};
+	HttpAnswer silent;
+
+	for (Host &host : fleet.hosts)
+		Fleet::control(*host.backend, "{\"slow_factor\":100}");
+	std::thread caller([&] {
+		silent = http(port, "POST", "/ledger/buy", "x", headers, DEADLINE_MS + 1000);
+	});
+	EXPECT_TRUE(wait_until([&] { return read_ledger(fleet)["silent"] == 1; }, DEADLINE_MS));
+	Fleet::control(*fleet.link, "{\"silence\":true}");
+	headers[1] = "x-call: new";
+	EXPECT_EQ(http(port, "POST", "/ledger/buy", "x", headers, DEADLINE_MS).status, 200);
+	caller.join();
+	EXPECT_EQ(silent.status, 0);
+	EXPECT_TRUE(wait_until(
+		[&] {
+			return number_in(admin(entry, "GET", "/v1/status"), "calls_in_flight") == 0;
+		},
+		DEADLINE_MS));
+	EXPECT_EQ(read_ledger(fleet)["silent"], 1);
+}
