Service-level burn: windows in the node, fescue-report over all nodes

Cause: operators had no answer to whether a class meets its target. Change: each entry counts the ended calls of a class in ten-second slots for an hour, in memory only; GET /v1/report gives two windows; fescue-report adds up the nodes that answer, names those that do not, and prints target, achieved, burn rate, budget left, what was kept and what lay above the stated amount, as text, JSON or one HTML page. A call counts at the one entry that took it, so sums count nothing twice.

--- /dev/null
+++ b/src/fescue_report/html.c
@@ -0,0 +1,175 @@
+/*
+ * Print, HTML: a table and a bar for each class's burn over both windows, as an SVG inside the
+ * page. Names come from operators, so they are escaped.
+ */
+#include "fescue_report/print.h"
+
+#define BAR_LEFT    260
+#define BAR_WIDTH   480
+#define BAR_HEIGHT  10
+#define ROW_HEIGHT  30
+#define AXIS_HEIGHT 30
+#define BURN_SHOWN  4.0 /* bars end here; the number beside them tells the rest */
+
+static const char *const window_colours[SUM_WINDOWS] = {"#c2571a", "#2f6f9f"};
+
+static const char head[] =
+	"<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Service-level burn</title>"
+	"<style>body{font:15px sans-serif;margin:2em;max-width:75em;color:#222}"
+	"table{border-collapse:collapse}td,th{padding:.25em .7em;text-align:right;"
+	"border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}"
+	".over{color:#b00020;font-weight:bold}</style><h1>Service-level burn</h1>";
+
+/* Writes one character, escaped when HTML gives it a meaning. */
+static void escape_char(FILE *out, char c)
+{
+	switch (c) {
+	case '<':
+		fputs("&lt;", out);
+		break;
+	case '>':
+		fputs("&gt;", out);
+		break;
+	case '&':
+		fputs("&amp;", out);
+		break;
+	case '"':
+		fputs("&quot;", out);
+		break;
+	default:
+		fputc(c, out);
+		break;
+	}
+}
+
+/* Writes escaped text. */
+static void escape(FILE *out, const char *text)
+{
+	for (; *text; text++)
+		escape_char(out, *text);
+}
+
+/* Writes the name of a class. */
+static void write_name(FILE *out, const struct sum_class *cls)
+{
+	escape(out, cls->service);
+	fputs(" / ", out);
+	escape(out, cls->class_name);
+}
+
+/* Writes one bar with its number. */
+static void write_bar(FILE *out, double burn, uint32_t y, const char *colour)
+{
+	double shown = burn < BURN_SHOWN ? burn : BURN_SHOWN;
+	double width = shown / BURN_SHOWN * BAR_WIDTH;
+
+	fprintf(out,
+		"<rect x=\"%d\" y=\"%u\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/>"
+		"<text x=\"%.1f\" y=\"%u\" font-size=\"11\">%.2f</text>",
+		BAR_LEFT, y, width, BAR_HEIGHT, colour, BAR_LEFT + width + 5, y + BAR_HEIGHT - 1,
+		burn);
+}
+
+/* Writes the line at which a class uses up its budget exactly. */
+static void write_budget_line(FILE *out, uint32_t height)
+{
+	double x = BAR_LEFT + BAR_WIDTH / BURN_SHOWN;
+
+	fprintf(out,
+		"<line x1=\"%.1f\" y1=\"20\" x2=\"%.1f\" y2=\"%u\" stroke=\"#888\" "
+		"stroke-dasharray=\"4 3\"/><text x=\"%.1f\" y=\"14\" font-size=\"11\" "
+		"text-anchor=\"middle\">burn 1: the budget is used up</text>",
+		x, x, height, x);
+}
+
+/* Writes the plot. */
+static void write_plot(FILE *out, const struct sum *sum)
+{
+	uint32_t height = AXIS_HEIGHT + sum->count * ROW_HEIGHT;
+
+	fprintf(out, "<svg width=\"%d\" height=\"%u\" font-family=\"sans-serif\">",
+		BAR_LEFT + BAR_WIDTH + 60, height);
+	for (uint32_t i = 0; i < sum->count; i++) {
+		const struct sum_class *cls = &sum->classes[i];
+		uint32_t y = AXIS_HEIGHT + i * ROW_HEIGHT;
+
+		fprintf(out, "<text x=\"%d\" y=\"%u\" font-size=\"13\" text-anchor=\"end\">",
+			BAR_LEFT - 8, y + 14);
+		write_name(out, cls);
+		fputs("</text>", out);
+		for (uint32_t w = 0; w < SUM_WINDOWS; w++)
+			write_bar(out, sum_rates_of(cls, &cls->windows[w]).burn,
+				  y + w * (BAR_HEIGHT + 2), window_colours[w]);
+	}
+	write_budget_line(out, height);
+	fputs("</svg>", out);
+}
+
+/* Writes what the colours of the bars mean. */
+static void write_legend(FILE *out, const struct sum *sum)
+{
+	if (sum->count == 0) {
+		fputs("<p>No node has taken a call yet.</p>", out);
+		return;
+	}
+	fprintf(out,
+		"<p>Burn rate by class over the last <b style=\"color:%s\">%u s</b> and "
+		"<b style=\"color:%s\">%u s</b>.</p>",
+		window_colours[0], sum->classes[0].windows[0].seconds, window_colours[1],
+		sum->classes[0].windows[1].seconds);
+}
+
+/* Writes one row of the table. */
+static void write_row(FILE *out, const struct sum_class *cls, const struct sum_window *window)
+{
+	struct sum_rates rates = sum_rates_of(cls, window);
+
+	fputs("<tr><td>", out);
+	write_name(out, cls);
+	fprintf(out,
+		"<td>%u<td>%u s<td>%.0f ms for %.1f%%<td>%.0f<td>%.1f<td>%.3f%%"
+		"<td class=\"%s\">%.2f<td>%.2f<td>%.2f%%<td>%.2f%%",
+		cls->rank, window->seconds, cls->latency_ms, cls->percentile, cls->calls_per_s,
+		rates.offered_per_s, rates.achieved_percent, rates.burn > 1 ? "over" : "within",
+		rates.burn, rates.budget_left, rates.kept_percent, rates.excess_percent);
+}
+
+/* Writes the table. */
+static void write_table(FILE *out, const struct sum *sum)
+{
+	fputs("<table><tr><th>class<th>rank<th>window<th>target<th>stated/s<th>offered/s"
+	      "<th>achieved<th>burn<th>budget left<th>kept<th>above stated",
+	      out);
+	for (uint32_t i = 0; i < sum->count; i++) {
+		for (uint32_t w = 0; w < SUM_WINDOWS; w++)
+			write_row(out, &sum->classes[i], &sum->classes[i].windows[w]);
+	}
+	fputs("</table>", out);
+}
+
+/* Writes the nodes that gave no report. */
+static void write_missing(FILE *out, const struct print_input *input)
+{
+	char text[PRINT_ENDPOINT_BYTES];
+
+	for (uint32_t i = 0; i < input->missing_count; i++) {
+		print_endpoint(text, &input->missing[i].node);
+		fprintf(out, "<p class=\"over\">Missing: %s: %s: ", text, input->missing[i].kind);
+		escape(out, input->missing[i].detail);
+		fputs("</p>", out);
+	}
+}
+
+/* Prints the report as one page. */
+void print_html(FILE *out, const struct print_input *input)
+{
+	char caveat[PRINT_CAVEAT_BYTES];
+
+	print_caveat(caveat, input);
+	fputs(head, out);
+	write_missing(out, input);
+	write_legend(out, input->sum);
+	write_plot(out, input->sum);
+	write_table(out, input->sum);
+	fprintf(out, "<p>%s</p></html>\n", caveat);
+}
--- /dev/null
+++ b/src/fescue_report/main.c
@@ -0,0 +1,193 @@
+/*
+ * fescue-report: service-level burn by service and class over a short and a long window, from all
+ * nodes that are named and answer.
+ *
+ * Exit codes: 0; 1 when nodes are missing and --strict is given; 2 for a bad command line; 17 when
+ * no node gives a report; others by kind of error.
+ */
+#include "fescue_report/print.h"
+#include "fescuectl/ask.h"
+
+#include <argtable2.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MISSING_EXIT 1
+
+struct line {
+	struct arg_str *node;
+	struct arg_str *key;
+	struct arg_int *timeout;
+	struct arg_file *settings;
+	struct arg_lit *json;
+	struct arg_file *html;
+	struct arg_lit *strict;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_end *end;
+};
+
+#define LINE_COUNT (sizeof(struct line) / sizeof(void *))
+
+/* Defines the command line. */
+static struct line line_define(void)
+{
+	return (struct line){
+		.node = arg_str0("n", "node", "IP:PORT,...", "administration addresses"),
+		.key = arg_str0("k", "key", "KEY", "key of a team"),
+		.timeout = arg_int0(NULL, "timeout-ms", "MS", "wait for a node (default 5000)"),
+		.settings = arg_file0("s", "settings", "FILE", "settings in JSON"),
+		.json = arg_lit0("j", "json", "print JSON"),
+		.html = arg_file0(NULL, "html", "FILE", "write one HTML page"),
+		.strict = arg_lit0(NULL, "strict", "exit with 1 when a node is missing"),
+		.help = arg_lit0("h", "help", "print this and exit"),
+		.version = arg_lit0(NULL, "version", "print the version and exit"),
+		.end = arg_end(8),
+	};
+}
+
+/* Takes the options of the command line. */
+static int read_line(const struct line *line, struct options *options, struct error *err)
+{
+	if (line->node->count && options_read_nodes(options, line->node->sval[0], err))
+		return -1;
+	if (line->key->count && strlen(line->key->sval[0]) >= sizeof(options->key))
+		return error_set(err, ERROR_USAGE, "--key: at most %zu bytes",
+				 sizeof(options->key) - 1);
+	if (line->key->count)
+		memcpy(options->key, line->key->sval[0], strlen(line->key->sval[0]) + 1);
+	if (!line->timeout->count)
+		return 0;
+	if (line->timeout->ival[0] < 1 || line->timeout->ival[0] > TIMEOUT_MS_MAX)
+		return error_set(err, ERROR_USAGE, "--timeout-ms: found %d, allowed 1 to %d",
+				 line->timeout->ival[0], TIMEOUT_MS_MAX);
+	options->timeout_ms = (uint32_t)line->timeout->ival[0];
+	return 0;
+}
+
+/* Reads the options: the file, then the command line, then the environment. */
+static int read_options(const struct line *line, struct options *options, struct error *err)
+{
+	const char *file = getenv("FESCUECTL_SETTINGS");
+
+	options->timeout_ms = TIMEOUT_MS;
+	if (line->settings->count)
+		file = line->settings->filename[0];
+	if (file && options_read_file(options, file, err))
+		return -1;
+	if (read_line(line, options, err) || options_read_environment(options, err))
+		return -1;
+	if (options->node_count == 0)
+		return error_set(err, ERROR_USAGE, "no nodes: give --node or --settings");
+	return 0;
+}
+
+/* Adds up the answers; the nodes without one are listed with the reason. */
+static void gather(const struct answer *answers, uint32_t count, struct sum *sum,
+		   struct print_missing *missing, uint32_t *missing_count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const struct answer *answer = &answers[i];
+		struct print_missing *entry = &missing[*missing_count];
+
+		if (!answer->err.kind && sum_add(sum, answer->json))
+			continue;
+		entry->node = answer->node;
+		entry->kind = "syntax";
+		entry->detail = "a report in another form";
+		if (answer->err.kind) {
+			entry->kind = error_kind_name(answer->err.kind);
+			entry->detail = answer->err.detail;
+		}
+		(*missing_count)++;
+	}
+	sum_order(sum);
+}
+
+/* Writes the page into a file. */
+static int write_page(const char *path, const struct print_input *input, struct error *err)
+{
+	FILE *page = fopen(path, "w");
+
+	if (!page)
+		return error_set(err, ERROR_SYSTEM, "cannot write %s", path);
+	print_html(page, input);
+	if (fclose(page) != 0)
+		return error_set(err, ERROR_SYSTEM, "cannot write %s", path);
+	return 0;
+}
+
+/* Prints the report in the forms that are wanted. */
+static int print(const struct line *line, const struct print_input *input, struct error *err)
+{
+	if (line->html->count && write_page(line->html->filename[0], input, err))
+		return -1;
+	if (line->json->count)
+		print_json(stdout, input);
+	else if (!line->html->count)
+		print_text(stdout, input);
+	return 0;
+}
+
+/* Asks the nodes and prints; gives the exit code. */
+static int report(const struct line *line, const struct options *options, struct error *err)
+{
+	static const struct question question = {.method = "GET", .path = "/v1/report"};
+	static struct answer answers[NODES_MAX];
+	static struct print_missing missing[NODES_MAX];
+	static struct sum sum;
+	struct print_input input = {.sum = &sum, .asked = options->node_count, .missing = missing};
+	struct asker asker;
+
+	if (asker_open(&asker, options, err))
+		return error_exit_code(err->kind);
+	ask_all(&asker, &question, answers);
+	gather(answers, options->node_count, &sum, missing, &input.missing_count);
+	if (print(line, &input, err) == 0 && sum.nodes == 0)
+		error_set(err, ERROR_UNREACHABLE, "none of %u nodes gave a report", input.asked);
+	answers_free(answers, options->node_count);
+	asker_close(&asker);
+	if (err->kind)
+		return error_exit_code(err->kind);
+	return line->strict->count && input.missing_count ? MISSING_EXIT : 0;
+}
+
+/* Prints help or the version if asked; returns whether that was all. */
+static bool print_about(const struct line *line, void **table)
+{
+	if (line->version->count)
+		printf("fescue-report %s\n", FESCUEMILL_VERSION);
+	if (line->help->count) {
+		printf("Usage: fescue-report");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-26s %s\n");
+	}
+	return line->version->count || line->help->count;
+}
+
+int main(int argc, char **argv)
+{
+	struct line line = line_define();
+	void *table[LINE_COUNT];
+	static struct options options;
+	struct error err = {0};
+	int faults;
+	int code;
+
+	memcpy(table, &line, sizeof(table));
+	faults = arg_parse(argc, argv, table);
+	if (print_about(&line, table))
+		return 0;
+	if (faults) {
+		arg_print_errors(stderr, line.end, "fescue-report");
+		return error_exit_code(ERROR_USAGE);
+	}
+	if (read_options(&line, &options, &err))
+		code = error_exit_code(err.kind);
+	else
+		code = report(&line, &options, &err);
+	if (err.kind)
+		fprintf(stderr, "fescue-report: %s: %s\n", error_kind_name(err.kind), err.detail);
+	arg_freetable(table, LINE_COUNT);
+	return code;
+}
--- /dev/null
+++ b/src/fescue_report/sum.c
@@ -0,0 +1,149 @@
+/*
+ * Sum: the burn reports of nodes added up. Every call is counted at the one entry that took it, so
+ * that adding does not count twice.
+ */
+#include "fescue_report/sum.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Finds a class; adds it when it is new and there is room. */
+static struct sum_class *find_or_add(struct sum *sum, const char *service, const char *class_name)
+{
+	struct sum_class *cls;
+
+	for (uint32_t i = 0; i < sum->count; i++) {
+		cls = &sum->classes[i];
+		if (strcmp(cls->service, service) == 0 && strcmp(cls->class_name, class_name) == 0)
+			return cls;
+	}
+	if (sum->count == SUM_CLASSES_MAX || strlen(service) >= sizeof(cls->service) ||
+	    strlen(class_name) >= sizeof(cls->class_name))
+		return NULL;
+	cls = &sum->classes[sum->count++];
+	memset(cls, 0, sizeof(*cls));
+	memcpy(cls->service, service, strlen(service));
+	memcpy(cls->class_name, class_name, strlen(class_name));
+	return cls;
+}
+
+/* Reads a count that is not negative. */
+static uint64_t read_count(const json_t *object, const char *key)
+{
+	json_int_t value = json_integer_value(json_object_get(object, key));
+
+	return value > 0 ? (uint64_t)value : 0;
+}
+
+/* Adds one window's counts. */
+static void add_window(struct sum_window *window, const json_t *json)
+{
+	window->seconds = (uint32_t)read_count(json, "seconds");
+	window->answered += read_count(json, "answered");
+	window->in_time += read_count(json, "in_time");
+	window->not_run += read_count(json, "not_run");
+	window->unknown += read_count(json, "unknown");
+}
+
+/* Takes the target as a node has it in force. */
+static void take_target(struct sum_class *cls, const json_t *target)
+{
+	if (!json_is_object(target))
+		return;
+	cls->has_target = true;
+	cls->rank = (uint32_t)read_count(target, "rank");
+	cls->latency_ms = json_number_value(json_object_get(target, "latency_ms"));
+	cls->percentile = json_number_value(json_object_get(target, "percentile"));
+	cls->calls_per_s = json_number_value(json_object_get(target, "calls_per_s"));
+}
+
+/* Adds the reasons of calls that did not run or are unknown. */
+static void add_reasons(struct sum_class *cls, const json_t *reasons)
+{
+	for (int i = 0; i < REASON_COUNT; i++)
+		cls->reasons[i] += read_count(reasons, call_reason_name((enum call_reason)i));
+}
+
+/* Adds one class of one node. */
+static bool add_class(struct sum *sum, const json_t *json)
+{
+	const char *service = json_string_value(json_object_get(json, "service"));
+	const char *class_name = json_string_value(json_object_get(json, "class"));
+	const json_t *windows = json_object_get(json, "windows");
+	struct sum_class *cls;
+
+	if (!service || !class_name || json_array_size(windows) != SUM_WINDOWS)
+		return false;
+	cls = find_or_add(sum, service, class_name);
+	if (!cls)
+		return false;
+	take_target(cls, json_object_get(json, "target"));
+	for (size_t i = 0; i < SUM_WINDOWS; i++)
+		add_window(&cls->windows[i], json_array_get(windows, i));
+	add_reasons(cls, json_object_get(json, "reasons"));
+	return true;
+}
+
+/* Adds one node's report. */
+bool sum_add(struct sum *sum, const json_t *report)
+{
+	const json_t *classes = json_object_get(report, "classes");
+	uint64_t since_s = read_count(report, "counts_since_s");
+	bool whole = json_is_array(classes);
+	size_t index;
+	json_t *cls;
+
+	if (!whole)
+		return false;
+	json_array_foreach(classes, index, cls)
+	{
+		whole &= add_class(sum, cls);
+	}
+	if (sum->nodes == 0 || since_s < sum->youngest_s)
+		sum->youngest_s = since_s;
+	sum->nodes++;
+	return whole;
+}
+
+/* Compares by service, then rank, then name. */
+static int compare_classes(const void *a, const void *b)
+{
+	const struct sum_class *one = a;
+	const struct sum_class *two = b;
+	int order = strcmp(one->service, two->service);
+
+	if (order == 0)
+		order = (one->rank > two->rank) - (one->rank < two->rank);
+	return order ? order : strcmp(one->class_name, two->class_name);
+}
+
+/* Orders the classes. */
+void sum_order(struct sum *sum)
+{
+	qsort(sum->classes, sum->count, sizeof(sum->classes[0]), compare_classes);
+}
+
+/* Gives a share in percent; nothing of nothing is all of it. */
+static double percent_of(uint64_t part, uint64_t whole)
+{
+	return whole ? 100.0 * (double)part / (double)whole : 100.0;
+}
+
+/* Works out what follows from one window. */
+struct sum_rates sum_rates_of(const struct sum_class *cls, const struct sum_window *window)
+{
+	uint64_t ended = window->answered + window->not_run + window->unknown;
+	double allowed_percent = 100.0 - cls->percentile;
+	struct sum_rates rates = {
+		.offered_per_s = window->seconds ? (double)ended / window->seconds : 0,
+		.achieved_percent = percent_of(window->in_time, ended),
+		.kept_percent = percent_of(window->answered, ended),
+	};
+
+	if (allowed_percent > 0)
+		rates.burn = (100.0 - rates.achieved_percent) / allowed_percent;
+	rates.budget_left = 1 - rates.burn;
+	if (cls->has_target && rates.offered_per_s > cls->calls_per_s)
+		rates.excess_percent = 100.0 * (1 - cls->calls_per_s / rates.offered_per_s);
+	return rates;
+}
--- /dev/null
+++ b/src/fescuemill/admin/burn_view.h
@@ -0,0 +1,20 @@
+/*
+ * Burn view: a node's burn table as the JSON of GET /v1/report.
+ */
+#ifndef FESCUEMILL_ADMIN_BURN_VIEW_H
+#define FESCUEMILL_ADMIN_BURN_VIEW_H
+
+#include "fescuemill/decide/burn.h"
+#include "fescuemill/fleet/config.h"
+
+#include <jansson.h>
+
+#define BURN_SHORT_WINDOW_S 300
+#define BURN_LONG_WINDOW_S  3600
+
+/* Gives malloc'ed JSON text, or NULL without memory. Classes without a target in force are left
+ * out of "target". */
+char *burn_view_text(const struct burn *burn, const struct config_store *config, const char *name,
+		     uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/fescuemill/decide/burn.c
@@ -0,0 +1,156 @@
+/*
+ * Burn: a ring of slots for each class; a slot that is met with a new number starts from zero.
+ */
+#include "fescuemill/decide/burn.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define INDEX_SLOTS (2U * BURN_CLASSES_MAX) /* a power of two, at most half full */
+
+struct burn {
+	uint64_t started_us;
+	uint32_t count;
+	struct burn_class *classes[BURN_CLASSES_MAX];
+	uint16_t index[INDEX_SLOTS]; /* one more than an index into classes; 0 is empty */
+};
+
+/* Opens an empty table. Errors: ERROR_MEMORY. */
+int burn_open(struct burn **out, uint64_t now_us, struct error *err)
+{
+	struct burn *burn = calloc(1, sizeof(*burn));
+
+	if (!burn)
+		return error_set(err, ERROR_MEMORY, "no memory for the burn table");
+	burn->started_us = now_us;
+	*out = burn;
+	return 0;
+}
+
+/* Frees a table. */
+void burn_close(struct burn *burn)
+{
+	if (!burn)
+		return;
+	for (uint32_t i = 0; i < burn->count; i++)
+		free(burn->classes[i]);
+	free(burn);
+}
+
+/* Gives the place of a class in the index, or the empty place where it would stand. */
+static uint32_t place_of(const struct burn *burn, const char *service, const char *class_name)
+{
+	uint64_t hash = XXH3_64bits(service, strlen(service)) * 31 +
+			XXH3_64bits(class_name, strlen(class_name));
+	uint32_t place = (uint32_t)hash & (INDEX_SLOTS - 1);
+
+	while (burn->index[place]) {
+		const struct burn_class *cls = burn->classes[burn->index[place] - 1];
+
+		if (strcmp(cls->service, service) == 0 && strcmp(cls->class_name, class_name) == 0)
+			break;
+		place = (place + 1) & (INDEX_SLOTS - 1);
+	}
+	return place;
+}
+
+/* Adds a class at an empty place of the index; NULL without room or memory. */
+static struct burn_class *add_class(struct burn *burn, uint32_t place, const struct burn_call *call)
+{
+	struct burn_class *cls;
+
+	if (burn->count == BURN_CLASSES_MAX)
+		return NULL;
+	cls = calloc(1, sizeof(*cls));
+	if (!cls)
+		return NULL;
+	memcpy(cls->service, call->service, strnlen(call->service, sizeof(cls->service) - 1));
+	memcpy(cls->class_name, call->class_name,
+	       strnlen(call->class_name, sizeof(cls->class_name) - 1));
+	burn->classes[burn->count++] = cls;
+	burn->index[place] = (uint16_t)burn->count;
+	return cls;
+}
+
+/* Gives the counts of the present slot. */
+static struct burn_counts *present_slot(struct burn_class *cls, uint64_t now_us)
+{
+	uint64_t number = now_us / BURN_SLOT_US;
+	uint32_t i = (uint32_t)(number % BURN_SLOTS);
+
+	if (cls->slot_numbers[i] != number) {
+		memset(&cls->slots[i], 0, sizeof(cls->slots[i]));
+		cls->slot_numbers[i] = number;
+	}
+	return &cls->slots[i];
+}
+
+/* Counts one call. */
+void burn_record(struct burn *burn, const struct burn_call *call, uint64_t now_us)
+{
+	uint32_t place = place_of(burn, call->service, call->class_name);
+	struct burn_class *cls = burn->index[place] ? burn->classes[burn->index[place] - 1]
+						    : add_class(burn, place, call);
+	struct burn_counts *counts;
+
+	if (!cls)
+		return;
+	counts = present_slot(cls, now_us);
+	switch (call->outcome) {
+	case OUTCOME_ANSWERED:
+		counts->answered++;
+		if (!call->failed && call->latency_us <= call->target_us)
+			counts->in_time++;
+		return;
+	case OUTCOME_NOT_RUN:
+		counts->not_run++;
+		break;
+	case OUTCOME_UNKNOWN:
+	case OUTCOME_COUNT:
+		counts->unknown++;
+		break;
+	}
+	if ((unsigned int)call->reason < REASON_COUNT)
+		cls->reasons[call->reason]++;
+}
+
+/* Gives the number of classes that calls were counted of. */
+size_t burn_class_count(const struct burn *burn)
+{
+	return burn->count;
+}
+
+/* Gives the class at an index below burn_class_count(). */
+const struct burn_class *burn_class_at(const struct burn *burn, size_t index)
+{
+	return burn->classes[index];
+}
+
+/* Adds up the slots that lie in a window that ends now; the present slot is one of them. */
+struct burn_counts burn_sum(const struct burn_class *cls, uint64_t window_us, uint64_t now_us)
+{
+	uint64_t newest = now_us / BURN_SLOT_US;
+	uint64_t wanted = window_us / BURN_SLOT_US;
+	struct burn_counts sum = {0, 0, 0, 0};
+
+	for (uint32_t i = 0; i < BURN_SLOTS; i++) {
+		const struct burn_counts *slot = &cls->slots[i];
+
+		if (cls->slot_numbers[i] + wanted <= newest || cls->slot_numbers[i] > newest)
+			continue;
+		sum.answered += slot->answered;
+		sum.in_time += slot->in_time;
+		sum.not_run += slot->not_run;
+		sum.unknown += slot->unknown;
+	}
+	return sum;
+}
+
+/* Gives the time since when calls are counted. */
+uint64_t burn_started_us(const struct burn *burn)
+{
+	return burn->started_us;
+}
--- a/src/fescuemilld/admin_shell.c
+++ b/src/fescuemilld/admin_shell.c
@@ -3,6 +3,7 @@
  */
 #include "fescuemilld/admin_shell.h"
 
+#include "fescuemill/admin/burn_view.h"
 #include "fescuemill/base/clock.h"
 
 #include <stdlib.h>
@@ -39,6 +40,15 @@
 	shell->options.drain(shell->options.user);
 }
 
+static char *report(void *user)
+{
+	const struct admin_shell *shell = user;
+	const struct admin_shell_options *options = &shell->options;
+
+	return burn_view_text(options->burn, options->config, options->settings->name,
+			      clock_monotonic_us());
+}
+
 /* Opens the administration API of a node. Errors: ERROR_MEMORY, ERROR_SYSTEM. */
 int admin_shell_open(struct admin_shell **out, uv_loop_t *loop,
 		     const struct admin_shell_options *options, struct error *err)
@@ -50,7 +60,8 @@
 				  .platform = options->platform,
 				  .user = shell,
 				  .status = fill_status,
-				  .drain = drain};
+				  .drain = drain,
+				  .report = report};
 
 	if (!shell)
 		return error_set(err, ERROR_MEMORY, "no memory for the administration API");
--- a/src/fescuemilld/admin_shell.h
+++ b/src/fescuemilld/admin_shell.h
@@ -13,6 +13,7 @@
 	const struct settings *settings;
 	struct config_store *config;
 	struct member_table *members;
+	const struct burn *burn;
 	struct platform *platform;
 	const struct entry *entry;
 	const struct gate_shell *gate;
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -32,14 +32,6 @@
 	return call;
 }
 
-/* Answers a call that never got as far as an attempt. */
-static void refuse(struct caller_call *caller, enum call_reason reason)
-{
-	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
-
-	caller_answer(caller, &answer);
-}
-
 /* Maps the end of an attempt to what the choice learns from it. */
 static enum choice_result_kind result_kind(const struct message_answer *answer)
 {
@@ -85,6 +77,37 @@
 	entry->free_slots[entry->free_count++] = call->slot;
 }
 
+/* Counts an ended call, begun at begun_us, towards its class's target. */
+static void record_burn(const struct entry_options *options, const struct call_request *req,
+			const struct caller_answer *answer, uint64_t begun_us)
+{
+	const struct service_config *config = config_find(options->config, req->service);
+	const struct class_target *target = config ? config_class(config, req->class_name) : NULL;
+	uint64_t now_us = clock_monotonic_us();
+	struct burn_call ended = {
+		.service = req->service,
+		.class_name = req->class_name,
+		.outcome = answer->outcome,
+		.reason = answer->reason,
+		.failed = answer->status >= HTTP_ERROR_MIN,
+		.latency_us = now_us - begun_us,
+		.target_us = target ? target->latency_us : 0,
+	};
+
+	if (target)
+		burn_record(options->burn, &ended, now_us);
+}
+
+/* Answers a call that never got as far as an attempt. */
+static void refuse(const struct entry *entry, struct caller_call *caller,
+		   const struct call_request *req, enum call_reason reason)
+{
+	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
+
+	record_burn(&entry->options, req, &answer, clock_monotonic_us());
+	caller_answer(caller, &answer);
+}
+
 /* Tells the caller how its call ended. The call is gone afterwards. */
 static void finish(struct entry_call *call, const struct attempt_entry_action *action,
 		   const struct message_answer *message)
@@ -104,6 +127,7 @@
 		answer.headers = &message->headers;
 		answer.body = message->body;
 	}
+	record_burn(&call->entry->options, call->request, &answer, call->begun_us);
 	release_slot(call);
 	caller_call_set_data(call->caller, NULL);
 	caller_answer(call->caller, &answer);
@@ -347,6 +371,7 @@
 	call->service = service;
 	call->caller = caller;
 	call->request = req;
+	call->begun_us = clock_monotonic_us();
 	attempt_entry_init(&call->state, &settings);
 	call->slot = entry->free_slots[--entry->free_count];
 	entry->calls[call->slot] = call;
@@ -367,13 +392,13 @@
 	struct error err = {0};
 
 	if (reason != REASON_NONE) {
-		refuse(caller, reason);
+		refuse(entry, caller, req, reason);
 		return;
 	}
 	service = entry_service_get(entry, req->service, &err);
 	if (!service) {
 		log_failure(LOG_WARNING, LOG_PART_ENTRY, "A service could not be added.", &err);
-		refuse(caller, REASON_OVERLOAD);
+		refuse(entry, caller, req, REASON_OVERLOAD);
 		return;
 	}
 	if (!uv_is_active((uv_handle_t *)&entry->timer))
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEMILLD_ENTRY_H
 #define FESCUEMILLD_ENTRY_H
 
+#include "fescuemill/decide/burn.h"
 #include "fescuemill/fleet/config.h"
 #include "fescuemill/fleet/member.h"
 #include "fescuemill/http/caller.h"
@@ -21,6 +22,7 @@
 	struct channel *channel;
 	struct config_store *config;
 	struct member_table *members;
+	struct burn *burn; /* where ended calls are counted */
 	/* Why the node takes no calls now; REASON_NONE when it does. */
 	enum call_reason (*refusal)(void *user);
 	/* Whether a region can be reached at all. */
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -63,6 +63,7 @@
 	const struct call_request *request;
 	struct gate_link *link; /* of the present attempt; NULL when none is outstanding */
 	struct call_place places[LINK_KIND_COUNT];
+	uint64_t begun_us; /* when the caller's request was whole */
 	uint64_t sent_us;
 	uint32_t slot;
 	uint8_t class_index; /* in the service's configuration */
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -50,6 +50,7 @@
 	uv_signal_t signals[2];
 	struct config_store *config;
 	struct member_table *members;
+	struct burn *burn;
 	struct channel *channel;
 	struct caller *caller;
 	struct announce *announce;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 
 #define TIME_SKIP_US  GOSSIP_PAUSE_US
-#define STALL_US_MIN  (2 * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
+#define STALL_US_MIN  (2ULL * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
 #define STALL_READ_US (100 * USEC_PER_MSEC) /* in which all that waited is read */
 
 /* Moves the node along its chart; an input that the present state does not take is ignored. */
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -67,6 +67,7 @@
 		.life = node->self.life,
 		.config = node->config,
 		.members = node->members,
+		.burn = node->burn,
 		.refusal = node_refusal,
 		.region_is_usable = node_region_is_usable,
 		.on_unreachable = node_on_unreachable,
@@ -155,6 +156,7 @@
 		.settings = &node->settings,
 		.config = node->config,
 		.members = node->members,
+		.burn = node->burn,
 		.platform = platform_client_interface(node->platform),
 		.entry = node->entry,
 		.gate = node->gate,
@@ -174,7 +176,8 @@
 	init_self(node);
 	if (charts_load(err) != 0 || config_open(&node->config, err) != 0)
 		return -1;
-	if (member_table_open(&node->members, err) != 0)
+	if (member_table_open(&node->members, err) != 0 ||
+	    burn_open(&node->burn, clock_monotonic_us(), err) != 0)
 		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0)
 		return -1;
--- /dev/null
+++ b/test/unit/fescue_report/sum_test.cc
@@ -0,0 +1,109 @@
+// Unit tests of the report's sums.
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+
+extern "C" {
+#include "fescue_report/print.h"
+}
+
+namespace
+{
+std::string report(int answered, int in_time, int not_run, int since_s,
+		   const std::string &class_name = "purchase")
+{
+	auto window = [&](int seconds) {
+		return "{\"seconds\":" + std::to_string(seconds) +
+		       ",\"answered\":" + std::to_string(answered) +
+		       ",\"in_time\":" + std::to_string(in_time) +
+		       ",\"not_run\":" + std::to_string(not_run) + ",\"unknown\":0}";
+	};
+
+	return "{\"name\":\"a\",\"counts_since_s\":" + std::to_string(since_s) +
+	       ",\"classes\":[{\"service\":\"ledger\",\"class\":\"" + class_name +
+	       "\",\"target\":{\"rank\":0,\"latency_ms\":50.0,\"percentile\":99.0,"
+	       "\"calls_per_s\":1},\"windows\":[" +
+	       window(100) + "," + window(1000) +
+	       "],\"reasons\":{\"overload\":" + std::to_string(not_run) + "}}]}";
+}
+
+bool add(struct sum *sum, const std::string &text)
+{
+	json_t *json = json_loads(text.c_str(), 0, nullptr);
+	bool whole = sum_add(sum, json);
+
+	json_decref(json);
+	return whole;
+}
+
+std::string page(const struct print_input &input)
+{
+	char *data = nullptr;
+	size_t size = 0;
+	FILE *out = open_memstream(&data, &size);
+
+	print_html(out, &input);
+	fclose(out);
+	std::string text(data, size);
+	free(data);
+	return text;
+}
+} // namespace
+
+TEST(Sum, NodesAddUpAndTheYoungestIsKnown)
+{
+	auto sum = std::make_unique<struct sum>();
+
+	EXPECT_TRUE(add(sum.get(), report(100, 98, 0, 500)));
+	EXPECT_TRUE(add(sum.get(), report(90, 90, 10, 40)));
+	ASSERT_EQ(1u, sum->count);
+	EXPECT_EQ(190u, sum->classes[0].windows[0].answered);
+	EXPECT_EQ(188u, sum->classes[0].windows[1].in_time);
+	EXPECT_EQ(10u, sum->classes[0].reasons[REASON_OVERLOAD]);
+	EXPECT_EQ(40u, sum->youngest_s);
+}
+
+TEST(Sum, BurnOneUsesUpTheBudgetExactly)
+{
+	auto sum = std::make_unique<struct sum>();
+
+	add(sum.get(), report(100, 99, 0, 500));
+	struct sum_rates rates = sum_rates_of(&sum->classes[0], &sum->classes[0].windows[0]);
+
+	EXPECT_NEAR(1.0, rates.burn, 1e-9);
+	EXPECT_NEAR(0.0, rates.budget_left, 1e-9);
+	EXPECT_NEAR(1.0, rates.offered_per_s, 1e-9);
+	EXPECT_NEAR(0.0, rates.excess_percent, 1e-9);
+}
+
+TEST(Sum, CallsNotRunCountAgainstTheTarget)
+{
+	auto sum = std::make_unique<struct sum>();
+
+	add(sum.get(), report(100, 100, 300, 500));
+	struct sum_rates rates = sum_rates_of(&sum->classes[0], &sum->classes[0].windows[0]);
+
+	EXPECT_NEAR(25.0, rates.achieved_percent, 1e-9);
+	EXPECT_NEAR(25.0, rates.kept_percent, 1e-9);
+	EXPECT_NEAR(75.0, rates.excess_percent, 1e-9);
+	EXPECT_NEAR(75.0, rates.burn, 1e-9);
+}
+
+TEST(Sum, AnotherFormIsNotCounted)
+{
+	auto sum = std::make_unique<struct sum>();
+
+	EXPECT_FALSE(add(sum.get(), "{\"classes\":7}"));
+	EXPECT_FALSE(add(sum.get(), "[]"));
+	EXPECT_EQ(0u, sum->nodes);
+}
+
+TEST(Print, NamesAreEscapedInThePage)
+{
+	auto sum = std::make_unique<struct sum>();
+	struct print_input input = {sum.get(), 1, 0, nullptr};
+
+	add(sum.get(), report(1, 1, 0, 5, "<script>"));
+	EXPECT_EQ(std::string::npos, page(input).find("<script>"));
+	EXPECT_NE(std::string::npos, page(input).find("&lt;script&gt;"));
+}
