Keyed calls go to their home gate, run once, and are answered again from there

The entry sends a keyed call that is not idempotent to its key's home, whatever the choice would say; the gate asks decide/key before admission, keeps whole answers for repeats, and tells running, history and not-home truly.

--- a/src/fescue_load/flight.c
+++ b/src/fescue_load/flight.c
@@ -12,7 +12,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #define HEAD_BYTES	1024
+#define KEY_TEXT_BYTES	37
 #define SENDS_MAX	3
 #define HEADER_IS(h, s) h2o_memis((h)->name->base, (h)->name->len, H2O_STRLIT(s))
 
@@ -37,6 +41,7 @@
 	uint32_t index;
 	uint64_t intended_us;
 	bool is_keyed;
+	char key[KEY_TEXT_BYTES];
 	bool is_body_corrupt;
 	char *body;
 	char head[HEAD_BYTES];
@@ -245,6 +250,18 @@
 	flight_end(flight, CALL_LOST);
 }
 
+/* Writes a key as a UUID of version 7, whose time tells the key's home that it is new. */
+static void write_key(struct flight *flight)
+{
+	uint64_t now_ms = clock_wall_us() / USEC_PER_MSEC;
+	uint64_t hash = XXH3_64bits(flight->id, strlen(flight->id));
+
+	snprintf(flight->key, sizeof(flight->key), "%08x-%04x-7%03x-8%03x-%012llx",
+		 (unsigned int)(now_ms >> 16), (unsigned int)(now_ms & 0xffff),
+		 (unsigned int)(hash >> 60), (unsigned int)(hash >> 48 & 0xfff),
+		 (unsigned long long)(hash & 0xffffffffffff));
+}
+
 /* Writes the request's head. */
 static void write_head(struct flight *flight)
 {
@@ -261,7 +278,7 @@
 			 stream->deadline_ms, stream->body_bytes,
 			 stream->states_idempotent ? "x-fescue-idempotent: 1\r\n" : "",
 			 flight->is_keyed ? "idempotency-key: " : "",
-			 flight->is_keyed ? flight->id : "", flight->is_keyed ? "\r\n" : "");
+			 flight->is_keyed ? flight->key : "", flight->is_keyed ? "\r\n" : "");
 	flight->call.request[0] = h2o_iovec_init(flight->head, (size_t)bytes);
 	flight->call.request[1] = h2o_iovec_init(flight->body, stream->body_bytes);
 }
@@ -315,6 +332,7 @@
 	flight->call.on_end = on_end;
 	flight->body = h2o_mem_alloc(flight->stream->body_bytes + 1);
 	ledger_call_id(&run->result->ledger, index, flight->id);
+	write_key(flight);
 	payload_start(&payload, flight->id, strlen(flight->id));
 	payload_fill(&payload, flight->body, flight->stream->body_bytes);
 	payload_sum(flight->body, flight->stream->body_bytes, flight->body_sum);
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -55,6 +55,8 @@
 	uint32_t stop_limit_ms;
 	uint32_t heartbeat_ms;
 	uint32_t silence_ms;
+	uint32_t key_retention_ms;
+	uint32_t key_spread_ms;
 	uint32_t retry_share_permille;
 	uint32_t own_domain_distance_us;
 	uint32_t own_region_distance_us;
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -121,19 +121,48 @@
 	return ++call->entry->draws * ENTRY_CALLS_MAX + call->slot;
 }
 
+/* Finds the home gate of a keyed call; false when it has none that is alive. */
+static bool find_home(const struct entry_call *call, struct node_life *gate)
+{
+	const struct call_request *request = call->request;
+	uint64_t now_ms = clock_wall_us() / USEC_PER_MSEC;
+	const struct member *member;
+	struct key_hash hash;
+	uint64_t node_id;
+	bool is_alive;
+
+	key_hash_of(request->service, request->key.data, request->key.size, &hash);
+	if (!key_home(call->service->keys, &hash, now_ms, &node_id, &is_alive) || !is_alive)
+		return false;
+	member = member_find(call->entry->options.members, node_id);
+	if (!member)
+		return false;
+	*gate = member->life;
+	return true;
+}
+
+/* Picks a gate by the service's choice, or the home of a key. */
+static bool pick_life(struct entry_call *call, struct node_life *gate)
+{
+	struct choice_query query = {call->state.excluded, call->state.excluded_count,
+				     call->class_index};
+
+	entry_service_refresh(call->entry, call->service);
+	if (call->state.keyed)
+		return find_home(call, gate);
+	return choice_pick(call->service->choice, &query, &call->entry->rng, clock_monotonic_us(),
+			   gate);
+}
+
 /* Picks a gate and makes its link ready. Returns false when there is none. */
 static bool pick_gate(struct entry_call *call, struct attempt_target *target)
 {
 	struct entry *entry = call->entry;
-	struct choice_query query = {call->state.excluded, call->state.excluded_count,
-				     call->class_index};
 	struct gate_link *link;
 	struct link_side *side;
 	struct error err;
 
-	entry_service_refresh(entry, call->service);
-	if (!choice_pick(call->service->choice, &query, &entry->rng, clock_monotonic_us(),
-			 &target->gate))
+	if (!pick_life(call, &target->gate))
 		return false;
 	link = entry_link_get(entry, &target->gate, &err);
 	if (!link)
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -10,6 +10,7 @@
 #include "fescuemill/http/caller.h"
 #include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/wire/channel.h"
+#include "fescuemilld/key_members.h"
 
 #include <uv.h>
 
@@ -21,6 +22,7 @@
 	struct channel *channel;
 	struct config_store *config;
 	struct member_table *members;
+	const struct key_members *key_members;
 	/* Why the node takes no calls now; REASON_NONE when it does. */
 	enum call_reason (*refusal)(void *user);
 	/* Whether a region can be reached at all. */
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -50,6 +50,7 @@
 	char name[SERVICE_NAME_BYTES];
 	struct choice *choice;
 	struct retry_bucket bucket;
+	struct key_table *keys; /* for the homes of keys only */
 	uint64_t members_revision;
 	uint64_t refreshed_us;
 };
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry_service.c
@@ -23,6 +23,20 @@
 	out->round_trip_us[DISTANCE_OTHER_REGION] = 2 * settings->other_region_distance_us;
 }
 
+/* Makes the table that finds the homes of a service's keys. */
+static int create_keys(const struct entry *entry, struct entry_service *service, struct error *err)
+{
+	struct key_settings settings;
+
+	key_default_settings(&settings);
+	settings.own_id = entry->options.life.node_id;
+	settings.start_ms = clock_wall_us() / USEC_PER_MSEC;
+	settings.retention_ms = entry->options.settings->key_retention_ms;
+	settings.spread_ms = entry->options.settings->key_spread_ms;
+	settings.records_max = 1;
+	return key_create(&service->keys, &settings, err);
+}
+
 /* Gives the state of a service, made at its first call. Errors: ERROR_MEMORY, ERROR_RANGE. */
 struct entry_service *entry_service_get(struct entry *entry, const char *name, struct error *err)
 {
@@ -37,7 +51,9 @@
 		error_set(err, ERROR_MEMORY, "no memory for a service");
 		return NULL;
 	}
-	if (choice_create(&service->choice, &entry->choice_settings, err) != 0) {
+	if (choice_create(&service->choice, &entry->choice_settings, err) != 0 ||
+	    create_keys(entry, service, err) != 0) {
+		choice_destroy(service->choice);
 		free(service);
 		return NULL;
 	}
@@ -88,6 +104,8 @@
 	if (service->members_revision == revision && now_us < service->refreshed_us + REFRESH_US)
 		return;
 	service->refreshed_us = now_us;
+	key_members_apply(entry->options.key_members, service->name, service->keys,
+			  clock_wall_us() / USEC_PER_MSEC);
 	list = calloc(room + 1, sizeof(*list));
 	if (!list)
 		return;
@@ -109,6 +127,7 @@
 
 		entry->services = service->next;
 		choice_destroy(service->choice);
+		key_destroy(service->keys);
 		free(service);
 	}
 }
--- a/src/fescuemilld/gate_attempt.c
+++ b/src/fescuemilld/gate_attempt.c
@@ -61,6 +61,13 @@
 	return attempt;
 }
 
+/* Makes an answer own its bytes in an arena. */
+void gate_attempt_own_answer(h2o_mem_pool_t *arena, struct message_answer *answer)
+{
+	own_headers(arena, &answer->headers);
+	answer->body = copy_bytes(arena, answer->body);
+}
+
 /* Keeps a whole answer in the attempt. Returns its bytes. */
 uint64_t gate_attempt_keep(struct gate_attempt *attempt, const struct backend_answer *answer)
 {
@@ -70,8 +77,8 @@
 	kept->status = answer->status;
 	kept->server_us = answer->server_us;
 	kept->headers = answer->headers;
-	own_headers(&attempt->answer_arena, &kept->headers);
-	kept->body = copy_bytes(&attempt->answer_arena, answer->body);
+	kept->body = answer->body;
+	gate_attempt_own_answer(&attempt->answer_arena, kept);
 	for (uint32_t i = 0; i < kept->headers.count; i++)
 		bytes += kept->headers.list[i].name.size + kept->headers.list[i].value.size;
 	return bytes;
--- a/src/fescuemilld/gate_attempt.h
+++ b/src/fescuemilld/gate_attempt.h
@@ -9,6 +9,7 @@
 
 uint64_t gate_attempt_bytes(const struct message_call *call);
 struct gate_attempt *gate_attempt_new(struct gate_shell *shell, const struct origin *origin);
+void gate_attempt_own_answer(h2o_mem_pool_t *arena, struct message_answer *answer);
 uint64_t gate_attempt_keep(struct gate_attempt *attempt, const struct backend_answer *answer);
 void gate_attempt_release_request(struct gate_attempt *attempt);
 void gate_attempt_release_answer(struct gate_attempt *attempt);
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -8,6 +8,7 @@
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/share.h"
 #include "fescuemilld/gate_attempt.h"
+#include "fescuemilld/gate_key.h"
 #include "fescuemilld/gate_reply.h"
 #include "fescuemilld/gate_shell_defs.h"
 
@@ -35,6 +36,7 @@
 
 	if (attempt->run)
 		backend_call_cancel(attempt->run);
+	gate_key_finished(attempt, OUTCOME_UNKNOWN, 0);
 	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
 	run_admission(&actions);
 	gate_attempt_free(attempt);
@@ -58,6 +60,7 @@
 {
 	struct attempt_gate_event event = event_about(GATE_EVENT_FINISHED, &attempt->id);
 
+	gate_key_finished(attempt, outcome, bytes);
 	event.finished.outcome = outcome;
 	event.finished.reason = reason;
 	event.finished.bytes = bytes;
@@ -111,6 +114,11 @@
 	uint64_t now_us = clock_monotonic_us();
 	struct backend_request req = {.id = attempt->id, .call = &attempt->call};
 
+	if (attempt->is_settled) {
+		report_finished(attempt, attempt->settled, attempt->settled_reason,
+				attempt->settled_bytes);
+		return;
+	}
 	counter_add(COUNTER_GATE_ADMITTED, 1);
 	attempt->started_us = now_us;
 	if (attempt->deadline_us > now_us)
@@ -162,8 +170,10 @@
 		return;
 	}
 	run_step(attempt->shell, &event, &no_origin);
-	if (verdict.kind == GATE_REFUSE)
-		gate_attempt_release_request(attempt);
+	if (verdict.kind != GATE_REFUSE)
+		return;
+	gate_key_finished(attempt, OUTCOME_NOT_RUN, 0);
+	gate_attempt_release_request(attempt);
 }
 
 /* Carries out admission's actions. */
@@ -173,15 +183,28 @@
 		report_verdict(actions->list[i].ticket->owner, actions->list[i].verdict);
 }
 
-/* Offers a new attempt to admission. */
+/* Offers an attempt to admission and carries out what it decides. */
+static void offer_to_admission(struct gate_attempt *attempt)
+{
+	struct gate_shell *shell = attempt->shell;
+	struct gate_actions actions;
+	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
+	uint32_t class_index =
+		(uint32_t)gate_find_class(&shell->admission, attempt->call.class_name);
+
+	actions.count = 0;
+	if (strcmp(attempt->call.service, shell->backend.service) == 0)
+		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
+				     attempt->deadline_us, attempt->offered_us, &actions);
+	report_verdict(attempt, verdict);
+	run_admission(&actions);
+}
+
+/* Takes a new attempt in. */
 static void offer(struct gate_shell *shell, const struct attempt_gate_action *action,
 		  const struct origin *origin)
 {
 	struct gate_attempt *attempt = gate_attempt_new(shell, origin);
-	struct gate_actions actions;
-	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
-	uint64_t now_us = clock_monotonic_us();
-	uint32_t class_index;
 
 	if (!attempt) {
 		struct attempt_gate_event event = event_about(GATE_EVENT_REFUSED, &action->id);
@@ -190,16 +213,22 @@
 		run_step(shell, &event, origin);
 		return;
 	}
-	actions.count = 0;
 	attempt->deadline_us = action->deadline_us;
-	attempt->offered_us = now_us;
+	attempt->offered_us = clock_monotonic_us();
 	attempt_gate_set_user(shell->table, &action->id, attempt);
-	class_index = (uint32_t)gate_find_class(&shell->admission, attempt->call.class_name);
-	if (strcmp(attempt->call.service, shell->backend.service) == 0)
-		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
-				     action->deadline_us, now_us, &actions);
-	report_verdict(attempt, verdict);
-	run_admission(&actions);
+	switch (gate_key_begin(attempt)) {
+	case GATE_KEY_OFFER:
+		offer_to_admission(attempt);
+		break;
+	case GATE_KEY_SETTLE:
+		attempt->is_settled = true;
+		report_verdict(attempt, (struct gate_verdict){GATE_START, REASON_NONE});
+		break;
+	case GATE_KEY_REFUSE:
+		report_verdict(attempt,
+			       (struct gate_verdict){GATE_REFUSE, attempt->settled_reason});
+		break;
+	}
 }
 
 /* Counts a message that is not answered. */
@@ -216,6 +245,7 @@
 {
 	struct gate_actions actions;
 
+	gate_key_finished(attempt, OUTCOME_NOT_RUN, 0);
 	gate_attempt_release_request(attempt);
 	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
 	run_admission(&actions);
@@ -307,6 +337,7 @@
 		run_step(shell, &event, &no_origin);
 	gate_tick(&shell->admission, now_us, &actions);
 	run_admission(&actions);
+	gate_key_expire(shell);
 }
 
 static void on_timer(uv_timer_t *timer);
@@ -410,6 +441,13 @@
 	gate_set_rates(&shell->admission, rates, clock_monotonic_us());
 }
 
+/* Sets the homes of keys anew. */
+void gate_shell_set_members(struct gate_shell *shell, const struct key_members *members)
+{
+	key_members_apply(members, shell->backend.service, shell->keys,
+			  clock_wall_us() / USEC_PER_MSEC);
+}
+
 /* Takes no new work from now on. */
 void gate_shell_drain(struct gate_shell *shell)
 {
@@ -435,6 +473,19 @@
 	gate_get_load(&shell->admission, load);
 }
 
+/* Makes the table of keys, which knows of nothing before now. */
+static int open_keys(struct gate_shell *shell, struct error *err)
+{
+	struct key_settings settings;
+
+	key_default_settings(&settings);
+	settings.own_id = shell->options.node_id;
+	settings.start_ms = clock_wall_us() / USEC_PER_MSEC;
+	settings.retention_ms = shell->options.key_retention_ms;
+	settings.spread_ms = shell->options.key_spread_ms;
+	return key_create(&shell->keys, &settings, err);
+}
+
 /* Opens the gate role. Errors: ERROR_MEMORY and those of the charts. */
 int gate_shell_open(struct gate_shell **out, uv_loop_t *loop,
 		    const struct gate_shell_options *options, struct error *err)
@@ -458,7 +509,8 @@
 		free(shell);
 		return -1;
 	}
-	if (backend_client_open(&shell->client, loop, options->answer_bytes_max, err) != 0) {
+	if (backend_client_open(&shell->client, loop, options->answer_bytes_max, err) != 0 ||
+	    open_keys(shell, err) != 0) {
 		attempt_gate_destroy(shell->table);
 		free(shell);
 		return -1;
@@ -475,6 +527,7 @@
 {
 	struct gate_shell *shell = handle->data;
 
+	gate_key_free_all(shell);
 	attempt_gate_destroy(shell->table);
 	free(shell);
 }
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -8,6 +8,7 @@
 #include "fescuemill/decide/gate_defs.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/wire/channel.h"
+#include "fescuemilld/key_members.h"
 
 #include <uv.h>
 
@@ -15,7 +16,10 @@
 
 struct gate_shell_options {
 	struct channel *channel;
+	uint64_t node_id;
 	uint64_t incarnation;
+	uint32_t key_retention_ms;
+	uint32_t key_spread_ms;
 	uint32_t answer_bytes_max;
 	uint64_t memory_bytes_max;
 };
@@ -32,6 +36,8 @@
 /* Sets the classes of the service; peers is the number of gates that share their rates. */
 void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config,
 			   uint32_t peers);
+/* Sets the homes of keys anew; call it at every change of members and twice a second. */
+void gate_shell_set_members(struct gate_shell *shell, const struct key_members *members);
 /* Takes no new work from now on, and refuses what waits. */
 void gate_shell_drain(struct gate_shell *shell);
 
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -6,6 +6,7 @@
 
 #include "fescuemill/decide/attempt_gate.h"
 #include "fescuemill/decide/gate.h"
+#include "fescuemill/decide/key.h"
 #include "fescuemill/http/backend.h"
 #include "fescuemilld/gate_shell.h"
 
@@ -25,6 +26,12 @@
 	uint64_t offered_us;
 	uint64_t started_us;
 	struct backend_call *run; /* NULL unless it runs */
+	struct key_hash key;
+	bool is_keyed;	 /* the home of its key waits for its end */
+	bool is_settled; /* has its outcome without running */
+	enum call_outcome settled;
+	enum call_reason settled_reason;
+	uint64_t settled_bytes; /* of the kept answer */
 };
 
 struct gate_shell {
@@ -32,6 +39,7 @@
 	uv_timer_t timer;
 	struct gate_shell_options options;
 	struct attempt_gate *table;
+	struct key_table *keys;
 	struct gate admission;
 	struct backend_client *client;
 	struct announcement backend;
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -16,6 +16,7 @@
 #include <string.h>
 
 #define HOUSEKEEPING_MS 100
+#define KEYS_PERIOD_US	(500 * USEC_PER_MSEC)
 #define TIME_SKIP_US	GOSSIP_PAUSE_US
 
 /* Notices that the process was paused: what it knows may be old. */
@@ -48,6 +49,19 @@
 	budget_share_link(&node->budget, nodes);
 }
 
+/* Sets the homes of keys at every change of members, and now and then: a gate whose view is old
+ * serves no keys. */
+static void apply_key_members(struct node *node, bool has_changed)
+{
+	uint64_t now_us = clock_monotonic_us();
+
+	if (!has_changed && now_us < node->keys_applied_us + KEYS_PERIOD_US)
+		return;
+	node->keys_applied_us = now_us;
+	key_members_note(node->key_members);
+	gate_shell_set_members(node->gate, node->key_members);
+}
+
 /* Passes on what has changed in the configuration and in the member table. */
 static void pass_changes(struct node *node)
 {
@@ -58,6 +72,7 @@
 		node_apply_config(node);
 	if (members != node->members_revision)
 		share_link(node);
+	apply_key_members(node, members != node->members_revision);
 	node->config_revision = config;
 	node->members_revision = members;
 	entry_sweep(node->entry);
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -16,6 +16,7 @@
 #include "fescuemilld/entry.h"
 #include "fescuemilld/gate_shell.h"
 #include "fescuemilld/gossip_shell.h"
+#include "fescuemilld/key_members.h"
 
 #include "fescuemilld/node.h"
 
@@ -56,6 +57,8 @@
 	struct gossip_shell *gossip_shell;
 	struct gossip *gossip;
 	struct config_pull *pull;
+	struct key_members *key_members;
+	uint64_t keys_applied_us;
 	struct entry *entry;
 	struct gate_shell *gate;
 	struct admin_shell *admin;
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -67,13 +67,17 @@
 		.life = node->self.life,
 		.config = node->config,
 		.members = node->members,
+		.key_members = node->key_members,
 		.refusal = node_refusal,
 		.region_is_usable = node_region_is_usable,
 		.on_unreachable = node_on_unreachable,
 		.user = node,
 	};
 	struct gate_shell_options gate = {
+		.node_id = node->self.life.node_id,
 		.incarnation = node->self.life.incarnation,
+		.key_retention_ms = settings->key_retention_ms,
+		.key_spread_ms = settings->key_spread_ms,
 		.answer_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
 	};
@@ -176,6 +180,8 @@
 		return -1;
 	if (member_table_open(&node->members, err) != 0)
 		return -1;
+	if (key_members_open(&node->key_members, node->members, err) != 0)
+		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0)
 		return -1;
 	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
--- a/test/functional/support/fleet.cc
+++ b/test/functional/support/fleet.cc
@@ -19,6 +19,7 @@
 constexpr int READY_MS = 20000;
 constexpr int STOP_MS = 15000;
 constexpr int PAUSE_MS = 20;
+constexpr int KEY_SPREAD_MS = 500; // one host: one clock, and gossip within a few rounds
 constexpr int PLAN_WAIT_MS = 3600 * 1000;
 
 // Gives the folder of a deployment's samples.
@@ -193,6 +194,7 @@
 				"backend_address", "admin_address"})
 		set_text(settings.get(), key, loopback(0));
 	json_object_set(settings.get(), "platform", endpoints.get());
+	json_object_set_new(settings.get(), "key_spread_ms", json_integer(KEY_SPREAD_MS));
 	if (options_.change_settings)
 		options_.change_settings(host.name, settings.get());
 	host.settings_file = folder_ + "/" + host.name + ".json";
@@ -246,6 +248,8 @@
 		for (const ServiceSize &service : options_.services)
 			wait_reaches(host, service.name, READY_MS);
 	}
+	// Keys of calls from now on are then known to be new to every gate.
+	std::this_thread::sleep_for(std::chrono::milliseconds(2 * KEY_SPREAD_MS));
 }
 
 void Fleet::wait_reaches(const Host &entry, const std::string &service, int timeout_ms)
