--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -11,6 +11,7 @@
 #include "fescuemill/http/caller.h"
 #include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/wire/channel.h"
+#include "fescuemilld/key_members.h"
 
 #include <uv.h>
 
@@ -23,6 +24,7 @@
 	struct config_store *config;
 	struct member_table *members;
 	struct burn *burn; /* where ended calls are counted */
+	const struct key_members *key_members;
 	/* Why the node takes no calls now; REASON_NONE when it does. */
 	enum call_reason (*refusal)(void *user);
 	/* Whether a region can be reached at all. */
