Gate: time that an earlier operation has passed does not come again

Cause: the shell reads the clock before and after a call to the backend client; a gate told of an earlier time took the difference for a huge one and refilled the profile. Ruled out: asking every caller for an ordered clock. Change: each operation reckons with the latest time that the gate has seen. Shown failing: Gate.TimeThatHasPassedDoesNotComeAgain without the change, tickets in profile after a step back of 500 ms; passes with it.

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -21,11 +21,22 @@
 	return verdict;
 }
 
-/* Opens an operation: empties its list of actions and accounts for the time since the last one. */
-static void begin(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
+/* Gives the time to reckon with: one that an earlier operation has passed does not come again. */
+static uint64_t not_before(const struct gate *gate, uint64_t now_us)
 {
+	return now_us > gate->advanced_us ? now_us : gate->advanced_us;
+}
+
+/*
+ * Opens an operation: empties its list of actions and accounts for the time since the last one.
+ * Returns the time to reckon with.
+ */
+static uint64_t begin(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
+{
+	now_us = not_before(gate, now_us);
 	actions->count = 0;
 	gate_account_advance(gate, now_us);
+	return now_us;
 }
 
 /* Adds an action; an operation decides at most once about each ticket that waited. */
@@ -241,7 +252,7 @@
 {
 	uint64_t rates_milli[CLASSES_PER_SERVICE_MAX] = {0};
 
-	begin(gate, now_us, actions);
+	now_us = begin(gate, now_us, actions);
 	memcpy(gate->service, config->service, sizeof(gate->service));
 	gate->config_version = config->version;
 	update_classes(gate, config, actions);
@@ -264,6 +275,7 @@
 void gate_set_rates(struct gate *gate, const uint64_t rates_milli[CLASSES_PER_SERVICE_MAX],
 		    uint64_t now_us)
 {
+	now_us = not_before(gate, now_us);
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		struct gate_class *class = &gate->classes[i];
 
@@ -295,7 +307,7 @@
 {
 	bool was_serving = may_start(gate);
 
-	begin(gate, now_us, actions);
+	now_us = begin(gate, now_us, actions);
 	gate->state = state;
 	set_slots(gate, was_serving, slots, now_us);
 	if (state == BACKEND_LEAVING)
@@ -387,7 +399,7 @@
 {
 	enum call_reason reason;
 
-	begin(gate, now_us, actions);
+	now_us = begin(gate, now_us, actions);
 	reason = find_objection(gate, class_index, deadline_us, now_us);
 	if (reason != REASON_NONE)
 		return verdict_refuse(reason);
@@ -410,7 +422,7 @@
 void gate_finish(struct gate *gate, struct gate_ticket *ticket, enum gate_result result,
 		 uint64_t now_us, struct gate_actions *actions)
 {
-	begin(gate, now_us, actions);
+	now_us = begin(gate, now_us, actions);
 	if (ticket->state != TICKET_RUNNING)
 		return;
 	if (class_is_current(gate, ticket))
@@ -423,7 +435,7 @@
 void gate_cancel(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
 		 struct gate_actions *actions)
 {
-	begin(gate, now_us, actions);
+	now_us = begin(gate, now_us, actions);
 	switch ((enum ticket_state)ticket->state) {
 	case TICKET_IDLE:
 		return;
@@ -440,7 +452,7 @@
 /* Moves time on; call it every GATE_TICK_INTERVAL_US. */
 void gate_tick(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
-	begin(gate, now_us, actions);
+	now_us = begin(gate, now_us, actions);
 	gate_account_share_floors(gate);
 	headroom_update(gate);
 	expire(gate, now_us, actions);
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -291,3 +291,17 @@
 	EXPECT_EQ(0U, load().in_use);
 	EXPECT_EQ(0U, gate.classes[gate_find_class(&gate, "browse")].running);
 }
+
+TEST_F(Gate, TimeThatHasPassedDoesNotComeAgain)
+{
+	make_ready(1);
+	for (uint32_t i = 0; i <= BURST; i++)
+		offer(tickets[i], PURCHASE);
+	EXPECT_FALSE(tickets[BURST].in_profile);
+	now_us -= 500000;
+	offer(tickets[100], PURCHASE);
+	EXPECT_FALSE(tickets[100].in_profile);
+	gate_set_config(&gate, &two_classes, now_us, &actions);
+	offer(tickets[101], PURCHASE);
+	EXPECT_FALSE(tickets[101].in_profile);
+}
