Whole-fleet tests of configuration, and unit tests of rosters on a fake platform

Shown failing: without config_mark_stale() in fescuemilld's check_time, functional-configuration said '2 before 31': the woken node answered that it was ready with the version from before its pause.

--- /dev/null
+++ b/test/functional/configuration_test.cc
@@ -0,0 +1,259 @@
+// Configuration over a whole fleet of real nodes: in force everywhere within seconds, through
+// outages, pauses and replacements; and what the fleet costs the platform.
+#include "functional/support/fleet.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <gtest/gtest.h>
+#include <set>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using support::Fleet;
+using support::FleetOptions;
+using support::Host;
+using support::http;
+using support::http_json;
+using support::HttpAnswer;
+using support::Json;
+
+namespace
+{
+constexpr int IN_FORCE_MS = 4000; // a change is in force everywhere
+constexpr int PAUSE_MS = 8000;	  // longer than every time-out between nodes
+const std::string key = "x-fescue-key: replace-this-key-of-ledger-team";
+
+int connect_to(uint16_t port)
+{
+	sockaddr_in address = {};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(port);
+	return connect(fd, (sockaddr *)&address, sizeof(address)) == 0 ? fd : -1;
+}
+
+// Reads until the other end closes.
+std::string receive_all(int fd)
+{
+	std::string all;
+	char part[4096];
+	ssize_t size;
+
+	while ((size = recv(fd, part, sizeof(part), 0)) > 0)
+		all.append(part, (size_t)size);
+	close(fd);
+	return all;
+}
+
+class Configuration : public testing::Test
+{
+      protected:
+	Fleet fleet{FleetOptions::rangitoto()};
+
+	void SetUp() override
+	{
+		signal(SIGPIPE, SIG_IGN);
+		fleet.start();
+	}
+
+	static int64_t number(json_t *object, const char *name)
+	{
+		return json_integer_value(json_object_get(object, name));
+	}
+
+	Json versions(Host &host)
+	{
+		HttpAnswer answer =
+			http(host.node->port("admin_port"), "GET", "/v1/versions", "", {key}, 3000);
+
+		return Json(json_loads(answer.body.c_str(), 0, nullptr));
+	}
+
+	int64_t in_force(Host &host)
+	{
+		Json all = versions(host);
+
+		return number(json_object_get(all.get(), "versions"), "ledger");
+	}
+
+	bool is_ready(Host &host)
+	{
+		Json all = versions(host);
+		json_t *ready = json_object_get(all.get(), "ready");
+
+		return json_is_true(ready);
+	}
+
+	// Gives the version in force at a node that says that it is ready, else -1.
+	int64_t ready_version(Host &host)
+	{
+		return ready_version_in(versions(host).get());
+	}
+
+	static int64_t ready_version_in(json_t *all)
+	{
+		json_t *ready = json_object_get(all, "ready");
+
+		if (!json_is_true(ready))
+			return -1;
+		return number(json_object_get(all, "versions"), "ledger");
+	}
+
+	// Changes one class through a node and gives the accepted version.
+	int64_t change(Host &host, int calls_per_s)
+	{
+		std::string body = R"({"rank":0,"latency_ms":50,"percentile":99.0,"calls_per_s":)" +
+				   std::to_string(calls_per_s) + "}";
+		HttpAnswer answer = http(host.node->port("admin_port"), "PUT",
+					 "/v1/services/ledger/classes/purchase", body,
+					 {key, "if-version: " + std::to_string(in_force(host))});
+		Json root(json_loads(answer.body.c_str(), 0, nullptr));
+
+		EXPECT_EQ(200, answer.status) << answer.body;
+		return number(root.get(), "version");
+	}
+
+	// Waits until a condition holds; gives the time it took, or -1.
+	static int wait(const std::function<bool()> &until, int timeout_ms)
+	{
+		auto start = std::chrono::steady_clock::now();
+
+		for (;;) {
+			auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(
+				std::chrono::steady_clock::now() - start);
+
+			if (until())
+				return (int)spent.count();
+			if (spent.count() > timeout_ms)
+				return -1;
+			std::this_thread::sleep_for(std::chrono::milliseconds(20));
+		}
+	}
+
+	// Waits until a version is in force at every running node.
+	int wait_everywhere(int64_t version)
+	{
+		return wait(
+			[&] {
+				for (Host &host : fleet.hosts) {
+					if (host.node->is_running() && in_force(host) < version)
+						return false;
+				}
+				return true;
+			},
+			IN_FORCE_MS);
+	}
+
+	// Calls that the platform counted so far, watches included.
+	int64_t platform_calls(int64_t *writes = nullptr)
+	{
+		Json stats = http_json(fleet.platform->port(), "GET", "/control/stats");
+		int64_t put = number(stats.get(), "put");
+
+		if (writes)
+			*writes = put;
+		return put + number(stats.get(), "get") + number(stats.get(), "list") +
+		       number(stats.get(), "watch") + number(stats.get(), "refused");
+	}
+};
+} // namespace
+
+TEST_F(Configuration, AChangeIsInForceEverywhereWithinSeconds)
+{
+	int worst = 0;
+
+	for (int i = 0; i < 5; i++) {
+		int64_t version = change(fleet.hosts[(size_t)i * 3], 100 + i);
+		int took = wait_everywhere(version);
+
+		EXPECT_GE(took, 0);
+		worst = std::max(worst, took);
+	}
+	RecordProperty("worst_ms", worst);
+}
+
+TEST_F(Configuration, AReplacedHostCatchesUpFromPeersDuringAnOutage)
+{
+	int64_t version = change(fleet.hosts[0], 300);
+	Host &host = fleet.hosts[5];
+
+	ASSERT_GE(wait_everywhere(version), 0);
+	Fleet::control(*fleet.platform, R"({"mode":"down"})");
+	host.node->kill();
+	fleet.start_node(host);
+	EXPECT_GE(wait([&] { return is_ready(host); }, 15000), 0);
+	EXPECT_EQ(version, in_force(host));
+	EXPECT_EQ(version, in_force(fleet.hosts[1]));
+}
+
+TEST_F(Configuration, APausedNodeIsNotReadyUntilItHasCaughtUp)
+{
+	Host &host = fleet.hosts[2];
+	int connection = connect_to(host.node->port("admin_port"));
+
+	std::this_thread::sleep_for(std::chrono::milliseconds(200));
+	host.node->signal(SIGSTOP);
+	int64_t version = change(fleet.hosts[0], 400);
+
+	std::this_thread::sleep_for(std::chrono::milliseconds(PAUSE_MS));
+	// This question is the first thing that the node finds when it wakes.
+	std::string ask =
+		"GET /v1/versions HTTP/1.1\r\nhost: n\r\nconnection: close\r\n" + key + "\r\n\r\n";
+
+	ASSERT_EQ((ssize_t)ask.size(), send(connection, ask.data(), ask.size(), 0));
+	host.node->signal(SIGCONT);
+	std::string answer = receive_all(connection);
+	size_t body = answer.find("\r\n\r\n");
+
+	ASSERT_NE(std::string::npos, body) << answer;
+	Json all(json_loads(answer.c_str() + body + 4, 0, nullptr));
+	int64_t first = ready_version_in(all.get());
+
+	EXPECT_TRUE(first < 0 || first >= version) << first << " before " << version;
+	EXPECT_GE(wait([&] { return ready_version(host) >= version; }, IN_FORCE_MS), 0);
+}
+
+TEST_F(Configuration, NothingRevertsThroughAnOutageAndItEndsWithoutAStampede)
+{
+	int64_t version = change(fleet.hosts[0], 500);
+
+	ASSERT_GE(wait_everywhere(version), 0);
+	Fleet::control(*fleet.platform, R"({"mode":"down"})");
+	int64_t down = platform_calls();
+
+	std::this_thread::sleep_for(std::chrono::seconds(6));
+	int64_t during = platform_calls() - down;
+
+	for (Host &host : fleet.hosts) {
+		EXPECT_EQ(version, in_force(host));
+		EXPECT_TRUE(is_ready(host));
+	}
+	Fleet::control(*fleet.platform, R"({"mode":"up"})");
+	int64_t up = platform_calls();
+
+	std::this_thread::sleep_for(std::chrono::seconds(6));
+	RecordProperty("calls_6s_of_outage", (int)during);
+	RecordProperty("calls_6s_after", (int)(platform_calls() - up));
+	EXPECT_GE(wait_everywhere(change(fleet.hosts[0], 600)), 0);
+}
+
+// Figures for docs/CAPACITY.md; the bound is the budget of four failure domains.
+TEST_F(Configuration, AtRestFewNodesCallThePlatform)
+{
+	std::this_thread::sleep_for(std::chrono::seconds(3));
+	int64_t writes_before;
+	int64_t before = platform_calls(&writes_before);
+
+	std::this_thread::sleep_for(std::chrono::seconds(10));
+	int64_t writes;
+	int64_t calls = platform_calls(&writes) - before;
+
+	RecordProperty("calls_10s", (int)calls);
+	RecordProperty("writes_10s", (int)(writes - writes_before));
+	EXPECT_LE(calls, 4 * 600 / 6);
+}
--- /dev/null
+++ b/test/unit/fleet/keeper_test.cc
@@ -0,0 +1,325 @@
+// Unit tests of the rosters and their keeper, on a loop of libuv against the fake platform.
+#include "support/fake_platform.h"
+
+#include <cstdlib>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <memory>
+#include <set>
+
+extern "C" {
+#include "fescuemill/base/counter.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/fleet/keeper.h"
+}
+
+using support::FakePlatform;
+
+static member make(const std::string &name, uint64_t incarnation = 1, uint32_t revision = 1)
+{
+	member m = {};
+
+	strcpy(m.name, name.c_str());
+	strcpy(m.region, "north-island");
+	strcpy(m.domain, "north-a");
+	strcpy(m.service, "ledger");
+	m.backend = BACKEND_READY;
+	m.slots = 6;
+	m.life = {member_id_of(name.c_str()), incarnation};
+	m.revision = revision;
+	m.internal = {0x7f000001, 7101, 7102};
+	return m;
+}
+
+static std::set<std::string> names_in(const FakePlatform::Object &object)
+{
+	std::set<std::string> names;
+	struct roster roster;
+
+	EXPECT_EQ(0, roster_parse(object.value.data(), object.value.size(), &roster, nullptr));
+	for (uint32_t i = 0; i < roster.count; i++)
+		names.insert(roster.members[i].name);
+	roster_free(&roster);
+	return names;
+}
+
+TEST(Roster, WhatIsWrittenReadsBackTheSame)
+{
+	member members[2] = {make("a", 7, 3), make("b")};
+	struct roster roster = {};
+	struct roster back;
+	char *json;
+	size_t size;
+
+	strcpy(roster.domain, "north-a");
+	members[1].external = {0x7f000002, 8101, 8102};
+	for (member &m : members)
+		EXPECT_TRUE(roster_put(&roster, &m));
+	EXPECT_FALSE(roster_put(&roster, &members[0]));
+	ASSERT_EQ(0, roster_write(&roster, &json, &size, nullptr));
+	ASSERT_EQ(0, roster_parse(json, size, &back, nullptr)) << json;
+	ASSERT_EQ(2U, back.count);
+	EXPECT_EQ(0, memcmp(roster.members, back.members, sizeof(members)));
+	free(json);
+	roster_free(&roster);
+	roster_free(&back);
+}
+
+TEST(Roster, BadRostersAreTypedErrors)
+{
+	const char *const bad[] = {
+		"",
+		"[]",
+		R"({"failure_domain":"a"})",
+		R"({"failure_domain":"a","members":[{}]})",
+		R"({"failure_domain":"a","members":[{"name":"n","region":"r","address":"x",)"
+		R"("node_port":1,"gossip_port":1,"incarnation":1}]})",
+		R"({"failure_domain":"a","members":[{"name":"n","region":"r","address":"1.2.3.4",)"
+		R"("node_port":70000,"gossip_port":1,"incarnation":1}]})"};
+
+	for (const char *text : bad) {
+		struct roster roster;
+		error err;
+
+		error_clear(&err);
+		EXPECT_EQ(-1, roster_parse(text, strlen(text), &roster, &err)) << text;
+		EXPECT_NE(ERROR_NONE, err.kind);
+		roster_free(&roster);
+	}
+}
+
+TEST(Roster, AnOlderIncarnationDoesNotReplaceANewerOne)
+{
+	struct roster roster = {};
+	member newer = make("a", 9);
+	member older = make("a", 8);
+
+	older.slots = 1;
+	roster_put(&roster, &newer);
+	EXPECT_FALSE(roster_put(&roster, &older));
+	EXPECT_EQ(6U, roster.members[0].slots);
+	roster_free(&roster);
+}
+
+class Keeper : public testing::Test
+{
+      protected:
+	struct Node {
+		member_table *members = nullptr;
+		keeper *keep = nullptr;
+		member self;
+	};
+
+	void SetUp() override
+	{
+		log_set_level(LOG_ERROR);
+		uv_loop_init(&loop);
+	}
+
+	void TearDown() override
+	{
+		for (auto &node : nodes)
+			keeper_close(node->keep);
+		platform.close();
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(0, uv_loop_close(&loop));
+		for (auto &node : nodes)
+			member_table_close(node->members);
+	}
+
+	Node &start(const std::string &name, bool watching = true)
+	{
+		session_limits limits = {2000, 20000, 1000000, 1000};
+
+		nodes.push_back(std::make_unique<Node>());
+		Node &node = *nodes.back();
+
+		node.self = make(name);
+		member_table_open(&node.members, nullptr);
+		member_upsert(node.members, &node.self);
+		keeper_open(&node.keep, &loop, platform.interface(), node.members, &limits,
+			    nodes.size(), nullptr);
+		keeper_set_watching(node.keep, watching);
+		keeper_set_self(node.keep, &node.self);
+		return node;
+	}
+
+	// Runs the loop until a condition holds, at most for two seconds.
+	bool run_until(const std::function<bool()> &until)
+	{
+		uint64_t end = uv_hrtime() + 2000000000ULL;
+
+		while (!until()) {
+			if (uv_hrtime() > end)
+				return false;
+			uv_run(&loop, UV_RUN_NOWAIT);
+		}
+		return true;
+	}
+
+	FakePlatform::Object &roster()
+	{
+		return platform.objects["roster"]["north-a"];
+	}
+
+	bool has(const std::set<std::string> &names)
+	{
+		return roster().exists && names_in(roster()) == names;
+	}
+
+	uv_loop_t loop;
+	FakePlatform platform;
+	std::vector<std::unique_ptr<Node>> nodes;
+};
+
+TEST_F(Keeper, NodesThatStartAtOnceAllEndInTheRosterAndKnowEachOther)
+{
+	const std::set<std::string> all = {"a", "b", "c", "d", "e"};
+
+	for (const std::string &name : all)
+		start(name);
+	EXPECT_TRUE(run_until([&] { return has(all); }));
+	EXPECT_TRUE(run_until([&] {
+		for (auto &node : nodes) {
+			if (member_count(node->members) < all.size())
+				return false;
+		}
+		return true;
+	}));
+}
+
+TEST_F(Keeper, TheStaleUpdateOfAPausedWriterFailsOnItsVersion)
+{
+	bool first = true;
+
+	platform.fate = [&](const platform_request &request) {
+		bool writes = request.type == PLATFORM_CREATE || request.type == PLATFORM_UPDATE;
+
+		if (!writes || !first)
+			return FakePlatform::ANSWER;
+		first = false;
+		return FakePlatform::HOLD;
+	};
+	start("paused");
+	EXPECT_TRUE(run_until([&] { return !first; }));
+	start("other");
+	EXPECT_TRUE(run_until([&] { return has({"other"}); }));
+	uint64_t conflicts = counter_get(COUNTER_ROSTER_CONFLICTS);
+
+	platform.release();
+	EXPECT_EQ(conflicts + 1, counter_get(COUNTER_ROSTER_CONFLICTS));
+	EXPECT_TRUE(run_until([&] { return has({"other", "paused"}); }));
+}
+
+TEST_F(Keeper, ALostAnswerIsReadAgainAndNothingIsWrittenTwice)
+{
+	int writes = 0;
+
+	platform.fate = [&](const platform_request &request) {
+		bool is_write = request.type == PLATFORM_CREATE || request.type == PLATFORM_UPDATE;
+
+		return is_write && writes++ == 0 ? FakePlatform::LOSE_ANSWER : FakePlatform::ANSWER;
+	};
+	start("a");
+	EXPECT_TRUE(run_until([&] { return has({"a"}) && platform.counts[PLATFORM_GET] > 0; }));
+	for (int i = 0; i < 100; i++)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	EXPECT_EQ(1, writes);
+}
+
+TEST_F(Keeper, ARosterThatIsNotUnderstoodIsNeverOverwritten)
+{
+	platform.put("roster", "north-a", R"({"later":"format"})");
+	start("a");
+	run_until([&] { return platform.counts[PLATFORM_GET] > 3; });
+	EXPECT_EQ(R"({"later":"format"})", roster().value);
+	EXPECT_EQ(1U, platform.version);
+}
+
+TEST_F(Keeper, ALeavingNodeTakesItselfOut)
+{
+	bool left = false;
+	Node &a = start("a");
+	Node &b = start("b");
+
+	EXPECT_TRUE(run_until([&] { return has({"a", "b"}); }));
+	// Gossip tells the others first; a writer would enter a member again that it takes for
+	// live.
+	member leaving = a.self;
+
+	leaving.state = MEMBER_LEAVING;
+	member_upsert(b.members, &leaving);
+	keeper_leave(
+		a.keep, [](void *user) { *static_cast<bool *>(user) = true; }, &left);
+	EXPECT_TRUE(run_until([&] { return left; }));
+	EXPECT_TRUE(has({"b"}));
+}
+
+TEST_F(Keeper, LeavingEndsThoughThePlatformIsDown)
+{
+	bool left = false;
+	Node &a = start("a");
+
+	EXPECT_TRUE(run_until([&] { return has({"a"}); }));
+	platform.fate = [](const platform_request &) { return FakePlatform::REFUSE; };
+	keeper_leave(
+		a.keep, [](void *user) { *static_cast<bool *>(user) = true; }, &left);
+	EXPECT_TRUE(run_until([&] { return left; }));
+}
+
+TEST_F(Keeper, AWriterPrunesTheDeadAndEntersTheLiving)
+{
+	Node &a = start("a", false);
+
+	EXPECT_TRUE(run_until([&] { return has({"a"}); }));
+	struct roster known = {};
+	struct roster written;
+	member dead = make("dead");
+	member living = make("living");
+
+	strcpy(known.domain, "north-a");
+	roster_put(&known, &a.self);
+	roster_put(&known, &dead);
+	dead.state = MEMBER_DEAD;
+	member_upsert(a.members, &dead);
+	member_upsert(a.members, &living);
+	ASSERT_TRUE(roster_is_writer(a.members, &a.self));
+	EXPECT_TRUE(roster_prune(&known, a.members));
+	EXPECT_FALSE(roster_prune(&known, a.members));
+	char *json;
+	size_t size;
+
+	roster_write(&known, &json, &size, nullptr);
+	roster_parse(json, size, &written, nullptr);
+	EXPECT_TRUE(roster_has(&written, a.self.life.node_id));
+	EXPECT_TRUE(roster_has(&written, living.life.node_id));
+	EXPECT_FALSE(roster_has(&written, dead.life.node_id));
+	free(json);
+	roster_free(&known);
+	roster_free(&written);
+}
+
+TEST_F(Keeper, ANewNodeOfALargeDomainLeavesItsEntryToTheWriters)
+{
+	for (const char *name : {"a", "b", "c", "d"})
+		start(name);
+	EXPECT_TRUE(run_until([&] { return has({"a", "b", "c", "d"}); }));
+	EXPECT_TRUE(run_until([&] { return member_count(nodes[0]->members) == 4; }));
+	int writes = platform.counts[PLATFORM_UPDATE];
+	std::string name;
+
+	// A name that rendezvous hashing does not make a writer.
+	for (int i = 0; name.empty() && i < 1000; i++) {
+		member candidate = make("new-" + std::to_string(i));
+
+		if (!roster_is_writer(nodes[0]->members, &candidate))
+			name = candidate.name;
+	}
+	ASSERT_FALSE(name.empty());
+	Node &fresh = start(name, false);
+
+	EXPECT_TRUE(run_until([&] { return member_count(fresh.members) == 5; }));
+	for (int i = 0; i < 100; i++)
+		uv_run(&loop, UV_RUN_NOWAIT);
+	EXPECT_EQ(writes, platform.counts[PLATFORM_UPDATE]);
+}
