--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -40,7 +40,7 @@
 	add_test_program(property ${source} 240)
 endforeach()
 add_library(functional_support STATIC ${functional_support})
-target_link_libraries(functional_support PUBLIC fescuemill)
+target_link_libraries(functional_support PUBLIC fescue_load_parts fescuemill GTest::gtest)
 foreach(source ${functional_tests})
 	add_test_program(functional ${source} 240)
 	get_filename_component(module ${source} NAME_WE)
@@ -49,6 +49,17 @@
 	set_tests_properties(functional-${module} PROPERTIES LABELS functional PROCESSORS 4)
 endforeach()
 
-# The program behind scripts/demo.sh.
+# Programs that run a whole fleet: demo-fleet is behind scripts/demo.sh.
 add_executable(demo-fleet test/functional/demo/main.cc)
 target_link_libraries(demo-fleet PRIVATE functional_support)
+
+# Measurements are programs, not tests: one a file under test/measure/, run by scripts/measure.sh.
+file(GLOB measurements CONFIGURE_DEPENDS test/measure/*.cc)
+foreach(source ${measurements})
+	get_filename_component(module ${source} NAME_WE)
+	string(REPLACE "_" "-" module ${module})
+	add_executable(measure-${module} ${source})
+	target_link_libraries(measure-${module} PRIVATE functional_support fescuemill)
+endforeach()
+add_executable(overhead test/functional/demo/overhead.cc)
+target_link_libraries(overhead PRIVATE functional_support)
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -17,7 +17,9 @@
 #define GATE_QUEUE_MAX	      256	     /* places of all classes together */
 #define GATE_ACTIONS_MAX      GATE_QUEUE_MAX /* one operation decides at most all that waits */
 #define GATE_TICK_INTERVAL_US 5000
-#define GATE_USUAL_SAMPLES    512
+#define GATE_DUE_MARGIN	      2	 /* service times that answering in time takes */
+#define GATE_USUAL_KNOWN      16 /* samples that make a usual service time known */
+#define GATE_USUAL_SAMPLES    256
 #define GATE_PENALTY_HALF_US  500000 /* a failure counts half as much after this time */
 
 enum ticket_state {
@@ -35,6 +37,7 @@
 	uint64_t deadline_us; /* the caller's */
 	uint64_t due_us;      /* arrival and latency target, never later than the deadline */
 	uint64_t start_us;
+	uint32_t beside; /* attempts that ran when it started, itself included */
 	uint8_t class_index;
 	uint8_t generation; /* of the class's place */
 	uint8_t state;	    /* enum ticket_state */
@@ -82,8 +85,9 @@
 /* Service times of a class, from answered attempts; 0 while unknown. */
 struct gate_service {
 	uint64_t recent_us; /* mean over the last few */
-	uint64_t usual_us;  /* mean over the last few hundred */
-	uint32_t samples;   /* counted up to GATE_USUAL_SAMPLES */
+	uint64_t steady_us; /* mean over some dozens */
+	uint64_t usual_us;  /* mean over the last GATE_USUAL_SAMPLES with few attempts at once */
+	uint32_t usual_count;
 };
 
 struct gate_class {
@@ -91,12 +95,15 @@
 	bool active;
 	uint8_t generation; /* raised when the place is given to another class */
 	uint32_t running;
+	uint64_t offered; /* since the class was added; the demand to share by */
 	struct gate_service service;
 	struct profile profile;
 	struct floor_account floor;
 	struct gate_list in_profile;	 /* by due time */
 	struct gate_list out_of_profile; /* by arrival */
 	uint64_t surplus_us;		 /* virtual time of its share of the surplus */
+	uint64_t busy_micro;		 /* mean slots that it runs on, in millionths */
+	bool leaves_headroom;		 /* its calls are long; see headroom.c */
 };
 
 struct gate {
@@ -107,6 +114,7 @@
 	struct limit limit;
 	uint32_t in_use;
 	uint32_t queued;
+	uint32_t headroom;     /* slots kept from classes of long calls */
 	uint32_t ahead_in_use; /* slots that hold work started ahead of its rank */
 	uint64_t advanced_us;  /* slot time is accounted up to here */
 	uint64_t shared_us;    /* floors were last shared out */
--- /dev/null
+++ b/src/fescuemilld/node_events.c
@@ -0,0 +1,214 @@
+/*
+ * Node events: what the parts of a node ask of it and tell it.
+ */
+#include "fescuemilld/node_events.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/log.h"
+#include "fescuemill/chart/chart.h"
+
+#include <stdlib.h>
+
+#define TIME_SKIP_US  GOSSIP_PAUSE_US
+#define STALL_US_MIN  (2 * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
+#define STALL_READ_US (100 * USEC_PER_MSEC) /* in which all that waited is read */
+
+/* Moves the node along its chart; an input that the present state does not take is ignored. */
+void node_move(struct node *node, enum node_input input)
+{
+	uint32_t next;
+
+	if (chart_next(CHART_NODE, node->state, input, &next, NULL) != 0 || next == node->state)
+		return;
+	node->state = next;
+	log_write(LOG_INFO, LOG_PART_MAIN, "The node changed its state.", "state=%s",
+		  chart_names_of(CHART_NODE)->states[next]);
+}
+
+/* Notices that the loop stood still. After a long pause what the node knows may be old, and it
+ * catches up before it takes calls. */
+void node_check_time(struct node *node, uint64_t now_us)
+{
+	uint64_t elapsed_us = now_us - node->time_checked_us;
+
+	node->time_checked_us = now_us;
+	if (elapsed_us < STALL_US_MIN)
+		return;
+	node->stall_us = elapsed_us;
+	node->stall_end_us = now_us;
+	if (elapsed_us < TIME_SKIP_US)
+		return;
+	log_write(LOG_WARNING, LOG_PART_MAIN, "The process was paused.", "for_us=%llu",
+		  (unsigned long long)elapsed_us);
+	config_mark_stale(node->config);
+	follow_refresh(node->follow);
+	node_move(node, NODE_INPUT_TIME_SKIPPED);
+}
+
+/* Tells the entry why it may not take calls. What waited for a paused process can be read before
+ * the housekeeping notices the pause, so the time is checked here too. */
+enum call_reason node_refusal(void *user)
+{
+	struct node *node = user;
+
+	node_check_time(node, clock_monotonic_us());
+	switch (node->state) {
+	case NODE_READY:
+		return REASON_NONE;
+	case NODE_DRAINING:
+	case NODE_STOPPED:
+		return REASON_DRAINING;
+	default:
+		return REASON_NOT_READY;
+	}
+}
+
+/* Tells the entry whether a region can be reached. */
+bool node_region_is_usable(void *user, const char *region)
+{
+	const struct node *node = user;
+
+	return gossip_region_is_reachable(node->gossip, region);
+}
+
+/* Has a gate probed that the entry could not reach. */
+void node_on_unreachable(void *user, uint64_t node_id)
+{
+	struct node *node = user;
+
+	gossip_report_failure(node->gossip, node_id, clock_monotonic_us());
+}
+
+/* Notes that a peer has a newer configuration, and fetches it. */
+void node_on_newer_config(void *user, uint64_t node_id, uint64_t version)
+{
+	struct node *node = user;
+
+	config_note_version(node->config, version);
+	if (config_is_behind(node->config))
+		config_pull_from(node->pull, node_id, clock_monotonic_us());
+}
+
+/* Counts the gates of a service that take calls. */
+static uint32_t count_ready_gates(const struct node *node, const char *service)
+{
+	const struct member *member = NULL;
+	uint32_t count = 0;
+
+	while ((member = member_next_of_service(node->members, service, member)) != NULL)
+		count += member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
+	return count;
+}
+
+/* Gives the gate the classes of its service, and its part of their rates. */
+void node_apply_config(struct node *node)
+{
+	const char *service = gossip_self(node->gossip)->service;
+	const struct service_config *config = config_find(node->config, service);
+
+	if (config)
+		gate_shell_set_config(node->gate, config, count_ready_gates(node, service));
+}
+
+/* Takes what the backend server announced, or the end of its lease. */
+void node_on_announcement(void *user, const struct announcement *now)
+{
+	struct node *node = user;
+
+	log_write(LOG_INFO, LOG_PART_GATE, "The backend server changed.",
+		  "service=%s port=%u slots=%u state=%s", now->service, now->port, now->slots,
+		  backend_state_name(now->state));
+	gossip_set_backend(node->gossip, now->service, now->state, now->slots);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
+	node_apply_config(node);
+	gate_shell_set_backend(node->gate, now);
+}
+
+/* Tells the backend server how many of its slots are in use. */
+uint32_t node_slots_in_use(void *user)
+{
+	const struct node *node = user;
+	struct gate_load load;
+
+	gate_shell_get_load(node->gate, &load);
+	return load.in_use;
+}
+
+/* Sends a peer the configuration that it lacks. */
+static void reply_config(struct node *node, const struct channel_route *from,
+			 const struct message *pull)
+{
+	struct message msg = {.type = MESSAGE_CONFIG_BODY, .epoch = pull->epoch};
+	struct error err;
+	char *json;
+	size_t size;
+
+	if (config_write_batch(node->config, pull->config_pull.after, pull->config_pull.content,
+			       &json, &size, &err) != 0)
+		return;
+	msg.config_body.ticket = pull->config_pull.ticket;
+	msg.config_body.json.data = (const uint8_t *)json;
+	msg.config_body.json.size = (uint32_t)size;
+	if (channel_reply(node->channel, from, &msg, &err) != 0)
+		log_failure(LOG_DEBUG, LOG_PART_CONFIG, "Configuration could not be sent.", &err);
+	free(json);
+}
+
+/* Takes a call of another node for the gate. One that is read just after a stall may have waited
+ * for all of it, so that much is taken off its time: its entry may have given it up. */
+static void take_call(struct node *node, const struct channel_route *from,
+		      const struct message *msg)
+{
+	enum call_reason reason = node_refusal(node);
+	struct message call = *msg;
+
+	if (reason == REASON_NOT_READY)
+		gate_shell_refuse(node->gate, from, msg, reason);
+	else if (clock_monotonic_us() > node->stall_end_us + STALL_READ_US)
+		gate_shell_message(node->gate, from, msg);
+	else if (msg->call.time_left_us <= node->stall_us)
+		gate_shell_refuse(node->gate, from, msg, REASON_EXPIRED);
+	else {
+		call.call.time_left_us -= node->stall_us;
+		gate_shell_message(node->gate, from, &call);
+	}
+}
+
+/* Takes a message of another node. */
+void node_on_message(void *user, const struct channel_route *from, const struct message *msg)
+{
+	struct node *node = user;
+
+	if (msg->type == MESSAGE_CONFIG_PULL)
+		reply_config(node, from, msg);
+	else if (msg->type == MESSAGE_CALL)
+		take_call(node, from, msg);
+	else
+		gate_shell_message(node->gate, from, msg);
+}
+
+/* Takes configuration from the platform. */
+void node_on_config_batch(void *user, uint64_t from, const char *json, size_t size)
+{
+	struct node *node = user;
+	struct error err = {0};
+
+	if (config_apply_batch(node->config, from, json, size, &err) != 0)
+		log_failure(LOG_WARNING, LOG_PART_CONFIG, "An answer was refused.", &err);
+}
+
+/* Gives the node's state by its name in the chart. */
+const char *node_state_name(void *user)
+{
+	const struct node *node = user;
+
+	return chart_names_of(CHART_NODE)->states[node->state];
+}
+
+/* Gives what this node says of itself now. */
+const struct member *node_self(void *user)
+{
+	const struct node *node = user;
+
+	return gossip_self(node->gossip);
+}
