--- a/test/functional/support/drive.cc
+++ b/test/functional/support/drive.cc
@@ -171,6 +171,18 @@
 	return count;
 }
 
+std::string tally(const ToldCalls &told)
+{
+	std::map<std::string, int> counts;
+	std::string text;
+
+	for (const auto &[id, one] : told)
+		counts[one.outcome + " " + one.reason]++;
+	for (const auto &[what, count] : counts)
+		text += std::to_string(count) + " " + what + "; ";
+	return text;
+}
+
 void expect_true(const Ledger &ledger, const ToldCalls &told, bool may_run_twice)
 {
 	for (const auto &[id, one] : told) {
--- a/test/functional/support/drive.h
+++ b/test/functional/support/drive.h
@@ -80,6 +80,8 @@
 Ledger read_ledger(Fleet &fleet);
 // Counts calls that were told an outcome.
 int count_told(const ToldCalls &told, const std::string &outcome);
+// Gives how many calls were told what, for messages.
+std::string tally(const ToldCalls &told);
 // Expects every told outcome to agree with the ledger: not run never ran, answered ran and is
 // whole, and what may not run twice ran at most once.
 void expect_true(const Ledger &ledger, const ToldCalls &told, bool may_run_twice);
