--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -18,7 +18,7 @@
 #define ANSWER_MARGIN_US 2000
 #define HTTP_ERROR_MIN	 500
 
-static const struct entry_input no_input = {NULL, NULL};
+static const struct entry_input no_input = {NULL, NULL, 0};
 
 static void on_timer(uv_timer_t *timer);
 
@@ -121,19 +121,48 @@
 	return ++call->entry->draws * ENTRY_CALLS_MAX + call->slot;
 }
 
+/* Finds the home gate of a keyed call; false when it has none that is alive. */
+static bool find_home(const struct entry_call *call, struct node_life *gate)
+{
+	const struct call_request *request = call->request;
+	uint64_t now_ms = clock_wall_us() / USEC_PER_MSEC;
+	const struct member *member;
+	struct key_hash hash;
+	uint64_t node_id;
+	bool is_alive;
+
+	key_hash_of(request->service, request->key.data, request->key.size, &hash);
+	if (!key_home(call->service->keys, &hash, now_ms, &node_id, &is_alive) || !is_alive)
+		return false;
+	member = member_find(call->entry->options.members, node_id);
+	if (!member)
+		return false;
+	*gate = member->life;
+	return true;
+}
+
+/* Picks a gate by the service's choice, or the home of a key. */
+static bool pick_life(struct entry_call *call, struct node_life *gate)
+{
+	struct choice_query query = {call->state.excluded, call->state.excluded_count,
+				     call->class_index};
+
+	entry_service_refresh(call->entry, call->service);
+	if (call->state.keyed)
+		return find_home(call, gate);
+	return choice_pick(call->service->choice, &query, &call->entry->rng, clock_monotonic_us(),
+			   gate);
+}
+
 /* Picks a gate and makes its link ready. Returns false when there is none. */
 static bool pick_gate(struct entry_call *call, struct attempt_target *target)
 {
 	struct entry *entry = call->entry;
-	struct choice_query query = {call->state.excluded, call->state.excluded_count,
-				     call->class_index};
 	struct gate_link *link;
 	struct link_side *side;
 	struct error err;
 
-	entry_service_refresh(entry, call->service);
-	if (!choice_pick(call->service->choice, &query, &entry->rng, clock_monotonic_us(),
-			 &target->gate))
+	if (!pick_life(call, &target->gate))
 		return false;
 	link = entry_link_get(entry, &target->gate, &err);
 	if (!link)
@@ -205,6 +234,8 @@
 		counter_add(COUNTER_RETRIES_SENT, 1);
 	choice_sent(call->service->choice, side->owner->life.node_id, call->sent_us);
 	entry_link_add_call(side, call);
+	if (side->peer.kind == LINK_BULK)
+		peer_transfer(&side->peer, &call->entry->peer_settings, msg.call.body.size);
 	if (entry_link_send(side, &msg, &err) == 0)
 		return;
 	log_failure(LOG_DEBUG, LOG_PART_ENTRY, "An attempt could not be sent.", &err);
@@ -225,7 +256,8 @@
 }
 
 /* Fetches a large answer over the bulk link. */
-static void ask_bulk(struct entry_call *call, const struct attempt_entry_action *action)
+static void ask_bulk(struct entry_call *call, const struct attempt_entry_action *action,
+		     uint32_t held_bytes)
 {
 	struct link_side *side = &call->link->sides[LINK_BULK];
 	struct error err;
@@ -235,6 +267,7 @@
 		return;
 	}
 	send_ask(call, action, side);
+	peer_transfer(&side->peer, &call->entry->peer_settings, held_bytes);
 }
 
 /* Sends a message that carries an identity only. */
@@ -267,7 +300,7 @@
 		return true;
 	case ENTRY_ACTION_ASK_BULK:
 		if (call->link)
-			ask_bulk(call, action);
+			ask_bulk(call, action, input->held_bytes);
 		return true;
 	case ENTRY_ACTION_SEND_ACK:
 		send_plain(input->side, MESSAGE_ACK, &action->target.id);
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -50,6 +50,7 @@
 	char name[SERVICE_NAME_BYTES];
 	struct choice *choice;
 	struct retry_bucket bucket;
+	struct key_table *keys; /* for the homes of keys only */
 	uint64_t members_revision;
 	uint64_t refreshed_us;
 };
@@ -90,6 +91,7 @@
 struct entry_input {
 	struct link_side *side; /* NULL when no message is being handled */
 	const struct message_answer *answer;
+	uint32_t held_bytes; /* of a large answer that waits at the gate */
 };
 
 void entry_call_step(struct entry_call *call, const struct attempt_entry_event *event,
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -15,6 +15,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define KEYS_PERIOD_US (500 * USEC_PER_MSEC)
+
 /* Divides the budget of the link between regions among the nodes of this region. */
 static void share_link(struct node *node)
 {
@@ -30,6 +32,19 @@
 	budget_share_link(&node->budget, nodes);
 }
 
+/* Sets the homes of keys at every change of members, and now and then: a gate whose view is old
+ * serves no keys. */
+static void apply_key_members(struct node *node, bool has_changed)
+{
+	uint64_t now_us = clock_monotonic_us();
+
+	if (!has_changed && now_us < node->keys_applied_us + KEYS_PERIOD_US)
+		return;
+	node->keys_applied_us = now_us;
+	key_members_note(node->key_members);
+	gate_shell_set_members(node->gate, node->key_members);
+}
+
 /* Passes on what has changed in the configuration and in the member table. */
 static void pass_changes(struct node *node)
 {
@@ -40,6 +55,7 @@
 		node_apply_config(node);
 	if (members != node->members_revision)
 		share_link(node);
+	apply_key_members(node, members != node->members_revision);
 	node->config_revision = config;
 	node->members_revision = members;
 	entry_sweep(node->entry);
