Fuzz targets for node messages, gossip packets, settings and platform objects

Each runs for a fixed count from a fixed seed and a small committed corpus, under the address and undefined behaviour sanitizers, in scripts/test.sh.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,10 +37,38 @@
 	done < <(sed -nE 's/.*<testcase name="([^"]+)".* status="([^"]+)".*/\1\t\2/p' "$junit")
 }
 
+# fuzz_runs TARGET: how often a target runs; a gossip run opens a whole node.
+fuzz_runs() {
+	case $1 in
+	gossip) echo 15000 ;;
+	*) echo 100000 ;;
+	esac
+}
+
+# run_fuzz: runs every fuzz target for a fixed count from a fixed seed and the committed corpus.
+run_fuzz() {
+	local corpus name log found
+	if ! { cmake --preset fuzz >/dev/null && cmake --build --preset fuzz >/dev/null; }; then
+		count_result build-fuzz 1
+		return
+	fi
+	count_result build-fuzz 0
+	for corpus in test/fuzz/corpus/*; do
+		name=$(basename "$corpus")
+		log=build/fuzz/$name.log
+		found=build/fuzz/found-$name
+		rm -rf "$found" && mkdir -p "$found"
+		"build/fuzz/fuzz-$name" -runs="$(fuzz_runs "$name")" -seed=7 -max_len=4096 \
+			-artifact_prefix=build/fuzz/ "$found" "$corpus" >"$log" 2>&1
+		count_result "fuzz-$name" $? || tail -n 20 "$log"
+	done
+}
+
 cmake --preset release >/dev/null || exit 1
 scripts/lint.sh
 count_result lint $?
 run_tests release
 run_tests sanitize
+run_fuzz
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/test/fuzz/gossip_fuzz.c
@@ -0,0 +1,58 @@
+/*
+ * Fuzz target: gossip packets, decoded and taken by a node that knows one other.
+ */
+#include "fescuemill/fleet/gossip.h"
+
+#include "fescuemill/base/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* Drops what the node would send. */
+static void drop(void *user, uint32_t ip, uint16_t port, const uint8_t *data, size_t size)
+{
+	(void)user;
+	(void)ip;
+	(void)port;
+	(void)data;
+	if (size > GOSSIP_PACKET_BYTES)
+		abort();
+}
+
+/* Gives a member by name. */
+static struct member make_member(const char *name)
+{
+	struct member member = {.life = {member_id_of(name), 1}, .region = "r", .domain = "d"};
+
+	strncpy(member.name, name, sizeof(member.name) - 1);
+	member.internal.gossip_port = 1;
+	return member;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct gossip_io io = {.send = drop};
+	struct member self = make_member("a");
+	struct member other = make_member("b");
+	struct member_table *table;
+	struct gossip *gsp;
+	struct budget bud;
+	struct error err;
+
+	log_set_level(LOG_ERROR);
+	budget_init(&bud, 7000, 7000, 1);
+	if (member_table_open(&table, &err) != 0)
+		abort();
+	member_upsert(table, &other);
+	if (gossip_open(&gsp, &self, table, &bud, &io, 7, 1, &err) != 0)
+		abort();
+	gossip_receive(gsp, 1, 1, data, size, 2);
+	gossip_tick(gsp, 1000000);
+	if (!member_find(table, self.life.node_id) || gossip_self(gsp)->state == MEMBER_DEAD)
+		abort();
+	gossip_close(gsp);
+	member_table_close(table);
+	return 0;
+}
