--- a/src/fescuemill/platform/session.h
+++ b/src/fescuemill/platform/session.h
@@ -11,7 +11,7 @@
 #include <stdint.h>
 
 #define SESSION_BACKOFF_FIRST_US   (200ULL * 1000)
-#define SESSION_BACKOFF_HIGHEST_US (30ULL * 1000 * 1000)
+#define SESSION_BACKOFF_HIGHEST_US (10ULL * 1000 * 1000)
 #define SESSIONS_PER_NODE	   3 /* services, rosters, this node's own writes */
 
 struct session_limits {
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -10,9 +10,6 @@
 
 #include <string.h>
 
-#define BACKOFF_FIRST_US   (200 * USEC_PER_MSEC)
-#define BACKOFF_HIGHEST_US (10 * USEC_PER_SEC)
-
 /* Fills what this node says of itself. */
 static void init_self(struct node *node)
 {
@@ -95,12 +92,8 @@
 	const struct settings *settings = &node->settings;
 	uint64_t seed = node->self.life.node_id ^ node->self.life.incarnation;
 	struct platform *platform;
-	struct session_limits limits = {
-		.backoff_first_us = BACKOFF_FIRST_US,
-		.backoff_highest_us = BACKOFF_HIGHEST_US,
-		.calls_per_minute = settings->platform_calls_per_minute,
-		.watch_ms = settings->platform_watch_ms,
-	};
+	struct session_limits limits = session_limits_for(
+		settings->platform_calls_per_minute, CONFIG_WATCHERS, settings->platform_watch_ms);
 
 	if (platform_client_open(&node->platform, &node->loop, settings, err) != 0)
 		return -1;
--- a/test/functional/configuration_test.cc
+++ b/test/functional/configuration_test.cc
@@ -24,6 +24,7 @@
 {
 constexpr int IN_FORCE_MS = 4000; // a change is in force everywhere
 constexpr int PAUSE_MS = 8000;	  // longer than every time-out between nodes
+constexpr int POLL_MS = 100;	  // ten questions a second: half of what a node allows a team
 const std::string key = "x-fescue-key: replace-this-key-of-ledger-team";
 
 int connect_to(uint16_t port)
@@ -74,6 +75,16 @@
 		return Json(json_loads(answer.body.c_str(), 0, nullptr));
 	}
 
+	std::string describe(Host &host)
+	{
+		Json all = versions(host);
+		char *text = json_dumps(all.get(), JSON_COMPACT);
+		std::string copy = text ? text : "no answer";
+
+		free(text);
+		return copy + "\n";
+	}
+
 	int64_t in_force(Host &host)
 	{
 		Json all = versions(host);
@@ -131,7 +142,7 @@
 				return (int)spent.count();
 			if (spent.count() > timeout_ms)
 				return -1;
-			std::this_thread::sleep_for(std::chrono::milliseconds(20));
+			std::this_thread::sleep_for(std::chrono::milliseconds(POLL_MS));
 		}
 	}
 
@@ -187,7 +198,7 @@
 	host.node->kill();
 	fleet.start_node(host);
 	EXPECT_GE(wait([&] { return is_ready(host); }, 15000), 0);
-	EXPECT_EQ(version, in_force(host));
+	EXPECT_EQ(version, in_force(host)) << describe(host) << host.node->log_tail();
 	EXPECT_EQ(version, in_force(fleet.hosts[1]));
 }
 
