Report: rates over the time that was counted; demo names its administration addresses

Cause: after 8 s a node's rates were divided by the whole window of 300 s (seen in the demo: 0.7 lookups/s where 100/s were sent).

--- a/src/fescue_report/main.c
+++ b/src/fescue_report/main.c
@@ -101,7 +101,7 @@
 		}
 		(*missing_count)++;
 	}
-	sum_order(sum);
+	sum_finish(sum);
 }
 
 /* Writes the page into a file. */
--- a/src/fescue_report/sum.c
+++ b/src/fescue_report/sum.c
@@ -101,6 +101,8 @@
 	}
 	if (sum->nodes == 0 || since_s < sum->youngest_s)
 		sum->youngest_s = since_s;
+	if (since_s > sum->oldest_s)
+		sum->oldest_s = since_s;
 	sum->nodes++;
 	return whole;
 }
@@ -117,9 +119,21 @@
 	return order ? order : strcmp(one->class_name, two->class_name);
 }
 
-/* Orders the classes. */
-void sum_order(struct sum *sum)
+/* Cuts a window to the time that the oldest node has counted, at least a second. */
+static void cut_window(struct sum_window *window, uint64_t oldest_s)
 {
+	window->counted_s = window->seconds < oldest_s ? window->seconds : oldest_s;
+	if (window->counted_s == 0)
+		window->counted_s = 1;
+}
+
+/* Orders the classes and cuts the windows. */
+void sum_finish(struct sum *sum)
+{
+	for (uint32_t i = 0; i < sum->count; i++) {
+		for (int w = 0; w < SUM_WINDOWS; w++)
+			cut_window(&sum->classes[i].windows[w], sum->oldest_s);
+	}
 	qsort(sum->classes, sum->count, sizeof(sum->classes[0]), compare_classes);
 }
 
@@ -135,7 +149,7 @@
 	uint64_t ended = window->answered + window->not_run + window->unknown;
 	double allowed_percent = 100.0 - cls->percentile;
 	struct sum_rates rates = {
-		.offered_per_s = window->seconds ? (double)ended / window->seconds : 0,
+		.offered_per_s = (double)ended / (double)window->counted_s,
 		.achieved_percent = percent_of(window->in_time, ended),
 		.kept_percent = percent_of(window->answered, ended),
 	};
--- a/src/fescue_report/sum.h
+++ b/src/fescue_report/sum.h
@@ -14,6 +14,7 @@
 /* One window of one class over all nodes. */
 struct sum_window {
 	uint32_t seconds;
+	uint64_t counted_s; /* how much of it any node has counted; set by sum_finish */
 	uint64_t answered;
 	uint64_t in_time;
 	uint64_t not_run;
@@ -46,13 +47,15 @@
 	uint32_t count;
 	uint32_t nodes;
 	uint64_t youngest_s; /* the shortest time that any node has counted */
+	uint64_t oldest_s;   /* the longest */
 	struct sum_class classes[SUM_CLASSES_MAX];
 };
 
 /* Adds one node's report. Returns false when a part of it was not understood and is left out. */
 bool sum_add(struct sum *sum, const json_t *report);
-/* Orders the classes by service and rank. */
-void sum_order(struct sum *sum);
+/* Ends the adding: orders the classes by service and rank, and cuts the windows to what was
+ * counted. */
+void sum_finish(struct sum *sum);
 struct sum_rates sum_rates_of(const struct sum_class *cls, const struct sum_window *window);
 
 #endif
--- a/test/functional/demo/main.cc
+++ b/test/functional/demo/main.cc
@@ -9,6 +9,28 @@
 
 namespace
 {
+// Lists the administration addresses of the first nodes as fescuectl takes them.
+std::string admin_addresses(const support::Fleet &fleet)
+{
+	std::string list;
+	const size_t shown = 4;
+
+	for (size_t i = 0; i < shown && i < fleet.hosts.size(); i++)
+		list += (i ? ",127.0.0.1:" : "127.0.0.1:") +
+			std::to_string(fleet.hosts[i].node->port("admin_port"));
+	return list;
+}
+
+// Gives the first key of the deployment's sample settings.
+std::string first_key(const std::string &deployment)
+{
+	std::string file = std::string(FESCUEMILL_SOURCE_DIR) + "/etc/" + deployment + "/node.json";
+	support::Json settings(json_load_file(file.c_str(), 0, nullptr));
+	json_t *key = json_array_get(json_object_get(settings.get(), "admin_keys"), 0);
+
+	return json_string_value(json_object_get(key, "key"));
+}
+
 // Runs the demo. Gives the exit code.
 int run(const std::string &deployment, long seconds)
 {
@@ -18,7 +40,9 @@
 			   deployment + ".json";
 
 	fleet.start();
-	std::cerr << "demo: " << fleet.hosts.size() << " nodes of " << deployment << " are ready\n";
+	std::cerr << "demo: " << fleet.hosts.size() << " nodes of " << deployment << " are ready\n"
+		  << "demo: while it runs, try: fescuectl --node " << admin_addresses(fleet)
+		  << " --key " << first_key(deployment) << " status\n";
 	int load = fleet.run_load(
 		plan, {"--label", "demo", "--duration-ms", std::to_string(seconds * 1000)});
 	std::cerr << "demo: the link carried "
--- a/test/unit/fescue_report/sum_test.cc
+++ b/test/unit/fescue_report/sum_test.cc
@@ -68,6 +68,7 @@
 	auto sum = std::make_unique<struct sum>();
 
 	add(sum.get(), report(100, 99, 0, 500));
+	sum_finish(sum.get());
 	struct sum_rates rates = sum_rates_of(&sum->classes[0], &sum->classes[0].windows[0]);
 
 	EXPECT_NEAR(1.0, rates.burn, 1e-9);
@@ -81,6 +82,7 @@
 	auto sum = std::make_unique<struct sum>();
 
 	add(sum.get(), report(100, 100, 300, 500));
+	sum_finish(sum.get());
 	struct sum_rates rates = sum_rates_of(&sum->classes[0], &sum->classes[0].windows[0]);
 
 	EXPECT_NEAR(25.0, rates.achieved_percent, 1e-9);
@@ -89,6 +91,16 @@
 	EXPECT_NEAR(75.0, rates.burn, 1e-9);
 }
 
+TEST(Sum, RatesAreOverTheTimeThatWasCounted)
+{
+	auto sum = std::make_unique<struct sum>();
+
+	add(sum.get(), report(100, 100, 0, 10));
+	sum_finish(sum.get());
+	EXPECT_NEAR(10.0, sum_rates_of(&sum->classes[0], &sum->classes[0].windows[0]).offered_per_s,
+		    1e-9);
+}
+
 TEST(Sum, AnotherFormIsNotCounted)
 {
 	auto sum = std::make_unique<struct sum>();
@@ -104,6 +116,7 @@
 	struct print_input input = {sum.get(), 1, 0, nullptr};
 
 	add(sum.get(), report(1, 1, 0, 5, "<script>"));
+	sum_finish(sum.get());
 	EXPECT_EQ(std::string::npos, page(input).find("<script>"));
 	EXPECT_NE(std::string::npos, page(input).find("&lt;script&gt;"));
 }
