--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -5,11 +5,13 @@
 #ifndef FESCUEMILLD_ENTRY_H
 #define FESCUEMILLD_ENTRY_H
 
+#include "fescuemill/decide/burn.h"
 #include "fescuemill/fleet/config.h"
 #include "fescuemill/fleet/member.h"
 #include "fescuemill/http/caller.h"
 #include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/wire/channel.h"
+#include "fescuemilld/key_members.h"
 
 #include <uv.h>
 
@@ -21,6 +23,8 @@
 	struct channel *channel;
 	struct config_store *config;
 	struct member_table *members;
+	struct burn *burn; /* where ended calls are counted */
+	const struct key_members *key_members;
 	/* Why the node takes no calls now; REASON_NONE when it does. */
 	enum call_reason (*refusal)(void *user);
 	/* Whether a region can be reached at all. */
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -50,6 +50,7 @@
 	char name[SERVICE_NAME_BYTES];
 	struct choice *choice;
 	struct retry_bucket bucket;
+	struct key_table *keys; /* for the homes of keys only */
 	uint64_t members_revision;
 	uint64_t refreshed_us;
 };
@@ -63,6 +64,7 @@
 	const struct call_request *request;
 	struct gate_link *link; /* of the present attempt; NULL when none is outstanding */
 	struct call_place places[LINK_KIND_COUNT];
+	uint64_t begun_us; /* when the caller's request was whole */
 	uint64_t sent_us;
 	uint32_t slot;
 	uint8_t class_index; /* in the service's configuration */
@@ -90,6 +92,7 @@
 struct entry_input {
 	struct link_side *side; /* NULL when no message is being handled */
 	const struct message_answer *answer;
+	uint32_t held_bytes; /* of a large answer that waits at the gate */
 };
 
 void entry_call_step(struct entry_call *call, const struct attempt_entry_event *event,
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -8,6 +8,7 @@
 #include "fescuemill/decide/gate_defs.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/wire/channel.h"
+#include "fescuemilld/key_members.h"
 
 #include <uv.h>
 
@@ -15,9 +16,15 @@
 
 struct gate_shell_options {
 	struct channel *channel;
+	uint64_t node_id;
 	uint64_t incarnation;
+	uint32_t key_retention_ms;
+	uint32_t key_spread_ms;
 	uint32_t answer_bytes_max;
 	uint64_t memory_bytes_max;
+	/* Called when the backend server took no connection; it may set the backend server. */
+	void (*on_unreachable)(void *user);
+	void *user;
 };
 
 int gate_shell_open(struct gate_shell **out, uv_loop_t *loop,
@@ -27,11 +34,16 @@
 /* Takes a message about an attempt, or a ping. */
 void gate_shell_message(struct gate_shell *shell, const struct channel_route *from,
 			const struct message *msg);
+/* Takes a call that is not to run unless it is known already. */
+void gate_shell_refuse(struct gate_shell *shell, const struct channel_route *from,
+		       const struct message *msg, enum call_reason reason);
 /* Sets what the backend server announced last. */
 void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now);
 /* Sets the classes of the service; peers is the number of gates that share their rates. */
 void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config,
 			   uint32_t peers);
+/* Sets the homes of keys anew; call it at every change of members and twice a second. */
+void gate_shell_set_members(struct gate_shell *shell, const struct key_members *members);
 /* Takes no new work from now on, and refuses what waits. */
 void gate_shell_drain(struct gate_shell *shell);
 
