--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -16,6 +16,7 @@
 #include "fescuemilld/entry.h"
 #include "fescuemilld/gate_shell.h"
 #include "fescuemilld/gossip_shell.h"
+#include "fescuemilld/key_members.h"
 
 #include "fescuemilld/node.h"
 
@@ -50,6 +51,7 @@
 	uv_signal_t signals[2];
 	struct config_store *config;
 	struct member_table *members;
+	struct burn *burn;
 	struct channel *channel;
 	struct caller *caller;
 	struct announce *announce;
@@ -60,6 +62,8 @@
 	struct gossip_shell *gossip_shell;
 	struct gossip *gossip;
 	struct config_pull *pull;
+	struct key_members *key_members;
+	uint64_t keys_applied_us;
 	struct entry *entry;
 	struct gate_shell *gate;
 	struct admin_shell *admin;
