--- a/test/unit/docs/pages_test.cc
+++ b/test/unit/docs/pages_test.cc
@@ -1,11 +1,12 @@
-// The operators' table of settings is that of the code. When the test fails, its message is the
-// table to put into the page.
+// The operators' tables of settings and counters are those of the code. When a test fails, its
+// message is the table to put into the page.
 #include <fstream>
 #include <gtest/gtest.h>
 #include <iterator>
 #include <string>
 
 extern "C" {
+#include "fescuemill/base/counter.h"
 #include "fescuemill/settings/settings.h"
 }
 
@@ -39,3 +40,16 @@
 	}
 	EXPECT_NE(std::string::npos, read_page("SETTINGS.md").find(table)) << table;
 }
+
+TEST(Pages, CountersListsEveryCounter)
+{
+	std::string table = "| counter | unit | meaning |\n| --- | --- | --- |\n";
+
+	for (int i = 0; i < COUNTER_COUNT; i++) {
+		const counter_info *info = counter_info_of((enum counter)i);
+
+		table += std::string("| `fescuemill_") + info->name + "` | " + info->unit + " | " +
+			 info->help + " |\n";
+	}
+	EXPECT_NE(std::string::npos, read_page("COUNTERS.md").find(table)) << table;
+}
