Proofs under failure: the table, and a pause test that always has calls on their way

A call that lay in the socket while the process was paused ran with all its time when the process went on, though its caller had been told unknown, or an idempotent one had been answered elsewhere. Ruled out: the backend server's lease, which hides it after 3 s only; the question over a new connection, which an entry asks only while the call waits.

The first backend server drains now, so that every call goes to the other gates.

--- a/test/functional/failure_pause_test.cc
+++ b/test/functional/failure_pause_test.cc
@@ -15,6 +15,7 @@
 constexpr int SHORT_PAUSE_MS = 2700;
 constexpr int OUT_OF_CHOICE_MS = 5000;
 constexpr int IN_FORCE_MS = 4000;
+constexpr int LEAVING_MS = 3000;
 
 FleetOptions quick_watch()
 {
@@ -26,6 +27,14 @@
 	return options;
 }
 
+// Starts a fleet whose calls through the first node all go to other gates.
+void start_without_first_gate(Fleet &fleet)
+{
+	fleet.start();
+	Fleet::control(*fleet.hosts[0].backend, "{\"drain\":true}");
+	pause_ms(LEAVING_MS);
+}
+
 // Calls that reach the paused node's listener while it cannot take them.
 class Waiting
 {
@@ -64,7 +73,7 @@
 
 	options.deadline_ms = DEADLINE_MS;
 	options.callers = 24;
-	fleet.start();
+	start_without_first_gate(fleet);
 	Host &paused = fleet.hosts[1];
 	Drive drive(fleet, options);
 	ASSERT_TRUE(drive.wait_answered(100, DEADLINE_MS));
@@ -104,7 +113,7 @@
 
 	options.deadline_ms = 800;
 	options.callers = 24;
-	fleet.start();
+	start_without_first_gate(fleet);
 	Drive drive(fleet, options);
 	ASSERT_TRUE(drive.wait_answered(100, DEADLINE_MS));
 	fleet.hosts[1].node->signal(SIGSTOP);
--- a/test/unit/decide/attempt_gate_test.cc
+++ b/test/unit/decide/attempt_gate_test.cc
@@ -117,6 +117,18 @@
 	EXPECT_EQ(OUTCOME_NOT_RUN, out.list[0].outcome);
 }
 
+TEST_F(AttemptGate, ACallThatIsNotTakenIsRefusedForGood)
+{
+	attempt_gate_event late = event(GATE_EVENT_CALL, 5);
+
+	late.call.refusal = REASON_NOT_READY;
+	EXPECT_EQ(GATE_ACTION_REPLY_OUTCOME, step(late));
+	EXPECT_EQ(OUTCOME_NOT_RUN, out.list[0].outcome);
+	EXPECT_EQ(REASON_NOT_READY, out.list[0].reason);
+	EXPECT_EQ(GATE_ACTION_REPLY_OUTCOME, step(event(GATE_EVENT_CALL, 5)));
+	EXPECT_EQ(OUTCOME_NOT_RUN, out.list[0].outcome);
+}
+
 TEST_F(AttemptGate, AnotherLifeOfTheGateIsRefused)
 {
 	attempt_gate_event call = event(GATE_EVENT_CALL, 1);
