Budget: heartbeats and configuration answers are charged

Cause: the budget is to hold every byte that is not a call's own, but only gossip and pulls were charged. Now the pings and pongs of connections in use, answers to pulls, and the platform's configuration answers are charged as well; the link is charged at the asking side. Not charged yet: requests to the platform, rosters, and administration.

--- a/src/fescuemill/decide/budget.h
+++ b/src/fescuemill/decide/budget.h
@@ -8,8 +8,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BUDGET_PACKET_HEADER_BYTES  28 /* IPv4 and UDP */
-#define BUDGET_SEGMENT_HEADER_BYTES 52 /* IPv4 and TCP with time stamps */
+#define BUDGET_PACKET_HEADER_BYTES  28	/* IPv4 and UDP */
+#define BUDGET_SEGMENT_HEADER_BYTES 52	/* IPv4 and TCP with time stamps */
+#define BUDGET_HEARTBEAT_BYTES	    240 /* a ping and its pong with the headers of both */
 
 /* A bucket may go below zero by what was received, since receiving cannot be refused. */
 struct budget_bucket {
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEMILLD_ENTRY_H
 #define FESCUEMILLD_ENTRY_H
 
+#include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/burn.h"
 #include "fescuemill/fleet/config.h"
 #include "fescuemill/fleet/member.h"
@@ -23,7 +24,8 @@
 	struct channel *channel;
 	struct config_store *config;
 	struct member_table *members;
-	struct burn *burn; /* where ended calls are counted */
+	struct burn *burn;     /* where ended calls are counted */
+	struct budget *budget; /* charged with heartbeats */
 	const struct key_members *key_members;
 	/* Why the node takes no calls now; REASON_NONE when it does. */
 	enum call_reason (*refusal)(void *user);
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -34,6 +34,7 @@
 	struct gate_link *next_dropped;
 	uint32_t ip;
 	uint16_t port;
+	bool crosses_regions;
 	struct link_side sides[LINK_KIND_COUNT];
 };
 
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -95,6 +95,7 @@
 	bool use_external = !is_near && member->external.node_port != 0;
 	const struct node_address *address = use_external ? &member->external : &member->internal;
 
+	link->crosses_regions = !is_near;
 	link->ip = address->ip;
 	link->port = address->node_port;
 }
@@ -305,11 +306,14 @@
 static void tick_side(struct link_side *side, uint64_t now_us)
 {
 	struct message ping = {.type = MESSAGE_PING};
+	struct gate_link *link = side->owner;
 
 	if (h2o_linklist_is_empty(&side->calls))
 		return;
 	switch (peer_tick(&side->peer, &side->owner->entry->peer_settings, now_us)) {
 	case PEER_PING:
+		budget_charge(link->entry->options.budget, BUDGET_HEARTBEAT_BYTES,
+			      link->crosses_regions, now_us);
 		entry_link_send(side, &ping, NULL);
 		break;
 	case PEER_REPLACE:
--- a/src/fescuemilld/gate_reply.c
+++ b/src/fescuemilld/gate_reply.c
@@ -4,6 +4,7 @@
  */
 #include "fescuemilld/gate_reply.h"
 
+#include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 
@@ -100,6 +101,7 @@
 
 	msg.pong.gate_incarnation = shell->options.incarnation;
 	gate_get_load(&shell->admission, &msg.pong.load);
+	budget_charge(shell->options.budget, BUDGET_HEARTBEAT_BYTES, false, clock_monotonic_us());
 	if (channel_reply(shell->options.channel, origin->route, &msg, &err) != 0)
 		log_failure(LOG_DEBUG, LOG_PART_GATE, "A pong could not be sent.", &err);
 }
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEMILLD_GATE_SHELL_H
 #define FESCUEMILLD_GATE_SHELL_H
 
+#include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/gate_defs.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/wire/channel.h"
@@ -16,6 +17,7 @@
 
 struct gate_shell_options {
 	struct channel *channel;
+	struct budget *budget; /* charged with heartbeats; their link is charged at the entry */
 	uint64_t node_id;
 	uint64_t incarnation;
 	uint32_t key_retention_ms;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -154,6 +154,8 @@
 	if (config_write_batch(node->config, pull->config_pull.after, pull->config_pull.content,
 			       &json, &size, &err) != 0)
 		return;
+	budget_charge(&node->budget, (uint32_t)size + BUDGET_SEGMENT_HEADER_BYTES, false,
+		      clock_monotonic_us());
 	msg.config_body.ticket = pull->config_pull.ticket;
 	msg.config_body.json.data = (const uint8_t *)json;
 	msg.config_body.json.size = (uint32_t)size;
@@ -201,6 +203,8 @@
 	struct node *node = user;
 	struct error err = {0};
 
+	budget_charge(&node->budget, (uint32_t)size + BUDGET_SEGMENT_HEADER_BYTES, false,
+		      clock_monotonic_us());
 	if (config_apply_batch(node->config, from, json, size, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG, "An answer was refused.", &err);
 }
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -65,6 +65,7 @@
 		.config = node->config,
 		.members = node->members,
 		.burn = node->burn,
+		.budget = &node->budget,
 		.key_members = node->key_members,
 		.refusal = node_refusal,
 		.region_is_usable = node_region_is_usable,
@@ -72,6 +73,7 @@
 		.user = node,
 	};
 	struct gate_shell_options gate = {
+		.budget = &node->budget,
 		.node_id = node->self.life.node_id,
 		.incarnation = node->self.life.incarnation,
 		.key_retention_ms = settings->key_retention_ms,
