--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs one measurement over real processes, each against its baselines in the same run:
-#   scripts/measure.sh choice|fail-fast|flood-low|flood-high|link|overhead|rest|gossip [SECONDS]
+#   scripts/measure.sh choice|fail-fast|flood-low|flood-high|link|overhead|rest|calls|gossip [SECONDS]
 # Each prints a table and a last line with its ratio to the target.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -20,6 +20,9 @@
 rest)
 	exec build/release/measure-rest "$seconds" 8 16 32 64
 	;;
+calls)
+	exec build/release/measure-calls "$seconds" 100 200 400 800 2>&1 >/dev/null
+	;;
 gossip)
 	exec build/release/measure-gossip-slope 100 300 1000 2000 3100 2>/dev/null
 	;;
--- a/test/measure/rest.cc
+++ b/test/measure/rest.cc
@@ -2,45 +2,17 @@
 // bytes and platform calls of a node, at growing numbers of nodes.
 // Usage: measure-rest SECONDS NODES...
 #include "functional/support/fleet.h"
-
-#include <unistd.h>
+#include "measure/usage.h"
 
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 namespace
 {
-struct Usage {
-	double processor_s = 0;
-	double resident_bytes = 0;
-	double control_bytes = 0;
-};
-
-// Reads the processor time and the resident memory of a process.
-void add_process(pid_t id, Usage &usage)
-{
-	std::ifstream stat("/proc/" + std::to_string(id) + "/stat");
-	std::ifstream statm("/proc/" + std::to_string(id) + "/statm");
-	std::string field;
-	double pages = 0;
-	const int user_field = 14;
-
-	for (int i = 1; i < user_field; i++)
-		stat >> field;
-	for (int i = 0; i < 2; i++) {
-		stat >> field;
-		usage.processor_s += std::stod(field) / (double)sysconf(_SC_CLK_TCK);
-	}
-	statm >> field >> pages;
-	usage.resident_bytes += pages * (double)sysconf(_SC_PAGESIZE);
-}
-
 // Reads one counter of a node.
 double counter(const support::Host &host, const std::string &name)
 {
