--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -22,7 +22,7 @@
 
 #include <uv.h>
 
-#define NODE_HOUSEKEEPING_MS 100
+#define NODE_HOUSEKEEPING_MS 100ULL
 
 /* How far a stop has come. */
 enum stop_phase {
@@ -51,6 +51,7 @@
 	uv_signal_t signals[2];
 	struct config_store *config;
 	struct member_table *members;
+	struct burn *burn;
 	struct channel *channel;
 	struct caller *caller;
 	struct announce *announce;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 
 #define TIME_SKIP_US  GOSSIP_PAUSE_US
-#define STALL_US_MIN  (2 * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
+#define STALL_US_MIN  (2ULL * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
 #define STALL_READ_US (100 * USEC_PER_MSEC) /* in which all that waited is read */
 
 /* Moves the node along its chart; an input that the present state does not take is ignored. */
@@ -124,6 +124,14 @@
 	gate_shell_set_backend(node->gate, now);
 }
 
+/* Takes the backend server out of choice at once, rather than at the end of its lease. */
+void node_on_backend_unreachable(void *user)
+{
+	struct node *node = user;
+
+	announce_end_lease(node->announce);
+}
+
 /* Tells the backend server how many of its slots are in use. */
 uint32_t node_slots_in_use(void *user)
 {
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -10,9 +10,6 @@
 
 #include <string.h>
 
-#define BACKOFF_FIRST_US   (200 * USEC_PER_MSEC)
-#define BACKOFF_HIGHEST_US (10 * USEC_PER_SEC)
-
 /* Fills what this node says of itself. */
 static void init_self(struct node *node)
 {
@@ -67,6 +64,7 @@
 		.life = node->self.life,
 		.config = node->config,
 		.members = node->members,
+		.burn = node->burn,
 		.key_members = node->key_members,
 		.refusal = node_refusal,
 		.region_is_usable = node_region_is_usable,
@@ -80,6 +78,8 @@
 		.key_spread_ms = settings->key_spread_ms,
 		.answer_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
+		.on_unreachable = node_on_backend_unreachable,
+		.user = node,
 	};
 
 	if (channel_open(&node->channel, &node->loop, settings->node_address.ip,
@@ -99,12 +99,8 @@
 	const struct settings *settings = &node->settings;
 	uint64_t seed = node->self.life.node_id ^ node->self.life.incarnation;
 	struct platform *platform;
-	struct session_limits limits = {
-		.backoff_first_us = BACKOFF_FIRST_US,
-		.backoff_highest_us = BACKOFF_HIGHEST_US,
-		.calls_per_minute = settings->platform_calls_per_minute,
-		.watch_ms = settings->platform_watch_ms,
-	};
+	struct session_limits limits = session_limits_for(
+		settings->platform_calls_per_minute, CONFIG_WATCHERS, settings->platform_watch_ms);
 
 	if (platform_client_open(&node->platform, &node->loop, settings, err) != 0)
 		return -1;
@@ -159,6 +155,7 @@
 		.settings = &node->settings,
 		.config = node->config,
 		.members = node->members,
+		.burn = node->burn,
 		.platform = platform_client_interface(node->platform),
 		.entry = node->entry,
 		.gate = node->gate,
@@ -178,7 +175,8 @@
 	init_self(node);
 	if (charts_load(err) != 0 || config_open(&node->config, err) != 0)
 		return -1;
-	if (member_table_open(&node->members, err) != 0)
+	if (member_table_open(&node->members, err) != 0 ||
+	    burn_open(&node->burn, clock_monotonic_us(), err) != 0)
 		return -1;
 	if (key_members_open(&node->key_members, node->members, err) != 0)
 		return -1;
