--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -22,7 +22,7 @@
 
 #include <uv.h>
 
-#define NODE_HOUSEKEEPING_MS 100
+#define NODE_HOUSEKEEPING_MS 100ULL
 
 /* How far a stop has come. */
 enum stop_phase {
