--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -7,7 +7,8 @@
 #include "fescuemill/base/log.h"
 #include "fescuemilld/node_events.h"
 
-#define LEAVE_GRACE_US USEC_PER_SEC
+#define SPREAD_US      (2 * USEC_PER_SEC) /* for word of the stop to reach the others */
+#define LEAVE_GRACE_US (500 * USEC_PER_MSEC)
 #define ACK_WAIT_US    (2 * USEC_PER_SEC)
 
 /* Goes on to the next phase of a stop. */
@@ -40,6 +41,10 @@
 	case STOP_ACKED:
 		if (gate_shell_records(node->gate) > 0 && in_phase_us < ACK_WAIT_US)
 			break;
+		/* Who hears only of the goodbye cannot tell this node from a dead one, and would
+		 * leave its keys without a home. */
+		if (now_us < node->stop_since_us + SPREAD_US)
+			break;
 		enter_phase(node, STOP_LEAVING, now_us);
 		gossip_leave(node->gossip, now_us);
 		keeper_leave(node->keeper, on_left, node);
--- a/test/functional/support/fleet.cc
+++ b/test/functional/support/fleet.cc
@@ -19,8 +19,8 @@
 constexpr int READY_MS = 20000;
 constexpr int STOP_MS = 15000;
 constexpr int PAUSE_MS = 20;
-constexpr int PORT_PAUSE_MS = 200;
 constexpr int KEY_SPREAD_MS = 500; // one host: one clock, and gossip within a few rounds
+constexpr int PORT_PAUSE_MS = 200;
 constexpr int PLAN_WAIT_MS = 3600 * 1000;
 
 // Gives the folder of a deployment's samples.
