Retries: the share comes from the settings

Cause: retry_share_permille was checked and documented but nothing used it; the share was a fixed tenth. With the setting ignored, Retry.TheShareIsTheSettings said: taken <= 51, actual 101.

--- a/src/fescuemill/decide/retry.c
+++ b/src/fescuemill/decide/retry.c
@@ -10,7 +10,6 @@
 #include <stddef.h>
 
 #define RETRY_TOKEN_MILLI      1000U
-#define RETRY_PER_FIRST_MILLI  100U
 #define RETRY_BUCKET_MAX_MILLI (10 * RETRY_TOKEN_MILLI)
 
 /* Starts a call's part of the tree's budget from its header, or from the default when the header
@@ -42,10 +41,12 @@
 	tree->passed = 0;
 }
 
-/* Starts a service's budget with one retry in hand, so that a rarely called service can retry. */
-void retry_bucket_init(struct retry_bucket *bucket)
+/* Starts a service's budget with one retry in hand, so that a rarely called service can retry; with
+ * a share of 0 there is none. */
+void retry_bucket_init(struct retry_bucket *bucket, uint32_t share_permille)
 {
-	bucket->tokens_milli = RETRY_TOKEN_MILLI;
+	bucket->tokens_milli = share_permille ? RETRY_TOKEN_MILLI : 0;
+	bucket->share_permille = share_permille;
 }
 
 /* Adds a first attempt's fraction of a retry. The bucket may be NULL: unbounded. */
@@ -53,7 +54,7 @@
 {
 	if (!bucket)
 		return;
-	bucket->tokens_milli += RETRY_PER_FIRST_MILLI;
+	bucket->tokens_milli += bucket->share_permille;
 	if (bucket->tokens_milli > RETRY_BUCKET_MAX_MILLI)
 		bucket->tokens_milli = RETRY_BUCKET_MAX_MILLI;
 }
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry_service.c
@@ -58,7 +58,7 @@
 		return NULL;
 	}
 	memcpy(service->name, name, strlen(name) + 1);
-	retry_bucket_init(&service->bucket);
+	retry_bucket_init(&service->bucket, entry->options.settings->retry_share_permille);
 	service->members_revision = UINT64_MAX;
 	service->next = entry->services;
 	entry->services = service;
--- a/test/property/attempt_world.h
+++ b/test/property/attempt_world.h
@@ -15,7 +15,7 @@
 		error err;
 
 		for (auto &entry : entries) {
-			retry_bucket_init(&entry.bucket);
+			retry_bucket_init(&entry.bucket, 100);
 			for (int g = 0; g < GATES; g++) {
 				peer_init(&entry.links[g][LINK_CALLS], LINK_CALLS);
 				peer_init(&entry.links[g][LINK_BULK], LINK_BULK);
--- a/test/property/retry_property_test.cc
+++ b/test/property/retry_property_test.cc
@@ -97,7 +97,7 @@
 	retry_bucket bucket;
 	uint32_t first_count = 0, taken = 0;
 
-	retry_bucket_init(&bucket);
+	retry_bucket_init(&bucket, 100);
 	for (int round = 0; round < 50; round++) {
 		for (bool is_first : firsts) {
 			retry_tree tree = {1, 0};
--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -22,7 +22,7 @@
 	void SetUp() override
 	{
 		ASSERT_EQ(0, charts_load(&err)) << err.detail;
-		retry_bucket_init(&bucket);
+		retry_bucket_init(&bucket, 100);
 		begin(true);
 	}
 
--- a/test/unit/decide/retry_test.cc
+++ b/test/unit/decide/retry_test.cc
@@ -52,7 +52,7 @@
 	retry_tree tree;
 	int taken = 0;
 
-	retry_bucket_init(&bucket);
+	retry_bucket_init(&bucket, 100);
 	for (int i = 0; i < 1000; i++) {
 		retry_tree_init(&tree, true, 3);
 		retry_bucket_first_attempt(&bucket);
@@ -68,7 +68,7 @@
 	retry_tree tree;
 	int taken = 0;
 
-	retry_bucket_init(&bucket);
+	retry_bucket_init(&bucket, 100);
 	for (int i = 0; i < 100000; i++)
 		retry_bucket_first_attempt(&bucket);
 	for (int i = 0; i < 100; i++) {
@@ -77,3 +77,23 @@
 	}
 	EXPECT_EQ(10, taken);
 }
+
+TEST(Retry, TheShareIsTheSettings)
+{
+	for (uint32_t share_permille : {0U, 50U, 500U, 1000U}) {
+		retry_bucket bucket;
+		uint32_t taken = 0;
+
+		retry_bucket_init(&bucket, share_permille);
+		for (int i = 0; i < 1000; i++) {
+			retry_tree tree;
+
+			retry_tree_init(&tree, true, 3);
+			retry_bucket_first_attempt(&bucket);
+			taken += retry_take(&bucket, &tree);
+		}
+		// One retry more is in hand at the start, unless there are to be none.
+		EXPECT_GE(taken, share_permille);
+		EXPECT_LE(taken, share_permille + (share_permille ? 1 : 0));
+	}
+}
