--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -46,7 +46,7 @@
 	get_filename_component(module ${source} NAME_WE)
 	string(REGEX REPLACE "_test$" "" module ${module})
 	target_link_libraries(functional-${module} PRIVATE functional_support)
-	set_tests_properties(functional-${module} PROPERTIES LABELS functional PROCESSORS 4)
+	set_tests_properties(functional-${module} PROPERTIES LABELS functional PROCESSORS 3)
 endforeach()
 
 # Programs that run a whole fleet: demo-fleet is behind scripts/demo.sh.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -29,7 +29,7 @@
 		return
 	fi
 	count_result "build-$preset" 0
-	ctest --test-dir "build/$preset" -j 5 --output-on-failure --output-junit results.xml \
+	ctest --test-dir "build/$preset" -j "$(nproc)" --output-on-failure --output-junit results.xml \
 		--no-tests=error >build/$preset/ctest.log || cat build/$preset/ctest.log
 	while IFS=$'\t' read -r name state; do
 		[ "$state" = run ]
