Limit: a probe of long calls ends in time

A probe takes 32 answers at few slots; when calls grew from 5 ms to 500 ms that is 8 s at 2 of 6 slots, and it learns nothing more from them. Ruled out: the cold start (2 slots for about 5 s at 500 ms calls, then climbing; trial). Change: past 2 s four answers decide. Before: 8 s below the slots; after: within the bound of 3 s (2 s and two calls).

--- a/src/fescuemill/decide/limit.c
+++ b/src/fescuemill/decide/limit.c
@@ -166,11 +166,14 @@
 	limit->cold = limit->current < limit->slots;
 }
 
-/* Gives how many answered attempts make a round: a probe decides for long, so it takes more. */
-static uint32_t round_size(const struct limit *limit)
+/* Gives how many answered attempts make a round: a probe decides for long, so it takes more,
+ * unless the calls are so long that it would hold back slots for too long. */
+static uint32_t round_size(const struct limit *limit, uint64_t now_us)
 {
+	bool is_late = now_us >= limit->round_us + LIMIT_PROBE_US_MAX;
+
 	if (limit->mode == LIMIT_PROBE)
-		return LIMIT_PROBE_SAMPLES;
+		return is_late ? LIMIT_PROBE_SAMPLES_MIN : LIMIT_PROBE_SAMPLES;
 	return limit->current > LIMIT_ROUND_MIN ? limit->current : LIMIT_ROUND_MIN;
 }
 
@@ -187,7 +190,7 @@
 	if (limit->cold)
 		climb_cold(limit, sample);
 	limit->round_count++;
-	if (limit->round_count < round_size(limit))
+	if (limit->round_count < round_size(limit, sample->end_us))
 		return;
 	percent = limit->round_percent / limit->round_count;
 	switch (limit->mode) {
--- a/src/fescuemill/decide/limit.h
+++ b/src/fescuemill/decide/limit.h
@@ -7,14 +7,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define LIMIT_LOW_DIVISOR      4   /* a cold start and a probe use slots over this */
-#define LIMIT_LOW_MIN	       2   /* so that one long call does not stop all others */
-#define LIMIT_ROUND_MIN	       16  /* answered attempts that make one measurement */
-#define LIMIT_INFLATED_PERCENT 175 /* of the usual service time; above it a round is inflated */
-#define LIMIT_INFLATED_ROUNDS  2   /* in a row, before the limit reacts */
-#define LIMIT_KEEP_PERCENT     75  /* of the limit that a shrink keeps */
-#define LIMIT_PROBE_SAMPLES    32  /* answered attempts that make a probe */
-#define LIMIT_PROBE_ROUNDS     64  /* between two probes, while service times stay inflated */
+#define LIMIT_LOW_DIVISOR	4   /* a cold start and a probe use slots over this */
+#define LIMIT_LOW_MIN		2   /* so that one long call does not stop all others */
+#define LIMIT_ROUND_MIN		16  /* answered attempts that make one measurement */
+#define LIMIT_INFLATED_PERCENT	175 /* of the usual service time; above it a round is inflated */
+#define LIMIT_INFLATED_ROUNDS	2   /* in a row, before the limit reacts */
+#define LIMIT_KEEP_PERCENT	75  /* of the limit that a shrink keeps */
+#define LIMIT_PROBE_SAMPLES	32  /* answered attempts that make a probe */
+#define LIMIT_PROBE_SAMPLES_MIN 4   /* that decide a probe which takes too long */
+#define LIMIT_PROBE_US_MAX	(2ULL * 1000 * 1000) /* a probe costs slots; no longer than this */
+#define LIMIT_PROBE_ROUNDS	64 /* between two probes, while service times stay inflated */
 
 enum limit_mode {
 	LIMIT_STEADY,
--- a/test/unit/decide/limit_test.cc
+++ b/test/unit/decide/limit_test.cc
@@ -151,3 +151,40 @@
 		ASSERT_GE(limit.current, 1U);
 	}
 }
+
+// Answers `current` calls of one length at a time, as a server does whose calls do not slow each
+// other down. Gives the longest time that the limit stayed under the slots.
+static uint64_t longest_time_below_slots(struct limit &limit, uint64_t call_us, uint64_t from_us,
+					 uint64_t duration_us)
+{
+	uint64_t below_us = 0;
+	uint64_t longest_us = 0;
+
+	for (uint64_t now_us = from_us; now_us < from_us + duration_us; now_us += call_us) {
+		uint32_t running = limit.current;
+
+		limit_note_full(&limit);
+		for (uint32_t i = 0; i < running; i++) {
+			struct limit_sample sample = {now_us, now_us + call_us, 5000};
+
+			limit_served(&limit, &sample);
+		}
+		below_us = limit.current < limit.slots ? below_us + call_us : 0;
+		longest_us = std::max(longest_us, below_us);
+	}
+	return longest_us;
+}
+
+TEST(Limit, AProbeOfLongCallsEndsInTime)
+{
+	constexpr uint64_t LONG_CALL_US = 500 * USEC_PER_MSEC;
+	struct limit limit;
+
+	limit_start(&limit, 6, USEC_PER_SEC);
+	longest_time_below_slots(limit, 5000, USEC_PER_SEC, USEC_PER_SEC);
+	ASSERT_EQ(6U, limit.current);
+	uint64_t below_us =
+		longest_time_below_slots(limit, LONG_CALL_US, 3 * USEC_PER_SEC, 60 * USEC_PER_SEC);
+	EXPECT_LE(below_us, LIMIT_PROBE_US_MAX + 2 * LONG_CALL_US);
+	EXPECT_EQ(6U, limit.current);
+}
