--- a/test/measure/rest.cc
+++ b/test/measure/rest.cc
@@ -4,6 +4,7 @@
 #include "functional/support/fleet.h"
 #include "measure/usage.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -60,7 +61,8 @@
 		service.servers = nodes / 4;
 	support::Fleet fleet(options);
 	fleet.start();
-	std::this_thread::sleep_for(std::chrono::seconds(12)); // The news of the start dies down.
+	// The news of the start waits for the byte budget, the longer the more nodes there are.
+	std::this_thread::sleep_for(std::chrono::seconds(std::max(12, nodes)));
 	Usage before = usage_of(fleet);
 	double calls = platform_calls(fleet);
 	std::this_thread::sleep_for(std::chrono::seconds(seconds));
