Keyed calls: connections to the homes are kept ready

Keyed calls go to the home of their key, half of them over the region link, and the first call over each connection pays the handshakes of TCP and ZeroMQ, four round trips of 16 ms. Ruled out: the gates (balances of the same service: p99 14.9 ms), the link's rate. Change: an entry that takes keyed calls of a service opens connections to all its gates, and renews those idle for long before they are needed, at most once a second.

--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -172,8 +172,10 @@
 				     call->class_index};
 
 	entry_service_refresh(call->entry, call->service);
-	if (call->state.keyed)
+	if (call->state.keyed) {
+		entry_service_warm_homes(call->entry, call->service);
 		return find_home(call, gate);
+	}
 	return choice_pick(call->service->choice, &query, &call->entry->rng, clock_monotonic_us(),
 			   gate);
 }
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -53,6 +53,7 @@
 	struct retry_bucket bucket;
 	struct key_table *keys; /* for the homes of keys only */
 	uint64_t members_revision;
+	uint64_t homes_warmed_us; /* when connections to the homes of keys were last seen to */
 	uint64_t refreshed_us;
 };
 
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry_service.c
@@ -5,12 +5,16 @@
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
+#include "fescuemilld/entry_link.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #define REFRESH_US (500 * USEC_PER_MSEC) /* regions come and go without a new revision */
 
+#define WARM_HOMES_MAX 64 /* gates of a service to which connections are kept ready */
+#define WARM_PERIOD_US (1 * USEC_PER_SEC)
+
 /* Fills the settings of every choice from the node's. Distances are one way in the settings. */
 void entry_service_settings(const struct settings *settings, uint64_t own_id,
 			    struct choice_settings *out)
@@ -119,6 +123,31 @@
 	free(list);
 }
 
+/* Opens the connections to the gates of a service whose keyed calls come by here, and renews those
+ * that have been idle for long. The home of a key is given, so that a call cannot choose a gate to
+ * which there is a connection; over a link between regions a new one costs four round trips. */
+void entry_service_warm_homes(struct entry *entry, struct entry_service *service)
+{
+	const struct member_table *table = entry->options.members;
+	uint64_t now_us = clock_monotonic_us();
+	const struct member *member = NULL;
+	uint32_t count = 0;
+
+	if (service->homes_warmed_us && now_us < service->homes_warmed_us + WARM_PERIOD_US)
+		return;
+	service->homes_warmed_us = now_us;
+	while (count++ < WARM_HOMES_MAX &&
+	       (member = member_next_of_service(table, service->name, member)) != NULL) {
+		struct gate_link *link;
+
+		if (member->state != MEMBER_ALIVE || member->backend != BACKEND_READY)
+			continue;
+		link = entry_link_get(entry, &member->life, NULL);
+		if (link)
+			entry_link_prepare(&link->sides[LINK_CALLS], NULL);
+	}
+}
+
 /* Frees every service. */
 void entry_services_free(struct entry *entry)
 {
--- a/src/fescuemilld/entry_service.h
+++ b/src/fescuemilld/entry_service.h
@@ -10,6 +10,7 @@
 			    struct choice_settings *out);
 struct entry_service *entry_service_get(struct entry *entry, const char *name, struct error *err);
 void entry_service_refresh(struct entry *entry, struct entry_service *service);
+void entry_service_warm_homes(struct entry *entry, struct entry_service *service);
 void entry_services_free(struct entry *entry);
 
 #endif
