One place picks a member's address, one makes a key in tests

Cause: the read-through of the whole change found the choice between internal and external address written out in the entry's links and in configuration pulls, and the making of a version 7 UUID in two tests. Change: member_node_address() and support::new_key(); behaviour and assertions as before. Left: gossip picks by its own port, and the two codecs each have a four-line pack_name.

--- a/src/fescuemill/fleet/member.c
+++ b/src/fescuemill/fleet/member.c
@@ -60,6 +60,15 @@
 	return XXH3_64bits_withSeed(key, strlen(key), node_id);
 }
 
+/* Gives the address at which a node of a region reaches a member. */
+const struct node_address *member_node_address(const struct member *member, const char *from_region)
+{
+	bool is_near = strcmp(member->region, from_region) == 0;
+	bool use_external = !is_near && member->external.node_port != 0;
+
+	return use_external ? &member->external : &member->internal;
+}
+
 /* Opens an empty table. Errors: ERROR_MEMORY. */
 int member_table_open(struct member_table **out, struct error *err)
 {
--- a/src/fescuemill/fleet/member.h
+++ b/src/fescuemill/fleet/member.h
@@ -34,6 +34,10 @@
 /* Grows with every change of the table, so that a holder of derived data knows when to redo it. */
 uint64_t member_table_revision(const struct member_table *table);
 uint64_t member_id_of(const char *name);
+/* Where a node of a region reaches the member over ZeroMQ: outside the member's own region at its
+ * external address, if it states one. */
+const struct node_address *member_node_address(const struct member *member,
+					       const char *from_region);
 bool member_is_newer(const struct member *news, const struct member *known);
 const char *member_state_name(enum member_state state);
 const char *backend_state_name(enum backend_state state);
--- a/src/fescuemilld/config_pull.c
+++ b/src/fescuemilld/config_pull.c
@@ -87,8 +87,7 @@
 static void ask_member(struct config_pull *pull, const struct member *member, uint64_t now_us)
 {
 	bool is_near = strcmp(member->region, pull->options.region) == 0;
-	bool use_external = !is_near && member->external.node_port != 0;
-	const struct node_address *address = use_external ? &member->external : &member->internal;
+	const struct node_address *address = member_node_address(member, pull->options.region);
 	struct error err;
 
 	pull->asked_us = now_us;
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -91,11 +91,10 @@
 static void set_address(const struct entry *entry, const struct member *member,
 			struct gate_link *link)
 {
-	bool is_near = strcmp(member->region, entry->options.settings->region) == 0;
-	bool use_external = !is_near && member->external.node_port != 0;
-	const struct node_address *address = use_external ? &member->external : &member->internal;
+	const char *region = entry->options.settings->region;
+	const struct node_address *address = member_node_address(member, region);
 
-	link->crosses_regions = !is_near;
+	link->crosses_regions = strcmp(member->region, region) != 0;
 	link->ip = address->ip;
 	link->port = address->node_port;
 }
--- a/test/functional/keyed_far_test.cc
+++ b/test/functional/keyed_far_test.cc
@@ -10,17 +10,6 @@
 constexpr int CALLS_AN_ENTRY = 100;
 constexpr int TARGET_MS = 50; // of the ledger's purchases, for 99 of 100 calls
 
-// Makes the UUID of version 7 of a number.
-std::string key_of(int number)
-{
-	auto now = std::chrono::system_clock::now().time_since_epoch();
-	long long ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-	char text[40];
-
-	snprintf(text, sizeof(text), "%08llx-%04llx-7000-8000-%012x", ms >> 16, ms & 0xffff,
-		 (unsigned int)number);
-	return text;
-}
 } // namespace
 
 TEST(KeyedFar, PurchasesMeetTheirTargetOverTheRegionLink)
@@ -34,10 +23,11 @@
 	fleet.start();
 	for (const support::Host &entry : fleet.hosts) {
 		for (int i = 0; i < CALLS_AN_ENTRY; i++) {
+			number++;
 			auto begun = std::chrono::steady_clock::now();
 			support::HttpAnswer answer =
 				fleet.call(entry, "POST", "/ledger/buy", "purchase", "x",
-					   {"idempotency-key: " + key_of(++number),
+					   {"idempotency-key: " + support::new_key(),
 					    "x-call: far-" + std::to_string(number)});
 			auto elapsed = std::chrono::steady_clock::now() - begun;
 
--- a/test/functional/keyed_test.cc
+++ b/test/functional/keyed_test.cc
@@ -14,23 +14,10 @@
 using support::http_json;
 using support::HttpAnswer;
 using support::Json;
+using support::new_key;
 
 namespace
 {
-// Makes a UUID of version 7 for now.
-std::string new_key()
-{
-	static unsigned int count;
-	char text[40];
-	long long ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-			       std::chrono::system_clock::now().time_since_epoch())
-			       .count();
-
-	snprintf(text, sizeof(text), "%08llx-%04llx-7000-8000-%012x", ms >> 16, ms & 0xffff,
-		 ++count);
-	return text;
-}
-
 class Keyed : public ::testing::Test
 {
       protected:
--- a/test/functional/support/fleet.cc
+++ b/test/functional/support/fleet.cc
@@ -338,4 +338,17 @@
 	end("link", link.get(), &failures);
 	return failures;
 }
+
+std::string new_key()
+{
+	static unsigned int count;
+	char text[40];
+	long long ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+			       std::chrono::system_clock::now().time_since_epoch())
+			       .count();
+
+	snprintf(text, sizeof(text), "%08llx-%04llx-7000-8000-%012x", ms >> 16, ms & 0xffff,
+		 ++count);
+	return text;
+}
 } // namespace support
--- a/test/functional/support/fleet.h
+++ b/test/functional/support/fleet.h
@@ -100,4 +100,7 @@
 	FleetOptions options_;
 	std::string folder_;
 };
+
+// Makes an idempotency key: a UUID of version 7 for now, different each time.
+std::string new_key();
 } // namespace support
