A draining gate's calls go elsewhere, however many they are

A stopping gate hands back all that waits or is on its way, at once; each of these took a token of the service's retry bucket, which holds one at the start and a tenth of first attempts. And the choice ignored the gate's own word that it drains (load.state), so until gossip had told the entry, only the error rate kept new attempts away.

Ruled out: a larger bucket, which loosens the bound in an outage and is too small for some queue still; the exclusion list and the tree's budget, which were not exhausted.

Change: a refusal for draining is charged to the tree's budget only; a gate that says it drains is not chosen for a second, unless it says that it is ready. Each entry thus loses what was on its way and one attempt a second at most.

Seen failing: with the bucket charged, AttemptEntry.WhatADrainingGateHands... got FINISH in place of CHOOSE; with no hold, Choice.AGateThatSaysItDrains... was falsified after 1 test.

--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -104,6 +104,15 @@
 	}
 }
 
+/* Takes a retry out of the budgets that a refusal for this reason is charged to. */
+static bool entry_take_retry(struct attempt_entry *call, struct retry_bucket *bucket,
+			     enum call_reason reason)
+{
+	if (reason == REASON_DRAINING)
+		return retry_take_handed_back(&call->retries);
+	return retry_take(bucket, &call->retries);
+}
+
 /* The present attempt certainly did not run and never will: try elsewhere, within the budgets. A
  * keyed call has one home only, which it tries again only after its restart. */
 static int entry_not_run(struct attempt_entry *call, struct retry_bucket *bucket,
@@ -116,7 +125,7 @@
 		may_retry = false;
 	retry_tree_return(&call->retries);
 	call->last_reason = (uint8_t)reason;
-	if (!may_retry || !retry_take(bucket, &call->retries))
+	if (!may_retry || !entry_take_retry(call, bucket, reason))
 		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
 	if (reason != REASON_INCARNATION)
 		entry_exclude(call);
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -6,6 +6,7 @@
 #include "fescuemill/decide/choice.h"
 
 #include "fescuemill/decide/choice_table.h"
+#include "fescuemill/fleet/member_defs.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -67,9 +68,10 @@
 }
 
 /* Tells whether a gate may be chosen at all for a query. */
-bool choice_may_pick(const struct choice_gate *gate, const struct choice_query *query)
+bool choice_may_pick(const struct choice_gate *gate, const struct choice_query *query,
+		     uint64_t now_us)
 {
-	if (!gate->member.usable)
+	if (!gate->member.usable || now_us < gate->held_to_us)
 		return false;
 	for (uint32_t i = 0; i < query->excluded_count; i++) {
 		if (query->excluded[i] == gate->member.life.node_id)
@@ -187,7 +189,7 @@
 
 		choice->order[j] = choice->order[i];
 		choice->order[i] = number;
-		if (!choice_may_pick(&choice->gates[number], query))
+		if (!choice_may_pick(&choice->gates[number], query, now_us))
 			continue;
 		drawn++;
 		cost = expected_completion_us(choice, &choice->gates[number], query->class_index,
@@ -228,7 +230,7 @@
 		number = pick_expected(choice, query, rng, now_us);
 		break;
 	default:
-		number = choice_pick_baseline(choice, query, rng);
+		number = choice_pick_baseline(choice, query, rng, now_us);
 		break;
 	}
 	if (number < 0)
@@ -260,6 +262,15 @@
 	gate->sent_since++;
 }
 
+/* Keeps a gate out that says it drains, until the fleet's word of it is here; a gate that says it
+ * is ready comes back at once. */
+static void gate_state_taken(struct choice_gate *gate, uint8_t state, uint64_t now_us)
+{
+	bool is_draining = state == BACKEND_DRAINING || state == BACKEND_LEAVING;
+
+	gate->held_to_us = is_draining ? now_us + CHOICE_DRAINING_HOLD_US : 0;
+}
+
 /* Takes in a gate's own word on its load. Its service time is left out: it mixes classes, and fast
  * failures shorten it. */
 static void gate_load_taken(struct choice_gate *gate, const struct gate_load *load, uint64_t now_us)
@@ -267,6 +278,7 @@
 	gate->load_us = now_us;
 	gate->occupancy = load->in_use + load->queued;
 	gate->sent_since = 0;
+	gate_state_taken(gate, load->state, now_us);
 	if (load->limit > 0)
 		gate->limit = load->limit;
 }
--- a/src/fescuemill/decide/choice_baseline.c
+++ b/src/fescuemill/decide/choice_baseline.c
@@ -6,13 +6,13 @@
 
 /* Lists the gates that may be chosen at the nearest distance that has any; returns their count. */
 static uint32_t nearest_list(const struct choice *choice, const struct choice_query *query,
-			     uint16_t *list)
+			     uint64_t now_us, uint16_t *list)
 {
 	uint32_t count = 0;
 
 	for (uint32_t d = 0; d < DISTANCE_COUNT && count == 0; d++) {
 		for (uint32_t i = choice->starts[d]; i < choice->starts[d + 1]; i++) {
-			if (choice_may_pick(&choice->gates[i], query))
+			if (choice_may_pick(&choice->gates[i], query, now_us))
 				list[count++] = (uint16_t)i;
 		}
 	}
@@ -39,10 +39,10 @@
 
 /* Chooses by the settings' baseline policy; returns the gate's number or -1. */
 int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
-			 struct random *rng)
+			 struct random *rng, uint64_t now_us)
 {
 	uint16_t list[CHOICE_GATES_MAX];
-	uint32_t count = nearest_list(choice, query, list);
+	uint32_t count = nearest_list(choice, query, now_us, list);
 	uint16_t first;
 
 	if (count == 0)
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -41,6 +41,9 @@
 
 #define CHOICE_GATES_MAX 256
 
+/* How long a gate's own word that it drains keeps it out, for the fleet's word to arrive. */
+#define CHOICE_DRAINING_HOLD_US 1000000
+
 /* One gate that may be chosen. The shell fills it from the fleet's members. */
 struct choice_member {
 	struct node_life life;
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -12,6 +12,7 @@
 	uint64_t load_us;     /* when the load was seen; 0: never */
 	uint64_t tried_us;    /* last result, for the next trial of a slow or failing gate */
 	uint64_t progress_us; /* last answer, or first attempt after none was in flight */
+	uint64_t held_to_us;  /* the gate said that it drains, and is not chosen before */
 	uint32_t in_flight;   /* attempts of this entry */
 	uint32_t sent_since;  /* of them sent since the load was seen */
 	uint32_t occupancy;   /* slots in use and attempts queued, as seen */
@@ -35,8 +36,9 @@
 	struct choice_gate gates[CHOICE_GATES_MAX]; /* sorted by distance, then domain */
 };
 
-bool choice_may_pick(const struct choice_gate *gate, const struct choice_query *query);
+bool choice_may_pick(const struct choice_gate *gate, const struct choice_query *query,
+		     uint64_t now_us);
 int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
-			 struct random *rng);
+			 struct random *rng, uint64_t now_us);
 
 #endif
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -40,8 +40,6 @@
 
 	void join(int count, bool first_is_near = false)
 	{
-		error err;
-
 		members.clear();
 		for (int i = 0; i < count; i++) {
 			choice_member member = {};
@@ -57,7 +55,15 @@
 				member = {member.life, 0, 6, DISTANCE_DOMAIN, true};
 			members.push_back(member);
 		}
-		RC_ASSERT(choice_set_members(made, members.data(), uint32_t(count), &err) == 0);
+		renew();
+	}
+
+	void renew()
+	{
+		error err;
+
+		RC_ASSERT(choice_set_members(made, members.data(), uint32_t(members.size()),
+					     &err) == 0);
 	}
 
 	bool pick(const std::vector<uint64_t> &excluded, node_life *life)
@@ -125,6 +131,35 @@
 	RC_ASSERT(world.pick(excluded, &life) == world.members[left - 1].usable);
 }
 
+RC_GTEST_PROP(Choice, AGateThatSaysItDrainsGetsNothingUntilItsWordIsOld, ())
+{
+	World world(choice_policy(*rc::gen::inRange<int>(0, CHOICE_POLICY_COUNT)));
+	gate_load draining = {0, 6, 0, 5000, 0, uint8_t(*rc::gen::element(3, 4))};
+	gate_load ready = {0, 6, 0, 5000, 0, 2};
+	choice_result result = {CHOICE_RESULT_REFUSED, 0, true, draining, 500, 0, 0};
+	node_life life;
+
+	world.join(*rc::gen::inRange(1, 8), true);
+	RC_PRE(world.per_domain >= 8U);
+	choice_sent(world.made, 1, world.now);
+	choice_done(world.made, 1, &result, world.now);
+	for (int i = 0; i < 100; i++) {
+		world.now += random_below(&world.rng, CHOICE_DRAINING_HOLD_US / 100);
+		// A refresh from a member table that has not heard of it yet changes nothing.
+		if (random_below(&world.rng, 10) == 0)
+			world.renew();
+		RC_ASSERT(!world.pick({}, &life) || life.node_id != 1);
+	}
+	if (*rc::gen::arbitrary<bool>())
+		choice_load_seen(world.made, 1, &ready, world.now);
+	else
+		world.now += CHOICE_DRAINING_HOLD_US;
+	std::vector<uint64_t> others;
+	for (uint64_t id = 2; id <= world.members.size(); id++)
+		others.push_back(id);
+	RC_ASSERT(world.pick(others, &life) && life.node_id == 1);
+}
+
 RC_GTEST_PROP(Choice, StateIsKeptForABoundedSubset, ())
 {
 	World world(CHOICE_EXPECTED);
--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -114,6 +114,16 @@
 	expect_told(OUTCOME_NOT_RUN, REASON_OVERLOAD);
 }
 
+TEST_F(AttemptEntry, WhatADrainingGateHandsBackGoesElsewhereWithoutTheServicesBudget)
+{
+	bucket.tokens_milli = 0;
+	choose(7);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(1, OUTCOME_NOT_RUN, REASON_DRAINING));
+	choose(8);
+	answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	expect_told(OUTCOME_NOT_RUN, REASON_OVERLOAD);
+}
+
 TEST_F(AttemptEntry, NonIdempotentIsRetriedAfterARefusalToo)
 {
 	begin(false);
--- a/test/unit/decide/retry_test.cc
+++ b/test/unit/decide/retry_test.cc
@@ -78,6 +78,20 @@
 	EXPECT_EQ(10, taken);
 }
 
+TEST(Retry, AHandedBackAttemptTakesOfTheTreeOnly)
+{
+	retry_bucket bucket;
+	retry_tree tree;
+
+	retry_bucket_init(&bucket, 0);
+	retry_tree_init(&tree, true, 2);
+	EXPECT_FALSE(retry_take(&bucket, &tree));
+	EXPECT_TRUE(retry_take_handed_back(&tree));
+	EXPECT_TRUE(retry_take_handed_back(&tree));
+	EXPECT_FALSE(retry_take_handed_back(&tree));
+	EXPECT_EQ(0U, bucket.tokens_milli);
+}
+
 TEST(Retry, TheShareIsTheSettings)
 {
 	for (uint32_t share_permille : {0U, 50U, 500U, 1000U}) {
