A planned stop cuts off no caller that has connected

The kernel establishes a connection before the process accepts it; the stop closed the listener with the loop, and what waited in its queue was reset after the caller had sent its request. An upload that was still coming in was cut as well, since only whole requests count as calls.

Change: two phases at the end of a stop. First the kernel drops the first packet of new connections (a socket filter on the listener) while those begun are accepted; then the listener closes, and the stop waits for connections that hold a part of a request, and a second for idle ones.

--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -367,10 +367,22 @@
 	http_server_drain(caller->server);
 }
 
-/* Stops listening. */
-void caller_close(struct caller *caller)
+/* Takes no new connections but those that are on their way. */
+void caller_stop_accepting(struct caller *caller)
+{
+	http_server_stop_accepting(caller->server);
+}
+
+/* Stops listening; calls in progress go on. */
+void caller_stop_listening(struct caller *caller)
 {
 	http_server_close(caller->server);
+}
+
+/* Stops listening, and looking for callers that went away. */
+void caller_close(struct caller *caller)
+{
+	caller_stop_listening(caller);
 	uv_close((uv_handle_t *)&caller->gone_timer, NULL);
 }
 
@@ -393,6 +405,12 @@
 	return http_server_connections(caller->server);
 }
 
+/* Counts the connections of which a part of a request has come in. */
+uint32_t caller_receiving(const struct caller *caller)
+{
+	return http_server_receiving(caller->server);
+}
+
 /* Gives the arena of a call. */
 h2o_mem_pool_t *caller_call_pool(struct caller_call *call)
 {
--- a/src/fescuemill/http/caller.h
+++ b/src/fescuemill/http/caller.h
@@ -43,10 +43,17 @@
 uint16_t caller_port(const struct caller *caller);
 /* Closes each connection after its answer. */
 void caller_drain(struct caller *caller);
+/* Takes no new connections but those whose handshake is under way; to be called some round trips
+ * before caller_stop_listening. */
+void caller_stop_accepting(struct caller *caller);
+/* Stops listening; calls in progress go on. */
+void caller_stop_listening(struct caller *caller);
 void caller_close(struct caller *caller);
 void caller_free(struct caller *caller);
 uint32_t caller_calls(const struct caller *caller);
 uint32_t caller_connections(const struct caller *caller);
+/* Connections of which a part of a request has come in. */
+uint32_t caller_receiving(const struct caller *caller);
 
 void caller_answer(struct caller_call *call, const struct caller_answer *answer);
 /* The arena of a call, freed after its answer was sent. */
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -5,11 +5,16 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define LISTEN_BACKLOG 1024
 
+#define TCP_FLAGS_OFFSET 13 /* bytes, in a TCP header */
+#define ACCEPT_ALL	 0xffffffffU
+
 struct request_handler {
 	h2o_handler_t super;
 	struct http_server *server;
@@ -26,21 +31,28 @@
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
 	struct http_server_options options;
-	uint32_t connections;
+	h2o_linklist_t connections; /* of struct connection */
+	uint32_t connection_count;
 	uint16_t port;
 };
 
 /* An accepted connection; it stays allocated until libuv has closed the handle. */
 struct connection {
 	uv_tcp_t tcp;
+	h2o_linklist_t link;
 	struct http_server *server;
+	h2o_socket_t *sock; /* NULL once it is closed */
+	size_t read_bytes;  /* up to the end of the last whole request */
 };
 
 /* Passes a request to the owner's handler. */
 static int handle_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct http_server *srv = ((struct request_handler *)self)->server;
+	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+	struct connection *conn = sock->on_close.data;
 
+	conn->read_bytes = sock->bytes_read;
 	srv->options.on_request(srv->options.user, req);
 	return 0;
 }
@@ -60,32 +72,43 @@
 {
 	struct connection *conn = (struct connection *)handle;
 
-	conn->server->connections--;
+	conn->server->connection_count--;
+	h2o_linklist_unlink(&conn->link);
 	free(conn);
 }
 
+/* Notes that h2o has closed a connection's socket. */
+static void forget_socket(void *data)
+{
+	struct connection *conn = data;
+
+	conn->sock = NULL;
+}
+
 /* Accepts one connection and gives it to h2o. */
 static void accept_connection(uv_stream_t *listener, int status)
 {
 	struct http_server *srv = listener->data;
 	struct connection *conn;
-	h2o_socket_t *sock;
 
 	if (status != 0)
 		return;
-	conn = malloc(sizeof(*conn));
+	conn = calloc(1, sizeof(*conn));
 	if (!conn)
 		return;
 	conn->server = srv;
 	uv_tcp_init(listener->loop, &conn->tcp);
-	srv->connections++;
+	srv->connection_count++;
+	h2o_linklist_insert(&srv->connections, &conn->link);
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
 		uv_close((uv_handle_t *)&conn->tcp, free_connection);
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
-	sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, free_connection);
-	h2o_accept(&srv->accept, sock);
+	conn->sock = h2o_uv_socket_create((uv_stream_t *)&conn->tcp, free_connection);
+	conn->sock->on_close.cb = forget_socket;
+	conn->sock->on_close.data = conn;
+	h2o_accept(&srv->accept, conn->sock);
 }
 
 /* Sets up h2o with one handler and one filter for every path. */
@@ -145,6 +168,7 @@
 	if (!srv)
 		return error_set(err, ERROR_MEMORY, "no memory for an HTTP listener");
 	srv->options = *opt;
+	h2o_linklist_init_anchor(&srv->connections);
 	configure(srv, loop);
 	rc = listen_on(srv, loop);
 	if (rc != 0) {
@@ -170,6 +194,25 @@
 	srv->context.shutdown_requested = 1;
 }
 
+/* Has the kernel drop the first packet of every new connection, while handshakes under way come to
+ * their end and are accepted. A listener that is closed at once resets the connections in its
+ * queue, whose callers have sent a request already. Without the filter closing works as usual. */
+void http_server_stop_accepting(struct http_server *srv)
+{
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, ACCEPT_ALL),
+	};
+	struct sock_fprog program = {sizeof(code) / sizeof(code[0]), code};
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&srv->listener, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 /* Stops listening; connections that are open stay open. */
 void http_server_close(struct http_server *srv)
 {
@@ -188,7 +231,21 @@
 /* Counts the open connections. */
 uint32_t http_server_connections(const struct http_server *srv)
 {
-	return srv->connections;
+	return srv->connection_count;
+}
+
+/* Counts the connections of which a part of a request has come in. */
+uint32_t http_server_receiving(const struct http_server *srv)
+{
+	const h2o_linklist_t *at;
+	uint32_t count = 0;
+
+	for (at = srv->connections.next; at != &srv->connections; at = at->next) {
+		const struct connection *conn = H2O_STRUCT_FROM_MEMBER(struct connection, link, at);
+
+		count += conn->sock && conn->sock->bytes_read > conn->read_bytes;
+	}
+	return count;
 }
 
 /* Sends a whole answer with the headers already set on the request. */
--- a/src/fescuemill/http/server.h
+++ b/src/fescuemill/http/server.h
@@ -34,10 +34,15 @@
 uint16_t http_server_port(const struct http_server *srv);
 /* Closes each connection after its present answer; new connections are still taken. */
 void http_server_drain(struct http_server *srv);
+/* Takes no new connections; those whose handshake is under way are still accepted as long as the
+ * loop runs. To be called some round trips before http_server_close. */
+void http_server_stop_accepting(struct http_server *srv);
 /* Stops listening. The loop must run on before http_server_free. */
 void http_server_close(struct http_server *srv);
 void http_server_free(struct http_server *srv);
 uint32_t http_server_connections(const struct http_server *srv);
+/* Connections of which a part of a request has come in. */
+uint32_t http_server_receiving(const struct http_server *srv);
 
 /* Sends a whole answer; the body must live as long as the request's pool. */
 void http_respond(h2o_req_t *req, int status, const char *body, size_t size);
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -27,10 +27,12 @@
 /* How far a stop has come. */
 enum stop_phase {
 	STOP_NONE,
-	STOP_FINISHING, /* work in progress ends */
-	STOP_ACKED,	/* the last answers are on their way to the entries */
-	STOP_LEAVING,	/* the roster is told */
-	STOP_LEFT,	/* the others hear of it; new work is still refused properly */
+	STOP_FINISHING,	 /* work in progress ends */
+	STOP_ACKED,	 /* the last answers are on their way to the entries */
+	STOP_LEAVING,	 /* the roster is told */
+	STOP_LEFT,	 /* the others hear of it; new work is still refused properly */
+	STOP_HANDSHAKES, /* no new connections but those that callers have begun */
+	STOP_CLOSING,	 /* what came over the last connections is answered */
 };
 
 struct node {
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -10,6 +10,8 @@
 #define SPREAD_US      (2 * USEC_PER_SEC) /* for word of the stop to reach the others */
 #define LEAVE_GRACE_US (500 * USEC_PER_MSEC)
 #define ACK_WAIT_US    (2 * USEC_PER_SEC)
+#define HANDSHAKE_US   (200 * USEC_PER_MSEC) /* for connections that callers have begun */
+#define IDLE_US	       (1 * USEC_PER_SEC)    /* for requests over connections that are open */
 
 /* Goes on to the next phase of a stop. */
 static void enter_phase(struct node *node, enum stop_phase phase, uint64_t now_us)
@@ -27,6 +29,16 @@
 		enter_phase(node, STOP_LEFT, clock_monotonic_us());
 }
 
+/* Tells whether no caller waits for an answer or is about to: all connections have ended, or those
+ * left have been idle for a while. */
+static bool is_quiet(const struct node *node, uint64_t in_phase_us)
+{
+	if (caller_connections(node->caller) == 0)
+		return true;
+	return in_phase_us >= IDLE_US && caller_receiving(node->caller) == 0 &&
+	       caller_calls(node->caller) == 0;
+}
+
 /* Takes a stop one phase further when it is due. */
 void node_stop_advance(struct node *node, uint64_t now_us)
 {
@@ -52,6 +64,18 @@
 	case STOP_LEFT:
 		if (in_phase_us < LEAVE_GRACE_US)
 			break;
+		enter_phase(node, STOP_HANDSHAKES, now_us);
+		caller_stop_accepting(node->caller);
+		break;
+	case STOP_HANDSHAKES:
+		if (in_phase_us < HANDSHAKE_US)
+			break;
+		enter_phase(node, STOP_CLOSING, now_us);
+		caller_stop_listening(node->caller);
+		break;
+	case STOP_CLOSING:
+		if (!is_quiet(node, in_phase_us))
+			break;
 		node_move(node, NODE_INPUT_IDLE);
 		uv_stop(&node->loop);
 		break;
--- a/test/functional/path_test.cc
+++ b/test/functional/path_test.cc
@@ -264,6 +264,25 @@
 	EXPECT_GT(answered, 8);
 }
 
+TEST_F(Path, AnUploadThatOutlastsAPlannedStopIsAnswered)
+{
+	support::Process &node = *fleet.hosts[0].node;
+	std::string text = "POST /ledger/buy HTTP/1.1\r\nhost: n\r\nx-fescue-class: purchase\r\n"
+			   "content-length: 10\r\n\r\n01234";
+	char head[64] = "";
+	int fd = connect_to(node.port("caller_port"));
+
+	ASSERT_EQ(send(fd, text.data(), text.size(), 0), (ssize_t)text.size());
+	node.signal(SIGTERM);
+	std::this_thread::sleep_for(std::chrono::milliseconds(EVENT_MS));
+	EXPECT_TRUE(node.is_running());
+	EXPECT_EQ(send(fd, "56789", 5, MSG_NOSIGNAL), 5);
+	EXPECT_GT(recv(fd, head, sizeof(head) - 1, 0), 0);
+	EXPECT_NE(std::string(head).find("503"), std::string::npos) << head;
+	close(fd);
+	EXPECT_EQ(node.wait(EVENT_MS), 0) << node.log_tail();
+}
+
 TEST_F(Path, ASecondSignalCutsAndSaysSo)
 {
 	slow_down(2000);
