Gossip: brief news no longer hides a change of service

Cause: functional-failure_pause failed once on a busy machine: an entry told every call "no-backend-server" for good. Its record of the only gate had the newest revision, backend ready, and no service. Brief news (state without names: acks, corrections, differences) had overtaken the whole news of the announcement; the receiver filled the names in from its old record, which from then on looked up to date to the digest.

Change: each piece of news carries a tag of its member's service; a receiver whose record has another service asks for the whole.

--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -7,7 +7,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/fleet/member_defs.h"
 
-#define GOSSIP_VERSION	    1
+#define GOSSIP_VERSION	    2
 #define GOSSIP_PACKET_BYTES 1200
 #define GOSSIP_NEWS_MAX	    64
 #define GOSSIP_NUMBERS_MAX  64
@@ -38,9 +38,11 @@
 	GOSSIP_KIND_END,
 };
 
-/* News of one member. Brief news lacks the names and addresses, which the receiver has. */
+/* News of one member. Brief news lacks the names and addresses, which the receiver has; the tag
+ * tells whether it has the right service. */
 struct gossip_news {
 	bool whole;
+	uint16_t service_tag; /* as received; senders' comes from the member */
 	struct member member;
 };
 
--- a/test/functional/failure_pause_test.cc
+++ b/test/functional/failure_pause_test.cc
@@ -115,7 +115,7 @@
 	options.callers = 24;
 	start_without_first_gate(fleet);
 	Drive connect(fleet, options);
-	ASSERT_TRUE(connect.wait_answered(100, DEADLINE_MS));
+	ASSERT_TRUE(connect.wait_answered(100, DEADLINE_MS)) << tally(connect.stop());
 	connect.stop();
 	fleet.hosts[1].node->signal(SIGSTOP);
 	options.prefix = "late";
--- a/test/property/gossip_property_test.cc
+++ b/test/property/gossip_property_test.cc
@@ -8,9 +8,10 @@
 {
 const uint64_t second_us = 1000000;
 const uint64_t join_limit_us = 30 * second_us;
-const uint64_t dead_limit_us = 5 * second_us;	 // A dead host is out of choice for all.
-const uint64_t leaving_limit_us = 3 * second_us; // A leaving host gets no new work.
-const uint64_t config_limit_us = 4 * second_us;	 // A change is in force everywhere.
+const uint64_t settle_limit_us = 120 * second_us; // Under any loss: in the end.
+const uint64_t dead_limit_us = 5 * second_us;	  // A dead host is out of choice for all.
+const uint64_t leaving_limit_us = 3 * second_us;  // A leaving host gets no new work.
+const uint64_t config_limit_us = 4 * second_us;	  // A change is in force everywhere.
 const uint32_t large_fleet = 300;
 
 FakeFleet::Options random_options()
@@ -78,6 +79,40 @@
 	}) != UINT64_MAX);
 }
 
+// Under loss the news that tells of a new service may come after brief news of the same member.
+RC_GTEST_PROP(Gossip, ChangesOfServiceReachEverybody, ())
+{
+	FakeFleet::Options options = random_options();
+	std::vector<std::string> services;
+
+	options.loss = *rc::gen::inRange(0, 50) / 100.0;
+	options.full_tables = true;
+	FakeFleet fleet(options);
+	auto agrees = [&](const FakeFleet::Node &node) {
+		for (uint32_t i = 0; i < fleet.size(); i++) {
+			const struct member *member = member_find(node.table, fleet.id_of(i));
+
+			if (!member || member->service != services[i])
+				return false;
+		}
+		return true;
+	};
+	for (uint32_t i = 0; i < fleet.size(); i++)
+		services.push_back(fleet.member_of(i, 1).service);
+	for (const char *name : {"first", "second", "first"}) {
+		for (uint32_t i = 0; i < fleet.size(); i++) {
+			if (*rc::gen::inRange(0, 3) == 0)
+				continue;
+			services[i] = name;
+			gossip_set_backend(fleet.node(i).gossip, name, BACKEND_READY, 6);
+		}
+		fleet.run_for(*rc::gen::inRange<uint64_t>(0, second_us));
+	}
+	RC_ASSERT(fleet.run_until(settle_limit_us, [&] {
+		return fleet.count_live(agrees) == fleet.size();
+	}) != UINT64_MAX);
+}
+
 RC_GTEST_PROP(Gossip, PausedNodeWakesWithoutHarm, ())
 {
 	FakeFleet::Options options = random_options();
