Failures that come together, or twice

Added: an outage with a split, a dead failure domain and a drain; two paused nodes, a paused backend server and a killed node, twice over; lost answers over a silent link, then a cut, under racing operators.

The fixture of two regions moves from the test of the link to its support.

--- a/test/functional/failure_link_test.cc
+++ b/test/functional/failure_link_test.cc
@@ -1,97 +1,14 @@
 // The link between two regions: split and healed, and connections through it that go silent for
 // good, those to the platform and of callers included.
-#include "functional/support/drive.h"
-
-#include <gtest/gtest.h>
+#include "functional/support/regions.h"
 
 using namespace support;
 
 namespace
 {
-constexpr int IN_FORCE_MS = 4000;
-constexpr int OUT_OF_CHOICE_MS = 5000;
-constexpr int DEADLINE_MS = 3000;
 
-// Two nodes of the ledger in each region; the platform is in the first one, so that the nodes of
-// the second reach it through the link.
-class Link : public ::testing::Test
+class Link : public TwoRegions
 {
-      protected:
-	FleetOptions options()
-	{
-		FleetOptions options;
-
-		options.services = {{"ledger", 4}};
-		options.change_settings = [this](const std::string &name, json_t *settings) {
-			if (name.rfind("south", 0) == 0)
-				move_platform(settings);
-		};
-		return options;
-	}
-
-	void move_platform(json_t *settings)
-	{
-		std::string port = std::to_string(add_forward(fleet.platform->port(), 0));
-
-		json_object_set_new(settings, "platform",
-				    json_pack("[s]", ("127.0.0.1:" + port).c_str()));
-	}
-
-	uint16_t add_forward(uint16_t target, int toward)
-	{
-		Json made = http_json(fleet.link->port(), "POST", "/forwards",
-				      "{\"tcp_target\":" + std::to_string(target) +
-					      ",\"toward\":" + std::to_string(toward) + "}");
-
-		return (uint16_t)json_integer_value(json_object_get(made.get(), "tcp_port"));
-	}
-
-	void SetUp() override
-	{
-		fleet.start();
-		for (Host &host : fleet.hosts)
-			ASSERT_TRUE(wait_version(host, 1, IN_FORCE_MS));
-	}
-
-	DriveOptions through(std::vector<size_t> entries, const std::string &prefix)
-	{
-		DriveOptions options;
-
-		options.entries = std::move(entries);
-		options.deadline_ms = DEADLINE_MS;
-		options.prefix = prefix;
-		return options;
-	}
-
-	bool all_see(const std::string &state, int timeout_ms)
-	{
-		return wait_until(
-			[&] {
-				return state_in_view(fleet.hosts[0], fleet.hosts[2]) == state &&
-				       state_in_view(fleet.hosts[2], fleet.hosts[0]) == state;
-			},
-			timeout_ms);
-	}
-
-	int64_t requests(size_t host)
-	{
-		return number_in(http(fleet.hosts[host].backend->port(), "GET", "/control/stats"),
-				 "requests");
-	}
-
-	// Expects that a change through a node is in force on all within the stated time.
-	void expect_change(size_t through)
-	{
-		HttpAnswer put = put_class(fleet.hosts[through], "purchase", 70,
-					   version_in_force(fleet.hosts[through]));
-
-		ASSERT_EQ(put.status, 200) << put.body;
-		for (Host &host : fleet.hosts)
-			EXPECT_TRUE(wait_version(host, number_in(put, "version"), IN_FORCE_MS))
-				<< host.name;
-	}
-
-	Fleet fleet{options()};
 };
 } // namespace
 
--- /dev/null
+++ b/test/functional/failure_pairs_test.cc
@@ -0,0 +1,162 @@
+// Failures that come together, or twice: what holds under each of them holds under several.
+#include "functional/support/regions.h"
+
+#include <signal.h>
+
+using namespace support;
+
+namespace
+{
+constexpr int EVENT_MS = 5000;
+constexpr int PAUSE_MS = 6000;
+constexpr int STOP_MS = 30000; // the stop limit of the settings
+
+// Two nodes in each failure domain: north-a has hosts 0 and 4, north-b 1 and 5, south-a 2 and 6,
+// south-b 3 and 7.
+class Pairs : public TwoRegions
+{
+      protected:
+	Pairs() : TwoRegions(8)
+	{
+	}
+
+	void mode(const std::string &name)
+	{
+		Fleet::control(*fleet.platform, "{\"mode\":\"" + name + "\"}");
+	}
+
+	void cut(bool is_cut)
+	{
+		Fleet::control(*fleet.link, is_cut ? "{\"cut\":true}" : "{\"cut\":false}");
+	}
+
+	void restart(size_t number)
+	{
+		fleet.start_node(fleet.hosts[number]);
+	}
+
+	// Expects that calls through some entries are all answered.
+	void expect_served(const std::vector<size_t> &entries, const std::string &prefix)
+	{
+		Drive drive(fleet, through(entries, prefix));
+
+		EXPECT_TRUE(drive.wait_answered(200, EVENT_MS)) << prefix;
+		const ToldCalls &told = drive.stop();
+		EXPECT_EQ(count_told(told, "answered"), (int)told.size())
+			<< prefix << " " << tally(told);
+		told_.insert(told.begin(), told.end());
+	}
+
+	// Expects the truth of all that callers were told.
+	void expect_all_true()
+	{
+		expect_true(read_ledger(fleet), told_, false);
+	}
+
+	// Waits until a change through a node is accepted; gives its version.
+	int64_t put_accepted(size_t through, int latency_ms)
+	{
+		HttpAnswer put;
+
+		EXPECT_TRUE(wait_until(
+			[&] {
+				put = put_class(fleet.hosts[through], "purchase", latency_ms,
+						version_in_force(fleet.hosts[through]));
+				return put.status == 200;
+			},
+			EVENT_MS))
+			<< put.body;
+		return number_in(put, "version");
+	}
+
+      private:
+	ToldCalls told_;
+};
+} // namespace
+
+TEST_F(Pairs, AnOutageASplitAndADeadFailureDomainTogetherWithADrain)
+{
+	Drive all(fleet, through({0, 4, 2, 3}, "a"));
+	ASSERT_TRUE(all.wait_answered(100, EVENT_MS));
+	mode("down");
+	cut(true);
+	for (size_t dead : {1, 5})
+		fleet.hosts[dead].node->kill();
+	pause_ms(OUT_OF_CHOICE_MS);
+	fleet.hosts[6].node->signal(SIGTERM);
+	expect_served({0, 4}, "n");
+	expect_served({2, 3, 7}, "s");
+	EXPECT_EQ(fleet.hosts[6].node->wait(STOP_MS), 0) << fleet.hosts[6].node->log_tail();
+	cut(false);
+	mode("up");
+	for (size_t number : {1, 5, 6})
+		restart(number);
+	expect_everywhere(put_accepted(2, 70));
+	EXPECT_TRUE(all_see("alive", OUT_OF_CHOICE_MS));
+	for (size_t number : {1, 5, 6})
+		EXPECT_NO_THROW(fleet.wait_reaches(fleet.hosts[number], "ledger", EVENT_MS));
+	expect_served({0, 1, 2, 3, 4, 5, 6, 7}, "h");
+	const ToldCalls &told = all.stop();
+	expect_within_ms(told, DriveOptions().deadline_ms);
+	expect_true(read_ledger(fleet), told, false);
+	expect_all_true();
+}
+
+TEST_F(Pairs, PausedAndKilledNodesAndABackendServerTwiceOver)
+{
+	const struct {
+		std::vector<size_t> paused;
+		size_t killed, without_backend;
+	} rounds[] = {{{1, 2}, 3, 5}, {{4, 6}, 1, 7}};
+	Drive all(fleet, through({0}, "a"));
+
+	ASSERT_TRUE(all.wait_answered(100, EVENT_MS));
+	for (const auto &round : rounds) {
+		Host &killed = fleet.hosts[round.killed];
+		Host &bare = fleet.hosts[round.without_backend];
+
+		for (size_t number : round.paused)
+			fleet.hosts[number].node->signal(SIGSTOP);
+		killed.node->kill();
+		bare.backend->signal(SIGSTOP);
+		pause_ms(OUT_OF_CHOICE_MS);
+		expect_served({0}, "p" + std::to_string(round.killed) + "-");
+		int64_t version = put_accepted(0, 60 + (int)round.killed);
+		pause_ms(PAUSE_MS - OUT_OF_CHOICE_MS);
+		for (size_t number : round.paused)
+			fleet.hosts[number].node->signal(SIGCONT);
+		bare.backend->signal(SIGCONT);
+		fleet.start_node(killed);
+		expect_everywhere(version);
+		for (Host &host : fleet.hosts)
+			EXPECT_NO_THROW(fleet.wait_reaches(host, "ledger", EVENT_MS)) << host.name;
+		expect_served({0, 1, 2, 3, 4, 5, 6, 7}, "h" + std::to_string(round.killed) + "-");
+	}
+	expect_true(read_ledger(fleet), all.stop(), false);
+	expect_all_true();
+}
+
+TEST_F(Pairs, OperatorsRaceWhileAnswersAreLostAndTheLinkIsSilentThenCut)
+{
+	int64_t base = version_in_force(fleet.hosts[0]);
+
+	mode("lose-answers");
+	Fleet::control(*fleet.link, "{\"silence\":true}");
+	HttpAnswer lost = put_class(fleet.hosts[2], "purchase", 61, base, "south");
+	mode("up");
+	EXPECT_EQ(lost.status, 200) << lost.body;
+	expect_everywhere(number_in(lost, "version"));
+	base = number_in(lost, "version");
+	cut(true);
+	HttpAnswer north = put_class(fleet.hosts[0], "purchase", 62, base, "north");
+	HttpAnswer south = put_class(fleet.hosts[2], "purchase", 63, base, "south");
+	EXPECT_EQ(north.status, 200) << north.body;
+	EXPECT_NE(south.status, 200) << south.body;
+	mode("lose-answers");
+	cut(false);
+	south = put_class(fleet.hosts[3], "purchase", 64, base, "south");
+	EXPECT_EQ(south.status, 409) << south.body;
+	mode("up");
+	expect_everywhere(number_in(north, "version"));
+	expect_change(3);
+}
