Budget: every byte to and from the platform is charged

Cause: requests to the platform and its answers passed no budget, but for the bodies of configuration, and those as if none crossed a region link. Rosters of 36 KB were free.

Change: the platform's client charges each call in one place: connection, request, answer, headers of every segment. platform_region tells whether calls cross the link; unstated counts as crossing. Watches, lists and roster work wait over the budget (ERROR_BUDGET, back-off); an operator's change does not wait but is charged. Counters platform_sent and platform_received. Administration stays the operators' own account; design/platform.md says why.

Ruled out: paying with the whole rate (a new node would not probe for a minute or more); equal shares of the link (60 B/s for a watcher at 3,100 nodes).

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -34,7 +34,11 @@
 	X(PLATFORM_WATCHES_SILENT, "platform_watches_silent", "calls",                             \
 	  "watches replaced after silence")                                                        \
 	X(PLATFORM_BUDGET_WAITS, "platform_budget_waits", "waits",                                 \
-	  "platform calls put off by the call budget")                                             \
+	  "platform calls put off by the budget of calls or of bytes")                             \
+	X(PLATFORM_SENT, "platform_sent", "bytes",                                                 \
+	  "requests to the platform, headers and connections included")                            \
+	X(PLATFORM_RECEIVED, "platform_received", "bytes",                                         \
+	  "answers of the platform, headers included")                                             \
 	X(ROSTER_WRITES, "roster_writes", "writes", "accepted writes of the roster")               \
 	X(ROSTER_CONFLICTS, "roster_conflicts", "writes", "roster writes lost to another writer")  \
 	X(ROSTER_REJECTED, "roster_objects_rejected", "objects", "rosters that do not parse")      \
--- a/src/fescuemill/base/error.c
+++ b/src/fescuemill/base/error.c
@@ -33,6 +33,7 @@
 	[ERROR_UNREACHABLE] = {"unreachable", 17, 502},
 	[ERROR_TIMEOUT] = {"timeout", 18, 504},
 	[ERROR_STATE] = {"state", 19, 409},
+	[ERROR_BUDGET] = {"budget", 20, 503},
 };
 
 /* Records a failure: its kind, the system's error number or 0, the function, and a detail text
--- a/src/fescuemill/base/error.h
+++ b/src/fescuemill/base/error.h
@@ -27,6 +27,7 @@
 	ERROR_UNREACHABLE, /* the peer cannot be reached */
 	ERROR_TIMEOUT,	   /* no answer in time */
 	ERROR_STATE,	   /* not possible in the present state */
+	ERROR_BUDGET,	   /* not sent: the byte budget of measuring is spent; try later */
 	ERROR_KIND_COUNT,
 };
 
--- a/src/fescuemill/decide/budget.h
+++ b/src/fescuemill/decide/budget.h
@@ -17,6 +17,7 @@
 	uint64_t rate_bytes_per_s;
 	int64_t burst_bytes;
 	double tokens_bytes;
+	double owed_bytes; /* charged beyond the bounded debt */
 	uint64_t refilled_us;
 	uint64_t spent_bytes;
 	uint64_t refused_bytes;
@@ -30,8 +31,10 @@
 
 void budget_init(struct budget *bud, uint64_t node_bytes_per_s, uint64_t link_bytes_per_s,
 		 uint64_t now_us);
-void budget_share_link(struct budget *bud, uint32_t nodes);
+void budget_share_link(struct budget *bud, uint32_t nodes, uint32_t watchers, bool is_watcher);
 bool budget_take(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
+bool budget_take_settled(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
 void budget_charge(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
+void budget_charge_whole(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
 
 #endif
--- a/src/fescuemill/fleet/keeper.c
+++ b/src/fescuemill/fleet/keeper.c
@@ -70,6 +70,15 @@
 		uv_timer_start(&keeper->timer, on_timer, wait_us / USEC_PER_MSEC + 1, 0);
 }
 
+/* Counts what failed at the platform; a call that waits for the byte budget did not. */
+static void count_failure(enum error_kind kind)
+{
+	if (kind == ERROR_CONFLICT)
+		counter_add(COUNTER_ROSTER_CONFLICTS, 1);
+	else if (kind != ERROR_BUDGET)
+		counter_add(COUNTER_PLATFORM_FAILURES, 1);
+}
+
 /* Checks again after a back-off, reading the roster first. */
 static void check_after_failure(struct keeper *keeper)
 {
@@ -207,9 +216,7 @@
 		return;
 	}
 	if (result->err.kind) {
-		counter_add(result->err.kind == ERROR_CONFLICT ? COUNTER_ROSTER_CONFLICTS
-							       : COUNTER_PLATFORM_FAILURES,
-			    1);
+		count_failure(result->err.kind);
 		check_after_failure(keeper);
 		return;
 	}
@@ -228,6 +235,7 @@
 		.kind = ROSTER_KIND,
 		.name = keeper->self.domain,
 		.version = keeper->version,
+		.can_wait = true,
 	};
 	struct error err;
 	char *json;
@@ -253,7 +261,7 @@
 		return;
 	}
 	if (result->err.kind && result->err.kind != ERROR_NOT_FOUND) {
-		counter_add(COUNTER_PLATFORM_FAILURES, 1);
+		count_failure(result->err.kind);
 		check_after_failure(keeper);
 		return;
 	}
@@ -273,7 +281,11 @@
 static void read_roster(struct keeper *keeper)
 {
 	struct platform_request request = {
-		.type = PLATFORM_GET, .kind = ROSTER_KIND, .name = keeper->self.domain};
+		.type = PLATFORM_GET,
+		.kind = ROSTER_KIND,
+		.name = keeper->self.domain,
+		.can_wait = true,
+	};
 
 	keeper->stage = KEEPER_READING;
 	platform_start(keeper->platform, &request, on_read, keeper);
--- a/src/fescuemill/fleet/roster.c
+++ b/src/fescuemill/fleet/roster.c
@@ -3,6 +3,7 @@
  */
 #include "fescuemill/fleet/roster.h"
 
+#include "fescuemill/fleet/config.h"
 #include "fescuemill/settings/value.h"
 
 #include <arpa/inet.h>
@@ -319,8 +320,9 @@
 	return changed;
 }
 
-/* Tells whether a node prunes the roster of its failure domain. */
+/* Tells whether a node prunes the roster of its failure domain. The watchers of the configuration
+ * do, because a part of the link's budget is set aside for them. */
 bool roster_is_writer(const struct member_table *members, const struct member *self)
 {
-	return member_is_chosen(members, self, ROSTER_KIND, ROSTER_WRITERS);
+	return config_is_watcher(members, self);
 }
--- a/src/fescuemill/http/fetch.c
+++ b/src/fescuemill/http/fetch.c
@@ -130,12 +130,12 @@
 
 	(void)minor_version;
 	(void)msg;
-	(void)header_size;
 	if (errstr && errstr != h2o_http1client_error_is_eos) {
 		finish_error(fetch, ERROR_UNREACHABLE, errstr);
 		return NULL;
 	}
 	fetch->result.status = status;
+	fetch->result.head_size = header_size > 0 ? (size_t)header_size : 0;
 	for (size_t i = 0; i < header_count; i++)
 		keep_header(fetch, &headers[i]);
 	if (errstr) {
@@ -173,14 +173,29 @@
 	cancel(timer->data, ERROR_TIMEOUT, "no answer in time");
 }
 
+/* Writes the head of a request; returns its size, which may be over that of the buffer. */
+static int write_head(char *head, size_t size, const struct fetch_request *request)
+{
+	return snprintf(head, size,
+			"%s %s HTTP/1.1\r\nhost: node\r\nconnection: close\r\n%s"
+			"content-length: %zu\r\n\r\n",
+			request->method, request->path, request->headers ? request->headers : "",
+			request->body_size);
+}
+
+/* Gives the bytes of head and body. */
+size_t fetch_request_size(const struct fetch_request *request)
+{
+	char head[HEAD_BYTES];
+	int size = write_head(head, sizeof(head), request);
+
+	return (size > 0 ? (size_t)size : 0) + request->body_size;
+}
+
 /* Prepares the buffers that are sent. Errors: ERROR_MEMORY, ERROR_TOO_LARGE. */
 static int prepare(struct fetch *fetch, const struct fetch_request *request, struct error *err)
 {
-	int used = snprintf(fetch->head, HEAD_BYTES,
-			    "%s %s HTTP/1.1\r\nhost: node\r\nconnection: close\r\n%s"
-			    "content-length: %zu\r\n\r\n",
-			    request->method, request->path,
-			    request->headers ? request->headers : "", request->body_size);
+	int used = write_head(fetch->head, HEAD_BYTES, request);
 
 	if (used < 0 || used >= HEAD_BYTES)
 		return error_set(err, ERROR_TOO_LARGE, "path and headers over %d bytes",
--- a/src/fescuemill/http/fetch.h
+++ b/src/fescuemill/http/fetch.h
@@ -31,6 +31,7 @@
 struct fetch_result {
 	struct error err; /* a whole answer of any status is no error */
 	bool sent;	  /* the request was handed to a connection */
+	size_t head_size; /* bytes of the answer's status line and headers */
 	int status;
 	const char *body;
 	size_t body_size;
@@ -44,6 +45,8 @@
 int fetcher_open(struct fetcher **out, uv_loop_t *loop, struct error *err);
 /* Ends all requests that run with ERROR_STATE, and frees the fetcher once the loop ran. */
 void fetcher_close(struct fetcher *fetcher);
+/* Gives the bytes that a request puts on its connection. */
+size_t fetch_request_size(const struct fetch_request *request);
 /* Calls done exactly once, after this has returned. Errors: ERROR_MEMORY, ERROR_TOO_LARGE for the
  * path and headers; done is then not called. */
 int fetch_start(struct fetcher *fetcher, const struct fetch_request *request, fetch_done_fn done,
--- a/src/fescuemill/platform/client.c
+++ b/src/fescuemill/platform/client.c
@@ -1,11 +1,14 @@
 /*
  * Client: platform calls over HTTP. Calls are rare, so each has a connection of its own, and one
- * that goes silent can hold up only its own call, until its time-out.
+ * that goes silent can hold up only its own call, until its time-out. Every call passes the byte
+ * budget of measuring here and nowhere else.
  */
 #include "fescuemill/platform/client.h"
 
+#include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/http/fetch.h"
+#include "fescuemill/platform/cost.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -29,6 +32,8 @@
 	uint32_t endpoint; /* the one in use */
 	struct endpoint endpoints[PLATFORM_ENDPOINTS_MAX];
 	uint32_t timeout_ms;
+	struct budget *budget;
+	bool crosses_link;
 	uint32_t calls; /* that run */
 	bool closed;
 };
@@ -95,6 +100,34 @@
 			  platform_call_name(call->type));
 }
 
+/* Charges what came back, whole or not. */
+static void charge_answer(const struct platform_client *client, const struct fetch_result *answer)
+{
+	uint32_t bytes = cost_of_payload(answer->head_size + answer->body_size);
+
+	budget_charge_whole(client->budget, bytes, client->crosses_link, clock_monotonic_us());
+	counter_add(COUNTER_PLATFORM_RECEIVED, bytes);
+}
+
+/* Charges a request, or tells that it has to wait. A watch may go while an earlier answer is still
+ * being paid off: it keeps the configuration current and costs little. */
+static bool charge_request(const struct platform_client *client,
+			   const struct platform_request *request, uint32_t bytes)
+{
+	uint64_t now_us = clock_monotonic_us();
+	bool admitted = true;
+
+	if (!request->can_wait)
+		budget_charge_whole(client->budget, bytes, client->crosses_link, now_us);
+	else if (request->type == PLATFORM_WATCH)
+		admitted = budget_take(client->budget, bytes, client->crosses_link, now_us);
+	else
+		admitted = budget_take_settled(client->budget, bytes, client->crosses_link, now_us);
+	counter_add(admitted ? COUNTER_PLATFORM_SENT : COUNTER_PLATFORM_BUDGET_WAITS,
+		    admitted ? bytes : 1);
+	return admitted;
+}
+
 static void on_fetched(void *user, const struct fetch_result *answer)
 {
 	struct client_call *call = user;
@@ -102,6 +135,7 @@
 	struct platform_result result = {0};
 	bool lost;
 
+	charge_answer(client, answer);
 	if (answer->err.kind)
 		error_set(&result.err, answer->err.kind, "platform %s: %.100s",
 			  platform_call_name(call->type), answer->err.detail);
@@ -176,7 +210,7 @@
 	done(user, &result);
 }
 
-/* Sends a call whose request was found to be in order. Errors: ERROR_MEMORY. */
+/* Sends a call whose request was found to be in order. Errors: ERROR_MEMORY, ERROR_BUDGET. */
 static int send_call(struct platform_client *client, const struct platform_request *request,
 		     struct client_call *call, struct error *err)
 {
@@ -196,6 +230,8 @@
 	};
 
 	write_head(request, path, headers);
+	if (!charge_request(client, request, cost_of_request(fetch_request_size(&fetch))))
+		return error_set(err, ERROR_BUDGET, "the byte budget of measuring is spent");
 	return fetch_start(client->fetcher, &fetch, on_fetched, call, err);
 }
 
@@ -235,7 +271,7 @@
 
 /* Opens a client for the endpoints in the settings. Errors: ERROR_MEMORY. */
 int platform_client_open(struct platform_client **out, uv_loop_t *loop,
-			 const struct settings *settings, struct error *err)
+			 const struct settings *settings, struct budget *budget, struct error *err)
 {
 	struct platform_client *client = calloc(1, sizeof(*client));
 
@@ -249,6 +285,9 @@
 	client->endpoint_count = settings->platform_count;
 	memcpy(client->endpoints, settings->platform, sizeof(client->endpoints));
 	client->timeout_ms = settings->platform_timeout_ms;
+	client->budget = budget;
+	/* A region that is not stated counts as another one, so that no link is overspent. */
+	client->crosses_link = strcmp(settings->platform_region, settings->region) != 0;
 	*out = client;
 	return 0;
 }
@@ -259,6 +298,12 @@
 	return &client->interface;
 }
 
+/* Tells whether calls count as crossing the link between regions. */
+bool platform_client_crosses_link(const struct platform_client *client)
+{
+	return client->crosses_link;
+}
+
 /* Ends all calls that run with ERROR_STATE, and frees the client. */
 void platform_client_close(struct platform_client *client)
 {
--- a/src/fescuemill/platform/follow.c
+++ b/src/fescuemill/platform/follow.c
@@ -42,9 +42,14 @@
 	step(timer->data);
 }
 
-/* Takes the failure of a call; an outage is logged once. */
+/* Takes the failure of a call; an outage is logged once. A call that waits for the byte budget is
+ * no failure of the platform. */
 static void take_failure(struct follow *follow, const struct error *err)
 {
+	if (err->kind == ERROR_BUDGET) {
+		session_failed(&follow->session, clock_monotonic_us());
+		return;
+	}
 	counter_add(COUNTER_PLATFORM_FAILURES, 1);
 	if (follow->session.state == SESSION_WATCHING && err->kind == ERROR_TIMEOUT)
 		counter_add(COUNTER_PLATFORM_WATCHES_SILENT, 1);
@@ -94,6 +99,7 @@
 		.kind = follow->kind,
 		.version = action->after,
 		.wait_ms = action->wait_ms,
+		.can_wait = true,
 	};
 	struct follow_call *call = calloc(1, sizeof(*call));
 
--- a/src/fescuemill/platform/platform.h
+++ b/src/fescuemill/platform/platform.h
@@ -33,6 +33,7 @@
 	uint32_t wait_ms;  /* watch: how long the platform may hold the call */
 	const char *value; /* create, update: JSON text */
 	size_t value_size;
+	bool can_wait; /* not sent, ERROR_BUDGET, while the byte budget of measuring is spent */
 };
 
 /* The outcome of one call. */
--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -38,9 +38,10 @@
 	const char *help;
 };
 
-#define TEXT_RULE(field)                                                                           \
-	VALUE_TEXT, offsetof(struct settings, field), sizeof(((struct settings *)0)->field), 1,    \
+#define TEXT_RULE_FROM(low, field)                                                                 \
+	VALUE_TEXT, offsetof(struct settings, field), sizeof(((struct settings *)0)->field), low,  \
 		sizeof(((struct settings *)0)->field) - 1, "bytes"
+#define TEXT_RULE(field) TEXT_RULE_FROM(1, field)
 #define RULE(type, field, low, high, unit)                                                         \
 	type, offsetof(struct settings, field), 0, low, high, unit
 
@@ -73,6 +74,8 @@
 	 "port for gossip of other regions"},
 	{"platform", RULE(VALUE_PLATFORM, platform, 1, PLATFORM_ENDPOINTS_MAX, "entries"), NULL,
 	 "addresses of the platform's object API"},
+	{"platform_region", TEXT_RULE_FROM(0, platform_region), "",
+	 "region of the platform; calls to another region or an unstated one cross the link"},
 	{"log_level", RULE(VALUE_LOG_LEVEL, log_level, 0, 0, "error, warning, info, debug"), "info",
 	 "least severe level that is logged"},
 	{"choice_policy",
@@ -338,7 +341,7 @@
 
 	switch (rule->type) {
 	case VALUE_TEXT:
-		return value_text(value, field, rule->size, 1, err);
+		return value_text(value, field, rule->size, rule->lowest, err);
 	case VALUE_ENDPOINT:
 		return read_endpoint(value, field, err);
 	case VALUE_IP:
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -48,6 +48,7 @@
 	uint32_t external_gossip_port;
 	uint32_t platform_count;
 	struct endpoint platform[PLATFORM_ENDPOINTS_MAX];
+	char platform_region[REGION_NAME_BYTES]; /* empty: calls count as crossing the link */
 	enum log_level log_level;
 	enum choice_policy choice_policy;
 	uint32_t body_limit_bytes;
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -15,21 +15,52 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEYS_PERIOD_US (500 * USEC_PER_MSEC)
-
-/* Divides the budget of the link between regions among the nodes of this region. */
-static void share_link(struct node *node)
+#define KEYS_PERIOD_US		   (500 * USEC_PER_MSEC)
+#define REGION_FAILURE_DOMAINS_MAX 32 /* of one region that are told apart */
+
+/* The nodes and failure domains of this node's region. */
+struct region_census {
+	uint32_t nodes;
+	uint32_t domains;
+	const char *domain_names[REGION_FAILURE_DOMAINS_MAX];
+};
+
+/* Counts a failure domain once. */
+static void count_domain(struct region_census *census, const char *domain)
 {
-	uint32_t nodes = 0;
+	for (uint32_t i = 0; i < census->domains; i++) {
+		if (strcmp(census->domain_names[i], domain) == 0)
+			return;
+	}
+	if (census->domains < REGION_FAILURE_DOMAINS_MAX)
+		census->domain_names[census->domains++] = domain;
+}
 
+/* Counts what shares the region's link. */
+static void take_census(const struct node *node, struct region_census *census)
+{
+	memset(census, 0, sizeof(*census));
 	for (size_t i = 0; i < member_count(node->members); i++) {
 		const struct member *member = member_at(node->members, i);
 
-		if (member->state != MEMBER_DEAD &&
-		    strcmp(member->region, node->settings.region) == 0)
-			nodes++;
+		if (member->state == MEMBER_DEAD ||
+		    strcmp(member->region, node->settings.region) != 0)
+			continue;
+		census->nodes++;
+		count_domain(census, member->domain);
 	}
-	budget_share_link(&node->budget, nodes);
+}
+
+/* Divides the budget of the link between regions among the nodes of this region. */
+static void share_link(struct node *node)
+{
+	bool is_far = platform_client_crosses_link(node->platform);
+	struct region_census census;
+
+	take_census(node, &census);
+	budget_share_link(&node->budget, census.nodes,
+			  is_far ? census.domains * CONFIG_WATCHERS : 0,
+			  config_is_watcher(node->members, gossip_self(node->gossip)));
 }
 
 /* Sets the homes of keys at every change of members, and now and then: a gate whose view is old
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -203,8 +203,6 @@
 	struct node *node = user;
 	struct error err = {0};
 
-	budget_charge(&node->budget, (uint32_t)size + BUDGET_SEGMENT_HEADER_BYTES, false,
-		      clock_monotonic_us());
 	if (config_apply_batch(node->config, from, json, size, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG, "An answer was refused.", &err);
 }
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -104,7 +104,7 @@
 	struct session_limits limits = session_limits_for(
 		settings->platform_calls_per_minute, CONFIG_WATCHERS, settings->platform_watch_ms);
 
-	if (platform_client_open(&node->platform, &node->loop, settings, err) != 0)
+	if (platform_client_open(&node->platform, &node->loop, settings, &node->budget, err) != 0)
 		return -1;
 	platform = platform_client_interface(node->platform);
 	if (follow_open(&node->follow, &node->loop, platform, CONFIG_KIND, &limits, seed,
--- a/test/functional/support/admin_node.h
+++ b/test/functional/support/admin_node.h
@@ -112,7 +112,8 @@
 
 		ASSERT_EQ(0, config_open(&config, &err));
 		ASSERT_EQ(0, member_table_open(&members, &err));
-		ASSERT_EQ(0, platform_client_open(&client, &loop.loop, s.get(), &err));
+		budget_init(&budget, bytes_per_s, bytes_per_s, 1);
+		ASSERT_EQ(0, platform_client_open(&client, &loop.loop, s.get(), &budget, &err));
 		platform *platform = platform_client_interface(client);
 
 		ASSERT_EQ(0, follow_open(&follow, &loop.loop, platform, CONFIG_KIND, &limits, 1,
@@ -152,6 +153,9 @@
 
 	std::unique_ptr<settings> s = std::make_unique<settings>();
 	LoopThread &loop = LoopThread::shared();
+	// So much that nothing waits for it.
+	static constexpr uint64_t bytes_per_s = 1000000000;
+	struct budget budget;
 	platform_client *client = nullptr;
 	struct keeper *keeper = nullptr;
 	struct admin *admin = nullptr;
--- a/test/measure/rest.cc
+++ b/test/measure/rest.cc
@@ -36,6 +36,16 @@
 	return usage;
 }
 
+// Bytes of requests to and answers of the platform, by all nodes.
+double platform_bytes(const support::Fleet &fleet)
+{
+	double bytes = 0;
+
+	for (const support::Host &host : fleet.hosts)
+		bytes += counter(host, "platform_sent") + counter(host, "platform_received");
+	return bytes;
+}
+
 double platform_calls(const support::Fleet &fleet)
 {
 	support::Json stats = support::http_json(fleet.platform->port(), "GET", "/control/stats");
@@ -65,14 +75,16 @@
 	std::this_thread::sleep_for(std::chrono::seconds(std::max(12, nodes)));
 	Usage before = usage_of(fleet);
 	double calls = platform_calls(fleet);
+	double bytes = platform_bytes(fleet);
 	std::this_thread::sleep_for(std::chrono::seconds(seconds));
 	Usage after = usage_of(fleet);
 	double count = (double)fleet.hosts.size();
 
-	printf("%6.0f %14.4f %12.1f %14.0f %18.3f\n", count,
+	printf("%6.0f %14.4f %12.1f %14.0f %17.0f %18.3f\n", count,
 	       100 * (after.processor_s - before.processor_s) / count / (double)seconds,
 	       after.resident_bytes / count / 1e6,
 	       (after.control_bytes - before.control_bytes) / count / (double)seconds,
+	       (platform_bytes(fleet) - bytes) / count / (double)seconds,
 	       (platform_calls(fleet) - calls) / (double)seconds);
 	fflush(stdout);
 	fleet.stop();
@@ -87,8 +99,8 @@
 		std::cerr << "usage: measure-rest SECONDS (1 to 600) NODES...\n";
 		return 2;
 	}
-	printf("%6s %14s %12s %14s %18s\n", "nodes", "% of a core", "resident MB", "control B/s",
-	       "platform calls/s");
+	printf("%6s %14s %12s %14s %17s %18s\n", "nodes", "% of a core", "resident MB",
+	       "control B/s", "of it platform", "platform calls/s");
 	try {
 		for (int i = 2; i < argc; i++)
 			measure(std::atoi(argv[i]), seconds);
--- /dev/null
+++ b/test/unit/platform/client_test.cc
@@ -0,0 +1,213 @@
+// Unit tests of the platform client's byte budget, against a server that counts what it reads and
+// writes, on one loop.
+#include <arpa/inet.h>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <memory>
+#include <string>
+
+extern "C" {
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
+#include "fescuemill/platform/client.h"
+#include "fescuemill/platform/cost.h"
+}
+
+static const uint64_t rate = 7000;
+
+// Answers every request with the same text and closes.
+class CountingServer
+{
+      public:
+	explicit CountingServer(uv_loop_t *loop)
+	{
+		sockaddr_in address = {};
+		int size = sizeof(address);
+
+		uv_tcp_init(loop, &listener);
+		listener.data = this;
+		uv_ip4_addr("127.0.0.1", 0, &address);
+		uv_tcp_bind(&listener, (sockaddr *)&address, 0);
+		uv_listen((uv_stream_t *)&listener, 8, on_connection);
+		uv_tcp_getsockname(&listener, (sockaddr *)&address, &size);
+		port = ntohs(address.sin_port);
+	}
+
+	void set_body(const std::string &body)
+	{
+		answer = "HTTP/1.1 200 OK\r\nx-object-version: 3\r\nconnection: close\r\n"
+			 "content-length: " +
+			 std::to_string(body.size()) + "\r\n\r\n" + body;
+	}
+
+	void close()
+	{
+		uv_close((uv_handle_t *)&listener, nullptr);
+	}
+
+	uint16_t port = 0;
+	int connections = 0;
+	size_t read = 0;
+	std::string answer;
+
+      private:
+	struct Connection {
+		uv_tcp_t socket;
+		uv_write_t write;
+		CountingServer *server;
+		char buffer[4096];
+	};
+
+	static void on_connection(uv_stream_t *listener, int)
+	{
+		auto *self = static_cast<CountingServer *>(listener->data);
+		auto *connection = new Connection;
+
+		self->connections++;
+		connection->server = self;
+		uv_tcp_init(listener->loop, &connection->socket);
+		connection->socket.data = connection;
+		uv_accept(listener, (uv_stream_t *)&connection->socket);
+		uv_read_start((uv_stream_t *)&connection->socket, on_alloc, on_read);
+	}
+
+	static void on_alloc(uv_handle_t *handle, size_t, uv_buf_t *buf)
+	{
+		auto *connection = static_cast<Connection *>(handle->data);
+
+		*buf = uv_buf_init(connection->buffer, sizeof(connection->buffer));
+	}
+
+	// A request of these tests arrives in one piece.
+	static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *)
+	{
+		auto *connection = static_cast<Connection *>(stream->data);
+		std::string &text = connection->server->answer;
+		uv_buf_t buf = uv_buf_init(text.data(), (unsigned int)text.size());
+
+		if (size <= 0) {
+			uv_close((uv_handle_t *)stream, on_closed);
+			return;
+		}
+		connection->server->read += (size_t)size;
+		uv_write(&connection->write, stream, &buf, 1, nullptr);
+	}
+
+	static void on_closed(uv_handle_t *handle)
+	{
+		delete static_cast<Connection *>(handle->data);
+	}
+
+	uv_tcp_t listener;
+};
+
+class Client : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		uv_loop_init(&loop);
+		server = std::make_unique<CountingServer>(&loop);
+		server->set_body("{}");
+		strcpy(s->region, "south-island");
+		strcpy(s->platform_region, "south-island");
+		s->platform_count = 1;
+		s->platform[0] = {0x7f000001, server->port};
+		s->platform_timeout_ms = 2000;
+		budget_init(&budget, rate, rate, clock_monotonic_us());
+	}
+
+	void TearDown() override
+	{
+		platform_client_close(client);
+		server->close();
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(0, uv_loop_close(&loop));
+	}
+
+	// Makes one call and waits for its end; gives the kind of its error.
+	error_kind call(bool can_wait, platform_call_type type = PLATFORM_GET)
+	{
+		platform_request request = {};
+		int kind = -1;
+
+		if (!client)
+			platform_client_open(&client, &loop, s.get(), &budget, nullptr);
+		request.type = type;
+		request.kind = "service";
+		request.name = "ledger";
+		request.can_wait = can_wait;
+		platform_start(
+			platform_client_interface(client), &request,
+			[](void *user, const platform_result *result) {
+				*static_cast<int *>(user) = result->err.kind;
+			},
+			&kind);
+		while (kind < 0)
+			uv_run(&loop, UV_RUN_ONCE);
+		return (error_kind)kind;
+	}
+
+	void spend_all()
+	{
+		budget_charge_whole(&budget, 100 * rate, true, clock_monotonic_us());
+	}
+
+	uv_loop_t loop;
+	std::unique_ptr<settings> s = std::make_unique<settings>();
+	std::unique_ptr<CountingServer> server;
+	struct budget budget;
+	platform_client *client = nullptr;
+};
+
+TEST_F(Client, EveryByteOfRequestAndAnswerIsChargedWithItsHeaders)
+{
+	uint64_t sent = counter_get(COUNTER_PLATFORM_SENT);
+	uint64_t received = counter_get(COUNTER_PLATFORM_RECEIVED);
+
+	server->set_body(std::string(40000, ' '));
+	EXPECT_EQ(ERROR_NONE, call(true));
+	uint64_t request = cost_of_request(server->read);
+	uint64_t answer = cost_of_payload(server->answer.size());
+
+	EXPECT_EQ(request + answer, budget.node.spent_bytes);
+	EXPECT_EQ(request, counter_get(COUNTER_PLATFORM_SENT) - sent);
+	EXPECT_EQ(answer, counter_get(COUNTER_PLATFORM_RECEIVED) - received);
+	EXPECT_EQ(0U, budget.link.spent_bytes);
+	// The answer is more than the bounded debt takes.
+	EXPECT_GT(budget.node.owed_bytes, 0);
+}
+
+TEST_F(Client, CallsToAnotherRegionAreChargedToTheLink)
+{
+	strcpy(s->platform_region, "north-island");
+	EXPECT_EQ(ERROR_NONE, call(true));
+	EXPECT_GT(budget.link.spent_bytes, server->read + server->answer.size());
+}
+
+TEST_F(Client, ARegionThatIsNotStatedCountsAsAnother)
+{
+	s->platform_region[0] = '\0';
+	EXPECT_EQ(ERROR_NONE, call(true));
+	EXPECT_EQ(budget.node.spent_bytes, budget.link.spent_bytes);
+}
+
+TEST_F(Client, WhatCanWaitIsNotSentOverTheBudget)
+{
+	uint64_t waits = counter_get(COUNTER_PLATFORM_BUDGET_WAITS);
+
+	spend_all();
+	EXPECT_EQ(ERROR_BUDGET, call(true));
+	EXPECT_EQ(ERROR_BUDGET, call(true, PLATFORM_WATCH));
+	EXPECT_EQ(waits + 2, counter_get(COUNTER_PLATFORM_BUDGET_WAITS));
+	EXPECT_EQ(0, server->connections);
+}
+
+TEST_F(Client, AnOperatorsCallDoesNotWaitButIsCharged)
+{
+	spend_all();
+	uint64_t spent = budget.node.spent_bytes;
+
+	EXPECT_EQ(ERROR_NONE, call(false));
+	EXPECT_GT(budget.node.spent_bytes, spent + server->read + server->answer.size());
+}
