Platform session: its state follows its chart

Cause: charts/platform_session.json was loaded and walked by a test, but the session kept a state of its own.

Change: session.c moves by chart_next through unknown, current and backing_off. The chart loses two ends of calls that cannot come while backing off, and time_skipped is named outdated, since a store that went back and a follower switched on again are the same to it. New: after a failure the first watch does not wait, as the chart says; a second silent connection is found after the time-out of a call and not after a whole watch. It costs one call a failure. A call put off by the byte budget leaves the state alone. follow_open loads the charts.

Test: OffMakesNoCall checked the state SESSION_OFF, which is gone; it now checks that no call is made in an hour and the state that is left. ItsStateFollowsTheChartThroughAnOutage walks down, back-off, silent watch, recovery, pause and another store; with retry_due leading to current in the chart it failed: state 1 in place of 0, wait 25000 in place of 0. It passes; unit-chart, unit-keeper, functional-configuration, -failure_platform and -admin pass.

--- a/src/fescuemill/chart/chart_data.c
+++ b/src/fescuemill/chart/chart_data.c
@@ -81,9 +81,9 @@
 		" \"initial\": \"unknown\",\n"
 		" \"final\": [],\n"
 		" \"states\": {\n"
-		"  \"unknown\": {\"answered\": \"current\", \"failed\": \"backing_off\", \"time_skipped\": \"unknown\"},\n"
-		"  \"current\": {\"answered\": \"current\", \"failed\": \"backing_off\", \"time_skipped\": \"unknown\"},\n"
-		"  \"backing_off\": {\"answered\": \"current\", \"failed\": \"backing_off\", \"time_skipped\": \"backing_off\", \"retry_due\": \"unknown\"}\n"
+		"  \"unknown\": {\"answered\": \"current\", \"failed\": \"backing_off\", \"outdated\": \"unknown\"},\n"
+		"  \"current\": {\"answered\": \"current\", \"failed\": \"backing_off\", \"outdated\": \"unknown\"},\n"
+		"  \"backing_off\": {\"outdated\": \"backing_off\", \"retry_due\": \"unknown\"}\n"
 		" }\n"
 		"}\n"
 	,
--- a/src/fescuemill/chart/chart_defs.h
+++ b/src/fescuemill/chart/chart_defs.h
@@ -80,14 +80,14 @@
 	X(NODE_INPUT_IDLE, "idle")
 
 #define PLATFORM_SESSION_STATES(X)                                                                 \
-	X(PLATFORM_SESSION_UNKNOWN, "unknown")                                                     \
-	X(PLATFORM_SESSION_CURRENT, "current")                                                     \
+	X(PLATFORM_SESSION_UNKNOWN, "unknown") /* asks without waiting for something new */        \
+	X(PLATFORM_SESSION_CURRENT, "current") /* watches on from the version reached */           \
 	X(PLATFORM_SESSION_BACKING_OFF, "backing_off")
 
 #define PLATFORM_SESSION_INPUTS(X)                                                                 \
 	X(PLATFORM_SESSION_INPUT_ANSWERED, "answered")                                             \
 	X(PLATFORM_SESSION_INPUT_FAILED, "failed")                                                 \
-	X(PLATFORM_SESSION_INPUT_TIME_SKIPPED, "time_skipped")                                     \
+	X(PLATFORM_SESSION_INPUT_OUTDATED, "outdated") /* what is known may be old */              \
 	X(PLATFORM_SESSION_INPUT_RETRY, "retry_due")
 
 /* Every chart: symbol, file name, lists of states and events. */
--- a/src/fescuemill/platform/follow.c
+++ b/src/fescuemill/platform/follow.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
+#include "fescuemill/chart/chart.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -47,11 +48,11 @@
 static void take_failure(struct follow *follow, const struct error *err)
 {
 	if (err->kind == ERROR_BUDGET) {
-		session_failed(&follow->session, clock_monotonic_us());
+		session_put_off(&follow->session, clock_monotonic_us());
 		return;
 	}
 	counter_add(COUNTER_PLATFORM_FAILURES, 1);
-	if (follow->session.state == SESSION_WATCHING && err->kind == ERROR_TIMEOUT)
+	if (!follow->session.list_needed && err->kind == ERROR_TIMEOUT)
 		counter_add(COUNTER_PLATFORM_WATCHES_SILENT, 1);
 	if (!follow->failing)
 		log_failure(LOG_WARNING, LOG_PART_PLATFORM,
@@ -143,13 +144,16 @@
 	}
 }
 
-/* Opens a follow that is off. Errors: ERROR_MEMORY. */
+/* Opens a follow that is off. Errors: ERROR_MEMORY, those of charts_load(). */
 int follow_open(struct follow **out, uv_loop_t *loop, struct platform *platform, const char *kind,
 		const struct session_limits *limits, uint64_t seed, follow_batch_fn fn, void *user,
 		struct error *err)
 {
-	struct follow *follow = calloc(1, sizeof(*follow));
+	struct follow *follow;
 
+	if (charts_load(err) != 0)
+		return -1;
+	follow = calloc(1, sizeof(*follow));
 	if (!follow)
 		return error_set(err, ERROR_MEMORY, "no memory to follow %s", kind);
 	follow->platform = platform;
--- a/src/fescuemill/platform/session.c
+++ b/src/fescuemill/platform/session.c
@@ -5,6 +5,7 @@
 #include "fescuemill/platform/session.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/chart/chart.h"
 
 #include <string.h>
 
@@ -12,12 +13,23 @@
 #define SECONDS_PER_MINUTE 60.0
 #define BACKOFF_SHIFT_MAX  16U
 
+/* Moves the session along its chart; an input that the present state does not take, as the late
+ * end of a call that was given up, changes nothing. */
+static void session_move(struct session *session, enum platform_session_input input)
+{
+	uint32_t next;
+
+	if (chart_next(CHART_PLATFORM_SESSION, session->state, input, &next, NULL) == 0)
+		session->state = next;
+}
+
 /* Starts a session that is off and has nothing. */
 void session_init(struct session *session, const struct session_limits *limits, uint64_t seed,
 		  uint64_t now_us)
 {
 	memset(session, 0, sizeof(*session));
 	session->limits = *limits;
+	session->state = PLATFORM_SESSION_UNKNOWN;
 	session->list_needed = true;
 	session->tokens = BURST_CALLS;
 	session->tokens_at_us = now_us;
@@ -28,7 +40,7 @@
 void session_set_on(struct session *session, bool on)
 {
 	if (on && !session->on)
-		session->fresh_needed = true;
+		session_move(session, PLATFORM_SESSION_INPUT_OUTDATED);
 	session->on = on;
 }
 
@@ -36,7 +48,7 @@
  * that runs, whose answer no longer counts. */
 void session_refresh(struct session *session)
 {
-	session->fresh_needed = true;
+	session_move(session, PLATFORM_SESSION_INPUT_OUTDATED);
 	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
@@ -67,15 +79,10 @@
 {
 	struct session_action action = {.type = SESSION_DO_NOTHING};
 
-	if (session->in_call)
+	if (session->in_call || !session->on)
 		return action;
-	if (!session->on) {
-		session->state = SESSION_OFF;
-		return action;
-	}
 	fill_tokens(session, now_us);
 	if (now_us < session->not_before_us || session->tokens < 1.0) {
-		session->state = SESSION_WAITING;
 		action.type = SESSION_DO_WAIT;
 		action.over_budget = now_us >= session->not_before_us;
 		action.wait_until_us = action.over_budget ? now_us + token_wait_us(session)
@@ -84,10 +91,10 @@
 	}
 	session->tokens -= 1.0;
 	session->in_call = true;
-	session->state = session->list_needed ? SESSION_LISTING : SESSION_WATCHING;
+	session_move(session, PLATFORM_SESSION_INPUT_RETRY);
 	action.type = session->list_needed ? SESSION_DO_LIST : SESSION_DO_WATCH;
 	action.after = session->list_needed ? 0 : session->version;
-	action.wait_ms = session->fresh_needed ? 0 : session->limits.watch_ms;
+	action.wait_ms = session->state == PLATFORM_SESSION_CURRENT ? session->limits.watch_ms : 0;
 	return action;
 }
 
@@ -97,9 +104,11 @@
 	session->in_call = false;
 	session->failures = 0;
 	session->not_before_us = 0;
-	session->fresh_needed = false;
+	session_move(session, PLATFORM_SESSION_INPUT_ANSWERED);
 	/* A store that went back was replaced: only a list tells what it holds. */
-	session->list_needed = session->state == SESSION_WATCHING && version < session->version;
+	session->list_needed = !session->list_needed && version < session->version;
+	if (session->list_needed)
+		session_move(session, PLATFORM_SESSION_INPUT_OUTDATED);
 	session->version = version;
 }
 
@@ -116,8 +125,8 @@
 	return wait / 2 + (uint64_t)(random_unit(rng) * (double)wait / 2);
 }
 
-/* Takes the end of a call that failed or whose answer was not understood. */
-void session_failed(struct session *session, uint64_t now_us)
+/* Takes the end of a call that was not sent and has to be made later; what is known stays known. */
+void session_put_off(struct session *session, uint64_t now_us)
 {
 	uint64_t backoff = session_backoff_us(&session->limits, session->failures, &session->rng);
 
@@ -126,6 +135,13 @@
 	session->not_before_us = now_us + backoff;
 }
 
+/* Takes the end of a call that failed or whose answer was not understood. */
+void session_failed(struct session *session, uint64_t now_us)
+{
+	session_move(session, PLATFORM_SESSION_INPUT_FAILED);
+	session_put_off(session, now_us);
+}
+
 /* Gives the limits of a session: the failure domain's calls are shared by the nodes that may call
  * at the same time and by the sessions of a node. */
 struct session_limits session_limits_for(uint32_t domain_calls_per_minute, uint32_t sharing_nodes,
--- a/src/fescuemill/platform/session.h
+++ b/src/fescuemill/platform/session.h
@@ -6,6 +6,7 @@
 #define FESCUEMILL_PLATFORM_SESSION_H
 
 #include "fescuemill/base/random.h"
+#include "fescuemill/chart/chart_defs.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -21,20 +22,13 @@
 	uint32_t watch_ms;
 };
 
-enum session_state {
-	SESSION_OFF,
-	SESSION_LISTING,
-	SESSION_WATCHING,
-	SESSION_WAITING, /* for the end of a back-off or for the call budget */
-};
-
+/* The state follows charts/platform_session.json, which charts_load() must have read. */
 struct session {
 	struct session_limits limits;
-	enum session_state state;
+	uint32_t state; /* enum platform_session_state */
 	bool on;
 	bool in_call;
 	bool list_needed;
-	bool fresh_needed; /* the next watch must not wait */
 	uint64_t version;
 	uint32_t failures; /* in a row */
 	uint64_t not_before_us;
@@ -69,5 +63,6 @@
 struct session_action session_next(struct session *session, uint64_t now_us);
 void session_succeeded(struct session *session, uint64_t version);
 void session_failed(struct session *session, uint64_t now_us);
+void session_put_off(struct session *session, uint64_t now_us);
 
 #endif
