Configuration pull: tickets start at the incarnation

Cause: the store's tickets began at 1 with each process, so an answer to a question of the process before carried the ticket of the new one and made it ready with what had been accepted before the restart. Each question has a connection of its own, so that such an answer could hardly arrive, but the store should not rest on that.

Ruled out: a random start, which is right only with high probability, while an incarnation is never reused.

Test: AnAnswerToAFormerProcessDoesNotMakeReady, with as many pauses before the restart as after it.

--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -39,12 +39,12 @@
 };
 
 /* Opens an empty store, which is not ready. Errors: ERROR_MEMORY. */
-int config_open(struct config_store **out, struct error *err)
+int config_open(struct config_store **out, uint64_t first_ticket, struct error *err)
 {
 	*out = calloc(1, sizeof(**out));
 	if (!*out)
 		return error_set(err, ERROR_MEMORY, "no memory for the configuration store");
-	(*out)->ticket = 1;
+	(*out)->ticket = first_ticket;
 	return 0;
 }
 
@@ -459,7 +459,7 @@
 	counter_set(COUNTER_CONFIG_READY, 0);
 }
 
-/* Gives the ticket of a pull, which its answer must carry to count after a pause. */
+/* Gives the ticket of a pull, which its answer must carry to count after a pause or a restart. */
 uint64_t config_ticket(const struct config_store *store)
 {
 	return store->ticket;
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -17,7 +17,9 @@
 
 struct config_store;
 
-int config_open(struct config_store **out, struct error *err);
+/* Tickets rise from the first one, which must be above those of the node's earlier processes: its
+ * incarnation is. */
+int config_open(struct config_store **out, uint64_t first_ticket, struct error *err);
 void config_close(struct config_store *store);
 
 /* The configuration in force, or NULL. Valid until the store is next changed. */
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -175,7 +175,8 @@
 int node_open_parts(struct node *node, struct error *err)
 {
 	init_self(node);
-	if (charts_load(err) != 0 || config_open(&node->config, err) != 0)
+	if (charts_load(err) != 0 ||
+	    config_open(&node->config, node->self.life.incarnation, err) != 0)
 		return -1;
 	if (member_table_open(&node->members, err) != 0 ||
 	    burn_open(&node->burn, clock_monotonic_us(), err) != 0)
--- a/test/functional/support/admin_node.h
+++ b/test/functional/support/admin_node.h
@@ -110,7 +110,7 @@
 		admin_node node = {};
 		error err;
 
-		ASSERT_EQ(0, config_open(&config, &err));
+		ASSERT_EQ(0, config_open(&config, 1, &err));
 		ASSERT_EQ(0, member_table_open(&members, &err));
 		budget_init(&budget, bytes_per_s, bytes_per_s, 1);
 		ASSERT_EQ(0, platform_client_open(&client, &loop.loop, s.get(), &budget, &err));
--- a/test/property/config_property_test.cc
+++ b/test/property/config_property_test.cc
@@ -117,7 +117,10 @@
 
 	Node()
 	{
-		config_open(&store, nullptr);
+		static uint64_t incarnation;
+
+		// As in a node: the time of the start, in microseconds.
+		config_open(&store, ++incarnation * 1000000, nullptr);
 	}
 	~Node()
 	{
@@ -403,3 +406,27 @@
 	world.deliver(late);
 	RC_ASSERT(!config_is_ready(world.nodes[1]->store));
 }
+
+// Nor may an answer to a question of the process before: a peer may send it late.
+RC_GTEST_PROP(Config, AnAnswerToAFormerProcessDoesNotMakeReady, ())
+{
+	World world;
+	int pauses = *rc::gen::inRange(0, 4);
+
+	world.ask_platform(0, true);
+	world.deliver(world.messages.back());
+	for (int i = 0; i < pauses; i++)
+		world.pause(1);
+	world.ask_peer(1, 0);
+	Message late = world.messages.back();
+
+	world.truth.write(0, Truth::VALID);
+	world.restart(1);
+	for (int i = 0; i < pauses; i++)
+		world.pause(1);
+	world.deliver(late);
+	RC_ASSERT(!config_is_ready(world.nodes[1]->store));
+	world.ask_peer(1, 0);
+	world.deliver(world.messages.back());
+	RC_ASSERT(config_is_ready(world.nodes[1]->store));
+}
--- a/test/unit/fleet/config_test.cc
+++ b/test/unit/fleet/config_test.cc
@@ -33,7 +33,7 @@
 	Store()
 	{
 		log_set_level(LOG_ERROR);
-		config_open(&store, nullptr);
+		config_open(&store, 1, nullptr);
 	}
 	~Store()
 	{
