--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -104,7 +104,7 @@
 	struct session_limits limits = session_limits_for(
 		settings->platform_calls_per_minute, CONFIG_WATCHERS, settings->platform_watch_ms);
 
-	if (platform_client_open(&node->platform, &node->loop, settings, err) != 0)
+	if (platform_client_open(&node->platform, &node->loop, settings, &node->budget, err) != 0)
 		return -1;
 	platform = platform_client_interface(node->platform);
 	if (follow_open(&node->follow, &node->loop, platform, CONFIG_KIND, &limits, seed,
@@ -175,7 +175,8 @@
 int node_open_parts(struct node *node, struct error *err)
 {
 	init_self(node);
-	if (charts_load(err) != 0 || config_open(&node->config, err) != 0)
+	if (charts_load(err) != 0 ||
+	    config_open(&node->config, node->self.life.incarnation, err) != 0)
 		return -1;
 	if (member_table_open(&node->members, err) != 0 ||
 	    burn_open(&node->burn, clock_monotonic_us(), err) != 0)
