Gate: verdicts are queued, a failed start no longer nests the next

Cause: start_run -> gate_finish -> run_admission -> report_verdict -> start_run: when starts fail at once, each freed slot started the next attempt one level deeper, with a list of actions of 4 KB on each level.

Ruled out: a smaller list of actions (the depth stays); starting runs on the next turn of the loop (adds a turn to every call's latency).

Change: gate_admission.c holds what carries admission out. Verdicts are linked through the attempts in admission's order; the outermost gate_admission_carry_out works them off.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -26,7 +26,8 @@
 	string(REGEX REPLACE "_test$" "" module ${module})
 	set(name ${kind}-${module})
 	add_executable(${name} ${source})
-	target_link_libraries(${name} PRIVATE fescue_load_parts fescue_report_parts fescuemill
+	target_link_libraries(${name} PRIVATE fescuemilld_parts fescue_load_parts
+		fescue_report_parts fescuemill
 		GTest::gtest_main rapidcheck)
 	add_test(NAME ${name} COMMAND ${name})
 	set_tests_properties(${name} PROPERTIES TIMEOUT ${timeout_s}
--- /dev/null
+++ b/src/fescuemilld/gate_admission.c
@@ -0,0 +1,150 @@
+/*
+ * Gate admission: passes attempts to admission and carries out its verdicts.
+ */
+#include "fescuemilld/gate_admission.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemilld/gate_attempt.h"
+#include "fescuemilld/gate_key.h"
+
+#include <string.h>
+
+static const struct origin no_origin = {NULL, NULL};
+
+/* Starts admission without a backend server. */
+void gate_admission_init(struct gate_shell *shell)
+{
+	gate_init(&shell->admission, clock_monotonic_us());
+	h2o_linklist_init_anchor(&shell->verdicts);
+}
+
+/* Takes an attempt's verdict out of the queue. */
+static void unlink_verdict(struct gate_attempt *attempt)
+{
+	if (h2o_linklist_is_linked(&attempt->verdict_link))
+		h2o_linklist_unlink(&attempt->verdict_link);
+}
+
+/* Queues a verdict. A later one about the same attempt replaces an earlier one. */
+void gate_admission_decide(struct gate_attempt *attempt, struct gate_verdict verdict)
+{
+	unlink_verdict(attempt);
+	attempt->verdict = verdict;
+	h2o_linklist_insert(&attempt->shell->verdicts, &attempt->verdict_link);
+}
+
+/* Queues admission's verdicts. */
+static void queue_verdicts(const struct gate_actions *actions)
+{
+	for (uint32_t i = 0; i < actions->count; i++)
+		gate_admission_decide(actions->list[i].ticket->owner, actions->list[i].verdict);
+}
+
+/* Offers an attempt. */
+void gate_admission_offer(struct gate_attempt *attempt)
+{
+	struct gate_shell *shell = attempt->shell;
+	struct gate_actions actions;
+	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
+	uint32_t class_index =
+		(uint32_t)gate_find_class(&shell->admission, attempt->call.class_name);
+
+	actions.count = 0;
+	if (strcmp(attempt->call.service, shell->backend.service) == 0)
+		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
+				     attempt->deadline_us, attempt->offered_us, &actions);
+	if (verdict.kind != GATE_WAIT)
+		gate_admission_decide(attempt, verdict);
+	queue_verdicts(&actions);
+}
+
+/* Gives the slot of an attempt that ran, or could not be started, to the next. */
+void gate_admission_finish(struct gate_attempt *attempt, enum gate_result result)
+{
+	struct gate_actions actions;
+
+	gate_finish(&attempt->shell->admission, &attempt->ticket, result, clock_monotonic_us(),
+		    &actions);
+	queue_verdicts(&actions);
+}
+
+/* Gives up the slot or the queue place of an attempt. */
+void gate_admission_cancel(struct gate_attempt *attempt)
+{
+	struct gate_actions actions;
+
+	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
+	unlink_verdict(attempt);
+	queue_verdicts(&actions);
+}
+
+/* Passes a verdict about an attempt to the table. */
+static void report_verdict(struct gate_attempt *attempt)
+{
+	struct attempt_gate_event event;
+
+	switch (attempt->verdict.kind) {
+	case GATE_START:
+		event = gate_shell_event(GATE_EVENT_ADMITTED, &attempt->id);
+		gate_shell_step(attempt->shell, &event, &no_origin);
+		break;
+	case GATE_REFUSE:
+		event = gate_shell_event(GATE_EVENT_REFUSED, &attempt->id);
+		event.refused.reason = attempt->verdict.reason;
+		gate_shell_step(attempt->shell, &event, &no_origin);
+		gate_key_finished(attempt, OUTCOME_NOT_RUN, 0);
+		gate_attempt_release_request(attempt);
+		break;
+	case GATE_WAIT:
+		break;
+	}
+}
+
+/* Works off the queue in its order, with what is added meanwhile. */
+void gate_admission_carry_out(struct gate_shell *shell)
+{
+	if (shell->is_carrying_out)
+		return;
+	shell->is_carrying_out = true;
+	while (!h2o_linklist_is_empty(&shell->verdicts)) {
+		struct gate_attempt *attempt = H2O_STRUCT_FROM_MEMBER(
+			struct gate_attempt, verdict_link, shell->verdicts.next);
+
+		unlink_verdict(attempt);
+		report_verdict(attempt);
+	}
+	shell->is_carrying_out = false;
+}
+
+/* Lets time pass. */
+void gate_admission_tick(struct gate_shell *shell)
+{
+	struct gate_actions actions;
+
+	gate_tick(&shell->admission, clock_monotonic_us(), &actions);
+	queue_verdicts(&actions);
+	gate_admission_carry_out(shell);
+}
+
+/* Sets the state of the backend server. */
+void gate_admission_set_backend(struct gate_shell *shell, enum backend_state state)
+{
+	struct gate_actions actions;
+
+	gate_set_backend(&shell->admission, state, shell->backend.slots, clock_monotonic_us(),
+			 &actions);
+	queue_verdicts(&actions);
+	gate_admission_carry_out(shell);
+}
+
+/* Carries out the verdicts of another operation of admission. */
+void gate_admission_run(const struct gate_actions *actions)
+{
+	const struct gate_attempt *attempt;
+
+	if (actions->count == 0)
+		return;
+	attempt = actions->list[0].ticket->owner;
+	queue_verdicts(actions);
+	gate_admission_carry_out(attempt->shell);
+}
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -7,6 +7,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/share.h"
+#include "fescuemilld/gate_admission.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_key.h"
 #include "fescuemilld/gate_reply.h"
@@ -25,26 +26,22 @@
 
 static const struct origin no_origin = {NULL, NULL};
 
-static void run_step(struct gate_shell *shell, const struct attempt_gate_event *event,
-		     const struct origin *origin);
-static void run_admission(const struct gate_actions *actions);
-
 /* Frees an attempt that the table has forgotten. */
 static void end_attempt(struct gate_attempt *attempt)
 {
-	struct gate_actions actions;
+	struct gate_shell *shell = attempt->shell;
 
 	if (attempt->run)
 		backend_call_cancel(attempt->run);
 	gate_key_finished(attempt, OUTCOME_UNKNOWN, 0);
-	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
-	run_admission(&actions);
+	gate_admission_cancel(attempt);
 	gate_attempt_free(attempt);
+	gate_admission_carry_out(shell);
 }
 
 /* Starts an event about an attempt. */
-static struct attempt_gate_event event_about(enum attempt_gate_event_type type,
-					     const struct attempt_id *id)
+struct attempt_gate_event gate_shell_event(enum attempt_gate_event_type type,
+					   const struct attempt_id *id)
 {
 	struct attempt_gate_event event;
 
@@ -58,13 +55,13 @@
 static void report_finished(struct gate_attempt *attempt, enum call_outcome outcome,
 			    enum call_reason reason, uint64_t bytes)
 {
-	struct attempt_gate_event event = event_about(GATE_EVENT_FINISHED, &attempt->id);
+	struct attempt_gate_event event = gate_shell_event(GATE_EVENT_FINISHED, &attempt->id);
 
 	gate_key_finished(attempt, outcome, bytes);
 	event.finished.outcome = outcome;
 	event.finished.reason = reason;
 	event.finished.bytes = bytes;
-	run_step(attempt->shell, &event, &no_origin);
+	gate_shell_step(attempt->shell, &event, &no_origin);
 }
 
 /* Maps the end of a run to what admission learns from it. */
@@ -88,21 +85,19 @@
 {
 	struct gate_attempt *attempt = user;
 	struct gate_shell *shell = attempt->shell;
-	struct gate_actions actions;
 	enum call_reason reason;
 	enum call_outcome outcome = backend_end_outcome(answer->end, &reason);
 	uint64_t bytes = 0;
 
 	attempt->run = NULL;
-	gate_finish(&shell->admission, &attempt->ticket, result_of(answer), clock_monotonic_us(),
-		    &actions);
+	gate_admission_finish(attempt, result_of(answer));
 	if (outcome == OUTCOME_ANSWERED)
 		bytes = gate_attempt_keep(attempt, answer);
 	else
 		attempt->answer.server_us = answer->server_us;
 	gate_attempt_release_request(attempt);
 	report_finished(attempt, outcome, reason, bytes);
-	run_admission(&actions);
+	gate_admission_carry_out(shell);
 	if (answer->end == BACKEND_END_NOT_CONNECTED && shell->options.on_unreachable)
 		shell->options.on_unreachable(shell->options.user);
 }
@@ -111,7 +106,6 @@
 static void start_run(struct gate_attempt *attempt)
 {
 	struct gate_shell *shell = attempt->shell;
-	struct gate_actions actions;
 	struct error err = {0};
 	uint64_t now_us = clock_monotonic_us();
 	struct backend_request req = {.id = attempt->id, .call = &attempt->call};
@@ -129,77 +123,26 @@
 			       &err) == 0)
 		return;
 	log_failure(LOG_WARNING, LOG_PART_GATE, "A call could not be started.", &err);
-	gate_finish(&shell->admission, &attempt->ticket, GATE_RESULT_ERROR, now_us, &actions);
+	gate_admission_finish(attempt, GATE_RESULT_ERROR);
 	report_finished(attempt, OUTCOME_NOT_RUN, REASON_NO_BACKEND, 0);
-	run_admission(&actions);
 }
 
 /* Stops a running attempt, whose end must be reported. */
 static void cancel_run(struct gate_attempt *attempt)
 {
 	struct gate_shell *shell = attempt->shell;
-	struct gate_actions actions;
-	uint64_t now_us = clock_monotonic_us();
-	bool is_expired = now_us >= attempt->deadline_us;
+	bool is_expired = clock_monotonic_us() >= attempt->deadline_us;
 	enum call_reason reason = is_expired ? REASON_EXPIRED : REASON_CANCELLED;
 	bool begun = attempt->run && backend_call_cancel(attempt->run);
 
 	counter_add(COUNTER_GATE_CANCELLED, 1);
 	attempt->run = NULL;
 	if (is_expired)
-		gate_finish(&shell->admission, &attempt->ticket, GATE_RESULT_TIMEOUT, now_us,
-			    &actions);
+		gate_admission_finish(attempt, GATE_RESULT_TIMEOUT);
 	else
-		gate_cancel(&shell->admission, &attempt->ticket, now_us, &actions);
+		gate_admission_cancel(attempt);
 	report_finished(attempt, begun ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, reason, 0);
-	run_admission(&actions);
-}
-
-/* Passes admission's word about an attempt to the table. */
-static void report_verdict(struct gate_attempt *attempt, struct gate_verdict verdict)
-{
-	struct attempt_gate_event event;
-
-	switch (verdict.kind) {
-	case GATE_START:
-		event = event_about(GATE_EVENT_ADMITTED, &attempt->id);
-		break;
-	case GATE_REFUSE:
-		event = event_about(GATE_EVENT_REFUSED, &attempt->id);
-		event.refused.reason = verdict.reason;
-		break;
-	case GATE_WAIT:
-		return;
-	}
-	run_step(attempt->shell, &event, &no_origin);
-	if (verdict.kind != GATE_REFUSE)
-		return;
-	gate_key_finished(attempt, OUTCOME_NOT_RUN, 0);
-	gate_attempt_release_request(attempt);
-}
-
-/* Carries out admission's actions. */
-static void run_admission(const struct gate_actions *actions)
-{
-	for (uint32_t i = 0; i < actions->count; i++)
-		report_verdict(actions->list[i].ticket->owner, actions->list[i].verdict);
-}
-
-/* Offers an attempt to admission and carries out what it decides. */
-static void offer_to_admission(struct gate_attempt *attempt)
-{
-	struct gate_shell *shell = attempt->shell;
-	struct gate_actions actions;
-	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
-	uint32_t class_index =
-		(uint32_t)gate_find_class(&shell->admission, attempt->call.class_name);
-
-	actions.count = 0;
-	if (strcmp(attempt->call.service, shell->backend.service) == 0)
-		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
-				     attempt->deadline_us, attempt->offered_us, &actions);
-	report_verdict(attempt, verdict);
-	run_admission(&actions);
+	gate_admission_carry_out(shell);
 }
 
 /* Takes a new attempt in. */
@@ -209,10 +152,10 @@
 	struct gate_attempt *attempt = gate_attempt_new(shell, origin);
 
 	if (!attempt) {
-		struct attempt_gate_event event = event_about(GATE_EVENT_REFUSED, &action->id);
+		struct attempt_gate_event event = gate_shell_event(GATE_EVENT_REFUSED, &action->id);
 
 		event.refused.reason = REASON_OVERLOAD;
-		run_step(shell, &event, origin);
+		gate_shell_step(shell, &event, origin);
 		return;
 	}
 	attempt->deadline_us = action->deadline_us;
@@ -220,17 +163,18 @@
 	attempt_gate_set_user(shell->table, &action->id, attempt);
 	switch (gate_key_begin(attempt)) {
 	case GATE_KEY_OFFER:
-		offer_to_admission(attempt);
+		gate_admission_offer(attempt);
 		break;
 	case GATE_KEY_SETTLE:
 		attempt->is_settled = true;
-		report_verdict(attempt, (struct gate_verdict){GATE_START, REASON_NONE});
+		gate_admission_decide(attempt, (struct gate_verdict){GATE_START, REASON_NONE});
 		break;
 	case GATE_KEY_REFUSE:
-		report_verdict(attempt,
-			       (struct gate_verdict){GATE_REFUSE, attempt->settled_reason});
+		gate_admission_decide(attempt,
+				      (struct gate_verdict){GATE_REFUSE, attempt->settled_reason});
 		break;
 	}
+	gate_admission_carry_out(shell);
 }
 
 /* Counts a message that is not answered. */
@@ -245,12 +189,10 @@
 /* Takes an attempt out of admission's queue. */
 static void withdraw(struct gate_attempt *attempt)
 {
-	struct gate_actions actions;
-
 	gate_key_finished(attempt, OUTCOME_NOT_RUN, 0);
 	gate_attempt_release_request(attempt);
-	gate_cancel(&attempt->shell->admission, &attempt->ticket, clock_monotonic_us(), &actions);
-	run_admission(&actions);
+	gate_admission_cancel(attempt);
+	gate_admission_carry_out(attempt->shell);
 }
 
 /* Carries out one action of the table. */
@@ -313,7 +255,7 @@
 }
 
 /* Passes an event to the table and carries out its actions. */
-static void run_step(struct gate_shell *shell, const struct attempt_gate_event *event,
+void gate_shell_step(struct gate_shell *shell, const struct attempt_gate_event *event,
 		     const struct origin *origin)
 {
 	struct attempt_gate_actions actions;
@@ -332,13 +274,11 @@
 static void tick(struct gate_shell *shell)
 {
 	struct attempt_gate_event event = {.type = GATE_EVENT_TICK};
-	struct gate_actions actions;
 	uint64_t now_us = clock_monotonic_us();
 
 	while (attempt_gate_next_due_us(shell->table) <= now_us)
-		run_step(shell, &event, &no_origin);
-	gate_tick(&shell->admission, now_us, &actions);
-	run_admission(&actions);
+		gate_shell_step(shell, &event, &no_origin);
+	gate_admission_tick(shell);
 	gate_key_expire(shell);
 }
 
@@ -367,14 +307,14 @@
 static void take_call(struct gate_shell *shell, struct origin *origin, enum call_reason refusal)
 {
 	const struct message *msg = origin->msg;
-	struct attempt_gate_event event = event_about(GATE_EVENT_CALL, &msg->id);
+	struct attempt_gate_event event = gate_shell_event(GATE_EVENT_CALL, &msg->id);
 
 	event.epoch = msg->epoch;
 	event.call.gate_incarnation = msg->call.gate_incarnation;
 	event.call.time_left_us = msg->call.time_left_us;
 	event.call.bytes = gate_attempt_bytes(&msg->call);
 	event.call.refusal = refusal;
-	run_step(shell, &event, origin);
+	gate_shell_step(shell, &event, origin);
 	set_timer(shell);
 }
 
@@ -392,7 +332,7 @@
 			const struct message *msg)
 {
 	struct origin origin = {from, msg};
-	struct attempt_gate_event event = event_about(GATE_EVENT_ACK, &msg->id);
+	struct attempt_gate_event event = gate_shell_event(GATE_EVENT_ACK, &msg->id);
 
 	event.epoch = msg->epoch;
 	switch (msg->type) {
@@ -415,21 +355,18 @@
 		counter_add(COUNTER_WIRE_BAD_MESSAGES, 1);
 		return;
 	}
-	run_step(shell, &event, &origin);
+	gate_shell_step(shell, &event, &origin);
 	set_timer(shell);
 }
 
 /* Tells admission the backend server's state; a draining node outweighs it. */
 static void apply_backend(struct gate_shell *shell)
 {
-	struct gate_actions actions;
 	enum backend_state state = shell->backend.state;
 
 	if (shell->is_draining && state != BACKEND_NONE)
 		state = BACKEND_DRAINING;
-	gate_set_backend(&shell->admission, state, shell->backend.slots, clock_monotonic_us(),
-			 &actions);
-	run_admission(&actions);
+	gate_admission_set_backend(shell, state);
 }
 
 /* Sets what the backend server announced last. */
@@ -442,6 +379,12 @@
 	apply_backend(shell);
 }
 
+/* Carries out admission's actions. */
+static void run_admission(const struct gate_actions *actions)
+{
+	gate_admission_run(actions);
+}
+
 /* Sets the classes and this gate's equal part of their rates. */
 void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config,
 			   uint32_t peers)
@@ -527,7 +470,7 @@
 		return error_set(err, ERROR_MEMORY, "no memory for the gate");
 	shell->loop = loop;
 	shell->options = *options;
-	gate_init(&shell->admission, clock_monotonic_us());
+	gate_admission_init(shell);
 	if (attempt_gate_create(&shell->table, &settings, err) != 0) {
 		free(shell);
 		return -1;
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -10,11 +10,14 @@
 #include "fescuemill/http/backend.h"
 #include "fescuemilld/gate_shell.h"
 
+#include <h2o/linklist.h>
 #include <h2o/memory.h>
 
 /* What the shell holds of one attempt, from its offer until the table forgets it. */
 struct gate_attempt {
 	struct gate_ticket ticket;
+	h2o_linklist_t verdict_link; /* linked while admission's verdict is to be carried out */
+	struct gate_verdict verdict;
 	struct gate_shell *shell;
 	struct attempt_id id;
 	struct channel_route route; /* of the latest message about it */
@@ -41,6 +44,8 @@
 	struct attempt_gate *table;
 	struct key_table *keys;
 	struct gate admission;
+	h2o_linklist_t verdicts; /* of attempts, in the order of admission */
+	bool is_carrying_out;	 /* the verdicts are being worked off further up the stack */
 	struct backend_client *client;
 	struct announcement backend;
 	bool is_draining;
@@ -52,4 +57,11 @@
 	const struct message *msg;
 };
 
+/* Starts an event about an attempt. */
+struct attempt_gate_event gate_shell_event(enum attempt_gate_event_type type,
+					   const struct attempt_id *id);
+/* Passes an event to the table and carries out its actions. */
+void gate_shell_step(struct gate_shell *shell, const struct attempt_gate_event *event,
+		     const struct origin *origin);
+
 #endif
--- /dev/null
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -0,0 +1,273 @@
+// Gate shell: starts that fail, many at once, use no more stack than a few.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <functional>
+#include <map>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "fescuemill/base/clock.h"
+#include "fescuemill/base/log.h"
+#include "fescuemilld/gate_shell_defs.h"
+}
+
+namespace
+{
+
+constexpr uint64_t kIncarnation = 5;
+constexpr uint32_t kClasses = GATE_QUEUE_MAX / GATE_CLASS_QUEUE_MAX;
+constexpr size_t kStackBytes = 4UL << 20;
+constexpr size_t kPageBytes = 4096;
+constexpr char kUntouched = 0x5A;
+constexpr int kTurnsMax = 20000;
+constexpr int kTurnsShort = 500;
+
+// Fills the stack below the caller's frame, or tells how much of it was used since.
+__attribute__((noinline, no_sanitize("address"))) size_t probe_stack(bool fill)
+{
+	char area[kStackBytes];
+	volatile char *at = area;
+	size_t untouched = 0;
+
+	asm volatile("" : "+r"(at) : : "memory"); // what is there counts, written or not
+	for (size_t i = 0; fill && i < kStackBytes; i++)
+		at[i] = kUntouched;
+	while (!fill && untouched < kStackBytes && at[untouched] == kUntouched)
+		untouched++;
+	return kStackBytes - untouched;
+}
+
+// A gate with its channel and a link to itself; the backend server is a socket that stays silent.
+class GateShell : public ::testing::Test
+{
+      protected:
+	uv_loop_t loop{};
+	struct channel *channel = nullptr;
+	struct channel_link *link = nullptr;
+	struct gate_shell *shell = nullptr;
+	struct budget budget {
+	};
+	int listener = -1;
+	int held = -1; // connection of the call that runs
+	uint64_t sequence = 0;
+	std::map<uint64_t, std::pair<call_outcome, call_reason>> told;
+
+	void SetUp() override
+	{
+		struct error err;
+		gate_shell_options options{};
+
+		signal(SIGPIPE, SIG_IGN);
+		log_set_level(LOG_ERROR);
+		uv_loop_init(&loop);
+		ASSERT_EQ(channel_open(&channel, &loop, INADDR_LOOPBACK, 0, on_request, this, &err),
+			  0);
+		ASSERT_EQ(channel_link_open(channel, INADDR_LOOPBACK, channel_port(channel),
+					    on_reply, this, &link, &err),
+			  0);
+		options.channel = channel;
+		options.budget = &budget;
+		options.node_id = 1;
+		options.incarnation = kIncarnation;
+		options.key_retention_ms = 1000;
+		options.key_spread_ms = 100;
+		options.answer_bytes_max = 65536;
+		options.memory_bytes_max = 1 << 24;
+		ASSERT_EQ(gate_shell_open(&shell, &loop, &options, &err), 0);
+		listen_silently();
+		configure();
+	}
+
+	void TearDown() override
+	{
+		if (held >= 0)
+			close(held);
+		close(listener);
+		gate_shell_close(shell);
+		channel_link_close(link);
+		channel_close(channel);
+		uv_run(&loop, UV_RUN_DEFAULT);
+		EXPECT_EQ(uv_loop_close(&loop), 0);
+	}
+
+	static void on_request(void *user, const struct channel_route *from,
+			       const struct message *msg)
+	{
+		gate_shell_message(static_cast<GateShell *>(user)->shell, from, msg);
+	}
+
+	static void on_reply(void *user, const struct message *msg)
+	{
+		auto *self = static_cast<GateShell *>(user);
+
+		if (msg->type != MESSAGE_ANSWER)
+			return;
+		EXPECT_EQ(self->told.count(msg->id.sequence), 0u) << "told twice";
+		self->told[msg->id.sequence] = {msg->answer.outcome, msg->answer.reason};
+	}
+
+	void listen_silently()
+	{
+		sockaddr_in addr{};
+		socklen_t size = sizeof(addr);
+		announcement backend{};
+
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&addr), size), 0);
+		ASSERT_EQ(listen(listener, 8), 0);
+		getsockname(listener, reinterpret_cast<sockaddr *>(&addr), &size);
+		snprintf(backend.service, sizeof(backend.service), "ledger");
+		backend.port = ntohs(addr.sin_port);
+		backend.slots = 1;
+		backend.state = BACKEND_READY;
+		gate_shell_set_backend(shell, &backend);
+	}
+
+	static std::string class_name(uint32_t index)
+	{
+		return "class-" + std::to_string(index);
+	}
+
+	void configure()
+	{
+		service_config config{};
+
+		snprintf(config.service, sizeof(config.service), "ledger");
+		config.version = 1;
+		config.class_count = kClasses;
+		for (uint32_t i = 0; i < kClasses; i++) {
+			snprintf(config.classes[i].name, sizeof(config.classes[i].name), "%s",
+				 class_name(i).c_str());
+			config.classes[i].latency_us = 100000;
+			config.classes[i].percentile_x10 = 990;
+			config.classes[i].calls_per_s = 100000;
+		}
+		gate_shell_set_config(shell, &config, 1);
+	}
+
+	bool run_until(const std::function<bool()> &done, int turns = kTurnsMax)
+	{
+		for (int i = 0; i < turns; i++) {
+			if (done())
+				return true;
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(100);
+		}
+		return false;
+	}
+
+	void send_call(uint32_t class_index)
+	{
+		struct message msg {
+		};
+		struct error err;
+		const std::string name = class_name(class_index);
+
+		msg.type = MESSAGE_CALL;
+		msg.id.entry = {2, 1};
+		msg.id.sequence = ++sequence;
+		msg.call.gate_incarnation = kIncarnation;
+		snprintf(msg.call.service, sizeof(msg.call.service), "ledger");
+		snprintf(msg.call.class_name, sizeof(msg.call.class_name), "%s", name.c_str());
+		msg.call.time_left_us = 60 * USEC_PER_SEC;
+		msg.call.idempotent = true;
+		msg.call.method = {reinterpret_cast<const uint8_t *>("GET"), 3};
+		msg.call.path = {reinterpret_cast<const uint8_t *>("/"), 1};
+		EXPECT_EQ(channel_link_send(link, &msg, &err), 0) << err.detail;
+	}
+
+	void send_plain(enum message_type type, uint64_t id)
+	{
+		struct message msg {
+		};
+		struct error err;
+
+		msg.type = type;
+		msg.id.entry = {2, 1};
+		msg.id.sequence = id;
+		msg.ask.gate_incarnation = type == MESSAGE_ASK ? kIncarnation : 0;
+		EXPECT_EQ(channel_link_send(link, &msg, &err), 0) << err.detail;
+	}
+
+	// Asks, as an entry does, for the answers that the connection's bounded queue dropped.
+	void ask_missing(uint64_t first)
+	{
+		for (uint64_t id = first; id <= sequence; id++)
+			if (told.count(id) == 0)
+				send_plain(MESSAGE_ASK, id);
+	}
+
+	void acknowledge(uint64_t first)
+	{
+		for (uint64_t id = first; id <= sequence; id++) {
+			uint32_t before = gate_shell_records(shell);
+
+			send_plain(MESSAGE_ACK, id);
+			EXPECT_TRUE(run_until([&] { return gate_shell_records(shell) < before; }));
+		}
+	}
+
+	// One call runs and stays unanswered, the others wait for its slot.
+	void fill(uint32_t waiting)
+	{
+		send_call(0);
+		ASSERT_TRUE(run_until([this] {
+			held = held < 0 ? accept(listener, nullptr, nullptr) : held;
+			char byte;
+			return held >= 0 && recv(held, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+		}));
+		for (uint32_t i = 0; i < waiting; i++) {
+			send_call(i % kClasses);
+			ASSERT_TRUE(run_until([&] { return gate_shell_live(shell) == i + 2; }));
+		}
+	}
+
+	// Breaks the running call's connection while no other can be made.
+	void fail_all()
+	{
+		backend_client_set_port(shell->client, 0);
+		close(held);
+		held = -1;
+		run_until([this] { return gate_shell_live(shell) == 0; });
+	}
+
+	size_t stack_of_failing(uint32_t waiting)
+	{
+		told.clear();
+		fill(waiting);
+		uint64_t first = sequence - waiting;
+
+		probe_stack(true);
+		fail_all();
+		size_t used = probe_stack(false);
+		auto all_told = [&] { return told.size() == waiting + 1; };
+
+		EXPECT_EQ(gate_shell_live(shell), 0u);
+		run_until(all_told, kTurnsShort);
+		ask_missing(first);
+		EXPECT_TRUE(run_until(all_told)) << told.size() << " of " << waiting + 1;
+		EXPECT_EQ(told[first].first, OUTCOME_UNKNOWN);
+		for (uint64_t id = first + 1; id <= sequence; id++)
+			EXPECT_EQ(told[id], std::make_pair(OUTCOME_NOT_RUN, REASON_NO_BACKEND));
+		acknowledge(first);
+		return used;
+	}
+};
+
+TEST_F(GateShell, AFullQueueOfFailedStartsTakesNoMoreStackThanAFew)
+{
+	uint16_t port = shell->backend.port;
+	size_t few = stack_of_failing(kClasses);
+
+	backend_client_set_port(shell->client, port);
+	size_t many = stack_of_failing(GATE_QUEUE_MAX);
+	EXPECT_LT(many, few + kPageBytes) << "few " << few << ", many " << many;
+}
+
+} // namespace
