Watch: one node tells which members are known to have a change in force

Cause: fescuectl watch counted the nodes that it was given and called that everywhere; members carry no administration address. Ruled out (docs/design/configuration.md): administration addresses in gossip, status objects on the platform.

Change: every gossip packet carries its sender's version of the configuration already. A node now keeps each member's last word (fleet/heard), and GET /v1/versions/V answers by failure domain who is known to have version V, who is not known to, and who is dead, with each unknown member's state, last word and its age.

Left: a member that the asked node does not know of yet cannot be told; the count of members stands beside the table.

--- a/src/fescuectl/main.c
+++ b/src/fescuectl/main.c
@@ -20,6 +20,7 @@
 	struct arg_file *settings;
 	struct arg_lit *json;
 	struct arg_lit *follow;
+	struct arg_int *watch;
 	struct arg_str *if_version;
 	struct arg_int *rank;
 	struct arg_dbl *latency;
@@ -45,7 +46,7 @@
 	"  members                      lists the members that a node knows\n"
 	"  counters                     lists a node's counters\n"
 	"  drain                        starts a graceful stop of the one named node\n"
-	"  watch SERVICE VERSION        follows a change until it is in force at every named node\n"
+	"  watch SERVICE VERSION        follows a change until every member is known to have it\n"
 	"Environment (outranks options, which outrank the file): FESCUECTL_NODES, FESCUECTL_KEY,\n"
 	"  FESCUECTL_BY, FESCUECTL_TIMEOUT_MS; FESCUECTL_SETTINGS names the file.\n"
 	"Exit codes: 0; 2 bad command line; 13 conflict; 14 not found; 15 denied; 16 over a "
@@ -62,6 +63,7 @@
 		.settings = arg_file0("s", "settings", "FILE", "settings in JSON"),
 		.json = arg_lit0("j", "json", "print JSON"),
 		.follow = arg_lit0("w", "watch", "after a change, watch it until it is in force"),
+		.watch = arg_int0(NULL, "watch-ms", "MS", "longest time to watch (default 30000)"),
 		.if_version =
 			arg_str0(NULL, "if-version", "N", "version that a change is based on"),
 		.rank = arg_int0(NULL, "rank", "N", "how urgent: 0 is the most urgent"),
@@ -143,6 +145,12 @@
 					 TIMEOUT_MS_MAX);
 		options->timeout_ms = (uint32_t)line->timeout->ival[0];
 	}
+	if (line->watch->count) {
+		if (line->watch->ival[0] < 1 || line->watch->ival[0] > TIMEOUT_MS_MAX)
+			return error_set(err, ERROR_USAGE, "--watch-ms: allowed 1 to %d",
+					 TIMEOUT_MS_MAX);
+		options->watch_ms = (uint32_t)line->watch->ival[0];
+	}
 	options->json = line->json->count > 0;
 	options->follow = line->follow->count > 0;
 	read_target(line, &options->target);
@@ -158,6 +166,7 @@
 	const char *file = getenv("FESCUECTL_SETTINGS");
 
 	options->timeout_ms = TIMEOUT_MS;
+	options->watch_ms = WATCH_MS;
 	if (!file && line->settings->count)
 		file = line->settings->filename[0];
 	if (file && options_read_file(options, file, err))
--- a/src/fescuectl/options.h
+++ b/src/fescuectl/options.h
@@ -32,6 +32,7 @@
 	char key[ADMIN_KEY_BYTES];
 	char by[BY_BYTES];
 	uint32_t timeout_ms;
+	uint32_t watch_ms; /* longest time to follow a change */
 	bool json;
 	bool has_if_version;
 	uint64_t if_version;
--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -338,6 +338,8 @@
 /* Frees the gossip; the table stays. */
 void gossip_close(struct gossip *gsp)
 {
+	if (gsp)
+		heard_close(&gsp->heard);
 	free(gsp);
 }
 
--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -8,6 +8,7 @@
 #include "fescuemill/base/error.h"
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/fleet/gossip_defs.h"
+#include "fescuemill/fleet/heard.h"
 #include "fescuemill/fleet/member.h"
 
 #include <stddef.h>
@@ -38,6 +39,11 @@
 /* Says goodbye: this node is dead to the others from now on. */
 void gossip_leave(struct gossip *gsp, uint64_t now_us);
 void gossip_set_config_version(struct gossip *gsp, uint64_t version);
+/* Gives what a member last said of the version that it has, or NULL. */
+const struct heard *gossip_heard(const struct gossip *gsp, const struct node_life *life);
+/* Pings a few members that are not known to have the version, at most GOSSIP_ASKS_MAX in
+ * GOSSIP_ASK_PERIOD_US and as far as the budget allows: every answer tells the member's version. */
+void gossip_ask_version(struct gossip *gsp, uint64_t version, uint64_t now_us);
 /* A call found the node unreachable: it is probed at once. */
 void gossip_report_failure(struct gossip *gsp, uint64_t node_id, uint64_t now_us);
 /* Whether the table has once matched another node's since the start or the last pause, or this
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -260,10 +260,12 @@
 }
 
 /* Compares the sender's table and configuration with this node's. */
-static void compare_sender(struct gossip *gsp)
+static void compare_sender(struct gossip *gsp, uint64_t now_us)
 {
 	const struct gossip_packet *packet = &gsp->received;
 
+	if (member_find(gsp->members, packet->sender.node_id))
+		heard_note(&gsp->heard, &packet->sender, packet->config_version, now_us);
 	if (packet->config_version > gsp->config_version && gsp->io.newer_config)
 		gsp->io.newer_config(gsp->io.user, packet->sender.node_id, packet->config_version);
 	if (packet->table_hash == gsp->digest.total)
@@ -331,7 +333,7 @@
 	apply_news(gsp, &from, now_us);
 	from = source_of(gsp, ip, port);
 	digest_update(&gsp->digest, gsp->members);
-	compare_sender(gsp);
+	compare_sender(gsp, now_us);
 	correct_sender(gsp, &from, now_us);
 	answer(gsp, &from, now_us);
 }
--- a/src/fescuemill/fleet/gossip_state.h
+++ b/src/fescuemill/fleet/gossip_state.h
@@ -33,6 +33,7 @@
 	struct rumor_list rumors;
 	struct suspicion_list suspicions;
 	struct region_list regions;
+	struct heard_table heard;
 	uint64_t config_version;
 	uint32_t config_sends_left;
 	uint64_t differing_peer; /* last heard with another table hash; 0: none */
@@ -41,6 +42,8 @@
 	uint64_t news_us;
 	uint64_t sync_us;
 	uint64_t revive_us;
+	uint64_t ask_us;
+	uint32_t ask_index; /* the member to go on asking with */
 	bool joined;
 	bool superseded;
 	struct gossip_packet packet;   /* the packet that is being made */
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -7,6 +7,7 @@
 #include "fescuemill/admin/auth.h"
 #include "fescuemill/admin/change_task.h"
 #include "fescuemill/admin/edit.h"
+#include "fescuemill/admin/version_view.h"
 #include "fescuemill/admin/view.h"
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
@@ -112,6 +113,22 @@
 	return count == request->part_count;
 }
 
+/* Reads a version. Errors: ERROR_RANGE. */
+static int read_version(const char *what, const char *text, size_t size, uint64_t *out,
+			struct error *err)
+{
+	uint64_t version = 0;
+
+	for (size_t i = 0; i < size; i++) {
+		if (text[i] < '0' || text[i] > '9' || size > VERSION_DIGITS - 1)
+			return error_set(err, ERROR_RANGE, "%s: found \"%.*s\", allowed a version",
+					 what, (int)(size < 32 ? size : 32), text);
+		version = version * 10 + (uint64_t)(text[i] - '0');
+	}
+	*out = version;
+	return 0;
+}
+
 static void get_service(struct admin *admin, struct admin_request *request)
 {
 	const struct service_object *object = config_object(admin->node.config, request->parts[2]);
@@ -147,6 +164,21 @@
 	respond(request->req, 200, view_versions(&admin->node));
 }
 
+/* Tells which members are known to have a version, and asks the others for the next time. */
+static void get_version(struct admin *admin, struct admin_request *request)
+{
+	uint64_t version;
+	struct error err;
+
+	if (read_version("version", request->parts[2], strlen(request->parts[2]), &version, &err)) {
+		respond_error(request->req, &err);
+		return;
+	}
+	if (admin->node.ask)
+		admin->node.ask(admin->node.user, version);
+	respond(request->req, 200, version_view(&admin->node, version));
+}
+
 static void get_status(struct admin *admin, struct admin_request *request)
 {
 	respond(request->req, 200, view_status(&admin->node));
@@ -209,19 +241,10 @@
 static int read_if_version(h2o_req_t *req, uint64_t *out, struct error *err)
 {
 	h2o_iovec_t text = header(req, "if-version");
-	uint64_t version = 0;
 
 	if (!text.len)
 		return error_set(err, ERROR_MISSING, "if-version: missing; 0 creates a service");
-	for (size_t i = 0; i < text.len; i++) {
-		if (text.base[i] < '0' || text.base[i] > '9' || text.len > VERSION_DIGITS - 1)
-			return error_set(err, ERROR_RANGE,
-					 "if-version: found \"%.*s\", allowed a version",
-					 (int)(text.len < 32 ? text.len : 32), text.base);
-		version = version * 10 + (uint64_t)(text.base[i] - '0');
-	}
-	*out = version;
-	return 0;
+	return read_version("if-version", text.base, text.len, out, err);
 }
 
 /* Copies a short header value of printable characters. Errors: ERROR_RANGE. */
@@ -325,6 +348,7 @@
 	{"PUT", {"v1", "services", "*", "classes", "*", NULL}, change_service},
 	{"DELETE", {"v1", "services", "*", "classes", "*", NULL}, change_service},
 	{"GET", {"v1", "versions", NULL}, get_versions},
+	{"GET", {"v1", "versions", "*", NULL}, get_version},
 	{"GET", {"v1", "status", NULL}, get_status},
 	{"GET", {"v1", "members", NULL}, get_members},
 	{"GET", {"v1", "counters", NULL}, get_counters},
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -22,6 +22,12 @@
 	char service[SERVICE_NAME_BYTES];
 };
 
+/* What a member last said of the version that it has. */
+struct admin_word {
+	uint64_t config_version;
+	uint64_t age_us;
+};
+
 /* What the administration API needs of the node. All pointers outlive the API. */
 struct admin_node {
 	const struct settings *settings;
@@ -31,6 +37,10 @@
 	void *user;
 	void (*status)(void *user, struct admin_status *out);
 	void (*drain)(void *user); /* starts a graceful stop */
+	/* Gives a member's last word; false without one. May be NULL. */
+	bool (*word)(void *user, const struct member *member, struct admin_word *out);
+	/* Asks members that are not known to have the version. May be NULL. */
+	void (*ask)(void *user, uint64_t version);
 	/* Further JSON for /v1/report, malloc'ed, or NULL; may be NULL itself. */
 	char *(*report)(void *user);
 };
--- a/src/fescuemilld/admin_shell.c
+++ b/src/fescuemilld/admin_shell.c
@@ -40,6 +40,26 @@
 	shell->options.drain(shell->options.user);
 }
 
+/* Gives what gossip last heard of a member's version. */
+static bool word(void *user, const struct member *member, struct admin_word *out)
+{
+	const struct admin_shell *shell = user;
+	const struct heard *heard = gossip_heard(shell->options.gossip, &member->life);
+
+	if (!heard)
+		return false;
+	out->config_version = heard->config_version;
+	out->age_us = clock_monotonic_us() - heard->heard_us;
+	return true;
+}
+
+static void ask(void *user, uint64_t version)
+{
+	const struct admin_shell *shell = user;
+
+	gossip_ask_version(shell->options.gossip, version, clock_monotonic_us());
+}
+
 static char *report(void *user)
 {
 	const struct admin_shell *shell = user;
@@ -61,6 +81,8 @@
 				  .user = shell,
 				  .status = fill_status,
 				  .drain = drain,
+				  .word = word,
+				  .ask = ask,
 				  .report = report};
 
 	if (!shell)
--- a/src/fescuemilld/admin_shell.h
+++ b/src/fescuemilld/admin_shell.h
@@ -4,6 +4,7 @@
 #ifndef FESCUEMILLD_ADMIN_SHELL_H
 #define FESCUEMILLD_ADMIN_SHELL_H
 
+#include "fescuemill/fleet/gossip.h"
 #include "fescuemill/http/admin.h"
 #include "fescuemilld/entry.h"
 #include "fescuemilld/gate_shell.h"
@@ -17,6 +18,7 @@
 	struct platform *platform;
 	const struct entry *entry;
 	const struct gate_shell *gate;
+	struct gossip *gossip;
 	uint64_t incarnation;
 	const char *(*state)(void *user); /* the node's state by name */
 	const struct member *(*self)(void *user);
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -161,6 +161,7 @@
 		.platform = platform_client_interface(node->platform),
 		.entry = node->entry,
 		.gate = node->gate,
+		.gossip = node->gossip,
 		.incarnation = node->self.life.incarnation,
 		.state = node_state_name,
 		.self = node_self,
--- a/test/functional/configuration_test.cc
+++ b/test/functional/configuration_test.cc
@@ -160,6 +160,30 @@
 			IN_FORCE_MS);
 	}
 
+	// Gives how many members a node knows to have a version; fails if a member is one of them.
+	size_t known_to_have(Host &at, int64_t version, const Host &without)
+	{
+		HttpAnswer answer =
+			http(at.node->port("admin_port"), "GET",
+			     "/v1/versions/" + std::to_string(version), "", {key}, 3000);
+		Json all(json_loads(answer.body.c_str(), 0, nullptr));
+		size_t lacking = json_array_size(json_object_get(all.get(), "lacking"));
+		size_t known = 0;
+		size_t dead = 0;
+
+		for (size_t i = 0; i < 4; i++) {
+			json_t *row = json_array_get(json_object_get(all.get(), "domains"), i);
+
+			known += (size_t)number(row, "in_force");
+			dead += (size_t)number(row, "dead");
+		}
+		EXPECT_EQ(fleet.hosts.size(), known + lacking + dead) << answer.body;
+		EXPECT_TRUE(dead == 1 ||
+			    answer.body.find("{\"name\":\"" + without.name) != std::string::npos)
+			<< answer.body;
+		return known;
+	}
+
 	// Calls that the platform counted so far, watches included.
 	int64_t platform_calls(int64_t *writes = nullptr)
 	{
@@ -188,6 +212,20 @@
 	RecordProperty("worst_ms", worst);
 }
 
+TEST_F(Configuration, OneNodeTellsWhoHasAChangeAndNeverCountsAPausedOne)
+{
+	Host &paused = fleet.hosts.back();
+
+	paused.node->signal(SIGSTOP);
+	int64_t version = change(fleet.hosts[0], 250);
+
+	EXPECT_GE(wait([&] { return known_to_have(fleet.hosts[0], version, paused) == 15; },
+		       IN_FORCE_MS),
+		  0);
+	paused.node->signal(SIGCONT);
+	EXPECT_GE(wait([&] { return in_force(paused) >= version; }, 2 * IN_FORCE_MS), 0);
+}
+
 TEST_F(Configuration, AReplacedHostCatchesUpFromPeersDuringAnOutage)
 {
 	int64_t version = change(fleet.hosts[0], 300);
--- a/test/functional/ctl_test.cc
+++ b/test/functional/ctl_test.cc
@@ -118,6 +118,29 @@
 	EXPECT_NE(0U, other.version_of("ledger"));
 }
 
+TEST_F(Ctl, AWatchNamesTheMembersOfWhichItDoesNotKnow)
+{
+	member unheard = {};
+
+	strcpy(unheard.name, "unheard");
+	strcpy(unheard.domain, "south-b");
+	unheard.life = {member_id_of("unheard"), 1};
+	member_upsert(node->members, &unheard);
+	Outcome put = ctl("--watch --watch-ms 500 class put ledger purchase" + target);
+
+	EXPECT_EQ(18, put.exit_code) << put.output;
+	EXPECT_NE(std::string::npos, put.output.find("known to be in force at 1 of 2 members"))
+		<< put.output;
+	EXPECT_NE(std::string::npos, put.output.find("one is unheard")) << put.output;
+	unheard.state = MEMBER_DEAD;
+	member_upsert(node->members, &unheard);
+	Outcome dead = ctl("watch ledger 1");
+
+	EXPECT_EQ(0, dead.exit_code) << dead.output;
+	EXPECT_NE(std::string::npos, dead.output.find("at 1 of 1 members")) << dead.output;
+	EXPECT_EQ(17, ctl("-n 127.0.0.1:1 watch ledger 1").exit_code);
+}
+
 TEST_F(Ctl, TheEnvironmentOutranksOptionsWhichOutrankTheFile)
 {
 	std::string file = testing::TempDir() + "ctl-settings.json";
