Report: in profile and out of it, as the gates counted it

Cause: fescue-report knew of the stated amount only what entries counted above it; which calls were in profile is decided at the gates. Ruled out: a flag in every answer (the wire grows, and a call refused at one gate and answered at another has two marks).

Change: a gate counts every attempt that its class was offered, in a burn table for those in profile and one for the rest (decide/gate_tally): answered, in time, not run, unknown. /v1/report carries them beside the entry's counts, and fescue-report adds them up from every node: offered, answered, late and refused by profile, and what the flooded classes (offered above what is stated) and the others kept; in text, JSON and on the page. Nodes of before are counted as without profile, and the report says so. An attempt refused before its class is looked at has no profile and is not counted.

Not measured: the time of the tally in a gate's decision (the cost tests run without one).

--- a/src/fescue_report/html.c
+++ b/src/fescue_report/html.c
@@ -16,8 +16,10 @@
 static const char head[] =
 	"<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Service-level burn</title>"
 	"<style>body{font:15px sans-serif;margin:2em;max-width:75em;color:#222}"
-	"table{border-collapse:collapse}td,th{padding:.25em .7em;text-align:right;"
+	"table{border-collapse:collapse;margin-bottom:1.5em}td,th{padding:.25em "
+	".7em;text-align:right;"
 	"border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}"
+	"th[colspan]{text-align:center;border-left:1px solid #ddd}"
 	".over{color:#b00020;font-weight:bold}</style><h1>Service-level burn</h1>";
 
 /* Writes one character, escaped when HTML gives it a meaning. */
@@ -114,9 +116,9 @@
 	}
 	fprintf(out,
 		"<p>Burn rate by class over the last <b style=\"color:%s\">%u s</b> and "
-		"<b style=\"color:%s\">%u s</b>.</p>",
+		"<b style=\"color:%s\">%u s</b>. Bars end at %.0f; the number tells the rest.</p>",
 		window_colours[0], sum->classes[0].windows[0].seconds, window_colours[1],
-		sum->classes[0].windows[1].seconds);
+		sum->classes[0].windows[1].seconds, BURN_SHOWN);
 }
 
 /* Writes one row of the table. */
@@ -137,7 +139,8 @@
 /* Writes the table. */
 static void write_table(FILE *out, const struct sum *sum)
 {
-	fputs("<table><tr><th>class<th>rank<th>window<th>target<th>stated/s<th>offered/s"
+	fputs("<h2>Targets</h2><table><tr><th>class<th>rank<th>window<th>target<th>stated/"
+	      "s<th>offered/s"
 	      "<th>achieved<th>burn<th>budget left<th>kept<th>above stated",
 	      out);
 	for (uint32_t i = 0; i < sum->count; i++) {
@@ -147,6 +150,63 @@
 	fputs("</table>", out);
 }
 
+/* Writes the cells of attempts. */
+static void write_shares(FILE *out, const struct sum_attempts *attempts, uint64_t counted_s)
+{
+	struct sum_shares shares = sum_shares_of(attempts, counted_s);
+
+	if (shares.offered_per_s <= 0) {
+		fputs("<td>0.0<td>-<td>-<td>-", out);
+		return;
+	}
+	fprintf(out, "<td>%.1f<td>%.2f%%<td>%.2f%%<td>%.2f%%", shares.offered_per_s,
+		shares.answered_percent, shares.late_percent, shares.refused_percent);
+}
+
+/* Writes what the gates were offered, by profile. */
+static void write_profiles(FILE *out, const struct sum *sum)
+{
+	fputs("<h2>In profile and out of it</h2><p>Attempts at the gates; a call that is tried "
+	      "again counts again.</p><table><tr><th rowspan=\"2\">class<th rowspan=\"2\">window"
+	      "<th colspan=\"4\">in profile<th colspan=\"4\">out of profile<tr><th>offered/s"
+	      "<th>answered<th>late<th>refused<th>offered/s<th>answered<th>late<th>refused",
+	      out);
+	for (uint32_t i = 0; i < sum->count; i++) {
+		for (uint32_t w = 0; w < SUM_WINDOWS; w++) {
+			const struct sum_window *window = &sum->classes[i].windows[w];
+
+			fputs("<tr><td>", out);
+			write_name(out, &sum->classes[i]);
+			fprintf(out, "<td>%u s", window->seconds);
+			write_shares(out, &window->in_profile, window->counted_s);
+			write_shares(out, &window->out_of_profile, window->counted_s);
+		}
+	}
+	fputs("</table>", out);
+}
+
+/* Writes what the flooded and the other classes kept. */
+static void write_kept(FILE *out, const struct sum *sum)
+{
+	fputs("<h2>What was kept</h2><table><tr><th>window<th>classes offered above what is "
+	      "stated<th>they kept"
+	      "<th>other classes<th>they kept",
+	      out);
+	for (int w = 0; w < SUM_WINDOWS; w++) {
+		struct sum_kept flooded = sum_kept_by(sum, w, true);
+		struct sum_kept others = sum_kept_by(sum, w, false);
+
+		fprintf(out, "<tr><td>%u s<td>%u<td>", sum->classes[0].windows[w].seconds,
+			flooded.classes);
+		if (flooded.classes)
+			fprintf(out, "%.2f%% of %.1f/s", flooded.kept_percent,
+				flooded.offered_per_s);
+		fprintf(out, "<td>%u<td>%.2f%% of %.1f/s", others.classes, others.kept_percent,
+			others.offered_per_s);
+	}
+	fputs("</table>", out);
+}
+
 /* Writes the nodes that gave no report. */
 static void write_missing(FILE *out, const struct print_input *input)
 {
@@ -169,7 +229,11 @@
 	fputs(head, out);
 	write_missing(out, input);
 	write_legend(out, input->sum);
-	write_plot(out, input->sum);
-	write_table(out, input->sum);
+	if (input->sum->count > 0) {
+		write_plot(out, input->sum);
+		write_kept(out, input->sum);
+		write_table(out, input->sum);
+		write_profiles(out, input->sum);
+	}
 	fprintf(out, "<p>%s</p></html>\n", caveat);
 }
--- a/src/fescue_report/print.h
+++ b/src/fescue_report/print.h
@@ -9,7 +9,7 @@
 
 #include <stdio.h>
 
-#define PRINT_CAVEAT_BYTES   320
+#define PRINT_CAVEAT_BYTES   400
 #define PRINT_ENDPOINT_BYTES 24
 
 /* A node that gave no report, and why. */
--- a/src/fescue_report/sum.c
+++ b/src/fescue_report/sum.c
@@ -35,6 +35,15 @@
 	return value > 0 ? (uint64_t)value : 0;
 }
 
+/* Adds the attempts of one node's gate. */
+static void add_attempts(struct sum_attempts *attempts, const json_t *json)
+{
+	attempts->answered += read_count(json, "answered");
+	attempts->in_time += read_count(json, "in_time");
+	attempts->not_run += read_count(json, "not_run");
+	attempts->unknown += read_count(json, "unknown");
+}
+
 /* Adds one window's counts. */
 static void add_window(struct sum_window *window, const json_t *json)
 {
@@ -43,6 +52,8 @@
 	window->in_time += read_count(json, "in_time");
 	window->not_run += read_count(json, "not_run");
 	window->unknown += read_count(json, "unknown");
+	add_attempts(&window->in_profile, json_object_get(json, "in_profile"));
+	add_attempts(&window->out_of_profile, json_object_get(json, "out_of_profile"));
 }
 
 /* Takes the target as a node has it in force. */
@@ -104,6 +115,7 @@
 	if (since_s > sum->oldest_s)
 		sum->oldest_s = since_s;
 	sum->nodes++;
+	sum->nodes_without_profile += !json_is_true(json_object_get(report, "counts_by_profile"));
 	return whole;
 }
 
@@ -161,3 +173,40 @@
 		rates.excess_percent = 100.0 * (1 - cls->calls_per_s / rates.offered_per_s);
 	return rates;
 }
+
+/* Works out what follows from attempts. */
+struct sum_shares sum_shares_of(const struct sum_attempts *attempts, uint64_t counted_s)
+{
+	uint64_t offered = attempts->answered + attempts->not_run + attempts->unknown;
+	uint64_t late = attempts->answered - attempts->in_time;
+
+	return (struct sum_shares){
+		.offered_per_s = (double)offered / (double)counted_s,
+		.answered_percent = percent_of(attempts->answered, offered),
+		.late_percent = offered ? percent_of(late, offered) : 0,
+		.refused_percent = offered ? percent_of(attempts->not_run, offered) : 0,
+	};
+}
+
+/* Adds up the classes that were offered above what is stated for them, or all the others. */
+struct sum_kept sum_kept_by(const struct sum *sum, int window, bool flooded)
+{
+	struct sum_kept kept = {0};
+	uint64_t answered = 0;
+	uint64_t ended = 0;
+
+	for (uint32_t i = 0; i < sum->count; i++) {
+		const struct sum_class *cls = &sum->classes[i];
+		const struct sum_window *counts = &cls->windows[window];
+		struct sum_rates rates = sum_rates_of(cls, counts);
+
+		if ((rates.excess_percent > 0) != flooded)
+			continue;
+		kept.classes++;
+		kept.offered_per_s += rates.offered_per_s;
+		answered += counts->answered;
+		ended += counts->answered + counts->not_run + counts->unknown;
+	}
+	kept.kept_percent = percent_of(answered, ended);
+	return kept;
+}
--- a/src/fescuemill/admin/burn_view.c
+++ b/src/fescuemill/admin/burn_view.c
@@ -1,6 +1,7 @@
 /*
- * Burn view: {"name","counts_since_s","classes":[{"service","class","target":{...},
- * "windows":[...],"reasons":{...}}]}.
+ * Burn view: {"name","counts_since_s","counts_by_profile":true,"classes":[{"service","class",
+ * "target":{...},"windows":[{"seconds","answered","in_time","not_run","unknown","in_profile":{...},
+ * "out_of_profile":{...}}],"reasons":{...}}]}. The last two count attempts at this gate.
  */
 #include "fescuemill/admin/burn_view.h"
 
@@ -10,18 +11,41 @@
 #define USEC_IN_SEC  1000000ULL
 #define USEC_IN_MSEC 1000
 
+/* One class in each of the tables; NULL where nothing of it was counted. */
+struct class_view {
+	const char *service;
+	const char *class_name;
+	const struct burn_class *calls;
+	const struct burn_class *in_profile;
+	const struct burn_class *out_of_profile;
+};
+
+/* Gives the counts of a class in one table. */
+static json_t *view_counts(const struct burn_class *cls, uint32_t window_s, uint64_t now_us)
+{
+	struct burn_counts sum = {0};
+
+	if (cls)
+		sum = burn_sum(cls, window_s * USEC_IN_SEC, now_us);
+	return json_pack("{s:I, s:I, s:I, s:I}", "answered", (json_int_t)sum.answered, "in_time",
+			 (json_int_t)sum.in_time, "not_run", (json_int_t)sum.not_run, "unknown",
+			 (json_int_t)sum.unknown);
+}
+
 /* Gives the counts of one window. */
-static json_t *view_window(const struct burn_class *cls, uint32_t window_s, uint64_t now_us)
+static json_t *view_window(const struct class_view *cls, uint32_t window_s, uint64_t now_us)
 {
-	struct burn_counts sum = burn_sum(cls, window_s * USEC_IN_SEC, now_us);
+	json_t *view = view_counts(cls->calls, window_s, now_us);
 
-	return json_pack("{s:i, s:I, s:I, s:I, s:I}", "seconds", (int)window_s, "answered",
-			 (json_int_t)sum.answered, "in_time", (json_int_t)sum.in_time, "not_run",
-			 (json_int_t)sum.not_run, "unknown", (json_int_t)sum.unknown);
+	json_object_set_new(view, "seconds", json_integer(window_s));
+	json_object_set_new(view, "in_profile", view_counts(cls->in_profile, window_s, now_us));
+	json_object_set_new(view, "out_of_profile",
+			    view_counts(cls->out_of_profile, window_s, now_us));
+	return view;
 }
 
 /* Gives the target in force, or null. */
-static json_t *view_target(const struct burn_class *cls, const struct config_store *config)
+static json_t *view_target(const struct class_view *cls, const struct config_store *config)
 {
 	const struct service_config *service = config_find(config, cls->service);
 	const struct class_target *target = service ? config_class(service, cls->class_name) : NULL;
@@ -38,7 +62,7 @@
 {
 	json_t *reasons = json_object();
 
-	for (int i = 0; i < REASON_COUNT; i++) {
+	for (int i = 0; cls && i < REASON_COUNT; i++) {
 		if (cls->reasons[i])
 			json_object_set_new(reasons, call_reason_name((enum call_reason)i),
 					    json_integer((json_int_t)cls->reasons[i]));
@@ -47,7 +71,7 @@
 }
 
 /* Gives one class. */
-static json_t *view_class(const struct burn_class *cls, const struct config_store *config,
+static json_t *view_class(const struct class_view *cls, const struct config_store *config,
 			  uint64_t now_us)
 {
 	json_t *windows = json_array();
@@ -56,23 +80,53 @@
 		json_array_append_new(windows, view_window(cls, windows_s[i], now_us));
 	return json_pack("{s:s, s:s, s:o, s:o, s:o}", "service", cls->service, "class",
 			 cls->class_name, "target", view_target(cls, config), "windows", windows,
-			 "reasons", view_reasons(cls));
+			 "reasons", view_reasons(cls->calls));
 }
 
-/* Gives the whole report of a node as text. */
-char *burn_view_text(const struct burn *burn, const struct config_store *config, const char *name,
-		     uint64_t now_us)
+/* Finds a class in every table. */
+static struct class_view find_class(const struct burn_tables *tables, const struct burn_class *cls)
+{
+	const char *service = cls->service;
+	const char *name = cls->class_name;
+
+	return (struct class_view){
+		.service = service,
+		.class_name = name,
+		.calls = burn_find(tables->calls, service, name),
+		.in_profile = burn_find(tables->in_profile, service, name),
+		.out_of_profile = burn_find(tables->out_of_profile, service, name),
+	};
+}
+
+/* Gives every class once, though it stands in several tables. */
+static json_t *view_classes(const struct burn_tables *tables, const struct config_store *config,
+			    uint64_t now_us)
 {
-	uint64_t since_us = now_us - burn_started_us(burn);
+	const struct burn *lists[] = {tables->calls, tables->in_profile, tables->out_of_profile};
 	json_t *classes = json_array();
-	json_t *root;
-	char *text;
-
-	for (size_t i = 0; i < burn_class_count(burn); i++)
-		json_array_append_new(classes, view_class(burn_class_at(burn, i), config, now_us));
-	root = json_pack("{s:s, s:I, s:o}", "name", name, "counts_since_s",
-			 (json_int_t)(since_us / USEC_IN_SEC), "classes", classes);
-	text = root ? json_dumps(root, JSON_COMPACT) : NULL;
+
+	for (size_t t = 0; t < sizeof(lists) / sizeof(lists[0]); t++) {
+		for (size_t i = 0; i < burn_class_count(lists[t]); i++) {
+			struct class_view cls = find_class(tables, burn_class_at(lists[t], i));
+			bool is_listed = (t > 0 && cls.calls) || (t > 1 && cls.in_profile);
+
+			if (!is_listed)
+				json_array_append_new(classes, view_class(&cls, config, now_us));
+		}
+	}
+	return classes;
+}
+
+/* Gives the whole report of a node as text. */
+char *burn_view_text(const struct burn_tables *tables, const struct config_store *config,
+		     const char *name, uint64_t now_us)
+{
+	uint64_t since_us = now_us - burn_started_us(tables->calls);
+	json_t *root = json_pack("{s:s, s:I, s:b, s:o}", "name", name, "counts_since_s",
+				 (json_int_t)(since_us / USEC_IN_SEC), "counts_by_profile", 1,
+				 "classes", view_classes(tables, config, now_us));
+	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
+
 	json_decref(root);
 	return text;
 }
--- a/src/fescuemill/admin/burn_view.h
+++ b/src/fescuemill/admin/burn_view.h
@@ -14,7 +14,7 @@
 
 /* Gives malloc'ed JSON text, or NULL without memory. Classes without a target in force are left
  * out of "target". */
-char *burn_view_text(const struct burn *burn, const struct config_store *config, const char *name,
-		     uint64_t now_us);
+char *burn_view_text(const struct burn_tables *tables, const struct config_store *config,
+		     const char *name, uint64_t now_us);
 
 #endif
--- a/src/fescuemill/decide/burn.c
+++ b/src/fescuemill/decide/burn.c
@@ -129,6 +129,15 @@
 	return burn->classes[index];
 }
 
+/* Gives a class, or NULL when no call of it was counted. */
+const struct burn_class *burn_find(const struct burn *burn, const char *service,
+				   const char *class_name)
+{
+	uint16_t index = burn->index[place_of(burn, service, class_name)];
+
+	return index ? burn->classes[index - 1] : NULL;
+}
+
 /* Adds up the slots that lie in a window that ends now; the present slot is one of them. */
 struct burn_counts burn_sum(const struct burn_class *cls, uint64_t window_us, uint64_t now_us)
 {
--- a/src/fescuemill/decide/burn.h
+++ b/src/fescuemill/decide/burn.h
@@ -1,5 +1,6 @@
 /*
- * Burn: what became of the calls of each class, as counted at this entry, in windows of memory.
+ * Burn: what became of the calls of each class, in windows of memory: those that this entry took,
+ * and, in tables of their own, those attempts that this gate was offered in profile and out of it.
  * Nothing outlives the process: a report says since when it counts.
  */
 #ifndef FESCUEMILL_DECIDE_BURN_H
@@ -43,12 +44,22 @@
 
 struct burn;
 
+/* The tables of a node. */
+struct burn_tables {
+	struct burn *calls;	 /* at this entry */
+	struct burn *in_profile; /* attempts at this gate */
+	struct burn *out_of_profile;
+};
+
 int burn_open(struct burn **out, uint64_t now_us, struct error *err);
 void burn_close(struct burn *burn);
 /* Counts a call. A class beyond BURN_CLASSES_MAX, or without memory, is not counted. */
 void burn_record(struct burn *burn, const struct burn_call *call, uint64_t now_us);
 size_t burn_class_count(const struct burn *burn);
 const struct burn_class *burn_class_at(const struct burn *burn, size_t index);
+/* Gives a class, or NULL when no call of it was counted. */
+const struct burn_class *burn_find(const struct burn *burn, const char *service,
+				   const char *class_name);
 /* Adds up the last window_us, at most an hour. */
 struct burn_counts burn_sum(const struct burn_class *cls, uint64_t window_us, uint64_t now_us);
 uint64_t burn_started_us(const struct burn *burn);
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -6,6 +6,7 @@
 #include "fescuemill/decide/gate_account.h"
 #include "fescuemill/decide/gate_order.h"
 #include "fescuemill/decide/gate_queue.h"
+#include "fescuemill/decide/gate_tally.h"
 #include "fescuemill/decide/headroom.h"
 
 #include <string.h>
@@ -92,6 +93,7 @@
 		   struct gate_actions *actions)
 {
 	withdraw(gate, ticket);
+	gate_tally_refused(gate, ticket, reason);
 	actions_add(actions, ticket, verdict_refuse(reason));
 }
 
@@ -415,6 +417,7 @@
 	}
 	if (ticket->in_profile)
 		profile_refund(&gate->classes[class_index].profile);
+	gate_tally_refused(gate, ticket, reason);
 	return verdict_refuse(reason);
 }
 
@@ -425,6 +428,7 @@
 	now_us = begin(gate, now_us, actions);
 	if (ticket->state != TICKET_RUNNING)
 		return;
+	gate_tally_finished(gate, ticket, result, now_us);
 	if (class_is_current(gate, ticket))
 		gate_account_result(gate, ticket, result, now_us);
 	release(gate, ticket);
@@ -436,6 +440,8 @@
 		 struct gate_actions *actions)
 {
 	now_us = begin(gate, now_us, actions);
+	if (ticket->state != TICKET_IDLE)
+		gate_tally_cancelled(gate, ticket);
 	switch ((enum ticket_state)ticket->state) {
 	case TICKET_IDLE:
 		return;
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEMILL_DECIDE_GATE_DEFS_H
 #define FESCUEMILL_DECIDE_GATE_DEFS_H
 
+#include "fescuemill/decide/burn.h"
 #include "fescuemill/decide/call_defs.h"
 #include "fescuemill/decide/floor.h"
 #include "fescuemill/decide/limit.h"
@@ -114,14 +115,15 @@
 	struct limit limit;
 	uint32_t in_use;
 	uint32_t queued;
-	uint32_t headroom;     /* slots kept from classes of long calls */
-	uint32_t ahead_in_use; /* slots that hold work started ahead of its rank */
-	uint64_t advanced_us;  /* slot time is accounted up to here */
-	uint64_t shared_us;    /* floors were last shared out */
-	uint64_t surplus_us;   /* virtual time of the surplus */
-	uint64_t service_us;   /* smoothed service time of answered attempts */
-	uint64_t penalty_us;   /* what failures add to the cost of an attempt */
-	uint64_t decayed_us;   /* the penalty has decayed up to here */
+	uint32_t headroom;	  /* slots kept from classes of long calls */
+	uint32_t ahead_in_use;	  /* slots that hold work started ahead of its rank */
+	uint64_t advanced_us;	  /* slot time is accounted up to here */
+	uint64_t shared_us;	  /* floors were last shared out */
+	uint64_t surplus_us;	  /* virtual time of the surplus */
+	uint64_t service_us;	  /* smoothed service time of answered attempts */
+	uint64_t penalty_us;	  /* what failures add to the cost of an attempt */
+	uint64_t decayed_us;	  /* the penalty has decayed up to here */
+	struct burn_tables tally; /* of attempts; the owner may set it, else nothing is counted */
 };
 
 #endif
--- a/src/fescuemilld/admin_shell.h
+++ b/src/fescuemilld/admin_shell.h
@@ -14,7 +14,7 @@
 	const struct settings *settings;
 	struct config_store *config;
 	struct member_table *members;
-	const struct burn *burn;
+	const struct burn_tables *burn;
 	struct platform *platform;
 	const struct entry *entry;
 	const struct gate_shell *gate;
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -528,6 +528,7 @@
 	shell->loop = loop;
 	shell->options = *options;
 	gate_init(&shell->admission, clock_monotonic_us());
+	shell->admission.tally = options->burn;
 	if (attempt_gate_create(&shell->table, &settings, err) != 0) {
 		free(shell);
 		return -1;
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -17,7 +17,8 @@
 
 struct gate_shell_options {
 	struct channel *channel;
-	struct budget *budget; /* charged with heartbeats; their link is charged at the entry */
+	struct burn_tables burn; /* counts attempts by profile */
+	struct budget *budget;	 /* charged with heartbeats; their link is charged at the entry */
 	uint64_t node_id;
 	uint64_t incarnation;
 	uint32_t key_retention_ms;
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -51,7 +51,7 @@
 	uv_signal_t signals[2];
 	struct config_store *config;
 	struct member_table *members;
-	struct burn *burn;
+	struct burn_tables burn;
 	struct channel *channel;
 	struct caller *caller;
 	struct announce *announce;
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -64,7 +64,7 @@
 		.life = node->self.life,
 		.config = node->config,
 		.members = node->members,
-		.burn = node->burn,
+		.burn = node->burn.calls,
 		.budget = &node->budget,
 		.key_members = node->key_members,
 		.refusal = node_refusal,
@@ -73,6 +73,7 @@
 		.user = node,
 	};
 	struct gate_shell_options gate = {
+		.burn = node->burn,
 		.budget = &node->budget,
 		.node_id = node->self.life.node_id,
 		.incarnation = node->self.life.incarnation,
@@ -157,7 +158,7 @@
 		.settings = &node->settings,
 		.config = node->config,
 		.members = node->members,
-		.burn = node->burn,
+		.burn = &node->burn,
 		.platform = platform_client_interface(node->platform),
 		.entry = node->entry,
 		.gate = node->gate,
@@ -172,14 +173,24 @@
 	return admin_shell_open(&node->admin, &node->loop, &options, err);
 }
 
+/* Opens the tables of what became of calls. */
+static int open_burn(struct node *node, struct error *err)
+{
+	uint64_t now_us = clock_monotonic_us();
+
+	if (burn_open(&node->burn.calls, now_us, err) != 0 ||
+	    burn_open(&node->burn.in_profile, now_us, err) != 0)
+		return -1;
+	return burn_open(&node->burn.out_of_profile, now_us, err);
+}
+
 /* Opens every part, in the order in which they need each other. */
 int node_open_parts(struct node *node, struct error *err)
 {
 	init_self(node);
 	if (charts_load(err) != 0 || config_open(&node->config, err) != 0)
 		return -1;
-	if (member_table_open(&node->members, err) != 0 ||
-	    burn_open(&node->burn, clock_monotonic_us(), err) != 0)
+	if (member_table_open(&node->members, err) != 0 || open_burn(node, err) != 0)
 		return -1;
 	if (key_members_open(&node->key_members, node->members, err) != 0)
 		return -1;
--- a/test/unit/fescue_report/sum_test.cc
+++ b/test/unit/fescue_report/sum_test.cc
@@ -101,6 +101,53 @@
 		    1e-9);
 }
 
+TEST(Sum, AttemptsAreAddedByProfile)
+{
+	auto sum = std::make_unique<struct sum>();
+	const std::string window =
+		R"({"seconds":100,"answered":90,"in_time":80,"not_run":10,"unknown":0,)"
+		R"("in_profile":{"answered":40,"in_time":30,"not_run":5,"unknown":5},)"
+		R"("out_of_profile":{"answered":0,"in_time":0,"not_run":25,"unknown":0}})";
+	const std::string text = R"({"counts_since_s":100,"counts_by_profile":true,"classes":[)"
+				 R"({"service":"ledger","class":"purchase","windows":[)" +
+				 window + "," + window + "]}]}";
+
+	EXPECT_TRUE(add(sum.get(), text));
+	EXPECT_TRUE(add(sum.get(), text));
+	EXPECT_TRUE(add(sum.get(), report(0, 0, 0, 100)));
+	sum_finish(sum.get());
+	const sum_window &added = sum->classes[0].windows[0];
+	sum_shares in = sum_shares_of(&added.in_profile, added.counted_s);
+	sum_shares out = sum_shares_of(&added.out_of_profile, added.counted_s);
+
+	EXPECT_NEAR(1.0, in.offered_per_s, 1e-9);
+	EXPECT_NEAR(80.0, in.answered_percent, 1e-9);
+	EXPECT_NEAR(20.0, in.late_percent, 1e-9);
+	EXPECT_NEAR(10.0, in.refused_percent, 1e-9);
+	EXPECT_NEAR(0.5, out.offered_per_s, 1e-9);
+	EXPECT_NEAR(0.0, out.answered_percent, 1e-9);
+	EXPECT_NEAR(100.0, out.refused_percent, 1e-9);
+	EXPECT_EQ(1U, sum->nodes_without_profile);
+}
+
+TEST(Sum, TheFloodedAndTheOthersKeepTheirOwn)
+{
+	auto sum = std::make_unique<struct sum>();
+
+	add(sum.get(), report(100, 100, 300, 100, "flooded"));
+	add(sum.get(), report(45, 45, 5, 100, "calm"));
+	add(sum.get(), report(50, 50, 0, 100, "calm2"));
+	sum_finish(sum.get());
+	sum_kept flooded = sum_kept_by(sum.get(), 0, true);
+	sum_kept others = sum_kept_by(sum.get(), 0, false);
+
+	EXPECT_EQ(1U, flooded.classes);
+	EXPECT_NEAR(25.0, flooded.kept_percent, 1e-9);
+	EXPECT_EQ(2U, others.classes);
+	EXPECT_NEAR(95.0, others.kept_percent, 1e-9);
+	EXPECT_NEAR(1.0, others.offered_per_s, 1e-9);
+}
+
 TEST(Sum, AnotherFormIsNotCounted)
 {
 	auto sum = std::make_unique<struct sum>();
