--- a/src/fescuemilld/gate_admission.c
+++ b/src/fescuemilld/gate_admission.c
@@ -4,6 +4,7 @@
 #include "fescuemilld/gate_admission.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_key.h"
 
@@ -40,6 +41,15 @@
 		gate_admission_decide(actions->list[i].ticket->owner, actions->list[i].verdict);
 }
 
+/* Counts an attempt that admission has taken a token for, or found none. */
+static void count_profile(const struct gate_ticket *ticket)
+{
+	if (ticket->arrival_us)
+		counter_add(ticket->in_profile ? COUNTER_GATE_IN_PROFILE
+					       : COUNTER_GATE_OUT_OF_PROFILE,
+			    1);
+}
+
 /* Offers an attempt. */
 void gate_admission_offer(struct gate_attempt *attempt)
 {
@@ -53,6 +63,7 @@
 	if (strcmp(attempt->call.service, shell->backend.service) == 0)
 		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
 				     attempt->deadline_us, attempt->offered_us, &actions);
+	count_profile(&attempt->ticket);
 	if (verdict.kind != GATE_WAIT)
 		gate_admission_decide(attempt, verdict);
 	queue_verdicts(&actions);
@@ -137,14 +148,12 @@
 	gate_admission_carry_out(shell);
 }
 
-/* Carries out the verdicts of another operation of admission. */
-void gate_admission_run(const struct gate_actions *actions)
+/* Sets the classes. */
+void gate_admission_set_config(struct gate_shell *shell, const struct service_config *config)
 {
-	const struct gate_attempt *attempt;
+	struct gate_actions actions;
 
-	if (actions->count == 0)
-		return;
-	attempt = actions->list[0].ticket->owner;
-	queue_verdicts(actions);
-	gate_admission_carry_out(attempt->shell);
+	gate_set_config(&shell->admission, config, clock_monotonic_us(), &actions);
+	queue_verdicts(&actions);
+	gate_admission_carry_out(shell);
 }
--- a/src/fescuemilld/gate_admission.h
+++ b/src/fescuemilld/gate_admission.h
@@ -25,6 +25,6 @@
 /* These ask admission and carry out what it decides. */
 void gate_admission_tick(struct gate_shell *shell);
 void gate_admission_set_backend(struct gate_shell *shell, enum backend_state state);
-void gate_admission_run(const struct gate_actions *actions);
+void gate_admission_set_config(struct gate_shell *shell, const struct service_config *config);
 
 #endif
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -6,7 +6,6 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemill/decide/share.h"
 #include "fescuemilld/gate_admission.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_key.h"
@@ -379,32 +378,18 @@
 	apply_backend(shell);
 }
 
-/* Carries out admission's actions. */
-static void run_admission(const struct gate_actions *actions)
+/* Sets the classes. */
+void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config)
 {
-	gate_admission_run(actions);
+	if (strcmp(config->service, shell->admission.service) != 0 ||
+	    config->version != shell->admission.config_version)
+		gate_admission_set_config(shell, config);
 }
 
-/* Sets the classes and this gate's equal part of their rates. */
-void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config,
-			   uint32_t peers)
+/* Gives the gate that decides. */
+struct gate *gate_shell_admission(struct gate_shell *shell)
 {
-	uint64_t rates[CLASSES_PER_SERVICE_MAX] = {0};
-	struct gate_actions actions;
-
-	if (strcmp(config->service, shell->admission.service) != 0 ||
-	    config->version != shell->admission.config_version) {
-		gate_set_config(&shell->admission, config, clock_monotonic_us(), &actions);
-		run_admission(&actions);
-	}
-	for (uint32_t i = 0; i < config->class_count; i++) {
-		const struct class_target *target = &config->classes[i];
-		int index = gate_find_class(&shell->admission, target->name);
-
-		if (index >= 0)
-			rates[index] = share_equal_milli(target->calls_per_s, peers);
-	}
-	gate_set_rates(&shell->admission, rates, clock_monotonic_us());
+	return &shell->admission;
 }
 
 /* Sets the homes of keys anew. */
--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -148,7 +148,7 @@
 			config.classes[i].percentile_x10 = 990;
 			config.classes[i].calls_per_s = 100000;
 		}
-		gate_shell_set_config(shell, &config, 1);
+		gate_shell_set_config(shell, &config);
 	}
 
 	bool run_until(const std::function<bool()> &done, int turns = kTurnsMax)
