--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -1,22 +1,20 @@
 /*
  * Codec of gossip packets: [version, kind, seq, sender id, sender incarnation, config version,
- * table hash, body, [news...]]. Brief news has 7 items, whole news 17.
+ * table hash, body, [news...]]. Brief news has 6 items, whole news 16.
  */
 #include "fescuemill/fleet/gossip_codec.h"
 
-#include "fescuemill/fleet/member.h"
-
 #include "fescuemill/wire/reader.h"
 
 #include <endian.h>
 #include <string.h>
 
 #define ENVELOPE_ITEMS	9
-#define BRIEF_ITEMS	7
-#define WHOLE_ITEMS	17
+#define BRIEF_ITEMS	6
+#define WHOLE_ITEMS	16
 #define ENVELOPE_BYTES	64 /* bound of everything but wants, buckets and news */
-#define BRIEF_NEWS_MAX	34 /* bound of brief news in bytes */
-#define WHOLE_NEWS_BASE 63 /* bound of whole news in bytes without its four names */
+#define BRIEF_NEWS_MAX	31 /* bound of brief news in bytes */
+#define WHOLE_NEWS_BASE 60 /* bound of whole news in bytes without its four names */
 
 /* Packs a name that ends with NUL. */
 static void pack_name(msgpack_packer *pk, const char *name)
@@ -44,7 +42,6 @@
 	msgpack_pack_uint8(pk, (uint8_t)mb->state);
 	msgpack_pack_uint8(pk, (uint8_t)mb->backend);
 	msgpack_pack_uint32(pk, mb->slots);
-	msgpack_pack_uint16(pk, member_service_tag(mb));
 	if (!news->whole)
 		return;
 	pack_name(pk, mb->name);
@@ -140,7 +137,6 @@
 	mb->state = (enum member_state)reader_uint(&rd, MEMBER_STATE_COUNT - 1);
 	mb->backend = (enum backend_state)reader_uint(&rd, BACKEND_STATE_COUNT - 1);
 	mb->slots = (uint32_t)reader_uint(&rd, UINT16_MAX);
-	news->service_tag = (uint16_t)reader_uint(&rd, UINT16_MAX);
 	news->whole = reader_has_more(&rd);
 	if (news->whole) {
 		reader_name(&rd, mb->name, sizeof(mb->name));
--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -8,7 +8,7 @@
 #include "fescuemill/fleet/member_defs.h"
 #include "fescuemill/wire/message_defs.h"
 
-#define GOSSIP_VERSION	    2
+#define GOSSIP_VERSION	    1
 #define GOSSIP_PACKET_BYTES 1200
 #define GOSSIP_NEWS_MAX	    64
 #define GOSSIP_DEMAND_BYTES 1100
@@ -43,11 +43,9 @@
 	GOSSIP_KIND_END,
 };
 
-/* News of one member. Brief news lacks the names and addresses, which the receiver has; the tag
- * tells whether it has the right service. */
+/* News of one member. Brief news lacks the names and addresses, which the receiver has. */
 struct gossip_news {
 	bool whole;
-	uint16_t service_tag; /* as received; senders' comes from the member */
 	struct member member;
 };
 
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -78,24 +78,13 @@
 		gsp->packet.wants[gsp->packet.want_count++] = node_id;
 }
 
-/* Tells whether what brief news lacks is in the table: the record of the same life and service.
- * Brief news can overtake the whole news of a service that its member has taken up since. */
-static bool completes(const struct member *known, const struct gossip_news *news)
-{
-	return known && known->life.incarnation >= news->member.life.incarnation &&
-	       member_service_tag(known) == news->service_tag;
-}
-
 /* Applies brief news: what it lacks is taken from the table. */
-static void apply_brief(struct gossip *gsp, const struct gossip_news *brief, uint64_t now_us)
+static void apply_brief(struct gossip *gsp, const struct member *news, uint64_t now_us)
 {
-	const struct member *news = &brief->member;
 	const struct member *known = member_find(gsp->members, news->life.node_id);
 	struct member merged;
 
-	if (known && !member_is_newer(news, known))
-		return;
-	if (!completes(known, brief)) {
+	if (!known || known->life.incarnation < news->life.incarnation) {
 		if (news->state != MEMBER_DEAD)
 			want(gsp, news->life.node_id);
 		return;
@@ -121,7 +110,7 @@
 		if (news->life.node_id == gsp->self.life.node_id)
 			defend_self(gsp, news);
 		else if (!packet->news[i].whole)
-			apply_brief(gsp, &packet->news[i], now_us);
+			apply_brief(gsp, news, now_us);
 		else if (news->state != MEMBER_DEAD ||
 			 member_find(gsp->members, news->life.node_id))
 			gossip_apply(gsp, news, true, now_us);
--- a/src/fescuemill/fleet/member.c
+++ b/src/fescuemill/fleet/member.c
@@ -121,14 +121,6 @@
 	*at = table->next_of_service[index];
 }
 
-/* Gives the tag of a member's service. */
-uint16_t member_service_tag(const struct member *member)
-{
-	size_t size = strnlen(member->service, sizeof(member->service));
-
-	return (uint16_t)XXH3_64bits(member->service, size);
-}
-
 /* Tells whether news of a member supersedes what is known: by incarnation, then the member's own
  * revision, then the graver state. */
 bool member_is_newer(const struct member *news, const struct member *known)
