Gossip: brief news of a changed service asks for the whole record

Cause: keyed calls were told "not run, no-backend-server" now and then. By instrumented demos (shared machine) the gate said it, since the entry's and the gate's members differed: a node listed a live, ready member without its service. Brief news lacks the service; a node that had missed the whole record merged the newer revision with the old, empty service. The hashes compare revisions, so nothing mended it. The member was out of choice there, and homes of keys were computed without it.

Ruled out: suspicion (a suspect home counts as alive in key_members.c), a lapsed lease and an unreachable backend server (neither in the logs).

Change: the upper bits of a revision grow when the service changes; brief news with other upper bits is not merged, the whole record is asked for. No change of the packets; older nodes go on as before.

--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -354,6 +354,8 @@
 	memcpy(self->service, service, strnlen(service, sizeof(self->service) - 1));
 	self->backend = backend;
 	self->slots = slots;
+	if (new_service)
+		self->revision |= (1U << MEMBER_SERVICE_SHIFT) - 1;
 	self->revision++;
 	gossip_publish_self(gsp, new_service);
 }
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -78,14 +78,22 @@
 		gsp->packet.wants[gsp->packet.want_count++] = node_id;
 }
 
+/* Tells whether brief news is of a life or a service that the record in the table is not. */
+static bool lacks_record(const struct member *known, const struct member *news)
+{
+	if (known->life.incarnation != news->life.incarnation)
+		return known->life.incarnation < news->life.incarnation;
+	return known->revision >> MEMBER_SERVICE_SHIFT < news->revision >> MEMBER_SERVICE_SHIFT;
+}
+
 /* Applies brief news: what it lacks is taken from the table. */
 static void apply_brief(struct gossip *gsp, const struct member *news, uint64_t now_us)
 {
 	const struct member *known = member_find(gsp->members, news->life.node_id);
 	struct member merged;
 
-	if (!known || known->life.incarnation < news->life.incarnation) {
-		if (news->state != MEMBER_DEAD)
+	if (!known || lacks_record(known, news)) {
+		if (known || news->state != MEMBER_DEAD)
 			want(gsp, news->life.node_id);
 		return;
 	}
--- a/src/fescuemill/fleet/member_defs.h
+++ b/src/fescuemill/fleet/member_defs.h
@@ -33,6 +33,10 @@
 	BACKEND_STATE_COUNT,
 };
 
+/* A revision's bits from here on grow when the member's service changes, so that brief news, which
+ * lacks the service, tells whether the receiver has the right one. */
+#define MEMBER_SERVICE_SHIFT 8
+
 struct member {
 	char name[NODE_NAME_BYTES];
 	char region[REGION_NAME_BYTES];
--- a/test/property/gossip_property_test.cc
+++ b/test/property/gossip_property_test.cc
@@ -78,6 +78,30 @@
 	}) != UINT64_MAX);
 }
 
+// Briefly told news of a member lacks its service; whoever missed the whole record must ask for it.
+RC_GTEST_PROP(Gossip, AServiceThatChangedIsKnownToEverybody, ())
+{
+	FakeFleet fleet(random_options());
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	uint32_t changes = *rc::gen::inRange<uint32_t>(1, 6);
+	std::string service;
+
+	for (uint32_t i = 0; i < changes; i++) {
+		service = *rc::gen::element<std::string>("", "ledger", "intake");
+		fleet.run_for(*rc::gen::inRange<uint64_t>(0, 100) * 10000);
+		gossip_set_backend(fleet.node(victim).gossip, service.c_str(),
+				   service.empty() ? BACKEND_NONE : BACKEND_READY, 6);
+		fleet.run_for(*rc::gen::inRange<uint64_t>(0, 20) * 10000);
+		gossip_set_backend(fleet.node(victim).gossip, service.c_str(),
+				   service.empty() ? BACKEND_NONE : BACKEND_DRAINING, 6);
+	}
+	RC_ASSERT(fleet.run_until(join_limit_us, [&] {
+		return fleet.all_alive() && fleet.count_live([&](const FakeFleet::Node &node) {
+			return member_find(node.table, fleet.id_of(victim))->service == service;
+		}) == fleet.size();
+	}) != UINT64_MAX);
+}
+
 RC_GTEST_PROP(Gossip, PausedNodeWakesWithoutHarm, ())
 {
 	FakeFleet::Options options = random_options();
