Rosters: writers see who joins, so a start at once writes little

Cause: a new node leaves its entry to the two writers for 8 s, but a writer looked at the members only at its regular reading, 30 to 90 s apart. So every node of a starting failure domain entered itself.

Change: a writer looks at the members every 2 to 6 s and goes by the roster that it read or wrote last until the regular reading; if that is old, its update fails on its version and it reads again. No call is made when nothing has changed.

Ruled out: reading at each look (36 KB every 4 s); raising the 8 s.

Test: ADomainThatStartsAtOnceWritesLittle, 182 members in 10 s, platform answering after 5 ms, gossip after 1 s; allowed are 300 writes/s for 17 domains.

TheStaleUpdateOfAPausedWriterFailsOnItsVersion is made stricter: it passed with a writer that on a conflict wrote its own roster on the new version, since the other entered itself again. It now looks at every write and fails with that fault.

--- a/src/fescuemill/fleet/keeper.c
+++ b/src/fescuemill/fleet/keeper.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #define PERIOD_US      (60 * USEC_PER_SEC) /* between two readings when rosters are not watched */
+#define WRITER_TICK_US (4 * USEC_PER_SEC)  /* between two looks of a writer at the members */
 #define JOIN_WAIT_US   (8 * USEC_PER_SEC)  /* for the writers to enter a new node */
 #define ENOUGH_MEMBERS 3		   /* of a domain that a new node can join by gossip */
 #define LEAVE_ATTEMPTS 3
@@ -41,9 +42,10 @@
 	uint32_t failures;
 	uint32_t leave_attempts;
 	uint64_t self_since_us;
-	uint64_t version; /* of the own domain's roster as last read; 0: there is none */
-	bool entered;	  /* whether this node stood in it once */
-	bool known;	  /* whether it was read at all since the last doubt */
+	uint64_t version;     /* of the own domain's roster as last read; 0: there is none */
+	bool entered;	      /* whether this node stood in it once */
+	bool known;	      /* whether it was read at all since the last doubt */
+	uint64_t read_due_us; /* until then a writer goes by what it read or wrote last */
 	struct roster roster;
 	void (*left)(void *user);
 	void *left_user;
@@ -83,13 +85,36 @@
 static void check_after_failure(struct keeper *keeper)
 {
 	keeper->known = false;
+	keeper->read_due_us = 0;
 	check_after(keeper, session_backoff_us(&keeper->limits, keeper->failures++, &keeper->rng));
 }
 
-/* Gives the wait to the next regular reading, spread over half a period. */
-static uint64_t period_us(struct keeper *keeper)
+/* Gives a wait around a period, from half of it to half more, so that nodes do not act together. */
+static uint64_t spread_us(struct keeper *keeper, uint64_t period_us)
 {
-	return PERIOD_US / 2 + (uint64_t)(random_unit(&keeper->rng) * PERIOD_US);
+	return period_us / 2 + (uint64_t)(random_unit(&keeper->rng) * (double)period_us);
+}
+
+/* Waits for the next regular reading; a writer looks at the members more often, so that those who
+ * join need not enter themselves. */
+static void rest(struct keeper *keeper)
+{
+	uint64_t now_us = clock_monotonic_us();
+	bool is_writer = roster_is_writer(keeper->members, &keeper->self);
+
+	/* What is known may be old by the next regular reading, unless it is watched. */
+	keeper->known = keeper->watching;
+	if (now_us >= keeper->read_due_us)
+		keeper->read_due_us = now_us + spread_us(keeper, PERIOD_US);
+	check_after(keeper,
+		    is_writer ? spread_us(keeper, WRITER_TICK_US) : keeper->read_due_us - now_us);
+}
+
+/* Tells whether the roster must be read before it is revised. What was read last serves until the
+ * next regular reading: if it is old, the update fails on its version. */
+static bool must_read(const struct keeper *keeper)
+{
+	return !keeper->known && clock_monotonic_us() >= keeper->read_due_us;
 }
 
 /* Puts the members of a roster into the table. */
@@ -225,7 +250,10 @@
 	keeper->entered = true;
 	if (result->version > keeper->version)
 		keeper->version = result->version;
-	check_after(keeper, keeper->leaving ? 0 : period_us(keeper));
+	if (keeper->leaving)
+		check_after(keeper, 0);
+	else
+		rest(keeper);
 }
 
 static void write_roster(struct keeper *keeper)
@@ -312,10 +340,10 @@
 		if (keeper->leaving)
 			finish_leave(keeper);
 		else
-			check_after(keeper, period_us(keeper));
+			check_after(keeper, spread_us(keeper, PERIOD_US));
 		return;
 	}
-	if (!keeper->known) {
+	if (must_read(keeper)) {
 		read_roster(keeper);
 		return;
 	}
@@ -327,10 +355,12 @@
 		finish_leave(keeper);
 		return;
 	}
-	/* What is known may be old by the next regular check, unless it is watched. */
-	keeper->known = keeper->watching;
 	keeper->entered = roster_has(&keeper->roster, keeper->self.life.node_id);
-	check_after(keeper, leaves_entry_to_writers(keeper) ? JOIN_WAIT_US : period_us(keeper));
+	rest(keeper);
+	if (leaves_entry_to_writers(keeper)) {
+		keeper->read_due_us = 0; /* to see whether the writers have entered it */
+		check_after(keeper, JOIN_WAIT_US);
+	}
 }
 
 /* Opens a keeper that watches the rosters. Errors: ERROR_MEMORY. */
--- a/test/unit/fleet/keeper_test.cc
+++ b/test/unit/fleet/keeper_test.cc
@@ -127,10 +127,9 @@
 			member_table_close(node->members);
 	}
 
-	Node &start(const std::string &name, bool watching = true)
+	Node &start(const std::string &name, bool watching = true,
+		    session_limits limits = {2000, 20000, 1000000, 1000})
 	{
-		session_limits limits = {2000, 20000, 1000000, 1000};
-
 		nodes.push_back(std::make_unique<Node>());
 		Node &node = *nodes.back();
 
@@ -206,6 +205,15 @@
 	EXPECT_TRUE(run_until([&] { return has({"other"}); }));
 	uint64_t conflicts = counter_get(COUNTER_ROSTER_CONFLICTS);
 
+	// From now on nobody writes the other out of the roster.
+	platform.fate = [](const platform_request &request) {
+		std::string value(request.value ? request.value : "", request.value_size);
+
+		if (request.type == PLATFORM_CREATE || request.type == PLATFORM_UPDATE) {
+			EXPECT_NE(std::string::npos, value.find(R"("name":"other")")) << value;
+		}
+		return FakePlatform::ANSWER;
+	};
 	platform.release();
 	EXPECT_EQ(conflicts + 1, counter_get(COUNTER_ROSTER_CONFLICTS));
 	EXPECT_TRUE(run_until([&] { return has({"other", "paused"}); }));
@@ -323,3 +331,61 @@
 		uv_run(&loop, UV_RUN_NOWAIT);
 	EXPECT_EQ(writes, platform.counts[PLATFORM_UPDATE]);
 }
+
+// A whole failure domain starts within 10 s against a platform that answers after 5 ms; gossip
+// brings the news of a member to the others after 1 s. All domains start at once, so that many
+// times the writes of one roster come to the platform.
+TEST_F(Keeper, ADomainThatStartsAtOnceWritesLittle)
+{
+	const size_t size = 182;
+	const uint64_t start_ms = 10000;
+	const uint64_t gossip_ms = 1000;
+	const size_t domains = 17;
+	const size_t platform_writes_per_s = 300;
+	const uint64_t begin_ms = uv_hrtime() / 1000000;
+	std::multiset<uint64_t> writes;
+	std::multiset<uint64_t> calls;
+	size_t known = 0; // of the nodes that started, those that gossip has told of
+	uint64_t now_ms = 0;
+	uint64_t released_ms = 0;
+
+	platform.fate = [&](const platform_request &request) {
+		calls.insert(now_ms);
+		if (request.type == PLATFORM_CREATE || request.type == PLATFORM_UPDATE)
+			writes.insert(now_ms);
+		return request.type == PLATFORM_WATCH ? FakePlatform::ANSWER : FakePlatform::HOLD;
+	};
+	while (now_ms < 2 * start_ms) {
+		now_ms = uv_hrtime() / 1000000 - begin_ms;
+		if (nodes.size() < size && nodes.size() * start_ms <= now_ms * size)
+			start("n" + std::to_string(nodes.size()), false,
+			      session_limits_for(600, 2, 25000));
+		if (known < nodes.size() && known * start_ms + gossip_ms * size <= now_ms * size) {
+			for (auto &node : nodes)
+				member_upsert(node->members, &nodes[known]->self);
+			for (size_t i = 0; i < known; i++)
+				member_upsert(nodes[known]->members, &nodes[i]->self);
+			known++;
+		}
+		if (now_ms >= released_ms + 5) {
+			platform.release();
+			released_ms = now_ms;
+		}
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+	EXPECT_EQ(size, names_in(roster()).size());
+	auto worst_second = [](const std::multiset<uint64_t> &times) {
+		size_t worst = 0;
+
+		for (uint64_t at : times)
+			worst = std::max(worst,
+					 (size_t)std::distance(times.lower_bound(at),
+							       times.lower_bound(at + 1000)));
+		return worst;
+	};
+
+	printf("writes %zu, worst second %zu; calls %zu, worst second %zu; version %zu\n",
+	       writes.size(), worst_second(writes), calls.size(), worst_second(calls),
+	       (size_t)roster().version);
+	EXPECT_LE(domains * worst_second(writes), platform_writes_per_s);
+}
