Link test: announcements lost, at first one connection, then all

Test: one silent connection: the backend server stays in use, since the next announcement takes a new connection before the lease of 3 s ends. All lost: no request 5 s later. New connections work again while the old one stays silent: in use within 5 s. All calls are answered.

A first form that silenced the link every 250 ms lost no announcement, for each new connection carries one before the next silence; the link is cut instead.

--- a/test/functional/failure_link_test.cc
+++ b/test/functional/failure_link_test.cc
@@ -73,6 +73,18 @@
 			timeout_ms);
 	}
 
+	// Starts a host's backend server again so that it announces itself through the link.
+	void announce_through_link(Host &host)
+	{
+		uint16_t port = add_forward(host.node->port("backend_port"), host.region);
+
+		host.backend->kill();
+		host.backend = Process::start_server(
+			{program("standin-backend"), "--service", host.service, "--slots", "6",
+			 "--service-ms", "5", "--announce", "127.0.0.1:" + std::to_string(port)},
+			fleet.folder() + "/" + host.name + ".backend.log");
+	}
+
 	int64_t requests(size_t host)
 	{
 		return number_in(http(fleet.hosts[host].backend->port(), "GET", "/control/stats"),
@@ -172,3 +184,37 @@
 		DEADLINE_MS));
 	EXPECT_EQ(read_ledger(fleet)["silent"], 1);
 }
+
+TEST_F(Link, ABackendServerIsOutOfUseOnlyWhileItsAnnouncementsAreLost)
+{
+	Host &host = fleet.hosts[0];
+
+	announce_through_link(host);
+	// Its own entry prefers it.
+	ASSERT_TRUE(wait_until(
+		[&] {
+			fleet.call(host, "GET", "/ledger/ready", "purchase");
+			return requests(0) > 0;
+		},
+		OUT_OF_CHOICE_MS));
+	Drive calls(fleet, through({0}, "a"));
+	// One silent connection: the next announcement takes a new one before the lease ends.
+	Fleet::control(*fleet.link, "{\"silence\":true}");
+	for (int passed = 0; passed < OUT_OF_CHOICE_MS; passed += 1000) {
+		int64_t before = requests(0);
+
+		pause_ms(1000);
+		EXPECT_GT(requests(0), before) << passed;
+	}
+	// None arrives: the lease lapses. Then the open connection stays silent, and new ones work.
+	Fleet::control(*fleet.link, "{\"cut\":true}");
+	pause_ms(OUT_OF_CHOICE_MS);
+	int64_t before = requests(0);
+	pause_ms(1000);
+	EXPECT_EQ(requests(0), before);
+	Fleet::control(*fleet.link, "{\"cut\":false,\"silence\":true}");
+	EXPECT_TRUE(wait_until([&] { return requests(0) > before; }, OUT_OF_CHOICE_MS));
+	const ToldCalls &told = calls.stop();
+	EXPECT_EQ(count_told(told, "answered"), (int)told.size()) << tally(told);
+	expect_true(read_ledger(fleet), told, false);
+}
