--- a/test/functional/configuration_test.cc
+++ b/test/functional/configuration_test.cc
@@ -1,14 +1,13 @@
 // Configuration over a whole fleet of real nodes: in force everywhere within seconds, through
 // outages, pauses and replacements; and what the fleet costs the platform.
 #include "functional/support/fleet.h"
+#include "support/connect.h"
 
-#include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
 #include <functional>
 #include <gtest/gtest.h>
 #include <set>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -27,17 +26,6 @@
 constexpr int POLL_MS = 100;	  // ten questions a second: half of what a node allows a team
 const std::string key = "x-fescue-key: replace-this-key-of-ledger-team";
 
-int connect_to(uint16_t port)
-{
-	sockaddr_in address = {};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_family = AF_INET;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons(port);
-	return connect(fd, (sockaddr *)&address, sizeof(address)) == 0 ? fd : -1;
-}
-
 // Reads until the other end closes.
 std::string receive_all(int fd)
 {
@@ -243,7 +231,7 @@
 TEST_F(Configuration, APausedNodeIsNotReadyUntilItHasCaughtUp)
 {
 	Host &host = fleet.hosts[2];
-	int connection = connect_to(host.node->port("admin_port"));
+	int connection = support::connect_to(host.node->port("admin_port"));
 
 	std::this_thread::sleep_for(std::chrono::milliseconds(200));
 	host.node->signal(SIGSTOP);
--- a/test/functional/keyed_test.cc
+++ b/test/functional/keyed_test.cc
@@ -1,5 +1,5 @@
 // Keyed calls: a repeat may enter anywhere, and runs at most once.
-#include "functional/support/fleet.h"
+#include "functional/support/drive.h"
 
 #include <gtest/gtest.h>
 
@@ -11,9 +11,7 @@
 using support::Fleet;
 using support::FleetOptions;
 using support::Host;
-using support::http_json;
 using support::HttpAnswer;
-using support::Json;
 using support::new_key;
 
 namespace
@@ -37,18 +35,7 @@
 	// Gives how often a call started at any backend server.
 	int64_t starts(const std::string &call)
 	{
-		int64_t sum = 0;
-
-		for (Host &host : fleet.hosts) {
-			if (!host.backend->is_running())
-				continue;
-			Json all = http_json(host.backend->port(), "GET", "/executions");
-			json_t *calls = json_object_get(all.get(), "calls");
-
-			sum += json_integer_value(
-				json_array_get(json_object_get(calls, call.c_str()), 0));
-		}
-		return sum;
+		return support::read_ledger(fleet)[call];
 	}
 };
 } // namespace
--- a/test/functional/path_test.cc
+++ b/test/functional/path_test.cc
@@ -1,23 +1,24 @@
 // The whole path as separate processes: caller, entry, gate, backend server, and back.
-#include "functional/support/fleet.h"
+#include "functional/support/drive.h"
+#include "support/connect.h"
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <signal.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <chrono>
 #include <thread>
 
+using support::connect_to;
 using support::Fleet;
 using support::FleetOptions;
 using support::Host;
 using support::http_json;
 using support::HttpAnswer;
 using support::Json;
+using support::stat_of;
 
 namespace
 {
@@ -42,21 +43,6 @@
 		return fleet.call(entry, "POST", "/ledger/buy", "purchase", body, headers);
 	}
 
-	// Gives how often calls started at a host's backend server.
-	int64_t requests(Host &host)
-	{
-		Json stats = http_json(host.backend->port(), "GET", "/control/stats");
-
-		return json_integer_value(json_object_get(stats.get(), "requests"));
-	}
-
-	int64_t running(Host &host)
-	{
-		Json stats = http_json(host.backend->port(), "GET", "/control/stats");
-
-		return json_integer_value(json_object_get(stats.get(), "running"));
-	}
-
 	// Gives how many calls of buy() a host's backend server ran.
 	int64_t executed(Host &host)
 	{
@@ -68,12 +54,13 @@
 	// Waits until the backend servers run this many calls together.
 	bool wait_running(int64_t wanted)
 	{
-		for (int i = 0; i < EVENT_MS; i++) {
-			if (running(fleet.hosts[0]) + running(fleet.hosts[1]) == wanted)
-				return true;
-			std::this_thread::sleep_for(std::chrono::milliseconds(1));
-		}
-		return false;
+		return support::wait_until(
+			[&] {
+				return stat_of(fleet.hosts[0], "running") +
+					       stat_of(fleet.hosts[1], "running") ==
+				       wanted;
+			},
+			EVENT_MS);
 	}
 
 	void slow_down(double factor)
@@ -90,18 +77,6 @@
 	EXPECT_EQ(answer.headers["x-fescue-outcome"], "not-run");
 	EXPECT_EQ(answer.headers["x-fescue-reason"], reason);
 }
-
-int connect_to(uint16_t port)
-{
-	sockaddr_in addr{};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	addr.sin_family = AF_INET;
-	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	addr.sin_port = htons(port);
-	EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&addr), sizeof(addr)), 0);
-	return fd;
-}
 } // namespace
 
 TEST_F(Path, EveryEntryReachesEveryGate)
@@ -122,8 +97,8 @@
 		callers.emplace_back([this] { EXPECT_EQ(buy(fleet.hosts[0]).status, 200); });
 	for (std::thread &caller : callers)
 		caller.join();
-	EXPECT_GT(requests(fleet.hosts[0]), 0);
-	EXPECT_GT(requests(fleet.hosts[1]), 0);
+	EXPECT_GT(stat_of(fleet.hosts[0], "requests"), 0);
+	EXPECT_GT(stat_of(fleet.hosts[1], "requests"), 0);
 }
 
 TEST_F(Path, BodiesOfAnySizeArriveWholeBothWays)
@@ -152,7 +127,7 @@
 TEST_F(Path, RefusalsAreTyped)
 {
 	Host &host = fleet.hosts[0];
-	int64_t before = requests(fleet.hosts[0]) + requests(fleet.hosts[1]);
+	int64_t before = stat_of(fleet.hosts[0], "requests") + stat_of(fleet.hosts[1], "requests");
 
 	expect_not_run(fleet.call(host, "GET", "/nowhere/x", "purchase"), 404, "unknown-service");
 	expect_not_run(fleet.call(host, "GET", "/ledger/x", "nobody"), 404, "unknown-class");
@@ -161,7 +136,8 @@
 	expect_not_run(buy(host, "", {"x-fescue-deadline-ms: -1"}), 400, "bad-request");
 	expect_not_run(buy(host, "", {"x-fescue-depth: 21"}), 400, "too-deep");
 	expect_not_run(buy(host, std::string(BODY_LIMIT + 1, 'x')), 413, "too-large");
-	EXPECT_EQ(requests(fleet.hosts[0]) + requests(fleet.hosts[1]), before);
+	EXPECT_EQ(stat_of(fleet.hosts[0], "requests") + stat_of(fleet.hosts[1], "requests"),
+		  before);
 }
 
 // Retries are bounded by the service's budget, so a refusal may also be told.
--- a/test/functional/support/drive.cc
+++ b/test/functional/support/drive.cc
@@ -162,6 +162,11 @@
 	return ledger;
 }
 
+int64_t stat_of(const Host &host, const char *key)
+{
+	return number_in(http(host.backend->port(), "GET", "/control/stats"), key);
+}
+
 int count_told(const ToldCalls &told, const std::string &outcome)
 {
 	int count = 0;
--- a/test/functional/support/drive.h
+++ b/test/functional/support/drive.h
@@ -78,6 +78,8 @@
 bool wait_until(const std::function<bool()> &condition, int timeout_ms);
 // Gives how often each call started, over all backend servers that run.
 Ledger read_ledger(Fleet &fleet);
+// Gives a number of a host's backend server: "requests" that started, or those "running".
+int64_t stat_of(const Host &host, const char *key);
 // Counts calls that were told an outcome.
 int count_told(const ToldCalls &told, const std::string &outcome);
 // Gives how many calls were told what, for messages.
--- a/test/functional/support/process.cc
+++ b/test/functional/support/process.cc
@@ -1,12 +1,12 @@
 // Processes and HTTP requests of functional tests.
 #include "functional/support/process.h"
 
-#include <arpa/inet.h>
+#include "support/connect.h"
+
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -261,8 +261,7 @@
 		const std::string &body, const std::vector<std::string> &headers, int timeout_ms)
 {
 	Clock::time_point until = Clock::now() + std::chrono::milliseconds(timeout_ms);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	struct sockaddr_in addr = {};
+	int fd = connect_to(port);
 	std::string request = method + " " + path + " HTTP/1.1\r\nhost: test\r\n" +
 			      "connection: close\r\n" +
 			      "content-length: " + std::to_string(body.size()) + "\r\n";
@@ -272,10 +271,7 @@
 	for (const std::string &header : headers)
 		request += header + "\r\n";
 	request += "\r\n" + body;
-	addr.sin_family = AF_INET;
-	addr.sin_port = htons(port);
-	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	answer.is_connected = connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0;
+	answer.is_connected = fd >= 0;
 	if (answer.is_connected && write_all(fd, until, request) && read_all(fd, until, &text)) {
 		size_t end = text.find("\r\n\r\n");
 
@@ -284,7 +280,8 @@
 			answer.body = text.substr(end + 4);
 		}
 	}
-	close(fd);
+	if (fd >= 0)
+		close(fd);
 	if (answer.headers["transfer-encoding"] == "chunked")
 		answer.body = join_chunks(answer.body);
 	return answer;
--- a/test/unit/http/announce_test.cc
+++ b/test/unit/http/announce_test.cc
@@ -1,9 +1,9 @@
 // Announcements: what is accepted, and the lease that ends without renewal.
+#include "support/connect.h"
+
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <string>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -64,7 +64,6 @@
 
 	void SetUp() override
 	{
-		sockaddr_in addr{};
 		announce_options options{};
 		uv_loop_init(&loop);
 		options.ip = INADDR_LOOPBACK;
@@ -74,11 +73,8 @@
 		};
 		options.in_use = [](void *) -> uint32_t { return 4; };
 		ASSERT_EQ(announce_open(&announce, &loop, &options, nullptr), 0);
-		fd = socket(AF_INET, SOCK_STREAM, 0);
-		addr.sin_family = AF_INET;
-		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		addr.sin_port = htons(announce_port(announce));
-		ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&addr), sizeof(addr)), 0);
+		fd = support::connect_to(announce_port(announce));
+		ASSERT_GE(fd, 0);
 	}
 
 	void TearDown() override
--- a/test/unit/wire/channel_test.cc
+++ b/test/unit/wire/channel_test.cc
@@ -1,11 +1,10 @@
 // Tests of the channel over loopback: whole delivery both ways, refusals, garbage on the port.
-#include <arpa/inet.h>
+#include "support/connect.h"
+
 #include <cstring>
 #include <functional>
 #include <gtest/gtest.h>
 #include <string>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <vector>
 
 extern "C" {
@@ -152,17 +151,13 @@
 
 TEST_F(Channel, GarbageOnThePortHarmsNobody)
 {
-	struct sockaddr_in address = {};
-	int plain = socket(AF_INET, SOCK_STREAM, 0);
+	int plain = support::connect_to(channel_port(server_));
 	std::string garbage(4096, '\x5a');
 	struct channel_link *link;
 	struct message msg = make_ask(7);
 	struct error err;
 
-	address.sin_family = AF_INET;
-	address.sin_port = htons(channel_port(server_));
-	address.sin_addr.s_addr = htonl(loopback);
-	ASSERT_EQ(0, connect(plain, (struct sockaddr *)&address, sizeof(address)));
+	ASSERT_GE(plain, 0);
 	ASSERT_GT(send(plain, garbage.data(), garbage.size(), MSG_NOSIGNAL), 0);
 	link = open_link(channel_port(server_));
 	ASSERT_EQ(0, channel_link_send(link, &msg, &err));
