--- a/test/functional/demo/main.cc
+++ b/test/functional/demo/main.cc
@@ -40,7 +40,8 @@
 	std::cerr << "demo: the fleet stays up for " << seconds << " s; Ctrl-C ends it\n"
 		  << "demo: callers: 127.0.0.1:" << fleet.hosts[0].node->port("caller_port")
 		  << ", administration: 127.0.0.1:" << fleet.hosts[0].node->port("admin_port")
-		  << "\n";
+		  << ", platform: 127.0.0.1:" << fleet.platform->port()
+		  << ", link: 127.0.0.1:" << fleet.link->port() << "\n";
 	sigtimedwait(&signals, nullptr, &limit);
 	sigprocmask(SIG_UNBLOCK, &signals, nullptr);
 }
--- a/test/functional/support/fleet.cc
+++ b/test/functional/support/fleet.cc
@@ -21,6 +21,8 @@
 constexpr int PAUSE_MS = 20;
 constexpr int KEY_SPREAD_MS = 500; // one host: one clock, and gossip within a few rounds
 constexpr int PORT_PAUSE_MS = 200;
+constexpr int SAMPLE_PLATFORM_PORT = 7000;
+constexpr int SAMPLE_LINK_PORT = 7001; // of its control
 constexpr int PLAN_WAIT_MS = 3600 * 1000;
 
 // Gives the folder of a deployment's samples.
@@ -267,10 +269,17 @@
 
 void Fleet::start()
 {
-	platform = Process::start_server({program("standin-platform")}, folder_ + "/platform.log");
+	auto port = [this](int sample) {
+		return std::to_string(options_.has_sample_ports ? sample : 0);
+	};
+
+	platform = Process::start_server(
+		{program("standin-platform"), "--port", port(SAMPLE_PLATFORM_PORT)},
+		folder_ + "/platform.log");
 	put_services();
 	if (options_.has_link)
-		link = Process::start_server({program("standin-link"), "--delay-ms",
+		link = Process::start_server({program("standin-link"), "--port",
+					      port(SAMPLE_LINK_PORT), "--delay-ms",
 					      std::to_string(options_.link_delay_ms), "--rate-mbit",
 					      std::to_string(options_.link_rate_mbit)},
 					     folder_ + "/link.log");
--- a/test/functional/support/fleet.h
+++ b/test/functional/support/fleet.h
@@ -30,7 +30,7 @@
 	int link_delay_ms = 8;
 	double link_rate_mbit = 30;
 	bool keeps_ports = false;      // a node that starts again has the ports that it had before
-	bool has_sample_ports = false; // the first node listens on the ports of the sample
+	bool has_sample_ports = false; // the first node and the platform have those of the sample
 	std::string operator_key;      // of a team with a right to every service; empty: none
 	// Changes a node's settings before it starts.
 	std::function<void(const std::string &name, json_t *settings)> change_settings;
