Gate cost: the tally by profile is in the figures

Change: unit-gate_cost measures an offer with its finish without and with them; its bound on memory is as before.

--- a/test/unit/decide/gate_cost_test.cc
+++ b/test/unit/decide/gate_cost_test.cc
@@ -37,8 +37,9 @@
 	return config;
 }
 
-// Gives nanoseconds of one offer with its finish, with so many calls held at a time.
-uint64_t pair_ns(uint32_t class_count, uint32_t held)
+// Gives nanoseconds of one offer with its finish, with so many calls held at a time, and counted by
+// profile if there are tables for it.
+uint64_t pair_ns(uint32_t class_count, uint32_t held, const struct burn_tables &tally)
 {
 	static struct gate gate;
 	static struct gate_actions actions;
@@ -48,6 +49,7 @@
 	uint64_t now_us = 1000000;
 
 	gate_init(&gate, now_us);
+	gate.tally = tally;
 	gate_set_config(&gate, &config, now_us, &actions);
 	gate_set_backend(&gate, BACKEND_READY, SLOTS * LIMIT_LOW_DIVISOR, now_us, &actions);
 	gate_set_backend(&gate, BACKEND_READY, SLOTS, now_us, &actions);
@@ -77,11 +79,19 @@
 
 TEST(GateCost, PrintsProcessorTimeAndMemory)
 {
+	struct burn_tables tally = {};
+
+	ASSERT_EQ(0, burn_open(&tally.in_profile, 0, nullptr));
+	ASSERT_EQ(0, burn_open(&tally.out_of_profile, 0, nullptr));
 	for (uint32_t classes : {4U, 16U}) {
 		for (uint32_t held : {1U, 100U})
-			printf("%2u classes, %3u held: %lu ns an offer and its finish\n", classes,
-			       held, (unsigned long)pair_ns(classes, held));
+			printf("%2u classes, %3u held: %lu ns an offer and its finish, counted by "
+			       "profile %lu ns\n",
+			       classes, held, (unsigned long)pair_ns(classes, held, {}),
+			       (unsigned long)pair_ns(classes, held, tally));
 	}
+	burn_close(tally.in_profile);
+	burn_close(tally.out_of_profile);
 	printf("gate %zu bytes, ticket %zu bytes, actions %zu bytes\n", sizeof(struct gate),
 	       sizeof(struct gate_ticket), sizeof(struct gate_actions));
 	EXPECT_LE(sizeof(struct gate) + sizeof(struct gate_actions) +
