--- a/src/fescuemilld/gate_attempt.c
+++ b/src/fescuemilld/gate_attempt.c
@@ -3,6 +3,8 @@
  */
 #include "fescuemilld/gate_attempt.h"
 
+#include "fescuemill/base/counter.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -105,3 +107,14 @@
 	h2o_mem_clear_pool(&attempt->answer_arena);
 	free(attempt);
 }
+
+/* Counts an attempt by its profile. One that admission refused before it looked has none. */
+void gate_attempt_count_profile(const struct gate_attempt *attempt)
+{
+	const struct gate_ticket *ticket = &attempt->ticket;
+
+	if (ticket->arrival_us)
+		counter_add(ticket->in_profile ? COUNTER_GATE_IN_PROFILE
+					       : COUNTER_GATE_OUT_OF_PROFILE,
+			    1);
+}
--- a/src/fescuemilld/gate_attempt.h
+++ b/src/fescuemilld/gate_attempt.h
@@ -14,5 +14,7 @@
 void gate_attempt_release_request(struct gate_attempt *attempt);
 void gate_attempt_release_answer(struct gate_attempt *attempt);
 void gate_attempt_free(struct gate_attempt *attempt);
+/* Counts an attempt, once offered to admission, as within the rate of its class or not. */
+void gate_attempt_count_profile(const struct gate_attempt *attempt);
 
 #endif
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -184,15 +184,6 @@
 		report_verdict(actions->list[i].ticket->owner, actions->list[i].verdict);
 }
 
-/* Counts an attempt that admission has taken a token for, or found none. */
-static void count_profile(const struct gate_ticket *ticket)
-{
-	if (ticket->arrival_us)
-		counter_add(ticket->in_profile ? COUNTER_GATE_IN_PROFILE
-					       : COUNTER_GATE_OUT_OF_PROFILE,
-			    1);
-}
-
 /* Offers an attempt to admission and carries out what it decides. */
 static void offer_to_admission(struct gate_attempt *attempt)
 {
@@ -206,7 +197,7 @@
 	if (strcmp(attempt->call.service, shell->backend.service) == 0)
 		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
 				     attempt->deadline_us, attempt->offered_us, &actions);
-	count_profile(&attempt->ticket);
+	gate_attempt_count_profile(attempt);
 	report_verdict(attempt, verdict);
 	run_admission(&actions);
 }
