Announcements follow the chart of the backend server

Cause: charts/backend_server.json was loaded and walked by a test, while announce.c took whatever state was announced. So a late announcement of a backend server that had said it leaves made it ready again.

Ruled out: removing the chart: it says what the code needs and lacked.

Change: announce.c asks the chart for the next state; announcements and the end of the lease (also for an unreachable backend server) are the inputs. What the chart does not take is answered 409 "state", changes nothing and does not renew the lease.

Seen failing: the code before answered 200 to "ready" after "leaving". With that transition added to the chart (scratch) the new code does so too: 200 in place of 409, so it runs on the chart.

--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -1,9 +1,11 @@
 /*
- * Announce: the listener on which the backend server beside this node announces itself.
+ * Announce: the listener on which the backend server beside this node announces itself. The chart
+ * backend_server decides which state follows from an announcement, and which are refused.
  */
 #include "fescuemill/http/announce.h"
 
 #include "fescuemill/base/log.h"
+#include "fescuemill/chart/chart.h"
 #include "fescuemill/http/server.h"
 
 #include <ctype.h>
@@ -23,6 +25,13 @@
 	struct announcement now;
 };
 
+/* A backend server's states are numbered as those of its chart. */
+_Static_assert((int)BACKEND_NONE == (int)BACKEND_CHART_NONE, "none");
+_Static_assert((int)BACKEND_STARTING == (int)BACKEND_CHART_STARTING, "starting");
+_Static_assert((int)BACKEND_READY == (int)BACKEND_CHART_READY, "ready");
+_Static_assert((int)BACKEND_DRAINING == (int)BACKEND_CHART_DRAINING, "draining");
+_Static_assert((int)BACKEND_LEAVING == (int)BACKEND_CHART_LEAVING, "leaving");
+
 static const struct {
 	const char *name;
 	enum backend_state state;
@@ -33,6 +42,12 @@
 	{"leaving", BACKEND_LEAVING},
 };
 
+static const enum backend_input inputs[BACKEND_STATE_COUNT] = {
+	[BACKEND_NONE] = BACKEND_INPUT_LEASE_EXPIRED, [BACKEND_STARTING] = BACKEND_INPUT_STARTING,
+	[BACKEND_READY] = BACKEND_INPUT_READY,	      [BACKEND_DRAINING] = BACKEND_INPUT_DRAINING,
+	[BACKEND_LEAVING] = BACKEND_INPUT_LEAVING,
+};
+
 /* Reads a whole number of an object. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
 static int read_number(const json_t *object, const char *key, json_int_t highest, uint32_t *out,
 		       struct error *err)
@@ -140,13 +155,21 @@
 	       strcmp(a->service, b->service) == 0;
 }
 
-/* Tells the owner when something changed. */
-static void take(struct announce *ann, const struct announcement *now)
+/* Moves along the chart and tells the owner when something changed. Errors: ERROR_STATE when the
+ * chart does not take the announcement in the present state; nothing changes then. */
+static int take(struct announce *ann, const struct announcement *news, struct error *err)
 {
-	if (is_same(&ann->now, now))
-		return;
-	ann->now = *now;
+	struct announcement now = *news;
+	uint32_t next;
+
+	if (chart_next(CHART_BACKEND_SERVER, ann->now.state, inputs[news->state], &next, err) != 0)
+		return -1;
+	now.state = (enum backend_state)next;
+	if (is_same(&ann->now, &now))
+		return 0;
+	ann->now = now;
 	ann->options.on_change(ann->options.user, &ann->now);
+	return 0;
 }
 
 /* Ends the announcement when its lease was not renewed. */
@@ -158,7 +181,7 @@
 	log_write(LOG_WARNING, LOG_PART_HTTP, "The backend server's lease ended.", "service=%s",
 		  ann->now.service);
 	memset(&none, 0, sizeof(none));
-	take(ann, &none);
+	take(ann, &none, NULL);
 }
 
 /* Ends the lease before its time. A backend server that still runs announces itself again. */
@@ -194,18 +217,19 @@
 		rc = error_set(&err, ERROR_NOT_FOUND, "allowed is POST /announce");
 	else
 		rc = announcement_parse(req->entity.base, req->entity.len, &now, &err);
+	if (rc == 0)
+		rc = take(ann, &now, &err);
 	if (rc != 0) {
 		respond_failure(req, &err);
 		return;
 	}
 	uv_timer_start(&ann->lease, on_lease_ended, ANNOUNCE_LEASE_MS, 0);
-	take(ann, &now);
 	snprintf(text, sizeof(text), "{\"lease_ms\":%d,\"in_use\":%u}", ANNOUNCE_LEASE_MS,
 		 ann->options.in_use(ann->options.user));
 	http_respond_json(req, 200, text);
 }
 
-/* Opens the listener. Errors: ERROR_SYSTEM, ERROR_MEMORY. */
+/* Opens the listener. Errors: ERROR_SYSTEM, ERROR_MEMORY and those of the charts. */
 int announce_open(struct announce **out, uv_loop_t *loop, const struct announce_options *opt,
 		  struct error *err)
 {
@@ -222,7 +246,7 @@
 	if (!ann)
 		return error_set(err, ERROR_MEMORY, "no memory for the announcements' listener");
 	ann->options = *opt;
-	if (http_server_open(&ann->server, loop, &options, err) != 0) {
+	if (charts_load(err) != 0 || http_server_open(&ann->server, loop, &options, err) != 0) {
 		free(ann);
 		return -1;
 	}
--- a/test/unit/http/announce_test.cc
+++ b/test/unit/http/announce_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 extern "C" {
+#include "fescuemill/chart/chart.h"
 #include "fescuemill/http/announce.h"
 }
 
@@ -94,6 +95,11 @@
 		uv_loop_close(&loop);
 	}
 
+	static std::string announced(const std::string &state)
+	{
+		return R"({"service":"ledger","port":81,"slots":6,"state":")" + state + "\"}";
+	}
+
 	std::string post(const std::string &path, const std::string &body)
 	{
 		std::string text = "POST " + path + " HTTP/1.1\r\nhost: n\r\ncontent-length: " +
@@ -129,6 +135,43 @@
 	EXPECT_EQ(changes[1].port, 0);
 }
 
+// Every announcement in every state: the chart decides what is taken and which state follows.
+TEST_F(AnnounceTest, FollowsTheChart)
+{
+	const std::vector<std::string> names = {"none", "starting", "ready", "draining", "leaving"};
+
+	for (uint32_t from = BACKEND_STARTING; from < BACKEND_STATE_COUNT; from++) {
+		for (uint32_t to = BACKEND_STARTING; to < BACKEND_STATE_COUNT; to++) {
+			uint32_t input = BACKEND_INPUT_STARTING + to - BACKEND_STARTING;
+			uint32_t next = from;
+			bool taken =
+				chart_next(CHART_BACKEND_SERVER, from, input, &next, nullptr) == 0;
+
+			announce_end_lease(announce);
+			EXPECT_EQ(post("/announce", announced(names[from])).find("HTTP/1.1 200"),
+				  0u);
+			std::string answer = post("/announce", announced(names[to]));
+			EXPECT_EQ(answer.find(taken ? "HTTP/1.1 200" : "HTTP/1.1 409"), 0u)
+				<< names[from] << " " << names[to] << ": " << answer;
+			EXPECT_EQ(changes.back().state, next) << names[from] << " " << names[to];
+		}
+	}
+}
+
+// A backend server that said that it leaves gets no new work by a late announcement.
+TEST_F(AnnounceTest, AnnouncementsAfterLeavingAreRefusedTypedUntilTheLeaseEnds)
+{
+	post("/announce", announced("leaving"));
+	std::string answer = post("/announce", kReady);
+	EXPECT_EQ(answer.find("HTTP/1.1 409"), 0u) << answer;
+	EXPECT_NE(answer.find(R"("error":"state")"), std::string::npos) << answer;
+	ASSERT_EQ(changes.size(), 1u);
+	EXPECT_EQ(changes[0].state, BACKEND_LEAVING);
+	for (int i = 0; i < 200 && changes.size() < 2; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	EXPECT_EQ(post("/announce", kReady).find("HTTP/1.1 200"), 0u);
+}
+
 TEST_F(AnnounceTest, RefusesOtherRequestsTyped)
 {
 	EXPECT_EQ(post("/else", kReady).find("HTTP/1.1 404"), 0u);
