Stop: a signal after an operator's drain cuts nothing

Cause: the second request to stop ended a node at once, whoever made it, so that an operator's drain followed by the service manager's SIGTERM ended with exit code 18, though nothing was in flight.

Change: only a second signal ends a stop early. Seen failing: Path.ASignalAfterAnOperatorsDrain... got 18 in place of 0; passes after.

--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -124,14 +124,16 @@
 	node_stop_check_limit(node, now_us);
 }
 
-/* Takes a signal: the first begins a stop, the second ends it at once. */
+/* Takes a signal: the first begins a stop, unless an operator's drain has begun it; the second
+ * ends it at once. */
 static void on_signal(uv_signal_t *handle, int number)
 {
 	struct node *node = handle->data;
 
 	(void)number;
-	if (node->stop_phase == STOP_NONE) {
-		node_stop_begin(node);
+	if (!node->was_signalled) {
+		node->was_signalled = true;
+		node_on_drain(node);
 		return;
 	}
 	node->was_cut = true;
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -49,6 +49,7 @@
 	uint64_t stall_end_us;
 	uint64_t config_revision;
 	uint64_t members_revision;
+	bool was_signalled; /* to stop */
 	bool was_cut;
 	uv_timer_t housekeeping;
 	uv_signal_t signals[2];
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -112,7 +112,7 @@
 	keeper_set_self(node->keeper, gossip_self(node->gossip));
 }
 
-/* Begins a stop that an operator asked for, unless one is under way. */
+/* Begins a stop that an operator or a signal asked for, unless one is under way. */
 void node_on_drain(void *user)
 {
 	struct node *node = user;
--- a/test/functional/path_test.cc
+++ b/test/functional/path_test.cc
@@ -259,6 +259,18 @@
 	EXPECT_EQ(node.wait(EVENT_MS), 0) << node.log_tail();
 }
 
+TEST_F(Path, ASignalAfterAnOperatorsDrainCutsNothing)
+{
+	support::Process &node = *fleet.hosts[0].node;
+
+	EXPECT_EQ(support::http(node.port("admin_port"), "POST", "/v1/drain", "",
+				{"x-fescue-key: replace-this-key-of-ledger-team"}, EVENT_MS)
+			  .status,
+		  202);
+	node.signal(SIGTERM);
+	EXPECT_EQ(node.wait(EVENT_MS), 0) << node.log_tail();
+}
+
 TEST_F(Path, ASecondSignalCutsAndSaysSo)
 {
 	slow_down(2000);
