Gossip: a dead failure domain is out of choice within 5 s

Cause: 182 dead members were 182 pieces of news of 29 bytes, 24 sends each: 18 times the budget of a second. The spread took most of the time (half of the members out of choice for all after 7.8 s, found by somebody after 1.0 s). The tail was detection: probes were refused for want of the bytes that news and comparisons of tables had used, and a run of dead neighbours was walked at one a second. The suspicion's time-out has no part in it: a suspect is out of choice.

Change: when more than 16 changes of state wait, each goes as a fingerprint of 4 bytes, at most 64 a packet; a node that does not know them passes over them. Pushed news leaves an eighth of the burst to probes. Tables are compared less while many changes wait. A ring member that has not acked within 250 ms is skipped. A death at the revision of a known suspicion is no longer passed on from the start. Table hashes are made once a packet, not once a piece of news. A place in the rumor list that is used again no longer keeps what an old rumor left there.

The fake fleet put a failure domain into all regions; now it lies in one, which is harder. SplitRegions asks the fleet for a node's region; its checks are the same. The budget check is shared by two tests.

--- a/src/fescuemill/decide/budget.c
+++ b/src/fescuemill/decide/budget.c
@@ -4,9 +4,10 @@
  */
 #include "fescuemill/decide/budget.h"
 
-#define BURST_S	    2 /* seconds of the rate that may be spent at once */
-#define DEBT_MAX_S  2 /* seconds of the rate that receiving may put a bucket into debt */
-#define USEC_IN_SEC 1e6
+#define BURST_S		2 /* seconds of the rate that may be spent at once */
+#define DEBT_MAX_S	2 /* seconds of the rate that receiving may put a bucket into debt */
+#define RESERVE_DIVISOR 8 /* this part of the burst is kept for what cannot wait */
+#define USEC_IN_SEC	1e6
 
 /* Sets a bucket's rate and burst; keeps what it holds within the new burst. */
 static void bucket_set_rate(struct budget_bucket *bucket, uint64_t rate_bytes_per_s)
@@ -81,6 +82,13 @@
 	return true;
 }
 
+/* Tells whether no more than the reserve is left. */
+bool budget_is_low(struct budget *bud, uint64_t now_us)
+{
+	bucket_refill(&bud->node, now_us);
+	return bud->node.tokens_bytes < (double)bud->node.burst_bytes / RESERVE_DIVISOR;
+}
+
 /* Charges bytes that were received or could not wait. */
 void budget_charge(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us)
 {
--- a/src/fescuemill/decide/budget.h
+++ b/src/fescuemill/decide/budget.h
@@ -32,6 +32,8 @@
 		 uint64_t now_us);
 void budget_share_link(struct budget *bud, uint32_t nodes);
 bool budget_take(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
+/* Whether so little is left that what may wait should, for what may not. */
+bool budget_is_low(struct budget *bud, uint64_t now_us);
 void budget_charge(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us);
 
 #endif
--- a/src/fescuemill/fleet/digest.c
+++ b/src/fescuemill/fleet/digest.c
@@ -11,7 +11,7 @@
 #define BUCKET_SHIFT 58 /* the top 6 bits of a node id name one of GOSSIP_BUCKETS */
 
 /* Hashes what two nodes must agree on of one member. */
-static uint64_t member_hash(const struct member *member)
+uint64_t digest_member_hash(const struct member *member)
 {
 	uint64_t words[4] = {member->life.node_id, member->life.incarnation, member->revision,
 			     member->state};
@@ -37,7 +37,8 @@
 
 		if (member->state == MEMBER_DEAD)
 			continue;
-		digest->buckets[digest_bucket_of(member->life.node_id)] ^= member_hash(member);
-		digest->total ^= member_hash(member);
+		digest->buckets[digest_bucket_of(member->life.node_id)] ^=
+			digest_member_hash(member);
+		digest->total ^= digest_member_hash(member);
 	}
 }
--- a/src/fescuemill/fleet/digest.h
+++ b/src/fescuemill/fleet/digest.h
@@ -17,5 +17,6 @@
 
 void digest_update(struct digest *digest, const struct member_table *members);
 uint32_t digest_bucket_of(uint64_t node_id);
+uint64_t digest_member_hash(const struct member *member);
 
 #endif
--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -1,6 +1,7 @@
 /*
  * Gossip: one period probes the next member of the own region's ring, which finds every dead host
- * within a period and its time-outs, and one random member, which joins what the ring does not.
+ * within a period and its time-outs, and one random member, which joins what the ring does not. A
+ * member that does not answer at once does not hold up the ring: the one after it is probed too.
  */
 #include "fescuemill/fleet/gossip.h"
 
@@ -68,7 +69,8 @@
 	return member ? member : gossip_pick(gsp, PICK_OTHER_REGION);
 }
 
-/* Gives the next member after this node on the ring of its region's node ids, or NULL. */
+/* Gives the next member after this node on the ring of its region's node ids that is neither
+ * suspect nor being probed, or NULL. */
 static const struct member *ring_successor(const struct gossip *gsp)
 {
 	const struct member *best = NULL;
@@ -79,6 +81,7 @@
 		uint64_t distance = member->life.node_id - gsp->self.life.node_id;
 
 		if (distance >= best_distance || member->state == MEMBER_SUSPECT ||
+		    probe_is_under_way(&gsp->probes, member->life.node_id) ||
 		    !fits(gsp, member, PICK_OWN_REGION))
 			continue;
 		best = member;
@@ -98,15 +101,24 @@
 		probe_end(&gsp->probes, seq, &unused);
 }
 
+/* Probes the next member on the ring. */
+static void probe_successor(struct gossip *gsp, uint64_t now_us)
+{
+	const struct member *next = ring_successor(gsp);
+
+	if (!next)
+		return;
+	gsp->ring_target = next->life.node_id;
+	probe_member(gsp, next, now_us);
+}
+
 /* Starts the probes of one period. */
 static void start_probes(struct gossip *gsp, uint64_t now_us)
 {
-	const struct member *next = ring_successor(gsp);
 	const struct member *any = pick_mostly_own_region(gsp, PROBE_OTHER_REGION_PERCENT);
 
-	if (next)
-		probe_member(gsp, next, now_us);
-	if (any && any != next)
+	probe_successor(gsp, now_us);
+	if (any)
 		probe_member(gsp, any, now_us);
 }
 
@@ -160,6 +172,8 @@
 			return;
 		case PROBE_ASK_OTHERS:
 			ask_others(gsp, &due, now_us);
+			if (due.target == gsp->ring_target)
+				probe_successor(gsp, now_us);
 			break;
 		case PROBE_FAILED:
 			suspect(gsp, due.target, now_us);
@@ -191,7 +205,8 @@
 	}
 }
 
-/* Pushes news to a few random members while there is any. */
+/* Pushes news to a few random members while there is any, and leaves a reserve of the budget to
+ * the probes: news that nobody finds out does not spread. */
 static void push_news(struct gossip *gsp, uint64_t now_us)
 {
 	for (int i = 0; i < GOSSIP_NEWS_FANOUT; i++) {
@@ -199,6 +214,8 @@
 
 		if (rumor_is_empty(&gsp->rumors) && gsp->config_sends_left == 0)
 			return;
+		if (budget_is_low(gsp->budget, now_us))
+			return;
 		member = pick_mostly_own_region(gsp, NEWS_OTHER_REGION_PERCENT);
 		if (!member || !gossip_send_kind(gsp, member, GOSSIP_NEWS, 0, now_us))
 			return;
@@ -207,13 +224,22 @@
 	}
 }
 
+/* Gives the time between comparisons of tables. While much news is on its way tables differ anyhow,
+ * and comparing them would take the bytes that the news needs. */
+static uint64_t sync_period_us(const struct gossip *gsp)
+{
+	if (!gsp->joined)
+		return GOSSIP_JOIN_PERIOD_US;
+	return rumor_is_crowded(&gsp->rumors) ? GOSSIP_CROWDED_SYNC_PERIOD_US
+					      : GOSSIP_SYNC_PERIOD_US;
+}
+
 /* Sends the digest to a member whose table differs from this node's. */
 static void start_sync(struct gossip *gsp, uint64_t now_us)
 {
-	uint64_t period_us = gsp->joined ? GOSSIP_SYNC_PERIOD_US : GOSSIP_JOIN_PERIOD_US;
 	const struct member *peer = NULL;
 
-	if (now_us < gsp->sync_us + period_us || (gsp->joined && !gsp->differing_peer))
+	if (now_us < gsp->sync_us + sync_period_us(gsp) || (gsp->joined && !gsp->differing_peer))
 		return;
 	if (gsp->differing_peer)
 		peer = member_find(gsp->members, gsp->differing_peer);
@@ -294,7 +320,6 @@
 	if (gsp->tick_us && now_us > gsp->tick_us + GOSSIP_PAUSE_US)
 		recover_from_pause(gsp, now_us - gsp->tick_us);
 	gsp->tick_us = now_us;
-	digest_update(&gsp->digest, gsp->members);
 	check_probes(gsp, now_us);
 	check_suspicions(gsp, now_us);
 	if (now_us >= gsp->probe_us + GOSSIP_PROBE_PERIOD_US) {
@@ -330,7 +355,7 @@
 	gsp->revive_us = now_us;
 	/* Spread the nodes' periods, so that a fleet started at once does not beat as one. */
 	gsp->probe_us = now_us - random_below(&gsp->rng, (uint32_t)GOSSIP_PROBE_PERIOD_US);
-	gossip_publish_self(gsp, true);
+	gossip_publish_self(gsp, RUMOR_WHOLE);
 	*out = gsp;
 	return 0;
 }
@@ -355,7 +380,7 @@
 	self->backend = backend;
 	self->slots = slots;
 	self->revision++;
-	gossip_publish_self(gsp, new_service);
+	gossip_publish_self(gsp, new_service ? RUMOR_WHOLE : RUMOR_BRIEF);
 }
 
 /* Says that this node takes no new work. */
--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -1,6 +1,7 @@
 /*
  * Codec of gossip packets: [version, kind, seq, sender id, sender incarnation, config version,
- * table hash, body, [news...]]. Brief news has 6 items, whole news 16.
+ * table hash, body, [news...], fingerprints]. Brief news has 6 items, whole news 16. Fingerprints
+ * are left out when there are none; a node that does not know them passes over them.
  */
 #include "fescuemill/fleet/gossip_codec.h"
 
@@ -12,7 +13,7 @@
 #define ENVELOPE_ITEMS	9
 #define BRIEF_ITEMS	6
 #define WHOLE_ITEMS	16
-#define ENVELOPE_BYTES	64 /* bound of everything but wants, buckets and news */
+#define ENVELOPE_BYTES	64 /* bound of all but wants, buckets, news and each fingerprint */
 #define BRIEF_NEWS_MAX	31 /* bound of brief news in bytes */
 #define WHOLE_NEWS_BASE 60 /* bound of whole news in bytes without its four names */
 
@@ -62,6 +63,17 @@
 	msgpack_pack_bin_with_body(pk, bytes, count * sizeof(bytes[0]));
 }
 
+/* Packs the fingerprints as bytes, least significant first. */
+static void pack_fingerprints(msgpack_packer *pk, const struct gossip_packet *packet)
+{
+	uint32_t bytes[GOSSIP_FINGERPRINTS_MAX];
+	uint32_t count = packet->fingerprint_count;
+
+	for (uint32_t i = 0; i < count; i++)
+		bytes[i] = htole32(packet->fingerprints[i]);
+	msgpack_pack_bin_with_body(pk, bytes, count * sizeof(bytes[0]));
+}
+
 /* Packs the part that belongs to the packet's kind. */
 static void pack_body(msgpack_packer *pk, const struct gossip_packet *packet)
 {
@@ -91,7 +103,7 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, ENVELOPE_ITEMS);
+	msgpack_pack_array(&pk, ENVELOPE_ITEMS + (packet->fingerprint_count > 0));
 	msgpack_pack_uint8(&pk, GOSSIP_VERSION);
 	msgpack_pack_uint8(&pk, (uint8_t)packet->kind);
 	msgpack_pack_uint32(&pk, packet->seq);
@@ -103,6 +115,8 @@
 	msgpack_pack_array(&pk, packet->news_count);
 	for (uint32_t i = 0; i < packet->news_count; i++)
 		pack_news(&pk, &packet->news[i]);
+	if (packet->fingerprint_count)
+		pack_fingerprints(&pk, packet);
 	*size = buffer.size;
 	if (!buffer.data)
 		result = error_set(err, ERROR_MEMORY, "no memory for a packet");
@@ -194,6 +208,23 @@
 	}
 }
 
+/* Reads the fingerprints, which a packet may lack. */
+static void read_fingerprints(struct reader *rd, struct gossip_packet *packet)
+{
+	struct wire_bytes bytes;
+
+	if (!reader_has_more(rd))
+		return;
+	bytes = reader_bytes(rd, sizeof(packet->fingerprints));
+	packet->fingerprint_count = bytes.size / sizeof(packet->fingerprints[0]);
+	for (uint32_t i = 0; i < packet->fingerprint_count; i++) {
+		uint32_t *print = &packet->fingerprints[i];
+
+		memcpy(print, bytes.data + i * sizeof(*print), sizeof(*print));
+		*print = le32toh(*print);
+	}
+}
+
 /* Reads the envelope, the body and the news. */
 static int read_packet(const msgpack_object *root, struct gossip_packet *packet, struct error *err)
 {
@@ -213,6 +244,7 @@
 	packet->table_hash = reader_uint(&rd, UINT64_MAX);
 	read_body(&rd, packet);
 	read_news_list(&rd, packet);
+	read_fingerprints(&rd, packet);
 	return rd.failed ? -1 : 0;
 }
 
--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -7,25 +7,27 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/fleet/member_defs.h"
 
-#define GOSSIP_VERSION	    1
-#define GOSSIP_PACKET_BYTES 1200
-#define GOSSIP_NEWS_MAX	    64
-#define GOSSIP_NUMBERS_MAX  64
-#define GOSSIP_WANTS_MAX    GOSSIP_NUMBERS_MAX
-#define GOSSIP_BUCKETS	    GOSSIP_NUMBERS_MAX
+#define GOSSIP_VERSION		1
+#define GOSSIP_PACKET_BYTES	1200
+#define GOSSIP_NEWS_MAX		64
+#define GOSSIP_NUMBERS_MAX	64
+#define GOSSIP_WANTS_MAX	GOSSIP_NUMBERS_MAX
+#define GOSSIP_BUCKETS		GOSSIP_NUMBERS_MAX
+#define GOSSIP_FINGERPRINTS_MAX 64
 
-#define GOSSIP_PROBE_PERIOD_US	 (500 * USEC_PER_MSEC)
-#define GOSSIP_NEWS_PERIOD_US	 (100 * USEC_PER_MSEC)
-#define GOSSIP_NEWS_FANOUT	 3
-#define GOSSIP_DIRECT_TIMEOUT_US (250 * USEC_PER_MSEC)
-#define GOSSIP_PROBE_TIMEOUT_US	 (700 * USEC_PER_MSEC)
-#define GOSSIP_INDIRECT_PROBES	 3
-#define GOSSIP_SUSPECT_US	 (2 * USEC_PER_SEC)
-#define GOSSIP_PAUSE_US		 (1500 * USEC_PER_MSEC)
-#define GOSSIP_SYNC_PERIOD_US	 (5 * USEC_PER_SEC)
-#define GOSSIP_JOIN_PERIOD_US	 (250 * USEC_PER_MSEC)
-#define GOSSIP_REVIVE_PERIOD_US	 (5 * USEC_PER_SEC)
-#define GOSSIP_DEAD_KEEP_US	 (7200 * USEC_PER_SEC)
+#define GOSSIP_PROBE_PERIOD_US	      (500 * USEC_PER_MSEC)
+#define GOSSIP_NEWS_PERIOD_US	      (100 * USEC_PER_MSEC)
+#define GOSSIP_NEWS_FANOUT	      3
+#define GOSSIP_DIRECT_TIMEOUT_US      (250 * USEC_PER_MSEC)
+#define GOSSIP_PROBE_TIMEOUT_US	      (700 * USEC_PER_MSEC)
+#define GOSSIP_INDIRECT_PROBES	      3
+#define GOSSIP_SUSPECT_US	      (2 * USEC_PER_SEC)
+#define GOSSIP_PAUSE_US		      (1500 * USEC_PER_MSEC)
+#define GOSSIP_SYNC_PERIOD_US	      (5 * USEC_PER_SEC)
+#define GOSSIP_CROWDED_SYNC_PERIOD_US (20 * USEC_PER_SEC)
+#define GOSSIP_JOIN_PERIOD_US	      (250 * USEC_PER_MSEC)
+#define GOSSIP_REVIVE_PERIOD_US	      (5 * USEC_PER_SEC)
+#define GOSSIP_DEAD_KEEP_US	      (7200 * USEC_PER_SEC)
 
 enum gossip_kind {
 	GOSSIP_PING = 1,     /* answer with an ack */
@@ -55,7 +57,9 @@
 	uint64_t wants[GOSSIP_WANTS_MAX];
 	uint64_t buckets[GOSSIP_BUCKETS]; /* of a digest */
 	uint32_t news_count;
+	uint32_t fingerprint_count;
 	struct gossip_news news[GOSSIP_NEWS_MAX];
+	uint32_t fingerprints[GOSSIP_FINGERPRINTS_MAX]; /* news that names states by hash */
 };
 
 #endif
--- a/src/fescuemill/fleet/gossip_packet.c
+++ b/src/fescuemill/fleet/gossip_packet.c
@@ -28,6 +28,7 @@
 {
 	struct gossip_packet *packet = &gsp->packet;
 
+	digest_update(&gsp->digest, gsp->members);
 	memset(packet, 0, offsetof(struct gossip_packet, news));
 	packet->kind = kind;
 	packet->seq = seq;
@@ -84,7 +85,7 @@
 	rumor_fill(&gsp->rumors, gsp->members, &gsp->packet);
 	if (!gossip_packet_send(gsp, to, now_us))
 		return false;
-	rumor_count_sent(&gsp->rumors, &gsp->packet);
+	rumor_count_sent(&gsp->rumors);
 	return true;
 }
 
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -2,6 +2,7 @@
  * Gossip, receiving side: news is compared with the table, pings are acked, differences between
  * tables are worked off bucket by bucket.
  */
+#include "fescuemill/fleet/fingerprint.h"
 #include "fescuemill/fleet/gossip_codec.h"
 #include "fescuemill/fleet/gossip_state.h"
 
@@ -10,7 +11,8 @@
 
 #include <string.h>
 
-#define BUCKETS_AN_ANSWER 8
+#define BUCKETS_AN_ANSWER	 8
+#define BUCKETS_A_CROWDED_ANSWER 2 /* while much news waits for the bytes */
 
 /* Where a packet came from. */
 struct source {
@@ -21,11 +23,10 @@
 };
 
 /* Puts self into the table and passes it on. */
-void gossip_publish_self(struct gossip *gsp, bool whole)
+void gossip_publish_self(struct gossip *gsp, enum rumor_form form)
 {
 	member_upsert(gsp->members, &gsp->self);
-	digest_update(&gsp->digest, gsp->members);
-	rumor_add(&gsp->rumors, gsp->self.life.node_id, whole,
+	rumor_add(&gsp->rumors, gsp->self.life.node_id, form,
 		  rumor_sends(member_count(gsp->members)));
 }
 
@@ -33,7 +34,7 @@
 void gossip_renew_self(struct gossip *gsp)
 {
 	gsp->self.revision++;
-	gossip_publish_self(gsp, false);
+	gossip_publish_self(gsp, RUMOR_STATE);
 }
 
 /* Answers what others say of this node: it alone decides that. */
@@ -57,17 +58,38 @@
 	gossip_renew_self(gsp);
 }
 
+/* Tells how to pass on news to those who know what this node knew. */
+static enum rumor_form form_of(const struct member *known, const struct member *news, bool whole)
+{
+	if (whole)
+		return RUMOR_WHOLE;
+	return known && fingerprint_can_follow(known, news) ? RUMOR_STATE : RUMOR_BRIEF;
+}
+
+/* Tells whether news only says that a suspect did not refute: whoever heard of the suspicion comes
+ * to it at about the same time. */
+static bool ends_suspicion(const struct member *known, const struct member *news)
+{
+	return known && known->state == MEMBER_SUSPECT && news->state == MEMBER_DEAD &&
+	       known->life.incarnation == news->life.incarnation &&
+	       known->revision == news->revision;
+}
+
 /* Takes news of a member into the table, and passes it on if it was news. */
 enum member_change gossip_apply(struct gossip *gsp, const struct member *news, bool whole,
 				uint64_t now_us)
 {
+	const struct member *known = member_find(gsp->members, news->life.node_id);
+	enum rumor_form form = form_of(known, news, whole);
+	bool is_expected = ends_suspicion(known, news);
 	enum member_change change = member_upsert(gsp->members, news);
 
 	if (change != MEMBER_ADDED && change != MEMBER_UPDATED)
 		return change;
-	digest_update(&gsp->digest, gsp->members);
 	suspicion_note(&gsp->suspicions, news->life.node_id, news->state, now_us);
-	rumor_add(&gsp->rumors, news->life.node_id, whole, rumor_sends(member_count(gsp->members)));
+	if (!is_expected)
+		rumor_add(&gsp->rumors, news->life.node_id, form,
+			  rumor_sends(member_count(gsp->members)));
 	return change;
 }
 
@@ -98,6 +120,28 @@
 	gossip_apply(gsp, &merged, false, now_us);
 }
 
+/* Applies the news that came as fingerprints. */
+static void apply_fingerprints(struct gossip *gsp, uint64_t now_us)
+{
+	const struct gossip_packet *packet = &gsp->received;
+	struct fingerprint_set set;
+
+	if (!packet->fingerprint_count)
+		return;
+	fingerprint_set_fill(&set, packet->fingerprints, packet->fingerprint_count);
+	for (size_t i = 0; i < member_count(gsp->members); i++) {
+		const struct member *known = member_at(gsp->members, i);
+		struct member news;
+
+		if (!fingerprint_set_match(&set, known, &news))
+			continue;
+		if (news.life.node_id == gsp->self.life.node_id)
+			defend_self(gsp, &news);
+		else
+			gossip_apply(gsp, &news, false, now_us);
+	}
+}
+
 /* Applies all news of a packet and asks the sender for the records that are missing. */
 static void apply_news(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
@@ -158,7 +202,7 @@
 		add_brief(gsp, &gsp->self);
 	} else {
 		rumor_fill(&gsp->rumors, gsp->members, &gsp->packet);
-		rumor_count_sent(&gsp->rumors, &gsp->packet);
+		rumor_count_sent(&gsp->rumors);
 	}
 	gossip_packet_send_charged(gsp, from->ip, from->port, from->crosses_link, now_us);
 }
@@ -192,10 +236,12 @@
 static uint64_t differing_buckets(struct gossip *gsp)
 {
 	uint32_t start = random_below(&gsp->rng, GOSSIP_BUCKETS);
+	uint32_t most =
+		rumor_is_crowded(&gsp->rumors) ? BUCKETS_A_CROWDED_ANSWER : BUCKETS_AN_ANSWER;
 	uint32_t found = 0;
 	uint64_t mask = 0;
 
-	for (uint32_t i = 0; i < GOSSIP_BUCKETS && found < BUCKETS_AN_ANSWER; i++) {
+	for (uint32_t i = 0; i < GOSSIP_BUCKETS && found < most; i++) {
 		uint32_t bucket = (start + i) % GOSSIP_BUCKETS;
 
 		if (gsp->digest.buckets[bucket] == gsp->received.buckets[bucket])
@@ -327,8 +373,8 @@
 		region_note_heard(&gsp->regions, from.member->region, now_us);
 	budget_charge(gsp->budget, (uint32_t)size + BUDGET_PACKET_HEADER_BYTES, from.crosses_link,
 		      now_us);
-	digest_update(&gsp->digest, gsp->members);
 	apply_news(gsp, &from, now_us);
+	apply_fingerprints(gsp, now_us);
 	from = source_of(gsp, ip, port);
 	digest_update(&gsp->digest, gsp->members);
 	compare_sender(gsp);
--- a/src/fescuemill/fleet/gossip_state.h
+++ b/src/fescuemill/fleet/gossip_state.h
@@ -36,6 +36,7 @@
 	uint64_t config_version;
 	uint32_t config_sends_left;
 	uint64_t differing_peer; /* last heard with another table hash; 0: none */
+	uint64_t ring_target;	 /* the member on the ring that was last probed */
 	uint64_t tick_us;
 	uint64_t probe_us;
 	uint64_t news_us;
@@ -67,7 +68,7 @@
 enum member_change gossip_apply(struct gossip *gsp, const struct member *news, bool whole,
 				uint64_t now_us);
 /* Puts self into the table and passes it on. */
-void gossip_publish_self(struct gossip *gsp, bool whole);
+void gossip_publish_self(struct gossip *gsp, enum rumor_form form);
 /* Raises self's revision, so that what others said of it is outdated. */
 void gossip_renew_self(struct gossip *gsp);
 
--- a/src/fescuemill/fleet/probe.c
+++ b/src/fescuemill/fleet/probe.c
@@ -35,6 +35,16 @@
 	return place->seq;
 }
 
+/* Tells whether a probe of a target waits for its ack. */
+bool probe_is_under_way(const struct probe_list *list, uint64_t target)
+{
+	for (uint32_t i = 0; i < PROBES_MAX; i++) {
+		if (list->probes[i].seq && list->probes[i].target == target)
+			return true;
+	}
+	return false;
+}
+
 /* Notes a ping on behalf of another node; the oldest gives way when there is no place. */
 uint32_t probe_start_relay(struct probe_list *list, uint32_t origin_seq, uint32_t origin_ip,
 			   uint16_t origin_port, uint64_t now_us)
--- a/src/fescuemill/fleet/probe.h
+++ b/src/fescuemill/fleet/probe.h
@@ -41,6 +41,7 @@
 uint32_t probe_start(struct probe_list *list, uint64_t target, uint64_t now_us);
 uint32_t probe_start_relay(struct probe_list *list, uint32_t origin_seq, uint32_t origin_ip,
 			   uint16_t origin_port, uint64_t now_us);
+bool probe_is_under_way(const struct probe_list *list, uint64_t target);
 /* Ends the probe of a sequence; gives the relay if the ping was another node's. */
 bool probe_end(struct probe_list *list, uint32_t seq, struct relay *relay);
 /* Gives one probe for which something is due. */
--- a/test/measure/gossip_slope.cc
+++ b/test/measure/gossip_slope.cc
@@ -59,15 +59,9 @@
 	uint64_t dead_us = fleet.run_until(limit_us, [&] {
 		return fleet.all_see(3, {MEMBER_SUSPECT, MEMBER_DEAD});
 	});
-	// A failure domain of 17 goes at once.
-	for (uint32_t i = 17; i < nodes; i += 17)
-		fleet.kill(i);
+	fleet.kill_domain(1);
 	uint64_t domain_us = fleet.run_until(limit_us, [&] {
-		for (uint32_t i = 17; i < nodes; i += 17) {
-			if (!fleet.all_see(i, {MEMBER_SUSPECT, MEMBER_DEAD}))
-				return false;
-		}
-		return true;
+		return fleet.all_see_domain(1, {MEMBER_SUSPECT, MEMBER_DEAD});
 	});
 	fleet.restart(3, 2);
 	uint64_t join_start_us = fleet.now_us();
--- a/test/property/gossip_property_test.cc
+++ b/test/property/gossip_property_test.cc
@@ -11,7 +11,9 @@
 const uint64_t dead_limit_us = 5 * second_us;	 // A dead host is out of choice for all.
 const uint64_t leaving_limit_us = 3 * second_us; // A leaving host gets no new work.
 const uint64_t config_limit_us = 4 * second_us;	 // A change is in force everywhere.
+const uint64_t domain_limit_us = 5 * second_us;	 // A whole failure domain is, too.
 const uint32_t large_fleet = 300;
+const uint32_t domain_fleet = 1000; // Large enough for a domain's news to exceed the budget.
 
 FakeFleet::Options random_options()
 {
@@ -39,6 +41,18 @@
 {
 	return fleet.run_until(join_limit_us, [&] { return fleet.all_alive(); }) != UINT64_MAX;
 }
+
+// Whether every node sent no more than a full burst at the start, and the rate since.
+bool all_within_budget(FakeFleet &fleet, uint64_t bytes_per_s, uint64_t start_us)
+{
+	uint64_t seconds = (fleet.now_us() - start_us) / second_us;
+
+	for (uint32_t i = 0; i < fleet.size(); i++) {
+		if (fleet.node(i).bytes_sent > bytes_per_s * (seconds + 2))
+			return false;
+	}
+	return true;
+}
 } // namespace
 
 RC_GTEST_PROP(Gossip, EverybodyFindsEverybodyFromOneContact, ())
@@ -147,7 +161,7 @@
 		return member_count_state(node.table, MEMBER_DEAD) == 0;
 	}) == fleet.size());
 	RC_ASSERT(fleet.count_live([&](const FakeFleet::Node &node) {
-		return reaches(node, 1 - node.index % 2);
+		return reaches(node, 1 - fleet.region_of(node.index));
 	}) == 0u);
 	gossip_set_leaving(fleet.node(1).gossip); // Region 0 must learn this after the split.
 	fleet.run_for(5 * second_us);
@@ -155,11 +169,26 @@
 	RC_ASSERT(fleet.run_until(30 * second_us, [&] {
 		return fleet.all_see(1, {MEMBER_LEAVING}) &&
 		       fleet.count_live([&](const FakeFleet::Node &node) {
-			       return reaches(node, 1 - node.index % 2);
+			       return reaches(node, 1 - fleet.region_of(node.index));
 		       }) == fleet.size();
 	}) != UINT64_MAX);
 }
 
+// A failure domain that was only cut off is declared dead outside, and outside is so for it.
+RC_GTEST_PROP(Gossip, DomainThatWasCutOffIsAliveAgainForAll, ())
+{
+	FakeFleet::Options options = random_options();
+	options.nodes = *rc::gen::inRange<uint32_t>(2 * FakeFleet::domains, 120);
+	options.full_tables = true;
+	FakeFleet fleet(options);
+
+	fleet.run_for(6 * second_us);
+	fleet.split_domain(true);
+	fleet.run_for(*rc::gen::inRange<uint64_t>(1, 30) * second_us);
+	fleet.split_domain(false);
+	RC_ASSERT(joins(fleet));
+}
+
 RC_GTEST_PROP(Gossip, SendingStaysWithinTheBudget, ())
 {
 	FakeFleet::Options options = random_options();
@@ -173,10 +202,7 @@
 	fleet.run_for(5 * second_us);
 	fleet.restart(victim, 2);
 	fleet.run_for(15 * second_us);
-	// A full burst at the start, and the rate since.
-	uint64_t seconds = (fleet.now_us() - start_us) / second_us;
-	for (uint32_t i = 0; i < fleet.size(); i++)
-		RC_ASSERT(fleet.node(i).bytes_sent <= options.node_bytes_per_s * (seconds + 2));
+	RC_ASSERT(all_within_budget(fleet, options.node_bytes_per_s, start_us));
 }
 
 TEST(GossipTimes, DeadHostIsOutOfChoiceEverywhere)
@@ -194,6 +220,36 @@
 	}
 }
 
+TEST(GossipTimes, OneSurvivorFindsAllOthersDead)
+{
+	FakeFleet::Options options;
+	options.nodes = 16;
+	options.full_tables = true;
+	FakeFleet fleet(options);
+	auto out_of_choice = [&] {
+		return member_count_state(fleet.node(0).table, MEMBER_ALIVE) == 1;
+	};
+
+	fleet.run_for(3 * second_us);
+	for (uint32_t i = 1; i < fleet.size(); i++)
+		fleet.kill(i);
+	EXPECT_LE(fleet.run_until(dead_limit_us, out_of_choice), dead_limit_us);
+}
+
+TEST(GossipTimes, DeadFailureDomainIsOutOfChoiceEverywhere)
+{
+	FakeFleet::Options options = large_options();
+	options.nodes = domain_fleet;
+	FakeFleet fleet(options);
+	uint64_t start_us = fleet.now_us();
+	auto out_of_choice = [&] { return fleet.all_see_domain(1, {MEMBER_SUSPECT, MEMBER_DEAD}); };
+
+	fleet.run_for(3 * second_us);
+	fleet.kill_domain(1);
+	EXPECT_LE(fleet.run_until(domain_limit_us, out_of_choice), domain_limit_us);
+	EXPECT_TRUE(all_within_budget(fleet, options.node_bytes_per_s, start_us));
+}
+
 TEST(GossipTimes, LeavingHostIsKnownEverywhere)
 {
 	FakeFleet fleet(large_options());
--- a/test/support/fake_fleet.h
+++ b/test/support/fake_fleet.h
@@ -18,6 +18,8 @@
 class FakeFleet
 {
       public:
+	static const uint32_t domains = 17;
+
 	struct Node {
 		uint32_t index;
 		struct member_table *table = nullptr;
@@ -74,9 +76,15 @@
 		return "node-" + std::to_string(index);
 	}
 
+	static uint32_t domain_of(uint32_t index)
+	{
+		return index % domains;
+	}
+
+	// A failure domain lies in one region.
 	uint32_t region_of(uint32_t index) const
 	{
-		return index % options_.regions;
+		return domain_of(index) % options_.regions;
 	}
 
 	struct member member_of(uint32_t index, uint64_t incarnation) const
@@ -86,7 +94,7 @@
 		memset(&member, 0, sizeof(member));
 		snprintf(member.name, sizeof(member.name), "%s", name_of(index).c_str());
 		snprintf(member.region, sizeof(member.region), "region-%u", region_of(index));
-		snprintf(member.domain, sizeof(member.domain), "domain-%u", index % 17);
+		snprintf(member.domain, sizeof(member.domain), "domain-%u", domain_of(index));
 		snprintf(member.service, sizeof(member.service), "service-%u", index % 150);
 		member.life.node_id = member_id_of(member.name);
 		member.life.incarnation = incarnation;
@@ -127,6 +135,28 @@
 		split_ = on;
 	}
 
+	// Cuts failure domain 0 off from the others, or joins it again.
+	void split_domain(bool on)
+	{
+		split_domain_ = on;
+	}
+
+	void kill_domain(uint32_t domain)
+	{
+		for (uint32_t i = domain; i < size(); i += domains)
+			kill(i);
+	}
+
+	// Whether every live node sees all of a domain in one of the states.
+	bool all_see_domain(uint32_t domain, const std::vector<enum member_state> &states) const
+	{
+		for (uint32_t i = domain; i < size(); i += domains) {
+			if (!all_see(i, states))
+				return false;
+		}
+		return true;
+	}
+
 	void run_for(uint64_t duration_us)
 	{
 		run_until(duration_us, [] { return false; });
@@ -276,6 +306,8 @@
 
 		if (split_ && (region_of(from) == 0) != (region_of(to) == 0))
 			return;
+		if (split_domain_ && (domain_of(from) == 0) != (domain_of(to) == 0))
+			return;
 		if (std::uniform_real_distribution<>(0, 1)(rng_) < options_.loss)
 			return;
 		queue_.push({now_us_ + delay_us, order_++, from, to,
@@ -310,4 +342,5 @@
 	uint64_t now_us_ = 1000000;
 	uint64_t order_ = 0;
 	bool split_ = false;
+	bool split_domain_ = false;
 };
