--- a/src/fescuemill/decide/budget.c
+++ b/src/fescuemill/decide/budget.c
@@ -10,6 +10,7 @@
 #define DEBT_MAX_S	2    /* seconds of the rate that receiving may put a bucket into debt */
 #define OWED_SHARE	0.5  /* of what is refilled, while something is owed */
 #define WATCHERS_SHARE	4    /* one in this many parts of the link is set aside for watchers */
+#define RESERVE_DIVISOR 8    /* this part of the burst is kept for what cannot wait */
 #define USEC_IN_SEC	1e6
 
 /* Sets a bucket's rate and burst; keeps what it holds within the new burst. */
@@ -134,6 +135,13 @@
 	return budget_take(bud, bytes, crosses_link, now_us);
 }
 
+/* Tells whether no more than the reserve is left. */
+bool budget_is_low(struct budget *bud, uint64_t now_us)
+{
+	refill(bud, now_us);
+	return bud->node.tokens_bytes < (double)bud->node.burst_bytes / RESERVE_DIVISOR;
+}
+
 /* Charges bytes that were received or could not wait. */
 void budget_charge(struct budget *bud, uint32_t bytes, bool crosses_link, uint64_t now_us)
 {
