Shares by demand: no gate has less than an equal part for nothing

Cause: while the demands fit, a gate had its own demand and an equal part of the rest: below an equal part for each gate whose demand was below the mean, even when no gate needed more than that.

Change: a gate gets what it needs (its demand, and room of at most a quarter of it and of half of what is left), but at least a level, the same for all, at which the amount is used up. So the split is equal while no gate needs more, and in proportion past the amount. The demands known are handed over one by one for that.

--- a/src/fescuemill/decide/demand.c
+++ b/src/fescuemill/decide/demand.c
@@ -208,13 +208,15 @@
 	sum->own_milli = demand_milli_of(table->own.levels[class_index]);
 	sum->total_milli = sum->own_milli;
 	sum->gates = table->peers + 1;
+	sum->known_milli[0] = sum->own_milli;
 	sum->reported = 1;
 	for (uint32_t i = 0; i < table->row_count; i++) {
 		const struct demand_row *row = &table->rows[i];
 
 		if (!counts(row, now_us))
 			continue;
-		sum->total_milli += demand_milli_of(row->levels[class_index]);
+		sum->known_milli[sum->reported] = demand_milli_of(row->levels[class_index]);
+		sum->total_milli += sum->known_milli[sum->reported];
 		sum->reported++;
 	}
 }
--- a/src/fescuemill/decide/demand.h
+++ b/src/fescuemill/decide/demand.h
@@ -12,10 +12,10 @@
 
 #include <stddef.h>
 
-#define DEMAND_PERIOD_US   USEC_PER_SEC	       /* between two counts of a gate */
-#define DEMAND_ROW_US	   (25 * USEC_PER_SEC) /* a row older than this counts no more */
-#define DEMAND_PEERS_MAX   256		       /* rows of other gates */
-#define DEMAND_BYTES_MAX   1100		       /* of a message */
+#define DEMAND_PERIOD_US   USEC_PER_SEC		 /* between two counts of a gate */
+#define DEMAND_ROW_US	   (25 * USEC_PER_SEC)	 /* a row older than this counts no more */
+#define DEMAND_PEERS_MAX   (SHARE_GATES_MAX - 1) /* rows of other gates */
+#define DEMAND_BYTES_MAX   1100			 /* of a message */
 #define DEMAND_LEVELS	   256
 #define DEMAND_LEAST_MILLI 100 /* level 1, in thousandths of a call a second */
 
--- a/src/fescuemill/decide/share.c
+++ b/src/fescuemill/decide/share.c
@@ -8,7 +8,8 @@
 
 #include "fescuemill/base/clock.h"
 
-#define MILLI 1000ULL
+#define MILLI	 1000ULL
+#define ROOM_MAX 1.25 /* of a demand, for it to grow until the next report */
 
 /* Gives an equal part, in thousandths of a call a second; for 0 gates all of it. */
 uint64_t share_equal_milli(uint32_t calls_per_s, uint32_t gates)
@@ -16,24 +17,69 @@
 	return calls_per_s * MILLI / (gates ? gates : 1);
 }
 
+/* Gives what a gate needs: its demand and some room to grow while all demands fit, else a part in
+ * proportion. The needs of all gates together are never more than the amount. */
+static uint64_t need_milli(uint64_t demand_milli, uint64_t all_milli, uint64_t total_milli)
+{
+	double scale = total_milli ? (double)all_milli / (double)total_milli : ROOM_MAX;
+
+	if (scale > 1)
+		scale = 1 + (scale - 1) / 2;
+	if (scale > ROOM_MAX)
+		scale = ROOM_MAX;
+	return (uint64_t)((double)demand_milli * scale);
+}
+
+/* Gives the level at which the amount is used up when every gate gets what it needs, but at least
+ * the level. Gates that have not reported have the mean demand. */
+static uint64_t level_milli(uint64_t all_milli, uint64_t total_milli,
+			    const struct share_demand *demand)
+{
+	uint64_t level = all_milli / demand->gates;
+	uint64_t mean_need = need_milli(total_milli / demand->gates, all_milli, total_milli);
+
+	for (uint32_t round = 0; round <= demand->reported; round++) {
+		uint32_t above = 0;
+		uint64_t taken = 0;
+
+		for (uint32_t i = 0; i < demand->reported; i++) {
+			uint64_t need = need_milli(demand->known_milli[i], all_milli, total_milli);
+
+			above += need > level;
+			taken += need > level ? need : 0;
+		}
+		if (mean_need > level) {
+			above += demand->gates - demand->reported;
+			taken += mean_need * (demand->gates - demand->reported);
+		}
+		if (above >= demand->gates || taken >= all_milli)
+			return 0;
+		if ((all_milli - taken) / (demand->gates - above) >= level)
+			return level;
+		level = (all_milli - taken) / (demand->gates - above);
+	}
+	return level;
+}
+
 /*
- * Gives the part by demand, in thousandths of a call a second: while the demands fit, a gate's own
- * and an equal part of what is left; past that a part in proportion. Peers that have not reported
- * are taken to have the mean demand of those that have.
+ * Gives the part by demand, in thousandths of a call a second: what the gate needs, but at least
+ * the level that the needs of the others leave to every gate. While no gate needs more than an
+ * equal part, that is the equal part. Peers that have not reported are taken to have the mean
+ * demand of those that have.
  */
 uint64_t share_by_demand_milli(uint32_t calls_per_s, const struct share_demand *demand)
 {
 	uint64_t all_milli = calls_per_s * MILLI;
-	uint64_t total_milli;
+	uint64_t total_milli = demand->total_milli;
+	uint64_t level;
+	uint64_t need;
 
-	if (demand->reported < 2 || demand->gates < 2)
+	if (demand->reported < 2 || demand->gates < demand->reported)
 		return share_equal_milli(calls_per_s, demand->gates);
-	total_milli = demand->total_milli;
-	if (demand->gates > demand->reported)
-		total_milli = total_milli * demand->gates / demand->reported;
-	if (total_milli <= all_milli)
-		return demand->own_milli + (all_milli - total_milli) / demand->gates;
-	return (uint64_t)((double)all_milli * (double)demand->own_milli / (double)total_milli);
+	total_milli = total_milli * demand->gates / demand->reported;
+	level = level_milli(all_milli, total_milli, demand);
+	need = need_milli(demand->own_milli, all_milli, total_milli);
+	return need > level ? need : level;
 }
 
 /*
--- a/src/fescuemill/decide/share.h
+++ b/src/fescuemill/decide/share.h
@@ -6,6 +6,7 @@
 
 #include <stdint.h>
 
+#define SHARE_GATES_MAX 257	/* whose demands are known, this one included */
 #define SHARE_SMOOTH_US 2000000 /* a demand is smoothed over about this time */
 
 /* What a gate knows of the demand for one class, from its own count and its peers' reports. */
@@ -14,6 +15,7 @@
 	uint64_t total_milli; /* the same summed over the ready gates, this one included */
 	uint32_t gates;	      /* ready gates of the service, this one included */
 	uint32_t reported;    /* gates whose demand is in the sum, this one included */
+	uint64_t known_milli[SHARE_GATES_MAX]; /* the demands in the sum, in any order */
 };
 
 uint64_t share_equal_milli(uint32_t calls_per_s, uint32_t gates);
