Gossip: short tables are compared more often

A record missed is found only by comparing tables, once in 5 s, over four packets of which each may be lost.

Change: 10 ms for each member, from 1 s to 5 s; large fleets as before.

--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -224,14 +224,20 @@
 	}
 }
 
-/* Gives the time between comparisons of tables. While much news is on its way tables differ anyhow,
- * and comparing them would take the bytes that the news needs. */
+/* Gives the time between comparisons of tables, which cost the more the longer these are. While
+ * much news is on its way tables differ anyhow, and comparing them would take the bytes that the
+ * news needs. */
 static uint64_t sync_period_us(const struct gossip *gsp)
 {
+	uint64_t period_us = member_count(gsp->members) * GOSSIP_SYNC_PER_MEMBER_US;
+
 	if (!gsp->joined)
 		return GOSSIP_JOIN_PERIOD_US;
-	return rumor_is_crowded(&gsp->rumors) ? GOSSIP_CROWDED_SYNC_PERIOD_US
-					      : GOSSIP_SYNC_PERIOD_US;
+	if (rumor_is_crowded(&gsp->rumors))
+		return GOSSIP_CROWDED_SYNC_PERIOD_US;
+	if (period_us < GOSSIP_SYNC_MIN_PERIOD_US)
+		return GOSSIP_SYNC_MIN_PERIOD_US;
+	return period_us < GOSSIP_SYNC_PERIOD_US ? period_us : GOSSIP_SYNC_PERIOD_US;
 }
 
 /* Sends the digest to a member whose table differs from this node's. */
