--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -26,6 +26,8 @@
 #define GOSSIP_SUSPECT_US	      (2 * USEC_PER_SEC)
 #define GOSSIP_PAUSE_US		      (1500 * USEC_PER_MSEC)
 #define GOSSIP_SYNC_PERIOD_US	      (5 * USEC_PER_SEC)
+#define GOSSIP_SYNC_MIN_PERIOD_US     USEC_PER_SEC
+#define GOSSIP_SYNC_PER_MEMBER_US     (10 * USEC_PER_MSEC)
 #define GOSSIP_CROWDED_SYNC_PERIOD_US (20 * USEC_PER_SEC)
 #define GOSSIP_JOIN_PERIOD_US	      (250 * USEC_PER_MSEC)
 #define GOSSIP_SETTLE_US	      (5 * USEC_PER_SEC) /* a peer may have joined with the same gap */
