Tests: callers of a drive pause without holding the others up

Cause: a caller kept the lock of what was told while it paused between its calls, so that callers went one after the other and a rolling restart was driven by less load than it says.

--- a/test/functional/support/drive.cc
+++ b/test/functional/support/drive.cc
@@ -104,6 +104,13 @@
 	return told.outcome == "not-run" || is_idempotent(options_.method);
 }
 
+void Drive::note(const std::string &id, const Told &told)
+{
+	std::lock_guard<std::mutex> lock(mutex_);
+
+	told_[id] = told;
+}
+
 void Drive::run(int caller)
 {
 	for (int i = 0; !over_; i++) {
@@ -118,8 +125,7 @@
 			pause_ms(REFUSED_PAUSE_MS);
 		}
 		answered_ += told.outcome == "answered";
-		std::lock_guard<std::mutex> lock(mutex_);
-		told_[id] = told;
+		note(id, told);
 		if (options_.pause_ms > 0)
 			pause_ms(options_.pause_ms);
 	}
--- a/test/functional/support/drive.h
+++ b/test/functional/support/drive.h
@@ -60,6 +60,7 @@
       private:
 	void run(int caller);
 	Told call(const std::string &id, size_t entry);
+	void note(const std::string &id, const Told &told);
 	bool may_try_again(const Told &told) const;
 
 	Fleet &fleet_;
