Choice: a near server that is slow from the start loses its work

Cause: slowness is relative to the typical time of the answers that an entry has seen. One that calls one at a time and has one gate near saw only that gate, so its slow time was typical, and the farther gates never won.

Ruled out: the stale load report and the trials of slow gates, which never started, since the gate did not count as slow.

Change: a gate without a result is expected to take half of the typical time, one attempt at a time; a gate's first answer sets its slowness outright; a gate up to a quarter of the typical time is expected at its own.

--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -17,8 +17,10 @@
 #define ERROR_WEIGHT	  0.2F
 #define ERROR_DEAD_ZONE	  0.25F /* above twice the typical error rate */
 
-#define SLOW_FACTOR	    2.0F /* slowness from which a gate counts as slow */
-#define TRIAL_WEIGHT	    0.5F /* of an answer from a slow gate */
+#define SLOW_FACTOR	    2.0F  /* slowness from which a gate counts as slow */
+#define FAST_SLOWNESS	    0.25F /* up to which a gate is faster than chance makes it look */
+#define UNTRIED_SLOWNESS    0.5F  /* of a gate without a result: it may be better than those seen */
+#define TRIAL_WEIGHT	    0.5F  /* of an answer from a slow gate */
 #define TYPICAL_ANSWERS_MAX 64U
 
 #define TRIAL_COST	 1000U
@@ -129,17 +131,26 @@
 	return choice->class_typical_us[class_index];
 }
 
-/* Expected slowness of a gate. While attempts are in flight and none is answered for much longer
- * than is typical, the time since then counts, so that a stalled gate is noticed before its first
- * answer. */
+/* Tells whether the typical time is that of slower gates. */
+static bool is_fast(const struct choice_gate *gate)
+{
+	return gate->slowness < FAST_SLOWNESS;
+}
+
+/* Expected slowness of a gate. A gate without a result is tried, one attempt at a time, before a
+ * nearer one whose time is typical only for want of others. While attempts are in flight and none
+ * is answered for much longer than is typical, the time since then counts, so that a stalled gate
+ * is noticed before its first answer. */
 static float expected_slowness(const struct choice *choice, const struct choice_gate *gate,
 			       uint64_t now_us)
 {
 	float slowness = 1;
 	float stalled;
 
-	if (is_slow(gate) && !is_on_trial(choice, gate, now_us))
+	if (is_fast(gate) || (is_slow(gate) && !is_on_trial(choice, gate, now_us)))
 		slowness = gate->slowness;
+	if (gate->tried_us == 0 && gate->in_flight == 0)
+		return UNTRIED_SLOWNESS;
 	if (gate->in_flight == 0 || now_us <= gate->progress_us)
 		return slowness;
 	stalled = ((float)(now_us - gate->progress_us) - gate->round_trip_us) / choice->typical_us;
@@ -311,7 +322,12 @@
 
 	typical_taken(choice, class_index, (float)result->server_us);
 	ratio = (float)result->server_us / (choice->class_typical_us[class_index] + 1);
-	gate->slowness = smoothed(gate->slowness, ratio, was_slow ? TRIAL_WEIGHT : SLOWNESS_WEIGHT);
+	if (gate->is_timed)
+		gate->slowness =
+			smoothed(gate->slowness, ratio, was_slow ? TRIAL_WEIGHT : SLOWNESS_WEIGHT);
+	else
+		gate->slowness = ratio;
+	gate->is_timed = true;
 	return ratio <= SLOW_FACTOR;
 }
 
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -17,6 +17,7 @@
 	uint32_t sent_since;  /* of them sent since the load was seen */
 	uint32_t occupancy;   /* slots in use and attempts queued, as seen */
 	uint32_t limit;	      /* slots that the gate uses, as seen */
+	bool is_timed;	      /* an answer has set slowness */
 	float slowness;	      /* service time in relation to the typical one of the same class */
 	float round_trip_us;
 	float error_rate; /* 0 to 1 */
