Read-through: one piece of code where two did the same

- retry_take_handed_back was retry_take without a bucket, which that allows.
- "Alive and ready" stood at the entry (twice) and at the demands; it is member_is_serving now.
- A suspect that is declared dead goes through gossip_apply, which has the rule that such a death is no news; the copy in check_suspicions goes.
- The level and the ceiling of the shares sum the gates on one side of a bound in one function, and the scale of the needs is worked out once, not for each gate.
- Both codecs pack names by wire/pack.
- Every stop begins in node_on_drain, which has the check whether one is under way; node_stop_begin is gone.
- Tests read a backend server's numbers by stat_of.

Ruled out: one function for gossip's address of a member and the node's, since they look at different ports; a common base of the phases' loops in the shares.

The test of a handed back attempt keeps its assertions and is named after what it shows, a retry without a bucket.

--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -104,13 +104,12 @@
 	}
 }
 
-/* Takes a retry out of the budgets that a refusal for this reason is charged to. */
-static bool entry_take_retry(struct attempt_entry *call, struct retry_bucket *bucket,
-			     enum call_reason reason)
+/* Gives the service's bucket if a refusal for this reason is charged to it. A planned stop hands
+ * back at most what is on its way to the gate, all of it at once, so that the bucket would run dry;
+ * it need not bound what the choice bounds. */
+static struct retry_bucket *entry_bucket_for(struct retry_bucket *bucket, enum call_reason reason)
 {
-	if (reason == REASON_DRAINING)
-		return retry_take_handed_back(&call->retries);
-	return retry_take(bucket, &call->retries);
+	return reason == REASON_DRAINING ? NULL : bucket;
 }
 
 /* The present attempt certainly did not run and never will: try elsewhere, within the budgets. A
@@ -125,7 +124,7 @@
 		may_retry = false;
 	retry_tree_return(&call->retries);
 	call->last_reason = (uint8_t)reason;
-	if (!may_retry || !entry_take_retry(call, bucket, reason))
+	if (!may_retry || !retry_take(entry_bucket_for(bucket, reason), &call->retries))
 		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
 	if (reason != REASON_INCARNATION)
 		entry_exclude(call);
--- a/src/fescuemill/decide/retry.c
+++ b/src/fescuemill/decide/retry.c
@@ -71,14 +71,3 @@
 	tree->left--;
 	return true;
 }
-
-/* Takes one retry out of the tree's budget only, for an attempt that a draining gate handed back. A
- * planned stop hands back at most what is on its way to the gate, all of it at once, so that the
- * service's bucket would run dry; it need not bound what the choice bounds. */
-bool retry_take_handed_back(struct retry_tree *tree)
-{
-	if (tree->left == 0)
-		return false;
-	tree->left--;
-	return true;
-}
--- a/src/fescuemill/decide/retry.h
+++ b/src/fescuemill/decide/retry.h
@@ -29,6 +29,5 @@
 void retry_bucket_init(struct retry_bucket *bucket, uint32_t share_permille);
 void retry_bucket_first_attempt(struct retry_bucket *bucket);
 bool retry_take(struct retry_bucket *bucket, struct retry_tree *tree);
-bool retry_take_handed_back(struct retry_tree *tree);
 
 #endif
--- a/src/fescuemill/decide/share.c
+++ b/src/fescuemill/decide/share.c
@@ -8,6 +8,8 @@
 
 #include "fescuemill/base/clock.h"
 
+#include <stdbool.h>
+
 #define MILLI	 1000ULL
 #define ROOM_MAX 1.25 /* of a demand, for it to grow until the next report */
 
@@ -17,73 +19,87 @@
 	return calls_per_s * MILLI / (gates ? gates : 1);
 }
 
-/* Gives what a gate needs while all demands fit: its demand and some room to grow. The needs of all
- * gates together are never more than the amount. */
-static uint64_t need_milli(uint64_t demand_milli, uint64_t all_milli, uint64_t total_milli)
+/* Gives what a gate needs, in parts of its demand, while all demands fit: some room to grow. The
+ * needs of all gates together are never more than the amount. */
+static double need_scale(uint64_t all_milli, uint64_t total_milli)
 {
 	double scale = total_milli ? (double)all_milli / (double)total_milli : ROOM_MAX;
 
 	scale = 1 + (scale - 1) / 2;
-	if (scale > ROOM_MAX)
-		scale = ROOM_MAX;
+	return scale > ROOM_MAX ? ROOM_MAX : scale;
+}
+
+/* Scales a demand to what its gate needs. */
+static uint64_t need_milli(uint64_t demand_milli, double scale)
+{
 	return (uint64_t)((double)demand_milli * scale);
 }
 
+/* Some of the gates, and the sum of what they need. */
+struct part_of_gates {
+	uint32_t gates;
+	uint64_t milli;
+};
+
+/* Gives the gates that need more than a bound, or those that do not. Gates that have not reported
+ * have the mean demand. */
+static struct part_of_gates side_of(const struct share_demand *demand, uint64_t total_milli,
+				    double scale, uint64_t bound_milli, bool is_above)
+{
+	uint64_t mean_need = need_milli(total_milli / demand->gates, scale);
+	uint32_t silent = demand->gates - demand->reported;
+	struct part_of_gates side = {0, 0};
+
+	for (uint32_t i = 0; i < demand->reported; i++) {
+		uint64_t need = need_milli(demand->known_milli[i], scale);
+
+		if ((need > bound_milli) != is_above)
+			continue;
+		side.gates++;
+		side.milli += need;
+	}
+	if ((mean_need > bound_milli) == is_above) {
+		side.gates += silent;
+		side.milli += mean_need * silent;
+	}
+	return side;
+}
+
 /* Gives the level at which the amount is used up when every gate gets what it needs, but at least
- * the level. Gates that have not reported have the mean demand. */
-static uint64_t level_milli(uint64_t all_milli, uint64_t total_milli,
+ * the level. */
+static uint64_t level_milli(uint64_t all_milli, uint64_t total_milli, double scale,
 			    const struct share_demand *demand)
 {
 	uint64_t level = all_milli / demand->gates;
-	uint64_t mean_need = need_milli(total_milli / demand->gates, all_milli, total_milli);
 
 	for (uint32_t round = 0; round <= demand->reported; round++) {
-		uint32_t above = 0;
-		uint64_t taken = 0;
-
-		for (uint32_t i = 0; i < demand->reported; i++) {
-			uint64_t need = need_milli(demand->known_milli[i], all_milli, total_milli);
-
-			above += need > level;
-			taken += need > level ? need : 0;
-		}
-		if (mean_need > level) {
-			above += demand->gates - demand->reported;
-			taken += mean_need * (demand->gates - demand->reported);
-		}
-		if (above >= demand->gates || taken >= all_milli)
+		struct part_of_gates above = side_of(demand, total_milli, scale, level, true);
+		uint64_t next;
+
+		if (above.gates >= demand->gates || above.milli >= all_milli)
 			return 0;
-		if ((all_milli - taken) / (demand->gates - above) >= level)
+		next = (all_milli - above.milli) / (demand->gates - above.gates);
+		if (next >= level)
 			return level;
-		level = (all_milli - taken) / (demand->gates - above);
+		level = next;
 	}
 	return level;
 }
 
 /* Gives the ceiling at which demands over the amount use it up when every gate gets its demand, but
- * at most the ceiling. Gates that have not reported have the mean demand. */
+ * at most the ceiling. */
 static uint64_t ceiling_milli(uint64_t all_milli, uint64_t total_milli,
 			      const struct share_demand *demand)
 {
 	uint64_t ceiling = all_milli / demand->gates;
-	uint64_t mean = total_milli / demand->gates;
 
 	for (uint32_t round = 0; round <= demand->reported; round++) {
-		uint32_t below = 0;
-		uint64_t taken = 0;
+		struct part_of_gates below = side_of(demand, total_milli, 1, ceiling, false);
 		uint64_t next;
 
-		for (uint32_t i = 0; i < demand->reported; i++) {
-			below += demand->known_milli[i] <= ceiling;
-			taken += demand->known_milli[i] <= ceiling ? demand->known_milli[i] : 0;
-		}
-		if (mean <= ceiling) {
-			below += demand->gates - demand->reported;
-			taken += mean * (demand->gates - demand->reported);
-		}
-		if (below >= demand->gates || taken >= all_milli)
+		if (below.gates >= demand->gates || below.milli >= all_milli)
 			return ceiling;
-		next = (all_milli - taken) / (demand->gates - below);
+		next = (all_milli - below.milli) / (demand->gates - below.gates);
 		if (next <= ceiling)
 			return ceiling;
 		ceiling = next;
@@ -120,14 +136,16 @@
 	uint64_t total_milli = demand->total_milli;
 	uint64_t level;
 	uint64_t need;
+	double scale;
 
 	if (demand->reported < 2 || demand->gates < demand->reported)
 		return share_equal_milli(calls_per_s, demand->gates);
 	total_milli = total_milli * demand->gates / demand->reported;
 	if (total_milli > all_milli)
 		return part_of_too_little(all_milli, total_milli, demand);
-	level = level_milli(all_milli, total_milli, demand);
-	need = need_milli(demand->own_milli, all_milli, total_milli);
+	scale = need_scale(all_milli, total_milli);
+	level = level_milli(all_milli, total_milli, scale, demand);
+	need = need_milli(demand->own_milli, scale);
 	return need > level ? need : level;
 }
 
--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -182,8 +182,7 @@
 	}
 }
 
-/* Declares suspects dead that did not refute, and forgets those that are dead for long. A death is
- * no news: whoever heard of the suspicion comes to it at about the same time. */
+/* Declares suspects dead that did not refute, and forgets those that are dead for long. */
 static void check_suspicions(struct gossip *gsp, uint64_t now_us)
 {
 	struct suspicion due;
@@ -200,8 +199,7 @@
 		}
 		news = *known;
 		news.state = MEMBER_DEAD;
-		member_upsert(gsp->members, &news);
-		suspicion_note(&gsp->suspicions, due.node_id, MEMBER_DEAD, now_us);
+		gossip_apply(gsp, &news, false, now_us);
 	}
 }
 
--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -5,6 +5,7 @@
  */
 #include "fescuemill/fleet/gossip_codec.h"
 
+#include "fescuemill/wire/pack.h"
 #include "fescuemill/wire/reader.h"
 
 #include <endian.h>
@@ -17,12 +18,6 @@
 #define BRIEF_NEWS_MAX	31 /* bound of brief news in bytes */
 #define WHOLE_NEWS_BASE 60 /* bound of whole news in bytes without its four names */
 
-/* Packs a name that ends with NUL. */
-static void pack_name(msgpack_packer *pk, const char *name)
-{
-	msgpack_pack_str_with_body(pk, name, strlen(name));
-}
-
 /* Packs the items of an address. */
 static void pack_address(msgpack_packer *pk, const struct node_address *address)
 {
--- a/src/fescuemill/fleet/member.c
+++ b/src/fescuemill/fleet/member.c
@@ -121,6 +121,12 @@
 	*at = table->next_of_service[index];
 }
 
+/* Tells whether a member's gate takes calls. */
+bool member_is_serving(const struct member *member)
+{
+	return member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
+}
+
 /* Tells whether news of a member supersedes what is known: by incarnation, then the member's own
  * revision, then the graver state. */
 bool member_is_newer(const struct member *news, const struct member *known)
--- a/src/fescuemill/fleet/member.h
+++ b/src/fescuemill/fleet/member.h
@@ -38,6 +38,8 @@
  * external address, if it states one. */
 const struct node_address *member_node_address(const struct member *member,
 					       const char *from_region);
+/* Whether the member's gate takes calls as far as is known. */
+bool member_is_serving(const struct member *member);
 bool member_is_newer(const struct member *news, const struct member *known);
 const char *member_state_name(enum member_state state);
 const char *backend_state_name(enum backend_state state);
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -80,10 +80,9 @@
 void http_server_linger(h2o_req_t *req)
 {
 	struct connection *conn = connection_of(req);
-	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
 
 	if (conn->linger_fd < 0)
-		conn->linger_fd = fcntl(h2o_socket_get_fd(sock), F_DUPFD_CLOEXEC, 0);
+		conn->linger_fd = fcntl(h2o_socket_get_fd(conn->sock), F_DUPFD_CLOEXEC, 0);
 }
 
 /* Lets the owner add headers to an answer, whoever made it. h2o itself refuses a body that is too
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -4,18 +4,13 @@
  */
 #include "fescuemill/wire/codec.h"
 
+#include "fescuemill/wire/pack.h"
 #include "fescuemill/wire/reader.h"
 
 #include <string.h>
 
 #define ENVELOPE_ITEMS 7
 
-/* Packs one string of bounded size that ends with NUL. */
-static void pack_name(msgpack_packer *pk, const char *name)
-{
-	msgpack_pack_str_with_body(pk, name, strlen(name));
-}
-
 /* Packs borrowed bytes. */
 static void pack_bytes(msgpack_packer *pk, const struct wire_bytes *bytes)
 {
--- a/src/fescuemilld/demand_shell.c
+++ b/src/fescuemilld/demand_shell.c
@@ -50,7 +50,7 @@
 /* Tells whether a member is another gate that takes calls. */
 static bool is_peer(const struct demand_shell *shell, const struct member *member)
 {
-	return member->state == MEMBER_ALIVE && member->backend == BACKEND_READY &&
+	return member_is_serving(member) &&
 	       member->life.node_id != gossip_self(shell->options.gossip)->life.node_id;
 }
 
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry_service.c
@@ -84,13 +84,12 @@
 static void fill_member(const struct entry_options *options, const struct member *member,
 			struct choice_member *out)
 {
-	bool is_serving = member->state == MEMBER_ALIVE && member->backend == BACKEND_READY;
-
 	out->life = member->life;
 	out->domain = (uint32_t)member_id_of(member->domain);
 	out->slots = member->slots;
 	out->distance = (uint8_t)distance_of(options->settings, member);
-	out->usable = is_serving && options->region_is_usable(options->user, member->region);
+	out->usable = member_is_serving(member) &&
+		      options->region_is_usable(options->user, member->region);
 }
 
 /* Gives a service's choice its members anew when the member table has changed. */
@@ -140,7 +139,7 @@
 	       (member = member_next_of_service(table, service->name, member)) != NULL) {
 		struct gate_link *link;
 
-		if (member->state != MEMBER_ALIVE || member->backend != BACKEND_READY)
+		if (!member_is_serving(member))
 			continue;
 		link = entry_link_get(entry, &member->life, NULL);
 		if (link)
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -118,8 +118,8 @@
 	pass_changes(node);
 	keep_up(node, now_us);
 	demand_shell_tick(node->demand, now_us);
-	if (gossip_is_superseded(node->gossip) && node->stop_phase == STOP_NONE)
-		node_stop_begin(node);
+	if (gossip_is_superseded(node->gossip))
+		node_on_drain(node);
 	node_stop_advance(node, now_us);
 	node_stop_check_limit(node, now_us);
 }
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -97,7 +97,7 @@
 }
 
 /* Begins a graceful stop: no new work from here on. */
-void node_stop_begin(struct node *node)
+static void begin(struct node *node)
 {
 	uint64_t now_us = clock_monotonic_us();
 
@@ -112,11 +112,11 @@
 	keeper_set_self(node->keeper, gossip_self(node->gossip));
 }
 
-/* Begins a stop that an operator or a signal asked for, unless one is under way. */
+/* Begins a stop, unless one is under way. */
 void node_on_drain(void *user)
 {
 	struct node *node = user;
 
 	if (node->stop_phase == STOP_NONE)
-		node_stop_begin(node);
+		begin(node);
 }
--- a/test/functional/failure_kill_test.cc
+++ b/test/functional/failure_kill_test.cc
@@ -14,11 +14,6 @@
 // A call's deadline, and the time in which the dead are out of choice for all.
 constexpr int64_t BOUND_MS = CALL_MS + 5000;
 
-int64_t running(Host &host)
-{
-	return number_in(http(host.backend->port(), "GET", "/control/stats"), "running");
-}
-
 DriveOptions elsewhere(const std::string &method)
 {
 	DriveOptions options;
@@ -59,9 +54,15 @@
 	for (Host &host : fleet.hosts)
 		Fleet::control(*host.backend, "{\"slow_factor\":100}");
 	EXPECT_TRUE(wait_until(
-		[&] { return running(fleet.hosts[1]) + running(fleet.hosts[2]) > 1; }, CALL_MS));
-	Host &most =
-		running(fleet.hosts[1]) > running(fleet.hosts[2]) ? fleet.hosts[1] : fleet.hosts[2];
+		[&] {
+			return stat_of(fleet.hosts[1], "running") +
+				       stat_of(fleet.hosts[2], "running") >
+			       1;
+		},
+		CALL_MS));
+	Host &most = stat_of(fleet.hosts[1], "running") > stat_of(fleet.hosts[2], "running")
+			     ? fleet.hosts[1]
+			     : fleet.hosts[2];
 	Json all = http_json(most.backend->port(), "GET", "/executions");
 	const char *call;
 	json_t *value;
--- a/test/functional/failure_restart_test.cc
+++ b/test/functional/failure_restart_test.cc
@@ -15,11 +15,6 @@
 constexpr int EVENT_MS = 5000;
 constexpr int STOP_MS = 30000; // the stop limit of the settings
 constexpr int CALLERS = 8;
-
-int64_t stat(const Host &host, const char *key)
-{
-	return number_in(http(host.backend->port(), "GET", "/control/stats"), key);
-}
 } // namespace
 
 TEST(Restart, ADrainingBackendServerGetsNoNewWorkAndEndsItsOwnWhole)
@@ -33,13 +28,13 @@
 	DriveOptions options;
 	options.callers = 16;
 	Drive drive(fleet, options);
-	ASSERT_TRUE(wait_until([&] { return stat(leaving, "running") > 0; }, EVENT_MS));
+	ASSERT_TRUE(wait_until([&] { return stat_of(leaving, "running") > 0; }, EVENT_MS));
 	Fleet::control(*leaving.backend, "{\"drain\":true}");
 	pause_ms(LEAVING_MS);
-	int64_t requests = stat(leaving, "requests");
+	int64_t requests = stat_of(leaving, "requests");
 	pause_ms(LEAVING_MS);
-	EXPECT_EQ(stat(leaving, "requests"), requests);
-	EXPECT_EQ(stat(leaving, "running"), 0);
+	EXPECT_EQ(stat_of(leaving, "requests"), requests);
+	EXPECT_EQ(stat_of(leaving, "running"), 0);
 	const ToldCalls &told = drive.stop();
 	EXPECT_EQ(count_told(told, "answered"), (int)told.size()) << tally(told);
 	expect_true(read_ledger(fleet), told, false);
--- a/test/functional/support/regions.h
+++ b/test/functional/support/regions.h
@@ -77,8 +77,7 @@
 
 	int64_t requests(size_t host)
 	{
-		return number_in(http(fleet.hosts[host].backend->port(), "GET", "/control/stats"),
-				 "requests");
+		return stat_of(fleet.hosts[host], "requests");
 	}
 
 	void expect_everywhere(int64_t version)
--- a/test/unit/decide/retry_test.cc
+++ b/test/unit/decide/retry_test.cc
@@ -78,7 +78,7 @@
 	EXPECT_EQ(10, taken);
 }
 
-TEST(Retry, AHandedBackAttemptTakesOfTheTreeOnly)
+TEST(Retry, WithoutABucketOnlyTheTreeBounds)
 {
 	retry_bucket bucket;
 	retry_tree tree;
@@ -86,9 +86,9 @@
 	retry_bucket_init(&bucket, 0);
 	retry_tree_init(&tree, true, 2);
 	EXPECT_FALSE(retry_take(&bucket, &tree));
-	EXPECT_TRUE(retry_take_handed_back(&tree));
-	EXPECT_TRUE(retry_take_handed_back(&tree));
-	EXPECT_FALSE(retry_take_handed_back(&tree));
+	EXPECT_TRUE(retry_take(nullptr, &tree));
+	EXPECT_TRUE(retry_take(nullptr, &tree));
+	EXPECT_FALSE(retry_take(nullptr, &tree));
 	EXPECT_EQ(0U, bucket.tokens_milli);
 }
 
