--- a/src/fescuemill/admin/change_task.c
+++ b/src/fescuemill/admin/change_task.c
@@ -5,7 +5,7 @@
 #include "fescuemill/admin/change_task.h"
 
 #include "fescuemill/base/log.h"
-#include "fescuemill/platform/submit.h"
+#include "fescuemill/store/submit.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/fescuemill/admin/change_task.h
+++ b/src/fescuemill/admin/change_task.h
@@ -7,7 +7,7 @@
 
 #include "fescuemill/admin/edit.h"
 #include "fescuemill/fleet/config.h"
-#include "fescuemill/platform/platform.h"
+#include "fescuemill/store/platform.h"
 
 #include <h2o.h>
 #include <jansson.h>
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -25,6 +25,9 @@
 	X(GATE_STALE_EPOCH, "gate_stale_epoch", "messages", "messages of an older epoch")          \
 	X(GATE_WRONG_INCARNATION, "gate_wrong_incarnation", "messages",                            \
 	  "messages meant for an earlier incarnation")                                             \
+	X(BACKEND_CONNECTIONS, "backend_connections", "connections",                               \
+	  "connections opened to the backend server")                                              \
+	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines", "log lines that could not be written")  \
 	X(WIRE_BAD_MESSAGES, "wire_bad_messages", "messages", "node messages that do not decode")  \
 	X(WIRE_CONNECTIONS_SILENT, "wire_connections_silent", "connections",                       \
 	  "node connections replaced after silence")                                               \
--- a/src/fescuemill/base/log.c
+++ b/src/fescuemill/base/log.c
@@ -4,6 +4,9 @@
  */
 #include "fescuemill/base/log.h"
 
+#include "fescuemill/base/counter.h"
+
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -14,6 +17,7 @@
 #define NAME_BYTES 48
 
 static enum log_level current_level = LOG_INFO;
+static int log_fd = STDERR_FILENO;
 static char process_name[NAME_BYTES] = "-";
 
 static const char *const level_names[LOG_LEVEL_COUNT] = {"error", "warning", "info", "debug"};
@@ -45,6 +49,13 @@
 	return -1;
 }
 
+/* Writes to standard output, which must never hold up the loop. */
+void log_to_stdout(void)
+{
+	log_fd = STDOUT_FILENO;
+	fcntl(log_fd, F_SETFL, fcntl(log_fd, F_GETFL) | O_NONBLOCK);
+}
+
 /* Sets the name of this process that stands in every line. */
 void log_set_name(const char *name)
 {
@@ -75,8 +86,9 @@
 	if (used > LINE_BYTES - 1)
 		used = LINE_BYTES - 1;
 	line[used++] = '\n';
-	written = write(STDERR_FILENO, line, used);
-	(void)written; /* There is nowhere left to report a failed log write. */
+	written = write(log_fd, line, used);
+	if (written < 0)
+		counter_add(COUNTER_LOG_LINES_DROPPED, 1);
 }
 
 /* Writes one event when its level is enabled. */
--- a/src/fescuemill/base/log.h
+++ b/src/fescuemill/base/log.h
@@ -34,6 +34,9 @@
 int log_level_from_name(const char *name, enum log_level *level);
 void log_set_name(const char *name);
 
+/* Writes to standard output from now on; a line that would block is dropped and counted. */
+void log_to_stdout(void);
+
 /* Writes the sentence and, when fields is not NULL, the key=value fields formatted from it. */
 void log_write(enum log_level level, enum log_part part, const char *sentence, const char *fields,
 	       ...) __attribute__((format(printf, 4, 5)));
--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -112,6 +112,32 @@
 	return reason == REASON_DRAINING ? NULL : bucket;
 }
 
+/* Tells whether a refusal came from the backend server itself, and not from a gate before it. */
+static bool entry_reached_server(enum call_reason reason)
+{
+	return reason == REASON_SHED;
+}
+
+/* Takes one more try out of the budgets after a refusal, or out of none. Where the backend servers
+ * are bounded, a gate's refusal costs no backend server anything and only its number is bounded. */
+static bool entry_take_after_refusal(struct attempt_entry *call, struct retry_bucket *bucket,
+				     enum call_reason reason)
+{
+	if (call->servers_max == 0)
+		return retry_take(entry_bucket_for(bucket, reason), &call->retries);
+	if (!entry_reached_server(reason))
+		return ++call->refusals <= ENTRY_REFUSALS_MAX;
+	return ++call->servers < call->servers_max && retry_take_token(bucket);
+}
+
+/* Takes one more try out of the budgets after the call may have run, or out of none. */
+static bool entry_take_after_loss(struct attempt_entry *call, struct retry_bucket *bucket)
+{
+	if (call->servers_max == 0)
+		return retry_take(bucket, &call->retries);
+	return ++call->servers < call->servers_max && retry_take_token(bucket);
+}
+
 /* The present attempt certainly did not run and never will: try elsewhere, within the budgets. A
  * keyed call has one home only, which it tries again only after its restart. */
 static int entry_not_run(struct attempt_entry *call, struct retry_bucket *bucket,
@@ -124,7 +150,7 @@
 		may_retry = false;
 	retry_tree_return(&call->retries);
 	call->last_reason = (uint8_t)reason;
-	if (!may_retry || !retry_take(entry_bucket_for(bucket, reason), &call->retries))
+	if (!may_retry || !entry_take_after_refusal(call, bucket, reason))
 		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
 	if (reason != REASON_INCARNATION)
 		entry_exclude(call);
@@ -137,12 +163,25 @@
 {
 	call->may_have_run = true;
 	call->last_reason = (uint8_t)reason;
-	if (!call->idempotent || !retry_take(bucket, &call->retries))
+	if (!call->idempotent || !entry_take_after_loss(call, bucket))
 		return entry_finish(call, OUTCOME_UNKNOWN, reason, out, err);
 	entry_exclude(call);
 	return entry_choose_again(call, out, err);
 }
 
+/* The backend server answered with an error of its own. Another one may do better; if none may be
+ * tried, the error is the answer. */
+static int entry_failed(struct attempt_entry *call, struct retry_bucket *bucket,
+			enum call_reason reason, struct attempt_entry_actions *out,
+			struct error *err)
+{
+	if (call->servers_max == 0 || !call->idempotent || !entry_take_after_loss(call, bucket))
+		return entry_finish(call, OUTCOME_ANSWERED, reason, out, err);
+	call->may_have_run = true;
+	entry_exclude(call);
+	return entry_choose_again(call, out, err);
+}
+
 /* Sends the first or next attempt to the chosen gate. */
 static int entry_send(struct attempt_entry *call, const struct attempt_target *target,
 		      uint64_t now_us, struct attempt_entry_actions *out, struct error *err)
@@ -173,6 +212,8 @@
 		return 0;
 	switch (event->answer.outcome) {
 	case OUTCOME_ANSWERED:
+		if (event->answer.failed)
+			return entry_failed(call, bucket, event->answer.reason, out, err);
 		return entry_finish(call, OUTCOME_ANSWERED, event->answer.reason, out, err);
 	case OUTCOME_NOT_RUN:
 		return entry_not_run(call, bucket, event->answer.reason, out, err);
@@ -236,6 +277,8 @@
 	call->answer_margin_us = settings->answer_margin_us;
 	call->idempotent = settings->idempotent;
 	call->keyed = settings->keyed;
+	call->servers_max = settings->servers_max < UINT8_MAX ? (uint8_t)settings->servers_max
+							      : UINT8_MAX;
 	call->state = ENTRY_CHOOSING;
 	retry_tree_init(&call->retries, settings->retries_stated, settings->retry_budget);
 }
--- a/src/fescuemill/decide/attempt_entry.h
+++ b/src/fescuemill/decide/attempt_entry.h
@@ -13,6 +13,10 @@
 
 #define ENTRY_EXCLUDED_MAX (RETRY_TREE_MAX + 1)
 
+/* Gates that may refuse one call, where its backend servers are bounded. Each costs a round trip;
+ * past a handful the service is full. */
+#define ENTRY_REFUSALS_MAX 4
+
 struct attempt_entry_settings {
 	uint64_t deadline_us;	   /* on this node's clock */
 	uint64_t answer_margin_us; /* of the time left, kept for the answer's way back */
@@ -20,6 +24,7 @@
 	bool keyed; /* goes to the key's home gate only, so it is not retried elsewhere */
 	bool retries_stated;
 	uint32_t retry_budget; /* from the header, if stated */
+	uint32_t servers_max;  /* backend servers it may be handed to; 0: only the tree's budget */
 };
 
 /* Where one attempt goes. */
@@ -37,6 +42,9 @@
 	uint64_t excluded[ENTRY_EXCLUDED_MAX]; /* node ids not to choose again */
 	uint8_t excluded_count;
 	uint8_t attempts;
+	uint8_t servers_max;
+	uint8_t servers;  /* that it was, or may have been, handed to */
+	uint8_t refusals; /* by gates, before a backend server saw it */
 	uint8_t state;	     /* enum attempt_entry_state */
 	uint8_t last_reason; /* enum call_reason of the last attempt that was not run */
 	bool idempotent;
@@ -69,6 +77,7 @@
 			struct attempt_id id;
 			enum call_outcome outcome;
 			enum call_reason reason;
+			bool failed; /* answered, with a server error */
 		} answer;
 		struct {
 			struct attempt_id id;
--- a/src/fescuemill/decide/call_defs.h
+++ b/src/fescuemill/decide/call_defs.h
@@ -62,6 +62,11 @@
 	REASON_COUNT,
 };
 
+/* An amount that no class reaches, for classes whose operators state none: all calls are in
+ * profile, so that rank and objective alone order them. */
+#define CLASS_CALLS_UNSTATED	      1000000U
+#define CLASS_PERCENTILE_UNSTATED_X10 990U
+
 /* What operators state for a class of work. */
 struct class_target {
 	char name[CLASS_NAME_BYTES];
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -287,13 +287,20 @@
 	gate_account_share_floors(gate);
 }
 
+/* Starts the limit of a backend server that was not ready before. */
+static void start_limit(struct gate *gate, uint32_t slots, uint64_t now_us)
+{
+	limit_start(&gate->limit, slots, now_us);
+	limit_fix(&gate->limit, gate->slots_used_percent);
+}
+
 /* Takes the announced slots; a backend server that was not ready before starts cold. */
 static void set_slots(struct gate *gate, bool was_serving, uint32_t slots, uint64_t now_us)
 {
 	if (slots > GATE_SLOTS_MAX)
 		slots = GATE_SLOTS_MAX;
 	if (!was_serving)
-		limit_start(&gate->limit, slots, now_us);
+		start_limit(gate, slots, now_us);
 	else if (slots != gate->limit.slots)
 		limit_set_slots(&gate->limit, slots, now_us);
 	gate_account_share_floors(gate);
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -113,6 +113,7 @@
 	struct gate_class classes[CLASSES_PER_SERVICE_MAX];
 	enum backend_state state;
 	struct limit limit;
+	uint32_t slots_used_percent; /* the owner may set it; 0: the limit is measured */
 	uint32_t in_use;
 	uint32_t queued;
 	uint32_t headroom;	  /* slots kept from classes of long calls */
--- a/src/fescuemill/decide/limit.c
+++ b/src/fescuemill/decide/limit.c
@@ -107,6 +107,14 @@
 		grow(limit);
 }
 
+/* Gives a fixed limit for a number of slots: at least one, if there is one. */
+static uint32_t fixed_limit(const struct limit *limit, uint32_t slots)
+{
+	uint32_t fixed = slots * limit->fixed_percent / 100;
+
+	return fixed > 0 || slots == 0 ? fixed : 1;
+}
+
 /* Begins with a backend server that has just started. */
 void limit_start(struct limit *limit, uint32_t slots, uint64_t now_us)
 {
@@ -120,6 +128,14 @@
 	begin_round(limit, now_us);
 }
 
+/* Keeps the limit at a share of the slots from now on; 0 percent leaves it to measurement. */
+void limit_fix(struct limit *limit, uint32_t percent)
+{
+	limit->fixed_percent = percent;
+	if (percent > 0)
+		limit->current = fixed_limit(limit, limit->slots);
+}
+
 /* Takes a changed number of announced slots. */
 void limit_set_slots(struct limit *limit, uint32_t slots, uint64_t now_us)
 {
@@ -131,6 +147,8 @@
 		limit->current = slots;
 	if (!limit->current && slots)
 		limit->current = 1;
+	if (limit->fixed_percent > 0)
+		limit->current = fixed_limit(limit, slots);
 	begin_round(limit, now_us);
 }
 
@@ -182,7 +200,7 @@
 {
 	uint64_t percent = limit->usual_percent;
 
-	if (sample->start_us < limit->round_us)
+	if (limit->fixed_percent > 0 || sample->start_us < limit->round_us)
 		return;
 	if (sample->usual_us)
 		percent = (sample->end_us - sample->start_us) * 100 / sample->usual_us;
@@ -207,7 +225,7 @@
 /* Takes a refusal by the backend server; shrinks once a round. */
 void limit_shed(struct limit *limit, uint64_t now_us)
 {
-	if (limit->round_shed)
+	if (limit->fixed_percent > 0 || limit->round_shed)
 		return;
 	if (limit->mode == LIMIT_PROBE)
 		limit->current = limit->before_probe;
--- a/src/fescuemill/decide/limit.h
+++ b/src/fescuemill/decide/limit.h
@@ -24,6 +24,7 @@
 };
 
 struct limit {
+	uint32_t fixed_percent; /* of the slots, always; 0: the limit adapts */
 	uint32_t slots;
 	uint32_t current; /* 1 to slots; 0 without a backend server */
 	enum limit_mode mode;
@@ -51,6 +52,7 @@
 };
 
 void limit_start(struct limit *limit, uint32_t slots, uint64_t now_us);
+void limit_fix(struct limit *limit, uint32_t percent);
 void limit_set_slots(struct limit *limit, uint32_t slots, uint64_t now_us);
 uint32_t limit_low(const struct limit *limit);
 void limit_note_full(struct limit *limit);
--- a/src/fescuemill/decide/retry.c
+++ b/src/fescuemill/decide/retry.c
@@ -47,6 +47,16 @@
 {
 	bucket->tokens_milli = share_permille ? RETRY_TOKEN_MILLI : 0;
 	bucket->share_permille = share_permille;
+	bucket->most_milli = RETRY_BUCKET_MAX_MILLI;
+}
+
+/* Sets what the bucket holds at most, in thousandths of a retry; a part of one is enough to gather
+ * towards the next. */
+void retry_bucket_set_most(struct retry_bucket *bucket, uint32_t most_milli)
+{
+	bucket->most_milli = most_milli > RETRY_TOKEN_MILLI ? most_milli : RETRY_TOKEN_MILLI;
+	if (bucket->tokens_milli > bucket->most_milli)
+		bucket->tokens_milli = bucket->most_milli;
 }
 
 /* Adds a first attempt's fraction of a retry. The bucket may be NULL: unbounded. */
@@ -55,19 +65,26 @@
 	if (!bucket)
 		return;
 	bucket->tokens_milli += bucket->share_permille;
-	if (bucket->tokens_milli > RETRY_BUCKET_MAX_MILLI)
-		bucket->tokens_milli = RETRY_BUCKET_MAX_MILLI;
+	if (bucket->tokens_milli > bucket->most_milli)
+		bucket->tokens_milli = bucket->most_milli;
+}
+
+/* Takes one retry out of the service's budget, if it has one. The bucket may be NULL: unbounded. */
+bool retry_take_token(struct retry_bucket *bucket)
+{
+	if (!bucket)
+		return true;
+	if (bucket->tokens_milli < RETRY_TOKEN_MILLI)
+		return false;
+	bucket->tokens_milli -= RETRY_TOKEN_MILLI;
+	return true;
 }
 
 /* Takes one retry out of both budgets, or out of neither. The bucket may be NULL: unbounded. */
 bool retry_take(struct retry_bucket *bucket, struct retry_tree *tree)
 {
-	if (tree->left == 0)
-		return false;
-	if (bucket && bucket->tokens_milli < RETRY_TOKEN_MILLI)
+	if (tree->left == 0 || !retry_take_token(bucket))
 		return false;
-	if (bucket)
-		bucket->tokens_milli -= RETRY_TOKEN_MILLI;
 	tree->left--;
 	return true;
 }
--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -8,6 +8,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/fleet/config_batch.h"
+#include "fescuemill/fleet/routing_json.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -20,6 +21,7 @@
 	char name[SERVICE_NAME_BYTES];
 	bool in_force;
 	struct service_object object; /* its config.version is the version in force */
+	bool is_routing;	      /* the object in force states routes, not a service */
 	json_t *value;		      /* the object in force as it was delivered */
 	uint64_t deleted_version;
 	uint64_t rejected_version;
@@ -35,6 +37,9 @@
 	uint64_t noted;		 /* highest digest heard from a peer */
 	uint64_t pruned_version; /* deletions up to this version may not be known here */
 	uint64_t ticket;
+	struct routing routing; /* in force; no routes while there is none */
+	bool has_routing;
+	struct random rng;
 	bool ready;
 };
 
@@ -45,6 +50,7 @@
 	if (!*out)
 		return error_set(err, ERROR_MEMORY, "no memory for the configuration store");
 	(*out)->ticket = first_ticket;
+	random_seed(&(*out)->rng, first_ticket);
 	return 0;
 }
 
@@ -62,6 +68,7 @@
 		return;
 	for (uint32_t i = 0; i < store->entry_count; i++)
 		entry_free(store->entries[i]);
+	routing_free(&store->routing);
 	free(store);
 }
 
@@ -145,6 +152,10 @@
 	if (!entry->in_force || entry->object.config.version > version)
 		return;
 	entry->in_force = false;
+	if (entry->is_routing) {
+		routing_free(&store->routing);
+		store->has_routing = false;
+	}
 	json_decref(entry->value);
 	entry->value = NULL;
 	store->revision++;
@@ -182,6 +193,35 @@
 		  entry->name, delivery->version);
 }
 
+/* Puts routes in force, unless the operators' own number says that they are older than those in
+ * force. Errors: those of routing_read(), ERROR_VERSION. */
+static int put_routing_in_force(struct config_store *store, struct config_entry *entry,
+				const struct delivery *delivery, struct error *err)
+{
+	struct service_object none = {0};
+	struct routing routing;
+
+	if (routing_read(delivery->json, &store->rng, &routing, err) != 0)
+		return -1;
+	if (store->has_routing && routing.number < store->routing.number) {
+		error_set(err, ERROR_VERSION, "number %" PRIu64 " is below %" PRIu64 " in force",
+			  routing.number, store->routing.number);
+		routing_free(&routing);
+		return -1;
+	}
+	for (uint32_t i = 0; i < routing.service_count; i++)
+		routing.services[i].config.version = delivery->version;
+	routing_free(&store->routing);
+	store->routing = routing;
+	store->has_routing = true;
+	entry->is_routing = true;
+	put_in_force(store, entry, delivery, &none);
+	log_write(LOG_INFO, LOG_PART_CONFIG, "Routes in force.",
+		  "number=%" PRIu64 " version=%" PRIu64 " routes=%u services=%u", routing.number,
+		  delivery->version, routing.route_count, routing.service_count);
+	return 0;
+}
+
 /* Tells whether a delivery is older than a whole answer that did not have the service. */
 static bool is_forgotten(const struct config_store *store, const struct config_entry *entry,
 			 const struct delivery *delivery)
@@ -220,14 +260,18 @@
 	if (delivery->version <= entry->object.config.version ||
 	    delivery->version <= entry->deleted_version || is_forgotten(store, entry, delivery))
 		return 0;
-	if (read_object(delivery, &object, &fault)) {
-		apply_rejected(entry, delivery, &fault);
-		if (err)
-			*err = fault;
-		return -1;
+	if (routing_is(delivery->json)) {
+		if (put_routing_in_force(store, entry, delivery, &fault) == 0)
+			return 0;
+	} else if (read_object(delivery, &object, &fault) == 0) {
+		entry->is_routing = false;
+		put_in_force(store, entry, delivery, &object);
+		return 0;
 	}
-	put_in_force(store, entry, delivery, &object);
-	return 0;
+	apply_rejected(entry, delivery, &fault);
+	if (err)
+		*err = fault;
+	return -1;
 }
 
 /* Deletes what a batch of everything through `version` does not have. */
@@ -379,15 +423,25 @@
 {
 	const struct config_entry *entry = find_entry(store, service);
 
-	return entry && entry->in_force ? &entry->object : NULL;
+	return entry && entry->in_force && !entry->is_routing ? &entry->object : NULL;
 }
 
 /* Gives the configuration in force, or NULL. */
 const struct service_config *config_find(const struct config_store *store, const char *service)
 {
 	const struct service_object *object = config_object(store, service);
+	const struct route_service *routed;
 
-	return object ? &object->config : NULL;
+	if (object)
+		return &object->config;
+	routed = routing_service(&store->routing, service);
+	return routed ? &routed->config : NULL;
+}
+
+/* Gives the routes in force, or NULL. */
+struct routing *config_routing(struct config_store *store)
+{
+	return store->has_routing ? &store->routing : NULL;
 }
 
 /* Gives a class of a configuration by its name, or NULL. */
@@ -406,7 +460,7 @@
 	size_t count = 0;
 
 	for (uint32_t i = 0; i < store->entry_count; i++)
-		count += store->entries[i]->in_force;
+		count += store->entries[i]->in_force && !store->entries[i]->is_routing;
 	return count;
 }
 
@@ -414,7 +468,7 @@
 const struct service_object *config_at(const struct config_store *store, size_t index)
 {
 	for (uint32_t i = 0; i < store->entry_count; i++) {
-		if (store->entries[i]->in_force && index-- == 0)
+		if (store->entries[i]->in_force && !store->entries[i]->is_routing && index-- == 0)
 			return &store->entries[i]->object;
 	}
 	return NULL;
@@ -513,7 +567,8 @@
 }
 
 /* Tells whether this node watches the platform. */
-bool config_is_watcher(const struct member_table *members, const struct member *self)
+bool config_is_watcher(const struct member_table *members, const struct member *self,
+		       uint32_t watchers)
 {
-	return member_is_chosen(members, self, CONFIG_KIND, CONFIG_WATCHERS);
+	return member_is_chosen(members, self, CONFIG_KIND, watchers);
 }
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -7,13 +7,13 @@
 
 #include "fescuemill/base/error.h"
 #include "fescuemill/fleet/member.h"
+#include "fescuemill/decide/route.h"
 #include "fescuemill/fleet/service_json.h"
 
 #include <stddef.h>
 
 #define CONFIG_SERVICES_MAX 512 /* deleted ones that are still remembered included */
 #define CONFIG_KIND	    "service"
-#define CONFIG_WATCHERS	    2 /* nodes of a failure domain that watch the platform */
 
 struct config_store;
 
@@ -22,6 +22,8 @@
 int config_open(struct config_store **out, uint64_t first_ticket, struct error *err);
 void config_close(struct config_store *store);
 
+/* The routes in force, or NULL. Valid until the store is next changed. */
+struct routing *config_routing(struct config_store *store);
 /* The configuration in force, or NULL. Valid until the store is next changed. */
 const struct service_config *config_find(const struct config_store *store, const char *service);
 const struct class_target *config_class(const struct service_config *config, const char *name);
@@ -72,7 +74,9 @@
 int config_apply_peer_batch(struct config_store *store, uint64_t ticket, const char *json,
 			    size_t size, struct error *err);
 
-/* Whether this node watches the platform; the others get changes from peers. */
-bool config_is_watcher(const struct member_table *members, const struct member *self);
+/* Whether this node is one of the watchers of its failure domain; the others get changes from
+ * peers. */
+bool config_is_watcher(const struct member_table *members, const struct member *self,
+		       uint32_t watchers);
 
 #endif
--- a/src/fescuemill/fleet/keeper.c
+++ b/src/fescuemill/fleet/keeper.c
@@ -7,7 +7,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemill/platform/follow.h"
+#include "fescuemill/store/follow.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/src/fescuemill/fleet/keeper.h
+++ b/src/fescuemill/fleet/keeper.h
@@ -6,8 +6,8 @@
 #define FESCUEMILL_FLEET_KEEPER_H
 
 #include "fescuemill/fleet/roster.h"
-#include "fescuemill/platform/platform.h"
-#include "fescuemill/platform/session.h"
+#include "fescuemill/store/platform.h"
+#include "fescuemill/store/session.h"
 
 #include <uv.h>
 
--- a/src/fescuemill/fleet/roster.c
+++ b/src/fescuemill/fleet/roster.c
@@ -324,5 +324,5 @@
  * do, because a part of the link's budget is set aside for them. */
 bool roster_is_writer(const struct member_table *members, const struct member *self)
 {
-	return config_is_watcher(members, self);
+	return config_is_watcher(members, self, ROSTER_WRITERS);
 }
--- a/src/fescuemill/fleet/roster.h
+++ b/src/fescuemill/fleet/roster.h
@@ -9,6 +9,7 @@
 
 #define ROSTER_KIND	   "roster"
 #define ROSTER_MEMBERS_MAX 1024
+#define ROSTER_WRITERS	   2 /* nodes of a failure domain that write its roster */
 
 struct roster {
 	char domain[DOMAIN_NAME_BYTES];
--- /dev/null
+++ b/src/fescuemill/fleet/routing_json.c
@@ -0,0 +1,159 @@
+/*
+ * Routing objects:
+ *   {"number": N,
+ *    "routes": [{"name", "host", "prefix", "idempotent", "timeout_ms", "latency_ms", "rank",
+ *                "attempts", "services": [{"service", "weight"}]}],
+ *    "services": [{"name", "health_path"}]}
+ */
+#include "fescuemill/fleet/routing_json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TIME_MS_MAX  600000
+#define ATTEMPTS_MAX 100
+#define WEIGHT_MAX   1000000
+#define RANK_MAX     255
+
+/* Reads a text. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+static int read_text(const json_t *object, const char *key, char *out, size_t room,
+		     struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (!value)
+		return error_set(err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_string(value))
+		return error_set(err, ERROR_TYPE, "%s: allowed is a text", key);
+	if (json_string_length(value) == 0 || json_string_length(value) >= room)
+		return error_set(err, ERROR_RANGE, "%s: allowed are 1 to %zu bytes", key, room - 1);
+	memcpy(out, json_string_value(value), json_string_length(value) + 1);
+	return 0;
+}
+
+/* Reads a whole number. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+static int read_number(const json_t *object, const char *key, json_int_t lowest, json_int_t highest,
+		       uint32_t *out, struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+	json_int_t number = json_integer_value(value);
+
+	if (!value)
+		return error_set(err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_integer(value))
+		return error_set(err, ERROR_TYPE, "%s: allowed is a whole number", key);
+	if (number < lowest || number > highest)
+		return error_set(err, ERROR_RANGE, "%s: found %lld, allowed %lld to %lld", key,
+				 (long long)number, (long long)lowest, (long long)highest);
+	*out = (uint32_t)number;
+	return 0;
+}
+
+/* Reads the services of a route and their weights, of which one must be above 0. */
+static int read_parts(const json_t *json, struct route *out, struct error *err)
+{
+	const json_t *list = json_object_get(json, "services");
+	size_t count = json_array_size(list);
+	uint64_t total = 0;
+
+	if (count == 0 || count > ROUTE_PARTS_MAX)
+		return error_set(err, ERROR_RANGE, "services: found %zu, allowed 1 to %d", count,
+				 ROUTE_PARTS_MAX);
+	for (size_t i = 0; i < count; i++) {
+		const json_t *item = json_array_get(list, i);
+		struct route_part *part = &out->parts[out->part_count++];
+
+		if (read_text(item, "service", part->service, sizeof(part->service), err) != 0 ||
+		    read_number(item, "weight", 0, WEIGHT_MAX, &part->weight, err) != 0)
+			return -1;
+		total += part->weight;
+	}
+	if (total == 0)
+		return error_set(err, ERROR_RANGE, "services: no weight is above 0");
+	return 0;
+}
+
+/* Reads one route. */
+static int read_route(const json_t *json, struct route *out, struct error *err)
+{
+	const json_t *idempotent = json_object_get(json, "idempotent");
+	size_t size;
+
+	if (read_text(json, "name", out->name, sizeof(out->name), err) != 0 ||
+	    read_text(json, "host", out->host, sizeof(out->host), err) != 0 ||
+	    read_text(json, "prefix", out->prefix, sizeof(out->prefix), err) != 0 ||
+	    read_number(json, "timeout_ms", 1, TIME_MS_MAX, &out->timeout_ms, err) != 0 ||
+	    read_number(json, "latency_ms", 1, TIME_MS_MAX, &out->latency_ms, err) != 0 ||
+	    read_number(json, "rank", 0, RANK_MAX, &out->rank, err) != 0 ||
+	    read_number(json, "attempts", 1, ATTEMPTS_MAX, &out->attempts_max, err) != 0)
+		return -1;
+	size = strlen(out->prefix);
+	if (out->prefix[0] != '/' || out->prefix[size - 1] != '/')
+		return error_set(err, ERROR_RANGE, "prefix: allowed begins and ends with \"/\"");
+	if (!json_is_boolean(idempotent))
+		return error_set(err, ERROR_TYPE, "idempotent: allowed is true or false");
+	out->idempotent = json_is_true(idempotent);
+	return read_parts(json, out, err);
+}
+
+/* Reads one service. */
+static int read_service(const json_t *json, struct route_service *out, struct error *err)
+{
+	if (read_text(json, "name", out->name, sizeof(out->name), err) != 0)
+		return -1;
+	if (!json_object_get(json, "health_path"))
+		return 0;
+	return read_text(json, "health_path", out->health_path, sizeof(out->health_path), err);
+}
+
+/* Reads both lists into memory that is there. */
+static int read_lists(const json_t *routes, const json_t *services, struct routing *out,
+		      struct error *err)
+{
+	const json_t *item;
+	size_t index;
+
+	json_array_foreach(services, index, item)
+	{
+		if (read_service(item, &out->services[out->service_count++], err) != 0)
+			return -1;
+	}
+	json_array_foreach(routes, index, item)
+	{
+		if (read_route(item, &out->routes[out->route_count++], err) != 0)
+			return -1;
+	}
+	return 0;
+}
+
+/* Tells whether a JSON value is a routing object. */
+bool routing_is(const json_t *json)
+{
+	return json_object_get(json, "routes") != NULL;
+}
+
+/* Reads a routing object. */
+int routing_read(const json_t *json, struct random *rng, struct routing *out, struct error *err)
+{
+	const json_t *routes = json_object_get(json, "routes");
+	const json_t *services = json_object_get(json, "services");
+
+	memset(out, 0, sizeof(*out));
+	if (!json_is_array(routes) || !json_is_array(services))
+		return error_set(err, ERROR_TYPE, "routes, services: allowed are lists");
+	if (json_array_size(routes) > ROUTES_MAX)
+		return error_set(err, ERROR_RANGE, "routes: found %zu, allowed 0 to %d",
+				 json_array_size(routes), ROUTES_MAX);
+	out->number = (uint64_t)json_integer_value(json_object_get(json, "number"));
+	out->routes = calloc(json_array_size(routes) + 1, sizeof(*out->routes));
+	out->services = calloc(json_array_size(services) + 1, sizeof(*out->services));
+	if (!out->routes || !out->services) {
+		routing_free(out);
+		return error_set(err, ERROR_MEMORY, "no memory for routes");
+	}
+	if (read_lists(routes, services, out, err) != 0 || routing_finish(out, rng, err) != 0) {
+		routing_free(out);
+		return -1;
+	}
+	return 0;
+}
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -167,7 +167,7 @@
 /* Tells which members are known to have a version, and asks the others for the next time. */
 static void get_version(struct admin *admin, struct admin_request *request)
 {
-	uint64_t version;
+	uint64_t version = 0;
 	struct error err;
 
 	if (read_version("version", request->parts[2], strlen(request->parts[2]), &version, &err)) {
@@ -333,13 +333,13 @@
 		respond_error(request->req, &err);
 }
 
-struct route {
+struct admin_route {
 	const char *method;
 	const char *parts[PATH_PARTS_MAX + 1];
 	void (*fn)(struct admin *admin, struct admin_request *request);
 };
 
-static const struct route routes[] = {
+static const struct admin_route routes[] = {
 	{"GET", {"v1", "services", NULL}, get_services},
 	{"GET", {"v1", "services", "*", NULL}, get_service},
 	{"GET", {"v1", "services", "*", "classes", "*", NULL}, get_service},
@@ -356,7 +356,7 @@
 	{"POST", {"v1", "drain", NULL}, post_drain},
 };
 
-static const struct route *find_route(const struct admin_request *request)
+static const struct admin_route *find_route(const struct admin_request *request)
 {
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
 		if (is_method(request, routes[i].method) && is_path(request, routes[i].parts))
@@ -367,7 +367,7 @@
 
 /* Checks key, size and path of a request. */
 static int check_request(struct admin *admin, struct admin_request *request,
-			 const struct route **route, struct error *err)
+			 const struct admin_route **route, struct error *err)
 {
 	h2o_iovec_t key = header(request->req, "x-fescue-key");
 
@@ -388,7 +388,7 @@
 {
 	struct admin *admin = user;
 	struct admin_request request = {.req = req};
-	const struct route *route;
+	const struct admin_route *route;
 	struct error err;
 
 	counter_add(COUNTER_ADMIN_REQUESTS, 1);
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -5,7 +5,7 @@
 #define FESCUEMILL_HTTP_ADMIN_H
 
 #include "fescuemill/fleet/config.h"
-#include "fescuemill/platform/platform.h"
+#include "fescuemill/store/platform.h"
 #include "fescuemill/settings/settings_defs.h"
 
 #include <uv.h>
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -8,21 +8,20 @@
 #include "fescuemill/chart/chart.h"
 #include "fescuemill/http/server.h"
 
-#include <ctype.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define BODY_BYTES_MAX	 4096
 #define IDLE_MS		 30000
-#define PORT_MAX	 65535
-#define REPLY_TEXT_BYTES 64
+#define REPLY_TEXT_BYTES 256
 
 struct announce {
 	struct http_server *server;
 	struct announce_options options;
 	uv_timer_t lease;
 	struct announcement now;
+	struct announcement latest; /* what was taken last, kept when its lease ends */
 };
 
 /* A backend server's states are numbered as those of its chart. */
@@ -32,126 +31,17 @@
 _Static_assert((int)BACKEND_DRAINING == (int)BACKEND_CHART_DRAINING, "draining");
 _Static_assert((int)BACKEND_LEAVING == (int)BACKEND_CHART_LEAVING, "leaving");
 
-static const struct {
-	const char *name;
-	enum backend_state state;
-} states[] = {
-	{"starting", BACKEND_STARTING},
-	{"ready", BACKEND_READY},
-	{"draining", BACKEND_DRAINING},
-	{"leaving", BACKEND_LEAVING},
-};
-
 static const enum backend_input inputs[BACKEND_STATE_COUNT] = {
 	[BACKEND_NONE] = BACKEND_INPUT_LEASE_EXPIRED, [BACKEND_STARTING] = BACKEND_INPUT_STARTING,
 	[BACKEND_READY] = BACKEND_INPUT_READY,	      [BACKEND_DRAINING] = BACKEND_INPUT_DRAINING,
 	[BACKEND_LEAVING] = BACKEND_INPUT_LEAVING,
 };
 
-/* Reads a whole number of an object. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
-static int read_number(const json_t *object, const char *key, json_int_t highest, uint32_t *out,
-		       struct error *err)
-{
-	const json_t *value = json_object_get(object, key);
-	json_int_t number = json_integer_value(value);
-
-	if (!value)
-		return error_set(err, ERROR_MISSING, "%s: required", key);
-	if (!json_is_integer(value))
-		return error_set(err, ERROR_TYPE, "%s: allowed is a whole number", key);
-	if (number < 1 || number > highest)
-		return error_set(err, ERROR_RANGE, "%s: found %lld, allowed 1 to %lld", key,
-				 (long long)number, (long long)highest);
-	*out = (uint32_t)number;
-	return 0;
-}
-
-/* Reads a text of an object. Errors: ERROR_MISSING, ERROR_TYPE. */
-static int read_text(const json_t *object, const char *key, const char **out, struct error *err)
-{
-	const json_t *value = json_object_get(object, key);
-
-	if (!value)
-		return error_set(err, ERROR_MISSING, "%s: required", key);
-	if (!json_is_string(value))
-		return error_set(err, ERROR_TYPE, "%s: allowed is a text", key);
-	*out = json_string_value(value);
-	return 0;
-}
-
-/* Reads the service's name. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE, ERROR_SYNTAX. */
-static int read_service(const json_t *object, struct announcement *out, struct error *err)
-{
-	const char *text;
-
-	if (read_text(object, "service", &text, err) != 0)
-		return -1;
-	if (text[0] == '\0' || strlen(text) >= sizeof(out->service))
-		return error_set(err, ERROR_RANGE, "service: allowed are 1 to %zu bytes",
-				 sizeof(out->service) - 1);
-	for (size_t i = 0; text[i]; i++) {
-		if (!isalnum((unsigned char)text[i]) && !strchr("-_.", text[i]))
-			return error_set(err, ERROR_SYNTAX, "service: byte %zu is not allowed", i);
-	}
-	memcpy(out->service, text, strlen(text) + 1);
-	return 0;
-}
-
-/* Reads the state. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
-static int read_state(const json_t *object, struct announcement *out, struct error *err)
-{
-	const char *text;
-
-	if (read_text(object, "state", &text, err) != 0)
-		return -1;
-	for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
-		if (strcmp(text, states[i].name) == 0) {
-			out->state = states[i].state;
-			return 0;
-		}
-	}
-	return error_set(err, ERROR_RANGE,
-			 "state: found \"%.20s\", allowed starting, ready, "
-			 "draining, leaving",
-			 text);
-}
-
-/* Reads the fields of an announcement. */
-static int read_fields(const json_t *object, struct announcement *out, struct error *err)
-{
-	uint32_t port = 0;
-
-	if (read_service(object, out, err) != 0)
-		return -1;
-	if (read_number(object, "port", PORT_MAX, &port, err) != 0)
-		return -1;
-	out->port = (uint16_t)port;
-	if (read_number(object, "slots", ANNOUNCE_SLOTS_MAX, &out->slots, err) != 0)
-		return -1;
-	return read_state(object, out, err);
-}
-
-/* Reads an announcement. Errors: ERROR_SYNTAX, ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
-int announcement_parse(const char *json, size_t size, struct announcement *out, struct error *err)
-{
-	json_error_t where;
-	json_t *object = json_loadb(json ? json : "", size, 0, &where);
-	int rc;
-
-	memset(out, 0, sizeof(*out));
-	if (!json_is_object(object)) {
-		json_decref(object);
-		return error_set(err, ERROR_SYNTAX, "announcement: allowed is a JSON object");
-	}
-	rc = read_fields(object, out, err);
-	json_decref(object);
-	return rc;
-}
-
 /* Tells whether two announcements say the same. */
 static bool is_same(const struct announcement *a, const struct announcement *b)
 {
-	return a->port == b->port && a->slots == b->slots && a->state == b->state &&
+	return a->port == b->port && a->ip == b->ip && a->slots == b->slots &&
+	       a->state == b->state && strcmp(a->instance, b->instance) == 0 &&
 	       strcmp(a->service, b->service) == 0;
 }
 
@@ -203,29 +93,65 @@
 	json_decref(body);
 }
 
+/* Takes an announcement in its order: one that was overtaken changes nothing, and a new start is
+ * not bound by what the one before said. */
+static int take_in_order(struct announce *ann, struct announcement *news, struct error *err)
+{
+	static const struct announcement none;
+
+	switch (announcement_order_of(&ann->latest, news)) {
+	case ANNOUNCEMENT_STALE:
+		log_write(LOG_INFO, LOG_PART_HTTP, "An announcement was overtaken.",
+			  "instance=%s sequence=%llu latest_instance=%s latest_sequence=%llu",
+			  news->instance, (unsigned long long)news->sequence, ann->latest.instance,
+			  (unsigned long long)ann->latest.sequence);
+		return 0;
+	case ANNOUNCEMENT_NEW_START:
+		if (ann->now.state != BACKEND_NONE)
+			take(ann, &none, NULL);
+		break;
+	case ANNOUNCEMENT_NEXT:
+		announcement_complete(news, &ann->latest);
+		break;
+	}
+	if (take(ann, news, err) != 0)
+		return -1;
+	ann->latest = *news;
+	uv_timer_start(&ann->lease, on_lease_ended, ann->options.lease_ms, 0);
+	return 0;
+}
+
+/* Lists a request's head as wire bytes; announcements need no headers. */
+static struct call_head head_of(const h2o_req_t *req)
+{
+	return (struct call_head){
+		.method = {(const uint8_t *)req->input.method.base,
+			   (uint32_t)req->input.method.len},
+		.path = {(const uint8_t *)req->input.path.base, (uint32_t)req->input.path.len},
+	};
+}
+
 /* Takes one announcement and renews the lease. */
 static void handle(void *user, h2o_req_t *req)
 {
 	struct announce *ann = user;
-	struct announcement now;
+	struct call_head head = head_of(req);
+	struct wire_bytes body = {(const uint8_t *)req->entity.base, (uint32_t)req->entity.len};
+	struct announcement news;
 	struct error err = {0};
-	char text[REPLY_TEXT_BYTES];
-	int rc;
+	char text[REPLY_TEXT_BYTES] = "";
+	struct head_text reply = {text, 0, sizeof(text)};
+	int rc = ann->options.dialect->read_announcement(&head, body, &news, &err);
 
-	if (!h2o_memis(req->input.path.base, req->input.path.len, H2O_STRLIT("/announce")) ||
-	    !h2o_memis(req->input.method.base, req->input.method.len, H2O_STRLIT("POST")))
-		rc = error_set(&err, ERROR_NOT_FOUND, "allowed is POST /announce");
-	else
-		rc = announcement_parse(req->entity.base, req->entity.len, &now, &err);
 	if (rc == 0)
-		rc = take(ann, &now, &err);
+		rc = take_in_order(ann, &news, &err);
 	if (rc != 0) {
+		log_failure(LOG_WARNING, LOG_PART_HTTP, "An announcement was refused.", &err);
 		respond_failure(req, &err);
 		return;
 	}
-	uv_timer_start(&ann->lease, on_lease_ended, ANNOUNCE_LEASE_MS, 0);
-	snprintf(text, sizeof(text), "{\"lease_ms\":%d,\"in_use\":%u}", ANNOUNCE_LEASE_MS,
-		 ann->options.in_use(ann->options.user));
+	ann->options.dialect->write_announced(&ann->now, ann->options.in_use(ann->options.user),
+					      &reply);
 	http_respond_json(req, 200, text);
 }
 
--- a/src/fescuemill/http/announce.h
+++ b/src/fescuemill/http/announce.h
@@ -6,27 +6,21 @@
 #define FESCUEMILL_HTTP_ANNOUNCE_H
 
 #include "fescuemill/base/error.h"
-#include "fescuemill/fleet/member_defs.h"
+#include "fescuemill/http/dialect.h"
 
 #include <stddef.h>
 #include <uv.h>
 
-#define ANNOUNCE_LEASE_MS  3000
+#define ANNOUNCE_LEASE_MS  3000 /* of the product's own dialect */
 #define ANNOUNCE_SLOTS_MAX 4096
 
-/* What the backend server said last. All zero with BACKEND_NONE once its lease ended. */
-struct announcement {
-	char service[SERVICE_NAME_BYTES];
-	uint16_t port;
-	uint32_t slots;
-	enum backend_state state;
-};
-
 struct announce;
 
 struct announce_options {
 	uint32_t ip; /* host byte order */
 	uint16_t port;
+	uint32_t lease_ms; /* how long an announcement holds */
+	const struct http_dialect *dialect;
 	/* Called when an announcement differs from the one before, and when the lease ends. */
 	void (*on_change)(void *user, const struct announcement *now);
 	/* Gives the attempts that the backend server runs. */
--- /dev/null
+++ b/src/fescuemill/http/answer.c
@@ -0,0 +1,459 @@
+/*
+ * Answer: reads one HTTP/1.1 answer from the bytes of a connection as they come.
+ *
+ * The head is gathered whole and then parsed, the body is decoded behind it in the same buffer.
+ * Headers are kept as offsets while the buffer may still move.
+ */
+#include "fescuemill/http/answer.h"
+
+#include "fescuemill/http/call_request.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ROOM_FIRST	 2048
+#define CHUNK_LINE_MAX	 256
+#define CHUNK_HEX_DIGITS 8
+#define STATUS_LINE_MIN	 12 /* "HTTP/1.1 200" */
+#define LENGTH_DIGITS	 10
+
+/* Where a chunked body is being read. */
+enum chunk_state {
+	CHUNK_SIZE,	    /* the hexadecimal size */
+	CHUNK_EXTENSION,    /* the rest of its line */
+	CHUNK_DATA,
+	CHUNK_DATA_END,	    /* the line end after the data */
+	CHUNK_TRAILER,	    /* lines after the last chunk, up to an empty one */
+};
+
+/* Starts an answer of at most body_max bytes of body. */
+void answer_init(struct answer *answer, size_t body_max, bool answers_head)
+{
+	memset(answer, 0, sizeof(*answer));
+	answer->body_max = body_max;
+	answer->answers_head = answers_head;
+}
+
+/* Frees what an answer holds. */
+void answer_free(struct answer *answer)
+{
+	free(answer->bytes);
+	answer->bytes = NULL;
+	answer->size = 0;
+	answer->room = 0;
+}
+
+/* Ends the reading in a state. */
+static enum answer_state settle(struct answer *answer, enum answer_state state)
+{
+	answer->state = state;
+	return state;
+}
+
+/* Appends bytes; returns -1 without memory. */
+static int append(struct answer *answer, const uint8_t *data, size_t size)
+{
+	size_t room = answer->room ? answer->room : ROOM_FIRST;
+	uint8_t *bytes;
+
+	while (room < answer->size + size)
+		room *= 2;
+	if (room != answer->room) {
+		bytes = realloc(answer->bytes, room);
+		if (!bytes)
+			return -1;
+		answer->bytes = bytes;
+		answer->room = room;
+	}
+	memcpy(answer->bytes + answer->size, data, size);
+	answer->size += size;
+	return 0;
+}
+
+/* Finds a header by its name. */
+struct wire_bytes headers_find(const struct wire_headers *headers, const char *name)
+{
+	for (uint32_t i = 0; i < headers->count; i++) {
+		if (wire_bytes_is(headers->list[i].name, name))
+			return headers->list[i].value;
+	}
+	return (struct wire_bytes){NULL, 0};
+}
+
+/* Reads a decimal number that fills the text; returns -1 when it does not. */
+static int read_decimal(struct wire_bytes text, uint64_t *out)
+{
+	uint64_t number = 0;
+
+	if (text.size == 0 || text.size > LENGTH_DIGITS)
+		return -1;
+	for (uint32_t i = 0; i < text.size; i++) {
+		if (!isdigit(text.data[i]))
+			return -1;
+		number = number * 10 + (uint64_t)(text.data[i] - '0');
+	}
+	*out = number;
+	return 0;
+}
+
+/* Cuts a line off the head; the line end, with or without a carriage return, is left out. */
+static struct wire_bytes next_line(struct wire_bytes *rest)
+{
+	const uint8_t *end = memchr(rest->data, '\n', rest->size);
+	struct wire_bytes line = {rest->data, (uint32_t)(end - rest->data)};
+
+	rest->size -= line.size + 1;
+	rest->data = end + 1;
+	if (line.size > 0 && line.data[line.size - 1] == '\r')
+		line.size--;
+	return line;
+}
+
+/* Reads the status line; returns -1 when it is none. */
+static int read_status_line(struct answer *answer, struct wire_bytes line)
+{
+	uint64_t status;
+
+	if (line.size < STATUS_LINE_MIN || memcmp(line.data, "HTTP/1.", 7) != 0 ||
+	    !isdigit(line.data[7]) || line.data[8] != ' ')
+		return -1;
+	if (read_decimal((struct wire_bytes){line.data + 9, 3}, &status) != 0 || status < 100)
+		return -1;
+	answer->status = (uint32_t)status;
+	answer->keeps_connection = line.data[7] != '0';
+	return 0;
+}
+
+/* Cuts blanks off both ends. */
+static struct wire_bytes trimmed(struct wire_bytes text)
+{
+	while (text.size > 0 && (text.data[0] == ' ' || text.data[0] == '\t')) {
+		text.data++;
+		text.size--;
+	}
+	while (text.size > 0 && (text.data[text.size - 1] == ' ' || text.data[text.size - 1] == '\t'))
+		text.size--;
+	return text;
+}
+
+/* Reads one header line; returns -1 when it is none. */
+static int read_header_line(struct answer *answer, struct wire_bytes line)
+{
+	const uint8_t *colon = memchr(line.data, ':', line.size);
+	struct wire_header header;
+
+	if (!colon || colon == line.data)
+		return -1;
+	header.name = (struct wire_bytes){line.data, (uint32_t)(colon - line.data)};
+	for (uint32_t i = 0; i < header.name.size; i++) {
+		if (!isgraph(header.name.data[i]))
+			return -1;
+	}
+	header.value = trimmed((struct wire_bytes){
+		colon + 1, line.size - header.name.size - 1});
+	answer->headers.list[answer->headers.count++] = header;
+	return 0;
+}
+
+/* Reads how long the server keeps an idle connection: "timeout=N" among other parameters. */
+static uint32_t read_keep_alive(struct wire_bytes value)
+{
+	static const char key[] = "timeout=";
+	uint32_t seconds = 0;
+
+	for (uint32_t i = 0; i + sizeof(key) - 1 < value.size; i++) {
+		if (memcmp(value.data + i, key, sizeof(key) - 1) != 0)
+			continue;
+		for (i += sizeof(key) - 1; i < value.size && isdigit(value.data[i]); i++)
+			seconds = seconds * 10 + (uint32_t)(value.data[i] - '0');
+		return seconds;
+	}
+	return 0;
+}
+
+/* Tells whether a status has no body. */
+static bool is_bodiless(const struct answer *answer)
+{
+	return answer->answers_head || answer->status == 204 || answer->status == 304;
+}
+
+/* Counts the headers of a name. */
+static uint32_t count_headers(const struct wire_headers *headers, const char *name)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < headers->count; i++)
+		count += wire_bytes_is(headers->list[i].name, name);
+	return count;
+}
+
+/* Finds how the body ends; returns -1 when that is stated in two ways or not understood. */
+static int read_framing(struct answer *answer)
+{
+	struct wire_bytes coding = headers_find(&answer->headers, "transfer-encoding");
+	struct wire_bytes length = headers_find(&answer->headers, "content-length");
+
+	answer->framing = ANSWER_FRAMING_LENGTH;
+	answer->body_left = 0;
+	if (coding.data) {
+		if (length.data || !wire_bytes_is(coding, "chunked"))
+			return -1;
+		answer->framing = ANSWER_FRAMING_CHUNKED;
+		answer->chunk_state = CHUNK_SIZE;
+		return 0;
+	}
+	if (count_headers(&answer->headers, "content-length") > 1)
+		return -1;
+	if (length.data)
+		return read_decimal(length, &answer->body_left);
+	answer->framing = ANSWER_FRAMING_CLOSE;
+	answer->keeps_connection = false;
+	return 0;
+}
+
+/* Parses the head that was gathered; the headers borrow from it. */
+static enum answer_state parse_head(struct answer *answer)
+{
+	struct wire_bytes rest = {answer->bytes, (uint32_t)answer->head_size};
+	struct wire_bytes line = next_line(&rest);
+	struct wire_bytes connection;
+
+	answer->headers.count = 0;
+	if (read_status_line(answer, line) != 0)
+		return settle(answer, ANSWER_BROKEN);
+	for (line = next_line(&rest); line.size > 0; line = next_line(&rest)) {
+		if (answer->headers.count == WIRE_HEADERS_MAX)
+			return settle(answer, ANSWER_TOO_LARGE);
+		if (read_header_line(answer, line) != 0)
+			return settle(answer, ANSWER_BROKEN);
+	}
+	connection = headers_find(&answer->headers, "connection");
+	if (connection.data &&
+	    header_is_listed((struct wire_bytes){(const uint8_t *)"close", 5}, connection))
+		answer->keeps_connection = false;
+	answer->keep_alive_s = read_keep_alive(headers_find(&answer->headers, "keep-alive"));
+	if (read_framing(answer) != 0)
+		return settle(answer, ANSWER_BROKEN);
+	answer->has_head = true;
+	if (is_bodiless(answer)) {
+		answer->framing = ANSWER_FRAMING_LENGTH;
+		answer->body_left = 0;
+	}
+	if (answer->framing == ANSWER_FRAMING_LENGTH && answer->body_left > answer->body_max)
+		return settle(answer, ANSWER_TOO_LARGE);
+	if (answer->framing == ANSWER_FRAMING_LENGTH && answer->body_left == 0)
+		return settle(answer, ANSWER_WHOLE);
+	return ANSWER_READING;
+}
+
+/* Moves the headers with the buffer that they borrow from. */
+static void rebase_headers(struct answer *answer, const uint8_t *before)
+{
+	for (uint32_t i = 0; i < answer->headers.count; i++) {
+		struct wire_header *header = &answer->headers.list[i];
+
+		header->name.data = answer->bytes + (header->name.data - before);
+		header->value.data = answer->bytes + (header->value.data - before);
+	}
+}
+
+/* Appends bytes of the body. */
+static enum answer_state append_body(struct answer *answer, const uint8_t *data, size_t size)
+{
+	const uint8_t *before = answer->bytes;
+
+	if (answer->body_size + size > answer->body_max)
+		return settle(answer, ANSWER_TOO_LARGE);
+	if (append(answer, data, size) != 0)
+		return settle(answer, ANSWER_TOO_LARGE);
+	if (answer->bytes != before)
+		rebase_headers(answer, before);
+	answer->body_size += size;
+	return ANSWER_READING;
+}
+
+/* Gathers the head byte by byte up to its empty line. An interim answer (1xx) is passed over. */
+static enum answer_state feed_head(struct answer *answer, const uint8_t *data, size_t size,
+				   size_t *used)
+{
+	while (*used < size) {
+		const uint8_t *end;
+
+		if (append(answer, data + *used, 1) != 0 || answer->size > ANSWER_HEAD_BYTES_MAX)
+			return settle(answer, ANSWER_TOO_LARGE);
+		(*used)++;
+		end = answer->bytes + answer->size;
+		if (end[-1] != '\n' || answer->size < 2)
+			continue;
+		if (end[-2] != '\n' && (answer->size < 3 || end[-2] != '\r' || end[-3] != '\n'))
+			continue;
+		answer->head_size = answer->size;
+		if (parse_head(answer) == ANSWER_BROKEN || answer->state == ANSWER_TOO_LARGE)
+			return answer->state;
+		if (answer->status >= 200)
+			return answer->state;
+		answer->size = 0;
+		answer->has_head = false;
+		answer->state = ANSWER_READING;
+	}
+	return ANSWER_READING;
+}
+
+/* Takes bytes of a body, or of a chunk, whose length is known. */
+static enum answer_state feed_counted(struct answer *answer, const uint8_t *data, size_t size,
+				      size_t *used)
+{
+	size_t take = size - *used;
+
+	if (take > answer->body_left)
+		take = (size_t)answer->body_left;
+	if (append_body(answer, data + *used, take) != ANSWER_READING)
+		return answer->state;
+	*used += take;
+	answer->body_left -= take;
+	return ANSWER_READING;
+}
+
+/* Gives the value of a hexadecimal digit, or -1. */
+static int hex_value(uint8_t byte)
+{
+	if (isdigit(byte))
+		return byte - '0';
+	if (!isxdigit(byte))
+		return -1;
+	return tolower(byte) - 'a' + 10;
+}
+
+/* Ends the line of a chunk's size. */
+static void end_chunk_line(struct answer *answer)
+{
+	answer->chunk_state = answer->body_left > 0 ? CHUNK_DATA : CHUNK_TRAILER;
+	answer->line_size = 0;
+}
+
+/* Takes one byte of a chunk's size line. */
+static enum answer_state feed_chunk_size(struct answer *answer, uint8_t byte)
+{
+	int digit = hex_value(byte);
+
+	if (digit >= 0 && answer->line_size < CHUNK_HEX_DIGITS) {
+		answer->body_left = answer->body_left * 16 + (uint64_t)digit;
+		answer->line_size++;
+		return ANSWER_READING;
+	}
+	if (answer->line_size == 0 || digit >= 0)
+		return settle(answer, ANSWER_BROKEN);
+	answer->chunk_state = CHUNK_EXTENSION;
+	if (byte == '\n')
+		end_chunk_line(answer);
+	else if (byte != '\r' && byte != ';' && byte != ' ')
+		return settle(answer, ANSWER_BROKEN);
+	return ANSWER_READING;
+}
+
+/* Takes one byte of the lines after the last chunk. */
+static enum answer_state feed_trailer(struct answer *answer, uint8_t byte)
+{
+	if (byte == '\r')
+		return ANSWER_READING;
+	if (byte != '\n') {
+		answer->line_size++;
+		return answer->line_size > CHUNK_LINE_MAX ? settle(answer, ANSWER_BROKEN)
+							  : ANSWER_READING;
+	}
+	if (answer->line_size == 0)
+		return settle(answer, ANSWER_WHOLE);
+	answer->line_size = 0;
+	return ANSWER_READING;
+}
+
+/* Takes one byte of a chunked body's framing. */
+static enum answer_state feed_chunk_byte(struct answer *answer, uint8_t byte)
+{
+	switch ((enum chunk_state)answer->chunk_state) {
+	case CHUNK_SIZE:
+		return feed_chunk_size(answer, byte);
+	case CHUNK_EXTENSION:
+		if (++answer->line_size > CHUNK_LINE_MAX)
+			return settle(answer, ANSWER_BROKEN);
+		if (byte == '\n')
+			end_chunk_line(answer);
+		return ANSWER_READING;
+	case CHUNK_DATA_END:
+		if (byte == '\r')
+			return ANSWER_READING;
+		if (byte != '\n')
+			return settle(answer, ANSWER_BROKEN);
+		answer->chunk_state = CHUNK_SIZE;
+		return ANSWER_READING;
+	case CHUNK_TRAILER:
+		return feed_trailer(answer, byte);
+	case CHUNK_DATA:
+		break;
+	}
+	return ANSWER_READING;
+}
+
+/* Takes bytes of a chunked body. */
+static enum answer_state feed_chunked(struct answer *answer, const uint8_t *data, size_t size,
+				      size_t *used)
+{
+	while (*used < size && answer->state == ANSWER_READING) {
+		if (answer->chunk_state != CHUNK_DATA) {
+			feed_chunk_byte(answer, data[(*used)++]);
+			continue;
+		}
+		if (feed_counted(answer, data, size, used) == ANSWER_READING &&
+		    answer->body_left == 0)
+			answer->chunk_state = CHUNK_DATA_END;
+	}
+	return answer->state;
+}
+
+/* Takes bytes of the body. */
+static enum answer_state feed_body(struct answer *answer, const uint8_t *data, size_t size,
+				   size_t *used)
+{
+	switch (answer->framing) {
+	case ANSWER_FRAMING_CHUNKED:
+		return feed_chunked(answer, data, size, used);
+	case ANSWER_FRAMING_LENGTH:
+		if (feed_counted(answer, data, size, used) == ANSWER_READING &&
+		    answer->body_left == 0)
+			settle(answer, ANSWER_WHOLE);
+		return answer->state;
+	case ANSWER_FRAMING_CLOSE:
+		append_body(answer, data + *used, size - *used);
+		*used = size;
+		return answer->state;
+	}
+	return answer->state;
+}
+
+/* Takes bytes as they come. */
+enum answer_state answer_feed(struct answer *answer, const uint8_t *data, size_t size, size_t *used)
+{
+	*used = 0;
+	if (answer->state == ANSWER_READING && !answer->has_head)
+		feed_head(answer, data, size, used);
+	if (answer->state == ANSWER_READING && answer->has_head && *used < size)
+		feed_body(answer, data, size, used);
+	return answer->state;
+}
+
+/* Takes the orderly end of the connection: it completes only a body that ends with it. */
+enum answer_state answer_end(struct answer *answer)
+{
+	if (answer->state != ANSWER_READING)
+		return answer->state;
+	if (answer->has_head && answer->framing == ANSWER_FRAMING_CLOSE)
+		return settle(answer, ANSWER_WHOLE);
+	return settle(answer, ANSWER_BROKEN);
+}
+
+/* Gives the body. */
+struct wire_bytes answer_body(const struct answer *answer)
+{
+	return (struct wire_bytes){answer->bytes + answer->head_size, (uint32_t)answer->body_size};
+}
--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -1,57 +1,69 @@
 /*
  * Backend: HTTP/1.1 client towards the backend server beside this node.
  *
- * The h2o client gathers an answer in its connection's own buffer; the answer is handed on from
- * there in one piece. From the moment that the request is given to the socket a call counts as
- * begun, because bytes may have been written whatever the socket reports later.
+ * A connection carries one call at a time. From the moment that a request is given to the socket
+ * its call counts as begun, because bytes may have been written whatever the socket reports later.
+ * Bytes that belong to no call end their connection, so that they cannot be taken for an answer.
  */
 #include "fescuemill/http/backend.h"
 
 #include "fescuemill/base/clock.h"
-#include "fescuemill/http/call_request.h"
+#include "fescuemill/base/counter.h"
+#include "fescuemill/http/answer.h"
 #include "fescuemill/http/deferred.h"
+#include "fescuemill/http/dialect.h"
 
 #include <arpa/inet.h>
-#include <h2o.h>
-#include <h2o/http1client.h>
-#include <inttypes.h>
-#include <stdio.h>
+#include <h2o/linklist.h>
+#include <h2o/memory.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define POOL_CAPACITY	  1024
-#define IDLE_MS		  4000
-#define IO_SILENCE_MS	  (CALL_DEADLINE_US_MAX / USEC_PER_MSEC + 1000)
-#define REQUEST_HEAD_ROOM 1024
-
-/* The keep-alive connections to one port. A new one replaces it when the port changes or when a
- * connection went silent; the old one goes when its last call has ended. */
-struct connection_pool {
-	uv_loop_t *loop;
-	h2o_socketpool_t sockets;
-	uint32_t calls;
-	bool retired;
+#define IDLE_US_DEFAULT	   (4 * USEC_PER_SEC) /* of a server that states no keep-alive time */
+#define IDLE_MARGIN_US	   (1 * USEC_PER_SEC) /* so that a request does not cross the close */
+#define REQUEST_HEAD_ROOM  1024
+#define READ_BYTES	   16384
+#define FOREIGN_MAX	   4 /* answers to earlier calls that are passed over in one call */
+#define PROBE_IDLE_S	   1 /* keep-alive probes find a connection that went silent */
+#define PROBE_INTERVAL_S   1
+#define PROBE_COUNT	   2
+
+struct connection {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	h2o_linklist_t link; /* in the client's list of idle connections, or unlinked */
+	struct backend_client *client;
+	struct backend_call *call; /* NULL while idle */
+	uint64_t usable_to_us;	   /* idle connections: the server closes them soon after */
+	uint32_t generation;	   /* of the address */
+	bool is_writing;
+	bool is_closing;
 };
 
 struct backend_client {
 	uv_loop_t *loop;
-	h2o_http1client_ctx_t context;
-	h2o_multithread_receiver_t receiver; /* unused for plain addresses, but must be there */
-	h2o_timeout_t io_timeout;
-	struct connection_pool *pool; /* NULL while no port is known */
+	const struct http_dialect *dialect;
+	h2o_linklist_t idle; /* of struct connection, the last used first */
+	struct endpoint to;
+	uint32_t generation;
 	uint32_t answer_bytes_max;
-	uint16_t port;
+	uint32_t connections;
+	uint64_t answered_us; /* when an answer came last */
+	bool is_closed;
+	char read_buffer[READ_BYTES];
 };
 
 struct backend_call {
 	uv_timer_t deadline;
 	struct backend_client *client;
-	struct connection_pool *pool;
-	h2o_http1client_t *http; /* NULL once it ended */
+	struct connection *connection; /* NULL once it is given up */
 	h2o_mem_pool_t arena;
-	h2o_iovec_t request[2];
-	bool is_head;
-	bool is_chunked;
+	uv_buf_t request[2];
+	struct backend_request about; /* what the answer is judged by; borrows from the caller */
+	struct answer reading;
+	uint32_t foreign; /* answers to earlier calls that were passed over */
 	bool begun;
 	uint64_t begun_us;
 	backend_done_fn done;
@@ -97,102 +109,95 @@
 	}
 }
 
-/* Makes the pool for a port, or NULL without memory. */
-static struct connection_pool *pool_new(struct backend_client *client)
+/* Frees a connection once libuv has let go of its handle. */
+static void free_connection(uv_handle_t *handle)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET};
-	struct connection_pool *pool = calloc(1, sizeof(*pool));
+	struct connection *conn = (struct connection *)handle;
+	struct backend_client *client = conn->client;
 
-	if (!pool)
-		return NULL;
-	pool->loop = client->loop;
-	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	addr.sin_port = htons(client->port);
-	h2o_socketpool_init_by_address(&pool->sockets, (struct sockaddr *)&addr, sizeof(addr), 0,
-				       POOL_CAPACITY);
-	h2o_socketpool_set_timeout(&pool->sockets, client->loop, IDLE_MS);
-	return pool;
+	free(conn);
+	client->connections--;
+	if (client->is_closed && client->connections == 0)
+		free(client);
 }
 
-/* Frees a retired pool without calls, with its idle connections. */
-static void pool_release(struct connection_pool *pool)
+/* Closes a connection; whatever it carried is lost to it. */
+static void close_connection(struct connection *conn)
 {
-	if (!pool->retired || pool->calls > 0)
+	if (conn->is_closing)
 		return;
-	h2o_socketpool_dispose(&pool->sockets);
-	deferred_free(pool->loop, pool);
+	conn->is_closing = true;
+	if (h2o_linklist_is_linked(&conn->link))
+		h2o_linklist_unlink(&conn->link);
+	uv_close((uv_handle_t *)&conn->tcp, free_connection);
 }
 
-/* Takes the present pool out of use. */
-static void retire_pool(struct backend_client *client)
+/* Closes the connections that carry no call. */
+static void close_idle(struct backend_client *client)
 {
-	struct connection_pool *pool = client->pool;
-
-	client->pool = NULL;
-	if (!pool)
-		return;
-	pool->retired = true;
-	pool_release(pool);
+	while (!h2o_linklist_is_empty(&client->idle))
+		close_connection(
+			H2O_STRUCT_FROM_MEMBER(struct connection, link, client->idle.next));
 }
 
-/* Opens a client without a port. Errors: ERROR_MEMORY. */
-int backend_client_open(struct backend_client **out, uv_loop_t *loop, uint32_t answer_bytes_max,
+/* Opens a client without an address. Errors: ERROR_MEMORY. */
+int backend_client_open(struct backend_client **out, uv_loop_t *loop,
+			const struct http_dialect *dialect, uint32_t answer_bytes_max,
 			struct error *err)
 {
 	struct backend_client *client = calloc(1, sizeof(*client));
 
 	if (!client)
 		return error_set(err, ERROR_MEMORY, "no memory for the backend server's client");
-	/* Hosts have no disks: buffers must never spill to files. */
-	h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
 	client->loop = loop;
+	client->dialect = dialect;
 	client->answer_bytes_max = answer_bytes_max;
-	h2o_timeout_init(loop, &client->io_timeout, IO_SILENCE_MS);
-	client->context.loop = loop;
-	client->context.getaddr_receiver = &client->receiver;
-	client->context.io_timeout = &client->io_timeout;
+	h2o_linklist_init_anchor(&client->idle);
 	*out = client;
 	return 0;
 }
 
-/* Sets the port; 0 when there is no backend server. */
-void backend_client_set_port(struct backend_client *client, uint16_t port)
+/* Sets the address; port 0 when there is no backend server. */
+void backend_client_set_address(struct backend_client *client, const struct endpoint *to)
 {
-	if (port == client->port)
+	if (to->port == client->to.port && to->ip == client->to.ip)
 		return;
-	retire_pool(client);
-	client->port = port;
+	close_idle(client);
+	client->generation++;
+	client->to = *to;
 }
 
 /* Closes a client without calls. */
 void backend_client_close(struct backend_client *client)
 {
-	retire_pool(client);
-	h2o_timeout_dispose(client->loop, &client->io_timeout);
-	deferred_free(client->loop, client);
+	close_idle(client);
+	client->is_closed = true;
+	if (client->connections == 0)
+		deferred_free(client->loop, client);
 }
 
-/* Frees a call after libuv has let go of its timer. By then its connection is closed or back in
- * the pool. */
+/* Frees a call after libuv has let go of its timer. */
 static void free_call(uv_handle_t *handle)
 {
 	struct backend_call *call = (struct backend_call *)handle;
 
-	call->pool->calls--;
-	pool_release(call->pool);
+	answer_free(&call->reading);
 	h2o_mem_clear_pool(&call->arena);
 	free(call);
 }
 
-/* Ends a call; its memory goes once libuv has closed its timer. */
-static void release_call(struct backend_call *call)
+/* Parts a call from its connection, which is then of no more use to it. */
+static struct connection *detach(struct backend_call *call)
 {
-	call->http = NULL;
-	uv_close((uv_handle_t *)&call->deadline, free_call);
+	struct connection *conn = call->connection;
+
+	call->connection = NULL;
+	if (conn)
+		conn->call = NULL;
+	return conn;
 }
 
-/* Reports a call's end. The connection must be closed or unused by then, or be closed by the h2o
- * client right after. */
+/* Reports a call's end; its memory goes once libuv has closed its timer. */
 static void finish_call(struct backend_call *call, enum backend_end end)
 {
 	backend_done_fn done = call->done;
@@ -201,197 +206,297 @@
 	call->answer.end = end;
 	if (call->begun)
 		call->answer.server_us = (uint32_t)(clock_monotonic_us() - call->begun_us);
-	release_call(call);
-	/* The memory of the call lives until the handle is closed, after this callback. */
+	uv_close((uv_handle_t *)&call->deadline, free_call);
+	/* The call lives until the handle is closed, after this callback. */
 	done(user, &call->answer);
 }
 
 /* Ends a call whose connection is of no more use. */
 static void fail_call(struct backend_call *call, enum backend_end end)
 {
-	if (call->http)
-		h2o_http1client_cancel(call->http);
+	struct connection *conn = detach(call);
+
+	if (conn)
+		close_connection(conn);
 	finish_call(call, end);
 }
 
-/* Ends a call at its deadline. Its connection may have gone silent, and with it the idle ones
- * beside it, so all of them are replaced. */
+/* Ends a call at its deadline. If nothing has come from the backend server meanwhile, its
+ * connection may have gone silent, and with it the idle ones beside it, so all are replaced. */
 static void on_deadline(uv_timer_t *timer)
 {
 	struct backend_call *call = (struct backend_call *)timer;
 	struct backend_client *client = call->client;
 
-	if (call->begun && call->pool == client->pool)
-		retire_pool(client);
+	if (call->begun && client->answered_us < call->begun_us)
+		close_idle(client);
 	fail_call(call, call->begun ? BACKEND_END_TIMEOUT : BACKEND_END_EXPIRED);
 }
 
-/* Copies the answer's headers to the call's arena, without those of the connection. Returns -1
- * when there are too many. */
-static int copy_headers(struct backend_call *call, const h2o_header_t *headers, size_t count)
+/* Gives how long an idle connection may be used again. */
+static uint64_t idle_time_us(const struct answer *reading)
 {
-	struct wire_headers *out = &call->answer.headers;
+	uint64_t stated_us = reading->keep_alive_s * USEC_PER_SEC;
 
-	for (size_t i = 0; i < count; i++) {
-		h2o_iovec_t name =
-			h2o_strdup(&call->arena, headers[i].name->base, headers[i].name->len);
-		h2o_iovec_t value =
-			h2o_strdup(&call->arena, headers[i].value.base, headers[i].value.len);
-		struct wire_header header = {
-			{(const uint8_t *)name.base, (uint32_t)name.len},
-			{(const uint8_t *)value.base, (uint32_t)value.len},
-		};
-
-		if (header_is_hop_by_hop(header.name))
-			continue;
-		if (out->count == WIRE_HEADERS_MAX)
-			return -1;
-		out->list[out->count++] = header;
+	if (stated_us == 0)
+		return IDLE_US_DEFAULT;
+	return stated_us > 2 * IDLE_MARGIN_US ? stated_us - IDLE_MARGIN_US : stated_us / 2;
+}
+
+/* Puts a connection back among the idle ones, or closes it. */
+static void release_connection(struct connection *conn, const struct answer *reading,
+			       bool has_more_bytes)
+{
+	struct backend_client *client = conn->client;
+
+	if (!reading->keeps_connection || has_more_bytes || conn->is_writing ||
+	    conn->generation != client->generation || client->is_closed) {
+		close_connection(conn);
+		return;
 	}
-	return 0;
+	conn->usable_to_us = clock_monotonic_us() + idle_time_us(reading);
+	h2o_linklist_insert(client->idle.next, &conn->link);
 }
 
-/* Tells whether the backend server says that it did not run the call. */
-static bool is_refusal(const struct backend_answer *answer)
+/* Copies the headers that go on to the client, without those of the connection. */
+static void copy_headers(struct backend_call *call)
 {
-	if (answer->status != 503)
-		return false;
-	for (uint32_t i = 0; i < answer->headers.count; i++) {
-		const struct wire_header *header = &answer->headers.list[i];
+	struct wire_headers *out = &call->answer.headers;
+
+	for (uint32_t i = 0; i < call->reading.headers.count; i++) {
+		const struct wire_header *header = &call->reading.headers.list[i];
 
-		if (wire_bytes_is(header->name, "x-fescue-not-run"))
-			return wire_bytes_is(header->value, "1");
+		if (!header_is_hop_by_hop(header->name))
+			out->list[out->count++] = *header;
 	}
-	return false;
 }
 
-/* Reports a whole answer. */
-static void finish_answer(struct backend_call *call)
+/* Hands a whole answer on, as what it says of the call. */
+static void finish_answer(struct backend_call *call, enum answer_verdict verdict,
+			  bool has_more_bytes)
 {
-	finish_call(call, is_refusal(&call->answer) ? BACKEND_END_REFUSED : BACKEND_END_ANSWERED);
+	struct backend_client *client = call->client;
+	struct connection *conn = detach(call);
+
+	client->answered_us = clock_monotonic_us();
+	if (verdict == ANSWER_INVALID) {
+		close_connection(conn);
+		finish_call(call, BACKEND_END_LOST);
+		return;
+	}
+	release_connection(conn, &call->reading, has_more_bytes);
+	call->answer.status = call->reading.status;
+	call->answer.body = answer_body(&call->reading);
+	call->answer.has_load =
+		client->dialect->read_load(&call->reading.headers, &call->answer.load);
+	copy_headers(call);
+	finish_call(call, verdict == ANSWER_NOT_RUN ? BACKEND_END_REFUSED : BACKEND_END_ANSWERED);
 }
 
-/* Tells whether a body ended as it should. The h2o client also reports the close of a connection as
- * the end of a chunked body; then its socket has read nothing. */
-static bool is_whole(const struct backend_call *call, const char *errstr)
+/* Judges a whole answer. Returns false when it was an earlier call's and reading goes on. */
+static bool take_answer(struct backend_call *call, bool has_more_bytes)
 {
-	if (errstr != h2o_http1client_error_is_eos)
+	const struct answer *reading = &call->reading;
+	enum answer_verdict verdict = call->client->dialect->judge_answer(
+		&call->about, reading->status, &reading->headers);
+
+	if (verdict == ANSWER_FOREIGN && ++call->foreign <= FOREIGN_MAX &&
+	    reading->framing != ANSWER_FRAMING_CLOSE) {
+		answer_free(&call->reading);
+		answer_init(&call->reading, call->client->answer_bytes_max,
+			    wire_bytes_is(call->about.call->method, "HEAD"));
 		return false;
-	return !call->is_chunked || call->http->sock->bytes_read > 0;
+	}
+	if (verdict == ANSWER_FOREIGN)
+		verdict = ANSWER_INVALID;
+	finish_answer(call, verdict, has_more_bytes);
+	return true;
 }
 
-/* Gathers the body in the connection's buffer until it is whole. */
-static int on_body(h2o_http1client_t *http, const char *errstr)
+/* Takes what a connection has read for its call. */
+static void take_bytes(struct backend_call *call, const uint8_t *data, size_t size)
 {
-	struct backend_call *call = http->data;
-	h2o_buffer_t *input = http->sock->input;
-
-	if (!call->http)
-		return -1;
-	if (errstr && !is_whole(call, errstr)) {
-		finish_call(call, BACKEND_END_LOST);
-		return -1;
-	}
-	if (input->size > call->client->answer_bytes_max) {
-		finish_call(call, BACKEND_END_TOO_LARGE);
-		return -1;
+	while (size > 0) {
+		size_t used;
+		enum answer_state state = answer_feed(&call->reading, data, size, &used);
+
+		data += used;
+		size -= used;
+		switch (state) {
+		case ANSWER_READING:
+			return;
+		case ANSWER_BROKEN:
+			fail_call(call, BACKEND_END_LOST);
+			return;
+		case ANSWER_TOO_LARGE:
+			fail_call(call, BACKEND_END_TOO_LARGE);
+			return;
+		case ANSWER_WHOLE:
+			if (take_answer(call, size > 0))
+				return;
+			break;
+		}
 	}
-	if (!errstr)
-		return 0;
-	call->answer.body.data = (const uint8_t *)input->bytes;
-	call->answer.body.size = (uint32_t)input->size;
-	finish_answer(call);
-	h2o_buffer_consume(&http->sock->input, http->sock->input->size);
-	return 0;
 }
 
-/* Notes how the end of the body is stated. Returns -1 when it is not: a body that ends with its
- * connection cannot be told from one that was cut. */
-static int note_framing(struct backend_call *call, const h2o_header_t *headers, size_t count)
+/* Takes the end of a connection, orderly or not. */
+static void take_end(struct connection *conn, bool is_orderly)
 {
-	for (size_t i = 0; i < count; i++) {
-		struct wire_bytes name = {(const uint8_t *)headers[i].name->base,
-					  (uint32_t)headers[i].name->len};
+	struct backend_call *call = conn->call;
 
-		if (wire_bytes_is(name, "transfer-encoding"))
-			call->is_chunked = true;
-		else if (!wire_bytes_is(name, "content-length"))
-			continue;
-		return 0;
+	if (!call) {
+		close_connection(conn);
+		return;
 	}
-	return -1;
+	if (is_orderly && conn->client->dialect->takes_unframed_answers &&
+	    answer_end(&call->reading) == ANSWER_WHOLE)
+		take_answer(call, false);
+	else
+		fail_call(call, BACKEND_END_LOST);
 }
 
-/* Takes the head of the answer. */
-static h2o_http1client_body_cb on_head(h2o_http1client_t *http, const char *errstr,
-				       int minor_version, int status, h2o_iovec_t msg,
-				       h2o_header_t *headers, size_t count, int head_size)
+/* Lends the client's buffer: what is read is taken before the next read. */
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-	struct backend_call *call = http->data;
+	struct connection *conn = (struct connection *)handle;
 
-	(void)minor_version;
-	(void)msg;
-	(void)head_size;
-	if (errstr && errstr != h2o_http1client_error_is_eos) {
-		finish_call(call, BACKEND_END_LOST);
-		return NULL;
-	}
-	call->answer.status = (uint32_t)status;
-	if (copy_headers(call, headers, count) != 0) {
-		finish_call(call, BACKEND_END_TOO_LARGE);
-		return NULL;
-	}
-	if (errstr) {
-		finish_answer(call);
-		return NULL;
-	}
-	if (note_framing(call, headers, count) != 0) {
-		finish_call(call, BACKEND_END_LOST);
-		return NULL;
-	}
-	return on_body;
+	(void)suggested;
+	*buf = uv_buf_init(conn->client->read_buffer, READ_BYTES);
 }
 
-/* Reports a connection that could not be made. */
-static void on_not_connected(uv_timer_t *timer)
+/* Takes what was read. Bytes on an idle connection belong to no call. */
+static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
-	finish_call((struct backend_call *)timer, BACKEND_END_NOT_CONNECTED);
+	struct connection *conn = (struct connection *)stream;
+
+	if (size == 0 || conn->is_closing)
+		return;
+	if (size < 0)
+		take_end(conn, size == UV_EOF);
+	else if (conn->call)
+		take_bytes(conn->call, (const uint8_t *)buf->base, (size_t)size);
+	else
+		close_connection(conn);
 }
 
-/* Writes the request once a connection is there. From here on the call may have run. */
-static h2o_http1client_head_cb on_connect(h2o_http1client_t *http, const char *errstr,
-					  h2o_iovec_t **bufs, size_t *count, int *is_head)
+/* Notes that a request is written; a failure shows when reading as well. */
+static void on_written(uv_write_t *write, int status)
 {
-	struct backend_call *call = http->data;
+	struct connection *conn = H2O_STRUCT_FROM_MEMBER(struct connection, write, write);
+
+	conn->is_writing = false;
+	if (status != 0 && !conn->is_closing)
+		take_end(conn, false);
+}
+
+/* Reports a request that the socket did not take; never from inside backend_call_start. */
+static void on_lost(uv_timer_t *timer)
+{
+	fail_call((struct backend_call *)timer, BACKEND_END_LOST);
+}
+
+/* Writes the request. From here on the call may have run. */
+static void send_request(struct backend_call *call)
+{
+	struct connection *conn = call->connection;
+	unsigned int count = call->request[1].len > 0 ? 2 : 1;
 
-	if (errstr) {
-		/* This may run inside backend_call_start, which must return first. */
-		call->http = NULL;
-		uv_timer_start(&call->deadline, on_not_connected, 0, 0);
-		return NULL;
-	}
 	call->begun = true;
 	call->begun_us = clock_monotonic_us();
-	*bufs = call->request;
-	*count = call->request[1].len > 0 ? 2 : 1;
-	*is_head = call->is_head;
-	return on_head;
+	conn->is_writing = true;
+	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, call->request, count, on_written) !=
+	    0) {
+		conn->is_writing = false;
+		uv_timer_start(&call->deadline, on_lost, 0, 0);
+	}
 }
 
-/* Appends formatted text to a request head that is known to have room. */
-static void append(h2o_iovec_t *head, size_t room, const char *format, ...)
-	__attribute__((format(printf, 3, 4)));
+/* Reports a connection that could not be made; never from inside backend_call_start. */
+static void on_not_connected(uv_timer_t *timer)
+{
+	fail_call((struct backend_call *)timer, BACKEND_END_NOT_CONNECTED);
+}
+
+/* Has the kernel probe a connection that is quiet, so that one gone silent ends with an error. */
+static void probe_when_quiet(struct connection *conn)
+{
+	int interval_s = PROBE_INTERVAL_S;
+	int count = PROBE_COUNT;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_tcp_keepalive(&conn->tcp, 1, PROBE_IDLE_S);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+}
 
-static void append(h2o_iovec_t *head, size_t room, const char *format, ...)
+/* Sends the request of the call for which a connection was opened. */
+static void on_connected(uv_connect_t *connect, int status)
 {
-	va_list args;
-	int size;
+	struct connection *conn = H2O_STRUCT_FROM_MEMBER(struct connection, connect, connect);
 
-	va_start(args, format);
-	size = vsnprintf(head->base + head->len, room - head->len, format, args);
-	va_end(args);
-	if (size > 0 && (size_t)size < room - head->len)
-		head->len += (size_t)size;
+	if (conn->is_closing)
+		return;
+	if (!conn->call) {
+		close_connection(conn);
+		return;
+	}
+	if (status != 0) {
+		fail_call(conn->call, BACKEND_END_NOT_CONNECTED);
+		return;
+	}
+	probe_when_quiet(conn);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	send_request(conn->call);
+}
+
+/* Opens a connection for a call. Returns -1 when it cannot be opened. */
+static int connect_for(struct backend_call *call)
+{
+	struct backend_client *client = call->client;
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	struct connection *conn = calloc(1, sizeof(*conn));
+
+	if (!conn)
+		return -1;
+	conn->client = client;
+	conn->generation = client->generation;
+	uv_tcp_init(client->loop, &conn->tcp);
+	client->connections++;
+	conn->call = call;
+	call->connection = conn;
+	counter_add(COUNTER_BACKEND_CONNECTIONS, 1);
+	addr.sin_addr.s_addr = htonl(client->to.ip ? client->to.ip : INADDR_LOOPBACK);
+	addr.sin_port = htons(client->to.port);
+	if (uv_tcp_connect(&conn->connect, &conn->tcp, (const struct sockaddr *)&addr,
+			   on_connected) == 0)
+		return 0;
+	detach(call);
+	close_connection(conn);
+	return -1;
+}
+
+/* Takes the idle connection that was used last, and closes those whose time is up. */
+static struct connection *take_idle(struct backend_client *client)
+{
+	uint64_t now_us = clock_monotonic_us();
+	h2o_linklist_t *at = client->idle.next;
+	struct connection *found = NULL;
+
+	while (at != &client->idle) {
+		struct connection *conn = H2O_STRUCT_FROM_MEMBER(struct connection, link, at);
+
+		at = at->next;
+		if (now_us >= conn->usable_to_us)
+			close_connection(conn);
+		else if (!found)
+			found = conn;
+	}
+	if (found)
+		h2o_linklist_unlink(&found->link);
+	return found;
 }
 
 /* Sums the bytes of the caller's part of a request head. */
@@ -404,45 +509,34 @@
 	return room;
 }
 
-/* Writes the lines that the node itself adds to a request. */
-static void append_own_lines(h2o_iovec_t *head, size_t room, const struct backend_request *req)
+/* Builds the whole request in the call's arena. */
+static void build_request(struct backend_call *call)
 {
-	const struct message_call *msg = req->call;
-
-	append(head, room, "x-fescue-call-id: %016" PRIx64 "-%016" PRIx64 "-%" PRIu64 "\r\n",
-	       req->id.entry.node_id, req->id.entry.incarnation, req->id.sequence);
-	append(head, room, "x-fescue-class: %s\r\n", msg->class_name);
-	append(head, room, "x-fescue-deadline-ms: %" PRIu64 "\r\n",
-	       (uint64_t)(req->time_left_us / USEC_PER_MSEC));
-	append(head, room, "x-fescue-depth: %u\r\n", msg->depth + 1);
-	append(head, room, "x-fescue-retry-budget: %u\r\n", msg->retries_left);
-	if (msg->key.size > 0)
-		append(head, room, "idempotency-key: %.*s\r\n", (int)msg->key.size,
-		       (const char *)msg->key.data);
+	const struct message_call *msg = call->about.call;
+	struct head_text head = {.room = head_room(msg)};
+
+	head.data = h2o_mem_alloc_pool(&call->arena, head.room);
+	head_append(&head, "%.*s %.*s HTTP/1.1\r\n", (int)msg->method.size,
+		    (const char *)msg->method.data, (int)msg->path.size,
+		    (const char *)msg->path.data);
+	call->client->dialect->write_call(&call->about, &head);
+	head_append(&head, "content-length: %u\r\n\r\n", msg->body.size);
+	call->request[0] = uv_buf_init(head.data, (unsigned int)head.size);
+	call->request[1] = uv_buf_init((char *)msg->body.data, msg->body.size);
 }
 
-/* Builds the whole request in the call's arena. */
-static void build_request(struct backend_call *call, const struct backend_request *req)
-{
-	const struct message_call *msg = req->call;
-	size_t room = head_room(msg);
-	h2o_iovec_t head = h2o_iovec_init(h2o_mem_alloc_pool(&call->arena, room), 0);
-
-	append(&head, room, "%.*s %.*s HTTP/1.1\r\nhost: 127.0.0.1:%u\r\n", (int)msg->method.size,
-	       (const char *)msg->method.data, (int)msg->path.size, (const char *)msg->path.data,
-	       call->client->port);
-	append_own_lines(&head, room, req);
-	for (uint32_t i = 0; i < msg->headers.count; i++) {
-		const struct wire_header *line = &msg->headers.list[i];
-
-		append(&head, room, "%.*s: %.*s\r\n", (int)line->name.size,
-		       (const char *)line->name.data, (int)line->value.size,
-		       (const char *)line->value.data);
+/* Gives a call a connection: an idle one, or a new one. A failure is reported from the loop. */
+static void find_connection(struct backend_call *call)
+{
+	struct connection *conn = take_idle(call->client);
+
+	if (conn) {
+		conn->call = call;
+		call->connection = conn;
+		send_request(call);
+	} else if (connect_for(call) != 0) {
+		uv_timer_start(&call->deadline, on_not_connected, 0, 0);
 	}
-	append(&head, room, "content-length: %u\r\n\r\n", msg->body.size);
-	call->request[0] = head;
-	call->request[1] = h2o_iovec_init(msg->body.data, msg->body.size);
-	call->is_head = wire_bytes_is(msg->method, "HEAD");
 }
 
 /* Starts a call. */
@@ -452,35 +546,34 @@
 {
 	struct backend_call *call;
 
-	if (client->port == 0)
+	if (client->to.port == 0)
 		return error_set(err, ERROR_STATE, "no backend server is known");
-	if (!client->pool)
-		client->pool = pool_new(client);
 	call = calloc(1, sizeof(*call));
-	if (!call || !client->pool) {
-		free(call);
+	if (!call)
 		return error_set(err, ERROR_MEMORY, "no memory for a call");
-	}
 	call->client = client;
-	call->pool = client->pool;
-	call->pool->calls++;
+	call->about = *req;
+	call->about.to = client->to;
 	call->done = done;
 	call->user = user;
 	h2o_mem_init_pool(&call->arena);
-	build_request(call, req);
+	answer_init(&call->reading, client->answer_bytes_max,
+		    wire_bytes_is(req->call->method, "HEAD"));
+	build_request(call);
 	uv_timer_init(client->loop, &call->deadline);
 	uv_timer_start(&call->deadline, on_deadline, req->time_left_us / USEC_PER_MSEC + 1, 0);
 	*out = call;
-	h2o_http1client_connect_with_pool(&call->http, call, &client->context, &call->pool->sockets,
-					  on_connect);
+	find_connection(call);
 	return 0;
 }
 
 /* Cancels a call. */
 bool backend_call_cancel(struct backend_call *call)
 {
-	if (call->http)
-		h2o_http1client_cancel(call->http);
-	release_call(call);
+	struct connection *conn = detach(call);
+
+	if (conn)
+		close_connection(conn);
+	uv_close((uv_handle_t *)&call->deadline, free_call);
 	return call->begun;
 }
--- a/src/fescuemill/http/backend.h
+++ b/src/fescuemill/http/backend.h
@@ -6,8 +6,10 @@
 #define FESCUEMILL_HTTP_BACKEND_H
 
 #include "fescuemill/base/error.h"
+#include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/wire/message_defs.h"
 
+#include <stdbool.h>
 #include <uv.h>
 
 enum backend_end {
@@ -21,9 +23,19 @@
 	BACKEND_END_COUNT,
 };
 
+/* What a backend server says of its own load. */
+struct backend_load {
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	uint32_t pace_percent; /* how long work takes now, 100 as usual */
+};
+
 /* Everything is valid only during the callback. */
 struct backend_answer {
 	enum backend_end end;
+	bool has_load;
+	struct backend_load load;
 	uint32_t status;
 	uint32_t server_us; /* from the first byte written to the whole answer */
 	struct wire_headers headers;
@@ -35,18 +47,22 @@
 	struct attempt_id id;
 	const struct message_call *call;
 	uint64_t time_left_us;
+	const char *instance; /* the start of the backend server that is meant; NULL: any */
+	struct endpoint to;   /* set by the client */
 };
 
+struct http_dialect;
 struct backend_client;
 struct backend_call;
 
 /* Called exactly once for each call that was not cancelled. */
 typedef void (*backend_done_fn)(void *user, const struct backend_answer *answer);
 
-int backend_client_open(struct backend_client **out, uv_loop_t *loop, uint32_t answer_bytes_max,
+int backend_client_open(struct backend_client **out, uv_loop_t *loop,
+			const struct http_dialect *dialect, uint32_t answer_bytes_max,
 			struct error *err);
-/* Sets the port on the loopback address; connections to the old one end with their calls. */
-void backend_client_set_port(struct backend_client *client, uint16_t port);
+/* Sets the address, with port 0 for none; connections to the old one end with their calls. */
+void backend_client_set_address(struct backend_client *client, const struct endpoint *to);
 /* Every call must have ended. The loop must run on for the memory to be freed. */
 void backend_client_close(struct backend_client *client);
 
--- a/src/fescuemill/http/call_request.h
+++ b/src/fescuemill/http/call_request.h
@@ -12,8 +12,17 @@
 #define CALL_RETRY_BUDGET_MAX	 100
 #define CALL_HEAD_BYTES_MAX	 (32U * 1024)
 
+/* How a request names what it is for. */
+enum call_address {
+	CALL_ADDRESS_SERVICE, /* by service and class */
+	CALL_ADDRESS_ROUTE,   /* by host and path, which the routes in force map to a service */
+};
+
 /* A caller's request, with the headers that go on to the backend server. */
 struct call_request {
+	enum call_address address;
+	struct wire_bytes host; /* without its port; empty unless it is needed to find a route */
+	struct wire_bytes id;	/* the client's own name of this attempt; size 0 when not stated */
 	char service[SERVICE_NAME_BYTES];
 	char class_name[CLASS_NAME_BYTES];
 	uint64_t time_left_us;
@@ -30,6 +39,7 @@
 
 /* The request as HTTP gave it: every header, in order. */
 struct call_head {
+	struct wire_bytes authority; /* the Host header, which the list does not have */
 	struct wire_bytes method;
 	struct wire_bytes path;
 	const struct wire_header *headers;
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -21,8 +21,6 @@
 #define IDLE_MS		  60000
 #define POLL_CHUNK	  64
 #define BODY_SLACK_BYTES  (1024UL * 1024) /* read over the cap, so that the refusal arrives */
-#define NUMBER_TEXT_BYTES 16
-#define OUTCOME_HEADER	  "x-fescue-outcome"
 
 struct caller {
 	struct http_server *server;
@@ -38,6 +36,7 @@
 	h2o_linklist_t link; /* the first member, so that a link is a call */
 	struct caller *caller;
 	h2o_req_t *req;
+	const struct call_request *request;
 	void *data;
 	uint64_t bytes; /* counted against the memory bound */
 	bool gone;
@@ -53,26 +52,30 @@
 			      text.len);
 }
 
-/* Adds a header with a number. */
-static void add_number(h2o_req_t *req, const char *name, uint32_t number)
+/* Adds the lines by which a client learns the outcome; gives the status. */
+static int add_outcome(const struct caller *caller, h2o_req_t *req,
+		       const struct caller_answer *answer, const struct call_request *request)
 {
-	char text[NUMBER_TEXT_BYTES];
+	struct answer_lines lines = {0};
 
-	snprintf(text, sizeof(text), "%u", number);
-	add_header(req, name, text);
+	caller->options.dialect->write_outcome(answer, request, &lines);
+	for (uint32_t i = 0; i < lines.count; i++)
+		add_header(req, lines.list[i].name, lines.list[i].value);
+	return lines.status;
 }
 
 /* Adds what h2o's own refusals lack: nothing of them reached the entry, so nothing ran. */
 static void complete_answer(void *user, h2o_req_t *req)
 {
-	enum call_reason reason = req->res.status == 413 ? REASON_TOO_LARGE : REASON_BAD_REQUEST;
+	const struct caller *caller = user;
+	struct caller_answer answer = {
+		.outcome = OUTCOME_NOT_RUN,
+		.reason = req->res.status == 413 ? REASON_TOO_LARGE : REASON_BAD_REQUEST,
+	};
 
-	(void)user;
-	if (h2o_find_header_by_str(&req->res.headers, H2O_STRLIT(OUTCOME_HEADER), -1) != -1)
+	if (http_is_answered_by_handler(req))
 		return;
-	add_header(req, OUTCOME_HEADER, call_outcome_name(OUTCOME_NOT_RUN));
-	add_header(req, "x-fescue-reason", call_reason_name(reason));
-	add_number(req, "x-fescue-attempts", 0);
+	add_outcome(caller, req, &answer, NULL);
 	counter_add(COUNTER_CALLS_RECEIVED, 1);
 	counter_add(COUNTER_CALLS_NOT_RUN, 1);
 }
@@ -90,7 +93,7 @@
 }
 
 /* Writes the JSON body of an answer that is not the backend server's. */
-static void respond_typed(h2o_req_t *req, const struct caller_answer *answer,
+static void respond_typed(h2o_req_t *req, int status, const struct caller_answer *answer,
 			  const struct error *err)
 {
 	json_t *body = json_pack("{s:s, s:s}", "outcome", call_outcome_name(answer->outcome),
@@ -102,22 +105,11 @@
 		json_object_set_new(body, "detail", json_string(err->detail));
 	}
 	text = json_dumps(body, JSON_COMPACT);
-	http_respond_json(req, outcome_http_status(answer->outcome, answer->reason),
-			  text ? text : "{}");
+	http_respond_json(req, status, text ? text : "{}");
 	free(text);
 	json_decref(body);
 }
 
-/* Adds the headers by which a caller learns the outcome. */
-static void add_outcome_headers(h2o_req_t *req, const struct caller_answer *answer)
-{
-	add_header(req, OUTCOME_HEADER, call_outcome_name(answer->outcome));
-	add_header(req, "x-fescue-reason", call_reason_name(answer->reason));
-	add_number(req, "x-fescue-attempts", answer->attempts);
-	if (answer->outcome == OUTCOME_ANSWERED)
-		add_number(req, "x-fescue-server-us", answer->server_us);
-}
-
 /* Copies the backend server's headers, without those of a connection. */
 static void copy_headers(h2o_req_t *req, const struct wire_headers *headers)
 {
@@ -159,13 +151,14 @@
 void caller_answer(struct caller_call *call, const struct caller_answer *answer)
 {
 	h2o_req_t *req = call->req;
+	int status;
 	char *body;
 
 	unlink_call(call);
 	count_outcome(answer->outcome);
-	add_outcome_headers(req, answer);
+	status = add_outcome(call->caller, req, answer, call->request);
 	if (answer->outcome != OUTCOME_ANSWERED) {
-		respond_typed(req, answer, NULL);
+		respond_typed(req, status, answer, NULL);
 		return;
 	}
 	copy_headers(req, answer->headers);
@@ -173,17 +166,18 @@
 	h2o_memcpy(body, answer->body.data, answer->body.size);
 	call->bytes += answer->body.size;
 	call->caller->memory_bytes += answer->body.size;
-	http_respond(req, (int)answer->status, body, answer->body.size);
+	http_respond(req, status, body, answer->body.size);
 }
 
 /* Refuses a request that did not pass the checks. */
-static void refuse(h2o_req_t *req, enum call_reason reason, const struct error *err)
+static void refuse(const struct caller *caller, h2o_req_t *req, const struct call_request *request,
+		   enum call_reason reason, const struct error *err)
 {
 	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
+	int status = add_outcome(caller, req, &answer, request);
 
 	count_outcome(answer.outcome);
-	add_outcome_headers(req, &answer);
-	respond_typed(req, &answer, err);
+	respond_typed(req, status, &answer, err);
 }
 
 /* Lists a request's headers as wire bytes, which borrow from h2o's buffers. */
@@ -202,6 +196,8 @@
 	}
 	head->headers = list;
 	head->header_count = (uint32_t)req->headers.size;
+	head->authority.data = (const uint8_t *)req->input.authority.base;
+	head->authority.size = (uint32_t)req->input.authority.len;
 	head->method.data = (const uint8_t *)req->input.method.base;
 	head->method.size = (uint32_t)req->input.method.len;
 	head->path.data = (const uint8_t *)req->input.path.base;
@@ -209,13 +205,15 @@
 }
 
 /* Makes the call of a request, in the request's own arena. */
-static struct caller_call *add_call(struct caller *caller, h2o_req_t *req)
+static struct caller_call *add_call(struct caller *caller, h2o_req_t *req,
+				    const struct call_request *request)
 {
 	struct caller_call *call = h2o_mem_alloc_shared(&req->pool, sizeof(*call), dispose_call);
 
 	memset(call, 0, sizeof(*call));
 	call->caller = caller;
 	call->req = req;
+	call->request = request;
 	call->bytes = req->entity.len;
 	caller->memory_bytes += call->bytes;
 	if (h2o_linklist_is_empty(&caller->calls))
@@ -271,16 +269,17 @@
 
 	counter_add(COUNTER_CALLS_RECEIVED, 1);
 	read_head(req, &head);
-	reason = call_request_parse(&head, parsed, &err);
+	reason = http_is_ambiguous(req, &err) ? REASON_BAD_REQUEST
+					      : caller->options.dialect->read_call(&head, parsed, &err);
 	if (reason == REASON_NONE)
 		reason = check_body(caller, req, &err);
 	if (reason != REASON_NONE) {
-		refuse(req, reason, &err);
+		refuse(caller, req, parsed, reason, &err);
 		return;
 	}
 	parsed->body.data = (const uint8_t *)req->entity.base;
 	parsed->body.size = (uint32_t)req->entity.len;
-	caller->options.on_call(caller->options.user, add_call(caller, req), parsed);
+	caller->options.on_call(caller->options.user, add_call(caller, req, parsed), parsed);
 }
 
 /* Polls up to POLL_CHUNK calls from `at` on and marks those whose caller is gone; returns where to
--- a/src/fescuemill/http/caller.h
+++ b/src/fescuemill/http/caller.h
@@ -5,7 +5,7 @@
 #ifndef FESCUEMILL_HTTP_CALLER_H
 #define FESCUEMILL_HTTP_CALLER_H
 
-#include "fescuemill/http/call_request.h"
+#include "fescuemill/http/dialect.h"
 
 #include <h2o/memory.h>
 #include <uv.h>
@@ -15,21 +15,11 @@
 /* One request of a caller. It stays valid until it is answered, also when the caller is gone. */
 struct caller_call;
 
-/* What a caller is told. Everything is copied. */
-struct caller_answer {
-	enum call_outcome outcome;
-	enum call_reason reason;
-	uint32_t attempts;
-	uint32_t status; /* of the backend server, when answered */
-	uint32_t server_us;
-	const struct wire_headers *headers; /* of the backend server; may be NULL */
-	struct wire_bytes body;
-};
-
 struct caller_options {
 	uint32_t ip; /* host byte order */
 	uint16_t port;
 	uint32_t body_bytes_max;
+	const struct http_dialect *dialect;
 	uint64_t memory_bytes_max; /* for the bodies of all calls in progress */
 	/* A request that passed the checks; it is valid until it is answered. */
 	void (*on_call)(void *user, struct caller_call *call, const struct call_request *req);
@@ -55,6 +45,7 @@
 /* Connections of which a part of a request has come in. */
 uint32_t caller_receiving(const struct caller *caller);
 
+/* Sends a whole answer, of which everything is copied. The call may not be used afterwards. */
 void caller_answer(struct caller_call *call, const struct caller_answer *answer);
 /* The arena of a call, freed after its answer was sent. */
 h2o_mem_pool_t *caller_call_pool(struct caller_call *call);
--- /dev/null
+++ b/src/fescuemill/http/head_scan.c
@@ -0,0 +1,60 @@
+/*
+ * Head scan: counts the headers of a raw request head that frame its body or name its host.
+ */
+#include "fescuemill/http/head_scan.h"
+
+#include "fescuemill/http/call_request.h"
+
+#include <string.h>
+
+/* Counts one header line; returns -1 when it is none. A line that begins with a blank continues
+ * another in an obsolete way, which readers take differently. */
+static int scan_line(struct head_scan *scan, const char *line, size_t size)
+{
+	const char *colon = memchr(line, ':', size);
+	struct wire_bytes name;
+	struct wire_bytes value;
+
+	if (!colon || colon == line || line[0] == ' ' || line[0] == '\t')
+		return -1;
+	name = (struct wire_bytes){(const uint8_t *)line, (uint32_t)(colon - line)};
+	if (name.data[name.size - 1] == ' ' || name.data[name.size - 1] == '\t')
+		return -1;
+	for (colon++; colon < line + size && (*colon == ' ' || *colon == '\t'); colon++)
+		;
+	value = (struct wire_bytes){(const uint8_t *)colon, (uint32_t)(line + size - colon)};
+	while (value.size > 0 && (value.data[value.size - 1] == ' ' ||
+				  value.data[value.size - 1] == '\t'))
+		value.size--;
+	scan->hosts += wire_bytes_is(name, "host");
+	scan->lengths += wire_bytes_is(name, "content-length");
+	if (wire_bytes_is(name, "transfer-encoding")) {
+		scan->codings++;
+		scan->has_unknown_coding |= !wire_bytes_is(value, "chunked");
+	}
+	return 0;
+}
+
+/* Reads a head. */
+int head_scan_read(struct head_scan *scan, const char *bytes, size_t size)
+{
+	const char *at = memchr(bytes, '\n', size);
+	const char *end = bytes + size;
+
+	while (at) {
+		const char *line = at + 1;
+		size_t line_size;
+
+		at = memchr(line, '\n', (size_t)(end - line));
+		if (!at)
+			return -1;
+		line_size = (size_t)(at - line);
+		if (line_size > 0 && line[line_size - 1] == '\r')
+			line_size--;
+		if (line_size == 0)
+			return 0;
+		if (scan_line(scan, line, line_size) != 0)
+			return -1;
+	}
+	return -1;
+}
--- /dev/null
+++ b/src/fescuemill/http/own_dialect.c
@@ -0,0 +1,242 @@
+/*
+ * Own dialect: the product's own names and formats towards clients and backend servers.
+ */
+#include "fescuemill/http/dialect.h"
+
+#include "fescuemill/base/clock.h"
+#include "fescuemill/http/announce.h"
+#include "fescuemill/http/answer.h"
+
+#include <ctype.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PORT_MAX 65535
+
+static const struct {
+	const char *name;
+	enum backend_state state;
+} states[] = {
+	{"starting", BACKEND_STARTING},
+	{"ready", BACKEND_READY},
+	{"draining", BACKEND_DRAINING},
+	{"leaving", BACKEND_LEAVING},
+};
+
+/* Adds a line to an answer. */
+void answer_lines_add(struct answer_lines *lines, const char *name, const char *format, ...)
+{
+	va_list args;
+
+	if (lines->count == DIALECT_LINES_MAX)
+		return;
+	lines->list[lines->count].name = name;
+	va_start(args, format);
+	vsnprintf(lines->list[lines->count].value, sizeof(lines->list[0].value), format, args);
+	va_end(args);
+	lines->count++;
+}
+
+/* Appends formatted text; what does not fit is left out. */
+void head_append(struct head_text *head, const char *format, ...)
+{
+	size_t room = head->room - head->size;
+	va_list args;
+	int size;
+
+	va_start(args, format);
+	size = vsnprintf(head->data + head->size, room, format, args);
+	va_end(args);
+	if (size > 0 && (size_t)size < room)
+		head->size += (size_t)size;
+}
+
+/* Appends a header line. */
+void head_append_header(struct head_text *head, const struct wire_header *header)
+{
+	head_append(head, "%.*s: %.*s\r\n", (int)header->name.size, (const char *)header->name.data,
+		    (int)header->value.size, (const char *)header->value.data);
+}
+
+/* Tells the outcome in headers of the product's own. */
+static void write_outcome(const struct caller_answer *answer, const struct call_request *request,
+			  struct answer_lines *out)
+{
+	(void)request;
+	out->status = answer->outcome == OUTCOME_ANSWERED
+			      ? (int)answer->status
+			      : outcome_http_status(answer->outcome, answer->reason);
+	answer_lines_add(out, "x-fescue-outcome", "%s", call_outcome_name(answer->outcome));
+	answer_lines_add(out, "x-fescue-reason", "%s", call_reason_name(answer->reason));
+	answer_lines_add(out, "x-fescue-attempts", "%u", answer->attempts);
+	if (answer->outcome == OUTCOME_ANSWERED)
+		answer_lines_add(out, "x-fescue-server-us", "%u", answer->server_us);
+}
+
+/* Writes the lines of a call's head. */
+static void write_call(const struct backend_request *req, struct head_text *head)
+{
+	const struct message_call *msg = req->call;
+
+	head_append(head, "host: 127.0.0.1:%u\r\n", req->to.port);
+	head_append(head, "x-fescue-call-id: %016" PRIx64 "-%016" PRIx64 "-%" PRIu64 "\r\n",
+		    req->id.entry.node_id, req->id.entry.incarnation, req->id.sequence);
+	head_append(head, "x-fescue-class: %s\r\n", msg->class_name);
+	head_append(head, "x-fescue-deadline-ms: %" PRIu64 "\r\n",
+		    (uint64_t)(req->time_left_us / USEC_PER_MSEC));
+	head_append(head, "x-fescue-depth: %u\r\n", msg->depth + 1);
+	head_append(head, "x-fescue-retry-budget: %u\r\n", msg->retries_left);
+	if (msg->key.size > 0)
+		head_append(head, "idempotency-key: %.*s\r\n", (int)msg->key.size,
+			    (const char *)msg->key.data);
+	for (uint32_t i = 0; i < msg->headers.count; i++)
+		head_append_header(head, &msg->headers.list[i]);
+}
+
+/* Tells whether the backend server says that it did not run the call. */
+static enum answer_verdict judge_answer(const struct backend_request *request, uint32_t status,
+					const struct wire_headers *headers)
+{
+	(void)request;
+	if (status == 503 && wire_bytes_is(headers_find(headers, "x-fescue-not-run"), "1"))
+		return ANSWER_NOT_RUN;
+	return ANSWER_RUN;
+}
+
+/* A backend server of the product's own dialect tells no load. */
+static bool read_load(const struct wire_headers *headers, struct backend_load *out)
+{
+	(void)headers;
+	(void)out;
+	return false;
+}
+
+/* Reads a whole number of an object. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+static int read_number(const json_t *object, const char *key, json_int_t highest, uint32_t *out,
+		       struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+	json_int_t number = json_integer_value(value);
+
+	if (!value)
+		return error_set(err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_integer(value))
+		return error_set(err, ERROR_TYPE, "%s: allowed is a whole number", key);
+	if (number < 1 || number > highest)
+		return error_set(err, ERROR_RANGE, "%s: found %lld, allowed 1 to %lld", key,
+				 (long long)number, (long long)highest);
+	*out = (uint32_t)number;
+	return 0;
+}
+
+/* Reads a text of an object. Errors: ERROR_MISSING, ERROR_TYPE. */
+static int read_text(const json_t *object, const char *key, const char **out, struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (!value)
+		return error_set(err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_string(value))
+		return error_set(err, ERROR_TYPE, "%s: allowed is a text", key);
+	*out = json_string_value(value);
+	return 0;
+}
+
+/* Reads the service's name. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE, ERROR_SYNTAX. */
+static int read_service(const json_t *object, struct announcement *out, struct error *err)
+{
+	const char *text = NULL;
+
+	if (read_text(object, "service", &text, err) != 0)
+		return -1;
+	if (text[0] == '\0' || strlen(text) >= sizeof(out->service))
+		return error_set(err, ERROR_RANGE, "service: allowed are 1 to %zu bytes",
+				 sizeof(out->service) - 1);
+	for (size_t i = 0; text[i]; i++) {
+		if (!isalnum((unsigned char)text[i]) && !strchr("-_.", text[i]))
+			return error_set(err, ERROR_SYNTAX, "service: byte %zu is not allowed", i);
+	}
+	memcpy(out->service, text, strlen(text) + 1);
+	return 0;
+}
+
+/* Reads the state. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+static int read_state(const json_t *object, struct announcement *out, struct error *err)
+{
+	const char *text = NULL;
+
+	if (read_text(object, "state", &text, err) != 0)
+		return -1;
+	for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
+		if (strcmp(text, states[i].name) == 0) {
+			out->state = states[i].state;
+			return 0;
+		}
+	}
+	return error_set(err, ERROR_RANGE,
+			 "state: found \"%.20s\", allowed starting, ready, "
+			 "draining, leaving",
+			 text);
+}
+
+/* Reads the fields of an announcement. */
+static int read_fields(const json_t *object, struct announcement *out, struct error *err)
+{
+	uint32_t port = 0;
+
+	if (read_service(object, out, err) != 0)
+		return -1;
+	if (read_number(object, "port", PORT_MAX, &port, err) != 0)
+		return -1;
+	out->port = (uint16_t)port;
+	if (read_number(object, "slots", ANNOUNCE_SLOTS_MAX, &out->slots, err) != 0)
+		return -1;
+	return read_state(object, out, err);
+}
+
+/* Reads an announcement. Errors: ERROR_SYNTAX, ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+int announcement_parse(const char *json, size_t size, struct announcement *out, struct error *err)
+{
+	json_error_t where;
+	json_t *object = json_loadb(json ? json : "", size, 0, &where);
+	int rc;
+
+	memset(out, 0, sizeof(*out));
+	if (!json_is_object(object)) {
+		json_decref(object);
+		return error_set(err, ERROR_SYNTAX, "announcement: allowed is a JSON object");
+	}
+	rc = read_fields(object, out, err);
+	json_decref(object);
+	return rc;
+}
+
+/* Reads a request to announce. */
+static int read_announcement(const struct call_head *head, struct wire_bytes body,
+			     struct announcement *out, struct error *err)
+{
+	if (!wire_bytes_is(head->path, "/announce") || !wire_bytes_is(head->method, "POST"))
+		return error_set(err, ERROR_NOT_FOUND, "allowed is POST /announce");
+	return announcement_parse((const char *)body.data, body.size, out, err);
+}
+
+/* Tells the lease and the attempts that run. */
+static void write_announced(const struct announcement *now, uint32_t in_use, struct head_text *body)
+{
+	(void)now;
+	head_append(body, "{\"lease_ms\":%d,\"in_use\":%u}", ANNOUNCE_LEASE_MS, in_use);
+}
+
+const struct http_dialect own_dialect = {
+	.read_call = call_request_parse,
+	.write_outcome = write_outcome,
+	.write_call = write_call,
+	.judge_answer = judge_answer,
+	.read_load = read_load,
+	.read_announcement = read_announcement,
+	.write_announced = write_announced,
+	.takes_unframed_answers = false,
+};
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -3,6 +3,7 @@
  */
 #include "fescuemill/http/server.h"
 
+#include "fescuemill/http/head_scan.h"
 #include "fescuemill/http/linger.h"
 
 #include <arpa/inet.h>
@@ -68,6 +69,42 @@
 	return 0;
 }
 
+/* Tells whether the handler gave the present answer. */
+bool http_is_answered_by_handler(const h2o_req_t *req)
+{
+	return connection_of(req)->is_handled;
+}
+
+/* Refuses a request as ambiguous; its connection ends with the answer, since what follows on it
+ * cannot be told from a body. */
+static bool refuse_ambiguous(h2o_req_t *req, struct error *err, const char *why)
+{
+	req->http1_is_persistent = 0;
+	error_set(err, ERROR_SYNTAX, "%s", why);
+	return true;
+}
+
+/* Tells whether a request can be read in two ways. h2o drops the headers that frame a body, so the
+ * head is read again where it still stands, at the start of the connection's input. */
+bool http_is_ambiguous(h2o_req_t *req, struct error *err)
+{
+	const h2o_buffer_t *input = connection_of(req)->sock->input;
+	struct head_scan scan = {0};
+
+	if (head_scan_read(&scan, input->bytes, input->size) != 0)
+		return refuse_ambiguous(req, err, "head: not understood");
+	if (scan.hosts != 1)
+		return refuse_ambiguous(req, err, "host: allowed is one");
+	if (scan.lengths > 1)
+		return refuse_ambiguous(req, err, "content-length: allowed is one");
+	if (scan.codings > 0 && scan.lengths > 0)
+		return refuse_ambiguous(req, err,
+					"transfer-encoding: not allowed with content-length");
+	if (scan.codings > 1 || scan.has_unknown_coding)
+		return refuse_ambiguous(req, err, "transfer-encoding: allowed is chunked");
+	return false;
+}
+
 /* Tells whether a request's body has begun and is not whole. */
 bool http_is_receiving(const h2o_req_t *req)
 {
@@ -94,9 +131,9 @@
 
 	if (!conn->is_handled && timerisset(&req->timestamps.request_body_begin_at))
 		http_server_linger(req);
-	conn->is_handled = false;
 	if (srv->options.on_respond)
 		srv->options.on_respond(srv->options.user, req);
+	conn->is_handled = false;
 	h2o_setup_next_ostream(req, slot);
 }
 
--- a/src/fescuemill/http/server.h
+++ b/src/fescuemill/http/server.h
@@ -50,6 +50,10 @@
 void http_server_each_request(struct http_server *srv, int (*fn)(h2o_req_t *req, void *user),
 			      void *user);
 bool http_is_receiving(const h2o_req_t *req);
+/* Whether the present answer was given by on_request, not by h2o itself. */
+bool http_is_answered_by_handler(const h2o_req_t *req);
+/* Whether two readers could disagree on where a request ends or on its host. Fills the error. */
+bool http_is_ambiguous(h2o_req_t *req, struct error *err);
 /* Has the connection read on for a while after its last answer, so that the answer arrives. */
 void http_server_linger(h2o_req_t *req);
 
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -43,6 +43,11 @@
 	struct endpoint gossip_address;
 	struct endpoint backend_address;
 	struct endpoint admin_address;
+	struct endpoint ready_address;	/* port 0: there is none */
+	struct endpoint backend_server; /* port 0: it states its own port on the loopback address */
+	char backend_service[SERVICE_NAME_BYTES]; /* empty: known from its announcement only */
+	uint32_t backend_lease_ms;
+	uint32_t slots_used_percent;
 	uint32_t external_ip; /* 0 when nodes of other regions use the internal address */
 	uint32_t external_node_port;
 	uint32_t external_gossip_port;
@@ -54,17 +59,20 @@
 	uint32_t body_limit_bytes;
 	uint64_t memory_limit_bytes;
 	uint32_t stop_limit_ms;
+	uint32_t stop_serve_ms;
 	uint32_t heartbeat_ms;
 	uint32_t silence_ms;
 	uint32_t key_retention_ms;
 	uint32_t key_spread_ms;
 	uint32_t retry_share_permille;
+	uint32_t retry_burst;
 	uint32_t own_domain_distance_us;
 	uint32_t own_region_distance_us;
 	uint32_t other_region_distance_us;
 	uint32_t node_bytes_per_s;
 	uint32_t region_link_bytes_per_s;
 	uint32_t platform_calls_per_minute;
+	uint32_t platform_watchers;
 	uint32_t platform_timeout_ms;
 	uint32_t platform_watch_ms;
 	uint32_t admin_key_count;
--- a/src/fescuemill/platform/change.c
+++ b/src/fescuemill/store/change.c
@@ -2,7 +2,7 @@
  * Change: a write whose answer was lost is resolved by reading the object and looking for the
  * change's own id in its history. Writing again is safe, since the base version is the same.
  */
-#include "fescuemill/platform/change.h"
+#include "fescuemill/store/change.h"
 
 #include <string.h>
 
--- a/src/fescuemill/platform/change.h
+++ b/src/fescuemill/store/change.h
@@ -2,8 +2,8 @@
  * Change: the decisions of one conditional change of a service object, up to the truth about it:
  * accepted, lost to another writer, not done, or not knowable. Pure.
  */
-#ifndef FESCUEMILL_PLATFORM_CHANGE_H
-#define FESCUEMILL_PLATFORM_CHANGE_H
+#ifndef FESCUEMILL_STORE_CHANGE_H
+#define FESCUEMILL_STORE_CHANGE_H
 
 #include "fescuemill/fleet/service_json.h"
 
--- a/src/fescuemill/platform/client.c
+++ b/src/fescuemill/store/client.c
@@ -3,37 +3,27 @@
  * that goes silent can hold up only its own call, until its time-out. Every call passes the byte
  * budget of measuring here and nowhere else.
  */
-#include "fescuemill/platform/client.h"
+#include "fescuemill/store/client.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/http/fetch.h"
-#include "fescuemill/platform/cost.h"
+#include "fescuemill/store/cost.h"
 
-#include <inttypes.h>
-#include <jansson.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define PATH_BYTES	 192
-#define HEADERS_BYTES	 96
-#define HTTP_OK		 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND	 404
-#define HTTP_CONFLICT	 409
-#define HTTP_TOO_LARGE	 413
-#define HTTP_TOO_MANY	 429
+#define PAGES_MAX 1000 /* of one list; a store that never ends is not followed for ever */
 
 struct platform_client {
 	struct platform interface; /* first, so that the interface is the client */
+	const struct store_dialect *dialect;
 	struct fetcher *fetcher;
 	uint32_t endpoint_count;
 	uint32_t endpoint; /* the one in use */
 	struct endpoint endpoints[PLATFORM_ENDPOINTS_MAX];
 	uint32_t timeout_ms;
 	struct budget *budget;
-	bool crosses_link;
 	uint32_t calls; /* that run */
 	bool closed;
 };
@@ -41,6 +31,11 @@
 struct client_call {
 	struct platform_client *client;
 	enum platform_call_type type;
+	char kind[PLATFORM_NAME_BYTES];
+	char after[PLATFORM_NAME_BYTES]; /* the last name of the page before */
+	struct store_pages pages;	 /* of a list that comes in several answers */
+	uint32_t page_count;
+	bool can_wait;
 	uint32_t endpoint;
 	platform_done_fn done;
 	void *user;
@@ -52,60 +47,13 @@
 	       call->type == PLATFORM_DELETE;
 }
 
-/* Reads the version that stands in the body of every answer but a get's. */
-static int read_version(const struct fetch_result *answer, uint64_t *version)
-{
-	json_t *root = json_loadb(answer->body, answer->body_size, 0, NULL);
-	json_t *number = json_object_get(root, "version");
-	int status = json_is_integer(number) ? 0 : -1;
-
-	*version = (uint64_t)json_integer_value(number);
-	json_decref(root);
-	return status;
-}
-
-static enum error_kind kind_of_status(int status)
-{
-	switch (status) {
-	case HTTP_NOT_FOUND:
-		return ERROR_NOT_FOUND;
-	case HTTP_CONFLICT:
-		return ERROR_CONFLICT;
-	case HTTP_TOO_LARGE:
-		return ERROR_TOO_LARGE;
-	case HTTP_TOO_MANY:
-		return ERROR_LIMIT;
-	case HTTP_BAD_REQUEST:
-		return ERROR_USAGE;
-	default:
-		return ERROR_UNREACHABLE; /* a server error may hide a change that took effect */
-	}
-}
-
-/* Turns a whole answer into the result of the call. */
-static void read_answer(const struct client_call *call, const struct fetch_result *answer,
-			struct platform_result *result)
-{
-	bool versioned = call->type != PLATFORM_GET || answer->status == HTTP_CONFLICT;
-
-	result->body = answer->body;
-	result->body_size = answer->body_size;
-	if (answer->status != HTTP_OK)
-		error_set(&result->err, kind_of_status(answer->status), "platform %s: status %d",
-			  platform_call_name(call->type), answer->status);
-	if (!versioned)
-		result->version = strtoull(answer->header, NULL, 10);
-	else if (read_version(answer, &result->version) && answer->status == HTTP_OK)
-		error_set(&result->err, ERROR_UNREACHABLE, "platform %s: answer without a version",
-			  platform_call_name(call->type));
-}
-
 /* Charges what came back, whole or not. */
 static void charge_answer(const struct platform_client *client, const struct fetch_result *answer)
 {
 	uint32_t bytes = cost_of_payload(answer->head_size + answer->body_size);
 
-	budget_charge_whole(client->budget, bytes, client->crosses_link, clock_monotonic_us());
+	budget_charge_whole(client->budget, bytes, client->interface.crosses_link,
+			    clock_monotonic_us());
 	counter_add(COUNTER_PLATFORM_RECEIVED, bytes);
 }
 
@@ -118,67 +66,74 @@
 	bool admitted = true;
 
 	if (!request->can_wait)
-		budget_charge_whole(client->budget, bytes, client->crosses_link, now_us);
+		budget_charge_whole(client->budget, bytes, client->interface.crosses_link, now_us);
 	else if (request->type == PLATFORM_WATCH)
-		admitted = budget_take(client->budget, bytes, client->crosses_link, now_us);
+		admitted =
+			budget_take(client->budget, bytes, client->interface.crosses_link, now_us);
 	else
-		admitted = budget_take_settled(client->budget, bytes, client->crosses_link, now_us);
+		admitted = budget_take_settled(client->budget, bytes,
+					       client->interface.crosses_link, now_us);
 	counter_add(admitted ? COUNTER_PLATFORM_SENT : COUNTER_PLATFORM_BUDGET_WAITS,
 		    admitted ? bytes : 1);
 	return admitted;
 }
 
-static void on_fetched(void *user, const struct fetch_result *answer)
+/* Reports the end of a call. */
+static void end_call(struct client_call *call, struct platform_result *result, bool was_sent)
 {
-	struct client_call *call = user;
 	struct platform_client *client = call->client;
-	struct platform_result result = {0};
-	bool lost;
+	bool lost = result->err.kind == ERROR_TIMEOUT || result->err.kind == ERROR_UNREACHABLE ||
+		    result->err.kind == ERROR_STATE;
 
-	charge_answer(client, answer);
-	if (answer->err.kind)
-		error_set(&result.err, answer->err.kind, "platform %s: %.100s",
-			  platform_call_name(call->type), answer->err.detail);
-	else
-		read_answer(call, answer, &result);
-	lost = result.err.kind == ERROR_TIMEOUT || result.err.kind == ERROR_UNREACHABLE ||
-	       result.err.kind == ERROR_STATE;
-	result.effect_unknown = lost && answer->sent && call_changes(call);
+	result->effect_unknown = lost && was_sent && call_changes(call);
 	if (lost && call->endpoint == client->endpoint)
 		client->endpoint = (call->endpoint + 1) % client->endpoint_count;
 	client->calls--;
-	call->done(call->user, &result);
+	call->done(call->user, result);
+	store_pages_free(&call->pages);
 	free(call);
 	if (client->closed && !client->calls)
 		free(client);
 }
 
-static const char *method_of(enum platform_call_type type)
+static int send_call(struct platform_client *client, const struct platform_request *request,
+		     struct client_call *call, struct error *err);
+
+/* Asks for the next page of a list. Errors: ERROR_LIMIT, and those of send_call(). */
+static int ask_next_page(struct client_call *call, struct error *err)
 {
-	if (type == PLATFORM_CREATE || type == PLATFORM_UPDATE)
-		return "PUT";
-	return type == PLATFORM_DELETE ? "DELETE" : "GET";
+	struct platform_request request = {
+		.type = call->type,
+		.kind = call->kind,
+		.after_name = call->after,
+		.can_wait = call->can_wait,
+	};
+
+	if (++call->page_count > PAGES_MAX)
+		return error_set(err, ERROR_LIMIT, "more than %d pages", PAGES_MAX);
+	return send_call(call->client, &request, call, err);
 }
 
-/* Writes the path and the headers of a call. */
-static void write_head(const struct platform_request *request, char *path, char *headers)
+static void on_fetched(void *user, const struct fetch_result *answer)
 {
-	uint64_t version = request->type == PLATFORM_CREATE ? 0 : request->version;
+	struct client_call *call = user;
+	struct platform_client *client = call->client;
+	struct platform_result result = {0};
+	struct store_answer read = {.pages = &call->pages};
 
-	headers[0] = '\0';
-	if (request->type == PLATFORM_WATCH) {
-		snprintf(path, PATH_BYTES, "/v1/watch/%s?after=%" PRIu64 "&wait_ms=%u",
-			 request->kind, request->version, request->wait_ms);
-		return;
-	}
-	if (request->type == PLATFORM_LIST)
-		snprintf(path, PATH_BYTES, "/v1/objects/%s", request->kind);
+	charge_answer(client, answer);
+	if (answer->err.kind)
+		error_set(&result.err, answer->err.kind, "platform %s: %.100s",
+			  platform_call_name(call->type), answer->err.detail);
 	else
-		snprintf(path, PATH_BYTES, "/v1/objects/%s/%s", request->kind, request->name);
-	if (request->type == PLATFORM_GET || request->type == PLATFORM_LIST)
-		return;
-	snprintf(headers, HEADERS_BYTES,
-		 "if-version: %" PRIu64 "\r\ncontent-type: application/json\r\n", version);
+		client->dialect->read(call->type, answer, &read, &result);
+	if (!result.err.kind && read.after[0]) {
+		memcpy(call->after, read.after, sizeof(call->after));
+		if (ask_next_page(call, &result.err) == 0)
+			return;
+	}
+	end_call(call, &result, answer->sent);
+	free(read.text);
 }
 
 /* Names go into the request line, so they are of a narrow alphabet. */
@@ -214,25 +169,29 @@
 static int send_call(struct platform_client *client, const struct platform_request *request,
 		     struct client_call *call, struct error *err)
 {
-	char path[PATH_BYTES];
-	char headers[HEADERS_BYTES];
-	bool writes = request->type == PLATFORM_CREATE || request->type == PLATFORM_UPDATE;
+	struct store_text text = {.body = request->value, .body_size = request->value_size};
 	struct fetch_request fetch = {
 		.to = client->endpoints[client->endpoint],
-		.method = method_of(request->type),
-		.path = path,
-		.headers = headers,
-		.body = writes ? request->value : NULL,
-		.body_size = writes ? request->value_size : 0,
 		.timeout_ms = client->timeout_ms +
 			      (request->type == PLATFORM_WATCH ? request->wait_ms : 0),
-		.wanted_header = "x-object-version",
+		.wanted_header = client->dialect->version_header,
 	};
+	int status;
 
-	write_head(request, path, headers);
-	if (!charge_request(client, request, cost_of_request(fetch_request_size(&fetch))))
-		return error_set(err, ERROR_BUDGET, "the byte budget of measuring is spent");
-	return fetch_start(client->fetcher, &fetch, on_fetched, call, err);
+	if (client->dialect->write(request, &text, err) != 0)
+		return -1;
+	fetch.method = text.method;
+	fetch.path = text.path;
+	fetch.headers = text.headers;
+	fetch.body = text.body;
+	fetch.body_size = text.body ? text.body_size : 0;
+	call->endpoint = client->endpoint;
+	if (charge_request(client, request, cost_of_request(fetch_request_size(&fetch))))
+		status = fetch_start(client->fetcher, &fetch, on_fetched, call, err);
+	else
+		status = error_set(err, ERROR_BUDGET, "the byte budget of measuring is spent");
+	free(text.owned);
+	return status;
 }
 
 /* Starts a call over a connection of its own. */
@@ -255,7 +214,8 @@
 	}
 	call->client = client;
 	call->type = request->type;
-	call->endpoint = client->endpoint;
+	call->can_wait = request->can_wait;
+	memcpy(call->kind, request->kind, strlen(request->kind) + 1);
 	call->done = done;
 	call->user = user;
 	if (send_call(client, request, call, &err)) {
@@ -267,11 +227,25 @@
 	counter_add(COUNTER_PLATFORM_CALLS, 1);
 }
 
-static const struct platform_ops client_ops = {.start = client_start};
+/* Ends all calls that run with ERROR_STATE, and frees the client. */
+static void client_close(struct platform *platform)
+{
+	struct platform_client *client = (struct platform_client *)platform;
+
+	client->calls++; /* so that the last call that ends does not free it under the fetcher */
+	fetcher_close(client->fetcher);
+	client->calls--;
+	client->closed = true;
+	if (!client->calls)
+		free(client);
+}
+
+static const struct platform_ops client_ops = {.start = client_start, .close = client_close};
 
 /* Opens a client for the endpoints in the settings. Errors: ERROR_MEMORY. */
-int platform_client_open(struct platform_client **out, uv_loop_t *loop,
-			 const struct settings *settings, struct budget *budget, struct error *err)
+int platform_client_open(struct platform **out, uv_loop_t *loop, const struct settings *settings,
+			 const struct store_dialect *dialect, struct budget *budget,
+			 struct error *err)
 {
 	struct platform_client *client = calloc(1, sizeof(*client));
 
@@ -282,37 +256,13 @@
 		return -1;
 	}
 	client->interface.ops = &client_ops;
+	client->dialect = dialect;
 	client->endpoint_count = settings->platform_count;
 	memcpy(client->endpoints, settings->platform, sizeof(client->endpoints));
 	client->timeout_ms = settings->platform_timeout_ms;
 	client->budget = budget;
 	/* A region that is not stated counts as another one, so that no link is overspent. */
-	client->crosses_link = strcmp(settings->platform_region, settings->region) != 0;
-	*out = client;
+	client->interface.crosses_link = strcmp(settings->platform_region, settings->region) != 0;
+	*out = &client->interface;
 	return 0;
 }
-
-/* Gives the interface that the client implements. */
-struct platform *platform_client_interface(struct platform_client *client)
-{
-	return &client->interface;
-}
-
-/* Tells whether calls count as crossing the link between regions. */
-bool platform_client_crosses_link(const struct platform_client *client)
-{
-	return client->crosses_link;
-}
-
-/* Ends all calls that run with ERROR_STATE, and frees the client. */
-void platform_client_close(struct platform_client *client)
-{
-	if (!client)
-		return;
-	client->calls++; /* so that the last call that ends does not free it under the fetcher */
-	fetcher_close(client->fetcher);
-	client->calls--;
-	client->closed = true;
-	if (!client->calls)
-		free(client);
-}
--- a/src/fescuemill/platform/cost.c
+++ b/src/fescuemill/store/cost.c
@@ -2,7 +2,7 @@
  * Cost: each segment is counted with its headers and an acknowledgement of its own, which is the
  * most that TCP sends without loss.
  */
-#include "fescuemill/platform/cost.h"
+#include "fescuemill/store/cost.h"
 
 #include "fescuemill/decide/budget.h"
 
--- a/src/fescuemill/platform/cost.h
+++ b/src/fescuemill/store/cost.h
@@ -1,8 +1,8 @@
 /*
  * Cost: the bytes that a platform call costs on the network, with the headers of IP and TCP. Pure.
  */
-#ifndef FESCUEMILL_PLATFORM_COST_H
-#define FESCUEMILL_PLATFORM_COST_H
+#ifndef FESCUEMILL_STORE_COST_H
+#define FESCUEMILL_STORE_COST_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/fescuemill/platform/follow.c
+++ b/src/fescuemill/store/follow.c
@@ -1,7 +1,7 @@
 /*
  * Follow: carries out a session's decisions: starts its calls, hands the answers on, sleeps.
  */
-#include "fescuemill/platform/follow.h"
+#include "fescuemill/store/follow.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
@@ -54,6 +54,12 @@
 	counter_add(COUNTER_PLATFORM_FAILURES, 1);
 	if (!follow->session.list_needed && err->kind == ERROR_TIMEOUT)
 		counter_add(COUNTER_PLATFORM_WATCHES_SILENT, 1);
+	if (err->kind == ERROR_VERSION) {
+		/* The history after the last version is gone: only a list tells what exists. */
+		session_refresh(&follow->session);
+		session_put_off(&follow->session, clock_monotonic_us());
+		return;
+	}
 	if (!follow->failing)
 		log_failure(LOG_WARNING, LOG_PART_PLATFORM,
 			    "Platform call failed; retrying with back-off.", err);
--- a/src/fescuemill/platform/follow.h
+++ b/src/fescuemill/store/follow.h
@@ -2,11 +2,11 @@
  * Follow: keeps up with every object of one kind by a list and then watches, and survives
  * outages, silent watches and restarts of the platform.
  */
-#ifndef FESCUEMILL_PLATFORM_FOLLOW_H
-#define FESCUEMILL_PLATFORM_FOLLOW_H
+#ifndef FESCUEMILL_STORE_FOLLOW_H
+#define FESCUEMILL_STORE_FOLLOW_H
 
-#include "fescuemill/platform/platform.h"
-#include "fescuemill/platform/session.h"
+#include "fescuemill/store/platform.h"
+#include "fescuemill/store/session.h"
 
 #include <uv.h>
 
--- a/src/fescuemill/platform/platform.c
+++ b/src/fescuemill/store/platform.c
@@ -1,7 +1,7 @@
 /*
  * Platform: what all implementations of the interface share.
  */
-#include "fescuemill/platform/platform.h"
+#include "fescuemill/store/platform.h"
 
 static const char *const call_names[PLATFORM_CALL_COUNT] = {"get",    "list",	"create",
 							    "update", "delete", "watch"};
@@ -13,6 +13,13 @@
 	platform->ops->start(platform, request, done, user);
 }
 
+/* Closes an implementation; NULL is none. */
+void platform_close(struct platform *platform)
+{
+	if (platform)
+		platform->ops->close(platform);
+}
+
 /* Gives the name of a kind of call, as it stands in logs. */
 const char *platform_call_name(enum platform_call_type type)
 {
--- a/src/fescuemill/platform/platform.h
+++ b/src/fescuemill/store/platform.h
@@ -2,8 +2,8 @@
  * Platform: the six calls of the platform's object API behind one narrow interface. The HTTP
  * client (client.h) and the fake of the tests implement it.
  */
-#ifndef FESCUEMILL_PLATFORM_PLATFORM_H
-#define FESCUEMILL_PLATFORM_PLATFORM_H
+#ifndef FESCUEMILL_STORE_PLATFORM_H
+#define FESCUEMILL_STORE_PLATFORM_H
 
 #include "fescuemill/base/error.h"
 
@@ -28,10 +28,11 @@
 struct platform_request {
 	enum platform_call_type type;
 	const char *kind;
-	const char *name;  /* get, create, update, delete */
-	uint64_t version;  /* update, delete: the expected version; watch: newer than this */
-	uint32_t wait_ms;  /* watch: how long the platform may hold the call */
-	const char *value; /* create, update: JSON text */
+	const char *name;	/* get, create, update, delete */
+	uint64_t version;	/* update, delete: the expected version; watch: newer than this */
+	const char *after_name; /* list: continue after this name; NULL from the start */
+	uint32_t wait_ms;	/* watch: how long the platform may hold the call */
+	const char *value;	/* create, update: JSON text */
 	size_t value_size;
 	bool can_wait; /* not sent, ERROR_BUDGET, while the byte budget of measuring is spent */
 };
@@ -53,15 +54,19 @@
 struct platform_ops {
 	void (*start)(struct platform *platform, const struct platform_request *request,
 		      platform_done_fn done, void *user);
+	/* Ends all calls that run with ERROR_STATE, and frees the implementation. */
+	void (*close)(struct platform *platform);
 };
 
 /* The head of every implementation. */
 struct platform {
 	const struct platform_ops *ops;
+	bool crosses_link; /* whether calls count as crossing the link between regions */
 };
 
 void platform_start(struct platform *platform, const struct platform_request *request,
 		    platform_done_fn done, void *user);
+void platform_close(struct platform *platform);
 const char *platform_call_name(enum platform_call_type type);
 
 #endif
--- a/src/fescuemill/platform/session.c
+++ b/src/fescuemill/store/session.c
@@ -2,7 +2,7 @@
  * Session: list once, then watch from the version reached; exponential back-off with jitter after
  * failures; a token bucket over all calls.
  */
-#include "fescuemill/platform/session.h"
+#include "fescuemill/store/session.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/chart/chart.h"
--- a/src/fescuemill/platform/session.h
+++ b/src/fescuemill/store/session.h
@@ -2,8 +2,8 @@
  * Session: the decisions of one follower of the platform: when to list, watch, back off and read
  * again. Pure: no socket, no clock.
  */
-#ifndef FESCUEMILL_PLATFORM_SESSION_H
-#define FESCUEMILL_PLATFORM_SESSION_H
+#ifndef FESCUEMILL_STORE_SESSION_H
+#define FESCUEMILL_STORE_SESSION_H
 
 #include "fescuemill/base/random.h"
 #include "fescuemill/chart/chart_defs.h"
--- a/src/fescuemill/platform/submit.c
+++ b/src/fescuemill/store/submit.c
@@ -1,11 +1,11 @@
 /*
  * Submit: the calls and pauses that a change decides on.
  */
-#include "fescuemill/platform/submit.h"
+#include "fescuemill/store/submit.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
-#include "fescuemill/platform/session.h"
+#include "fescuemill/store/session.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/fescuemill/platform/submit.h
+++ b/src/fescuemill/store/submit.h
@@ -1,11 +1,11 @@
 /*
  * Submit: carries out one change of a service object against the platform.
  */
-#ifndef FESCUEMILL_PLATFORM_SUBMIT_H
-#define FESCUEMILL_PLATFORM_SUBMIT_H
+#ifndef FESCUEMILL_STORE_SUBMIT_H
+#define FESCUEMILL_STORE_SUBMIT_H
 
-#include "fescuemill/platform/change.h"
-#include "fescuemill/platform/platform.h"
+#include "fescuemill/store/change.h"
+#include "fescuemill/store/platform.h"
 
 #include <uv.h>
 
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -7,8 +7,11 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
+#include "fescuemill/decide/retry_after.h"
+#include "fescuemilld/entry_classify.h"
 #include "fescuemilld/entry_defs.h"
 #include "fescuemilld/entry_link.h"
+#include "fescuemilld/entry_log.h"
 #include "fescuemilld/entry_service.h"
 
 #include <stdlib.h>
@@ -57,6 +60,8 @@
 		return;
 	result.elapsed_us = (uint32_t)(now_us - call->sent_us);
 	if (answer) {
+		entry_log_ended(call, answer);
+		call->wait_us = answer->load.wait_us;
 		result.kind = result_kind(answer);
 		result.has_load = true;
 		result.load = answer->load;
@@ -78,15 +83,16 @@
 }
 
 /* Counts an ended call, begun at begun_us, towards its class's target. */
-static void record_burn(const struct entry_options *options, const struct call_request *req,
-			const struct caller_answer *answer, uint64_t begun_us)
+static void record_burn(const struct entry_options *options, const char *service,
+			const char *class_name, const struct caller_answer *answer,
+			uint64_t begun_us)
 {
-	const struct service_config *config = config_find(options->config, req->service);
-	const struct class_target *target = config ? config_class(config, req->class_name) : NULL;
+	const struct service_config *config = config_find(options->config, service);
+	const struct class_target *target = config ? config_class(config, class_name) : NULL;
 	uint64_t now_us = clock_monotonic_us();
 	struct burn_call ended = {
-		.service = req->service,
-		.class_name = req->class_name,
+		.service = service,
+		.class_name = class_name,
 		.outcome = answer->outcome,
 		.reason = answer->reason,
 		.failed = answer->status >= HTTP_ERROR_MIN,
@@ -99,12 +105,14 @@
 }
 
 /* Answers a call that never got as far as an attempt. */
-static void refuse(const struct entry *entry, struct caller_call *caller,
+static void refuse(struct entry *entry, struct caller_call *caller,
 		   const struct call_request *req, enum call_reason reason)
 {
 	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
 
-	record_burn(&entry->options, req, &answer, clock_monotonic_us());
+	answer.retry_after_ms = retry_after_ms(reason, 0, random_unit(&entry->rng));
+	record_burn(&entry->options, req->service, req->class_name, &answer, clock_monotonic_us());
+	entry_log_refused(req, reason, answer.retry_after_ms);
 	caller_answer(caller, &answer);
 }
 
@@ -126,8 +134,13 @@
 		answer.server_us = message->server_us;
 		answer.headers = &message->headers;
 		answer.body = message->body;
+	} else if (action->outcome == OUTCOME_NOT_RUN) {
+		answer.retry_after_ms = retry_after_ms(action->reason, call->wait_us,
+						       random_unit(&call->entry->rng));
 	}
-	record_burn(&call->entry->options, call->request, &answer, call->begun_us);
+	record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
+		    call->begun_us);
+	entry_log_finished(call, &answer);
 	release_slot(call);
 	caller_call_set_data(call->caller, NULL);
 	caller_answer(call->caller, &answer);
@@ -155,7 +168,7 @@
 	uint64_t node_id;
 	bool is_alive;
 
-	key_hash_of(request->service, request->key.data, request->key.size, &hash);
+	key_hash_of(call->service->name, request->key.data, request->key.size, &hash);
 	if (!key_home(call->service->keys, &hash, now_ms, &node_id, &is_alive) || !is_alive)
 		return false;
 	member = member_find(call->entry->options.members, node_id);
@@ -232,12 +245,12 @@
 	msg->type = MESSAGE_CALL;
 	msg->id = action->target.id;
 	msg->call.gate_incarnation = action->target.gate.incarnation;
-	memcpy(msg->call.service, request->service, sizeof(msg->call.service));
-	memcpy(msg->call.class_name, request->class_name, sizeof(msg->call.class_name));
+	memcpy(msg->call.service, call->service->name, sizeof(msg->call.service));
+	memcpy(msg->call.class_name, call->class_name, sizeof(msg->call.class_name));
 	msg->call.time_left_us = action->time_left_us;
 	msg->call.depth = request->depth;
 	msg->call.retries_left = action->retries_passed;
-	msg->call.idempotent = request->idempotent;
+	msg->call.idempotent = call->idempotent;
 	msg->call.key = request->key;
 	msg->call.method = request->method;
 	msg->call.path = request->path;
@@ -258,6 +271,7 @@
 	call->sent_us = clock_monotonic_us();
 	if (call->state.attempts > 1)
 		counter_add(COUNTER_RETRIES_SENT, 1);
+	entry_log_sent(call, action->time_left_us);
 	choice_sent(call->service->choice, side->owner->life.node_id, call->sent_us);
 	entry_link_add_call(side, call);
 	if (side->peer.kind == LINK_BULK)
@@ -363,38 +377,20 @@
 	}
 }
 
-/* Classifies a request: finds its class, or why it cannot be taken. */
-static enum call_reason classify(const struct entry *entry, const struct call_request *req,
-				 uint8_t *class_index)
-{
-	enum call_reason reason = entry->options.refusal(entry->options.user);
-	const struct service_config *config;
-	const struct class_target *target;
-
-	if (reason != REASON_NONE)
-		return reason;
-	config = config_find(entry->options.config, req->service);
-	if (!config)
-		return REASON_UNKNOWN_SERVICE;
-	target = config_class(config, req->class_name);
-	if (!target)
-		return REASON_UNKNOWN_CLASS;
-	*class_index = (uint8_t)(target - config->classes);
-	return entry->free_count > 0 ? REASON_NONE : REASON_OVERLOAD;
-}
-
 /* Makes the state of a call in the call's arena. */
 static struct entry_call *call_new(struct entry *entry, struct caller_call *caller,
-				   const struct call_request *req, struct entry_service *service)
+				   const struct call_request *req, struct entry_service *service,
+				   const struct call_class *class)
 {
 	struct entry_call *call = h2o_mem_alloc_pool(caller_call_pool(caller), sizeof(*call));
 	struct attempt_entry_settings settings = {
-		.deadline_us = clock_monotonic_us() + req->time_left_us,
+		.deadline_us = clock_monotonic_us() + class->time_left_us,
 		.answer_margin_us = ANSWER_MARGIN_US,
-		.idempotent = req->idempotent,
-		.keyed = req->key.size > 0 && !req->idempotent,
+		.idempotent = class->idempotent,
+		.keyed = req->key.size > 0 && !class->idempotent,
 		.retries_stated = req->retry_budget_stated,
 		.retry_budget = req->retry_budget,
+		.servers_max = class->servers_max,
 	};
 
 	memset(call, 0, sizeof(*call));
@@ -403,6 +399,10 @@
 	call->caller = caller;
 	call->request = req;
 	call->begun_us = clock_monotonic_us();
+	call->class_index = class->index;
+	call->idempotent = class->idempotent;
+	memcpy(call->class_name, class->name, sizeof(call->class_name));
+	memcpy(call->route, class->route, sizeof(call->route));
 	attempt_entry_init(&call->state, &settings);
 	call->slot = entry->free_slots[--entry->free_count];
 	entry->calls[call->slot] = call;
@@ -416,17 +416,16 @@
 {
 	struct entry *entry = user;
 	struct attempt_entry_event event = {.type = ENTRY_EVENT_START};
-	uint8_t class_index = 0;
-	enum call_reason reason = classify(entry, req, &class_index);
+	struct call_class class;
+	enum call_reason reason = entry_classify(entry, req, &class);
 	struct entry_service *service;
-	struct entry_call *call;
 	struct error err = {0};
 
 	if (reason != REASON_NONE) {
 		refuse(entry, caller, req, reason);
 		return;
 	}
-	service = entry_service_get(entry, req->service, &err);
+	service = entry_service_get(entry, class.service, &err);
 	if (!service) {
 		log_failure(LOG_WARNING, LOG_PART_ENTRY, "A service could not be added.", &err);
 		refuse(entry, caller, req, REASON_OVERLOAD);
@@ -434,9 +433,7 @@
 	}
 	if (!uv_is_active((uv_handle_t *)&entry->timer))
 		uv_timer_start(&entry->timer, on_timer, TICK_MS, TICK_MS);
-	call = call_new(entry, caller, req, service);
-	call->class_index = class_index;
-	entry_call_step(call, &event, &no_input);
+	entry_call_step(call_new(entry, caller, req, service, &class), &event, &no_input);
 }
 
 /* Takes word that a caller went away. */
--- /dev/null
+++ b/src/fescuemilld/entry_classify.c
@@ -0,0 +1,83 @@
+/*
+ * Entry classify: a request names its service and class itself, or a route in force does by its
+ * host and path.
+ */
+#include "fescuemilld/entry_classify.h"
+
+#include "fescuemill/base/clock.h"
+
+#include <string.h>
+
+/* Finds the class of a service by its name. */
+static enum call_reason find_class(const struct entry *entry, struct call_class *out)
+{
+	const struct service_config *config = config_find(entry->options.config, out->service);
+	const struct class_target *target;
+
+	if (!config)
+		return REASON_UNKNOWN_SERVICE;
+	target = config_class(config, out->name);
+	if (!target)
+		return REASON_UNKNOWN_CLASS;
+	out->index = (uint8_t)(target - config->classes);
+	out->latency_us = target->latency_us;
+	return REASON_NONE;
+}
+
+/* Classifies a request that states its service and class. */
+static enum call_reason by_service(const struct entry *entry, const struct call_request *req,
+				   struct call_class *out)
+{
+	memcpy(out->service, req->service, sizeof(out->service));
+	memcpy(out->name, req->class_name, sizeof(out->name));
+	out->idempotent = req->idempotent;
+	return find_class(entry, out);
+}
+
+/* Classifies a request by the routes in force. */
+static enum call_reason by_route(const struct entry *entry, const struct call_request *req,
+				 struct call_class *out)
+{
+	struct routing *routing = config_routing(entry->options.config);
+	struct route *route;
+	const struct route_part *part;
+
+	if (!routing)
+		return REASON_NOT_READY;
+	route = routing_find(routing, (const char *)req->host.data, req->host.size,
+			     (const char *)req->path.data, req->path.size);
+	if (!route)
+		return REASON_UNKNOWN_SERVICE;
+	part = route_pick_part(route);
+	memcpy(out->service, part->service, sizeof(out->service));
+	memcpy(out->name, part->class_name, sizeof(out->name));
+	memcpy(out->route, route->name, sizeof(out->route));
+	out->idempotent = route->idempotent;
+	out->servers_max = route->attempts_max;
+	if (out->time_left_us > route->timeout_ms * USEC_PER_MSEC)
+		out->time_left_us = route->timeout_ms * USEC_PER_MSEC;
+	return find_class(entry, out);
+}
+
+/* Classifies a request. */
+enum call_reason entry_classify(const struct entry *entry, const struct call_request *req,
+				struct call_class *out)
+{
+	enum call_reason reason = entry->options.refusal(entry->options.user);
+
+	memset(out, 0, sizeof(*out));
+	out->time_left_us = req->time_left_us;
+	if (reason != REASON_NONE)
+		return reason;
+	switch (req->address) {
+	case CALL_ADDRESS_SERVICE:
+		reason = by_service(entry, req, out);
+		break;
+	case CALL_ADDRESS_ROUTE:
+		reason = by_route(entry, req, out);
+		break;
+	}
+	if (reason != REASON_NONE)
+		return reason;
+	return entry->free_count > 0 ? REASON_NONE : REASON_OVERLOAD;
+}
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -9,6 +9,7 @@
 #include "fescuemill/decide/choice.h"
 #include "fescuemill/decide/due_heap.h"
 #include "fescuemill/decide/peer.h"
+#include "fescuemill/decide/route.h"
 #include "fescuemill/decide/slot_map.h"
 #include "fescuemilld/entry.h"
 
@@ -68,8 +69,24 @@
 	struct call_place places[LINK_KIND_COUNT];
 	uint64_t begun_us; /* when the caller's request was whole */
 	uint64_t sent_us;
+	uint32_t wait_us; /* as the gate told it that answered last */
 	uint32_t slot;
 	uint8_t class_index; /* in the service's configuration */
+	char class_name[CLASS_NAME_BYTES];
+	char route[ROUTE_NAME_BYTES]; /* empty when the request names its service */
+	bool idempotent;
+};
+
+/* What a request is classified as. */
+struct call_class {
+	char service[SERVICE_NAME_BYTES];
+	char name[CLASS_NAME_BYTES];
+	char route[ROUTE_NAME_BYTES];
+	uint8_t index;	       /* in the service's configuration */
+	bool idempotent;
+	uint32_t servers_max;  /* 0: not bounded */
+	uint64_t time_left_us; /* the client's, cut to the route's */
+	uint64_t latency_us;   /* the class's objective; 0 while unknown */
 };
 
 struct entry {
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -7,6 +7,8 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 
+#define HTTP_ERROR_MIN 500
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -177,6 +179,7 @@
 		event.answer.id = msg->id;
 		event.answer.outcome = msg->answer.outcome;
 		event.answer.reason = msg->answer.reason;
+		event.answer.failed = msg->answer.status >= HTTP_ERROR_MIN;
 		input.answer = &msg->answer;
 	} else {
 		event.type = msg->type == MESSAGE_HELD ? ENTRY_EVENT_HELD : ENTRY_EVENT_PENDING;
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -116,6 +116,8 @@
 	}
 	counter_add(COUNTER_GATE_ADMITTED, 1);
 	attempt->started_us = now_us;
+	if (shell->backend.instance[0])
+		req.instance = shell->backend.instance;
 	if (attempt->deadline_us > now_us)
 		req.time_left_us = attempt->deadline_us - now_us;
 	if (backend_call_start(shell->client, &req, on_backend_done, attempt, &attempt->run,
@@ -371,10 +373,14 @@
 /* Sets what the backend server announced last. */
 void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now)
 {
+	struct endpoint to = {now->ip, now->port};
+
+	if (shell->options.backend_server.port != 0)
+		to = shell->options.backend_server;
 	shell->backend = *now;
 	/* A lease can lapse while the server still runs calls, so the port is kept. */
-	if (now->port != 0)
-		backend_client_set_port(shell->client, now->port);
+	if (to.port != 0)
+		backend_client_set_address(shell->client, &to);
 	apply_backend(shell);
 }
 
@@ -457,11 +463,13 @@
 	shell->options = *options;
 	gate_admission_init(shell);
 	shell->admission.tally = options->burn;
+	shell->admission.slots_used_percent = options->slots_used_percent;
 	if (attempt_gate_create(&shell->table, &settings, err) != 0) {
 		free(shell);
 		return -1;
 	}
-	if (backend_client_open(&shell->client, loop, options->answer_bytes_max, err) != 0 ||
+	if (backend_client_open(&shell->client, loop, options->dialect, options->answer_bytes_max,
+				err) != 0 ||
 	    open_keys(shell, err) != 0) {
 		attempt_gate_destroy(shell->table);
 		free(shell);
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -23,6 +23,9 @@
 	uint64_t incarnation;
 	uint32_t key_retention_ms;
 	uint32_t key_spread_ms;
+	const struct http_dialect *dialect;
+	uint32_t slots_used_percent;	/* 0: found by measurement */
+	struct endpoint backend_server; /* port 0: as the backend server announces itself */
 	uint32_t answer_bytes_max;
 	uint64_t memory_bytes_max;
 	/* Called when the backend server took no connection; it may set the backend server. */
--- a/src/fescuemilld/main.c
+++ b/src/fescuemilld/main.c
@@ -59,7 +59,7 @@
 		return fail("The settings are not valid.", &err);
 	log_set_name(settings.name);
 	log_set_level(settings.log_level);
-	if (node_open(&node, &settings, &err) != 0)
+	if (node_open(&node, &settings, &own_outside, &err) != 0)
 		return fail("The node cannot start.", &err);
 	if (node_run(node, &err) != 0)
 		return fail("The stop was not graceful.", &err);
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -51,16 +51,23 @@
 	}
 }
 
+/* Tells whether this node watches the platform for its failure domain. */
+static bool is_watcher(const struct node *node)
+{
+	return config_is_watcher(node->members, gossip_self(node->gossip),
+				 node->settings.platform_watchers);
+}
+
 /* Divides the budget of the link between regions among the nodes of this region. */
 static void share_link(struct node *node)
 {
-	bool is_far = platform_client_crosses_link(node->platform);
+	bool is_far = node->store->crosses_link;
 	struct region_census census;
 
 	take_census(node, &census);
 	budget_share_link(&node->budget, census.nodes,
-			  is_far ? census.domains * CONFIG_WATCHERS : 0,
-			  config_is_watcher(node->members, gossip_self(node->gossip)));
+			  is_far ? census.domains * node->settings.platform_watchers : 0,
+			  is_watcher(node));
 }
 
 /* Sets the homes of keys at every change of members, and now and then: a gate whose view is old
@@ -97,9 +104,8 @@
 static void keep_up(struct node *node, uint64_t now_us)
 {
 	bool is_ready = config_is_ready(node->config);
-	const struct member *self = gossip_self(node->gossip);
 
-	follow_set_on(node->follow, !is_ready || config_is_watcher(node->members, self));
+	follow_set_on(node->follow, !is_ready || is_watcher(node));
 	config_pull_tick(node->pull, now_us);
 	if (!is_ready)
 		return;
@@ -157,7 +163,8 @@
 }
 
 /* Opens every part. After an error the process is expected to end. */
-int node_open(struct node **out, const struct settings *settings, struct error *err)
+int node_open(struct node **out, const struct settings *settings, const struct outside *outside,
+	      struct error *err)
 {
 	struct node *node = calloc(1, sizeof(*node));
 
@@ -166,6 +173,7 @@
 	*out = node;
 	signal(SIGPIPE, SIG_IGN);
 	node->settings = *settings;
+	node->outside = *outside;
 	node->time_checked_us = clock_monotonic_us();
 	uv_loop_init(&node->loop);
 	if (node_open_parts(node, err) != 0)
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -9,8 +9,7 @@
 #include "fescuemill/fleet/keeper.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/http/caller.h"
-#include "fescuemill/platform/client.h"
-#include "fescuemill/platform/follow.h"
+#include "fescuemill/store/follow.h"
 #include "fescuemilld/admin_shell.h"
 #include "fescuemilld/config_pull.h"
 #include "fescuemilld/demand_shell.h"
@@ -18,6 +17,7 @@
 #include "fescuemilld/gate_shell.h"
 #include "fescuemilld/gossip_shell.h"
 #include "fescuemilld/key_members.h"
+#include "fescuemilld/ready.h"
 
 #include "fescuemilld/node.h"
 
@@ -39,6 +39,7 @@
 struct node {
 	uv_loop_t loop;
 	struct settings settings;
+	struct outside outside;
 	struct member self; /* as at the start; gossip keeps what is said of it now */
 	uint32_t state;	    /* enum node_state */
 	enum stop_phase stop_phase;
@@ -59,7 +60,8 @@
 	struct channel *channel;
 	struct caller *caller;
 	struct announce *announce;
-	struct platform_client *platform;
+	struct platform *store;
+	struct ready *ready;
 	struct follow *follow;
 	struct keeper *keeper;
 	struct budget budget;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -45,6 +45,22 @@
 	node_move(node, NODE_INPUT_TIME_SKIPPED);
 }
 
+/* Tells whether a node that stops still takes calls as an entry: its callers need time to learn
+ * that it is not ready. */
+static bool node_still_serves(const struct node *node)
+{
+	return clock_monotonic_us() <
+	       node->stop_since_us + node->settings.stop_serve_ms * USEC_PER_MSEC;
+}
+
+/* Tells whether callers should send new work here. */
+bool node_is_ready(void *user)
+{
+	const struct node *node = user;
+
+	return node->state == NODE_READY;
+}
+
 /* Tells the entry why it may not take calls. What waited for a paused process can be read before
  * the housekeeping notices the pause, so the time is checked here too. */
 enum call_reason node_refusal(void *user)
@@ -56,6 +72,7 @@
 	case NODE_READY:
 		return REASON_NONE;
 	case NODE_DRAINING:
+		return node_still_serves(node) ? REASON_NONE : REASON_DRAINING;
 	case NODE_STOPPED:
 		return REASON_DRAINING;
 	default:
--- a/src/fescuemilld/node_events.h
+++ b/src/fescuemilld/node_events.h
@@ -11,6 +11,7 @@
 void node_apply_config(struct node *node);
 
 enum call_reason node_refusal(void *user);
+bool node_is_ready(void *user);
 bool node_region_is_usable(void *user, const char *region);
 void node_on_unreachable(void *user, uint64_t node_id);
 void node_on_newer_config(void *user, uint64_t node_id, uint64_t version);
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -5,11 +5,17 @@
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/chart/chart.h"
+#include "fescuemill/store/client.h"
 #include "fescuemilld/node_events.h"
 #include "fescuemilld/node_stop.h"
 
 #include <string.h>
 
+const struct outside own_outside = {
+	.dialect = &own_dialect,
+	.store_dialect = &own_store_dialect,
+};
+
 /* Fills what this node says of itself. */
 static void init_self(struct node *node)
 {
@@ -38,6 +44,7 @@
 		.port = settings->caller_address.port,
 		.body_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
+		.dialect = node->outside.dialect,
 		.on_call = entry_take_call,
 		.on_gone = entry_caller_gone,
 		.user = node->entry,
@@ -45,6 +52,8 @@
 	struct announce_options announce = {
 		.ip = settings->backend_address.ip,
 		.port = settings->backend_address.port,
+		.lease_ms = settings->backend_lease_ms,
+		.dialect = node->outside.dialect,
 		.on_change = node_on_announcement,
 		.in_use = node_slots_in_use,
 		.user = node,
@@ -52,7 +61,10 @@
 
 	if (caller_open(&node->caller, &node->loop, &caller, err) != 0)
 		return -1;
-	return announce_open(&node->announce, &node->loop, &announce, err);
+	if (announce_open(&node->announce, &node->loop, &announce, err) != 0)
+		return -1;
+	return ready_open(&node->ready, &node->loop, &settings->ready_address, node_is_ready, node,
+			  err);
 }
 
 /* Opens the entry and the gate over one channel. */
@@ -79,6 +91,9 @@
 		.incarnation = node->self.life.incarnation,
 		.key_retention_ms = settings->key_retention_ms,
 		.key_spread_ms = settings->key_spread_ms,
+		.dialect = node->outside.dialect,
+		.backend_server = settings->backend_server,
+		.slots_used_percent = settings->slots_used_percent,
 		.answer_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
 		.on_unreachable = node_on_backend_unreachable,
@@ -101,18 +116,18 @@
 {
 	const struct settings *settings = &node->settings;
 	uint64_t seed = node->self.life.node_id ^ node->self.life.incarnation;
-	struct platform *platform;
-	struct session_limits limits = session_limits_for(
-		settings->platform_calls_per_minute, CONFIG_WATCHERS, settings->platform_watch_ms);
+	struct session_limits limits =
+		session_limits_for(settings->platform_calls_per_minute, settings->platform_watchers,
+				   settings->platform_watch_ms);
 
-	if (platform_client_open(&node->platform, &node->loop, settings, &node->budget, err) != 0)
+	if (platform_client_open(&node->store, &node->loop, settings, node->outside.store_dialect,
+				 &node->budget, err) != 0)
 		return -1;
-	platform = platform_client_interface(node->platform);
-	if (follow_open(&node->follow, &node->loop, platform, CONFIG_KIND, &limits, seed,
+	if (follow_open(&node->follow, &node->loop, node->store, CONFIG_KIND, &limits, seed,
 			node_on_config_batch, node, err) != 0)
 		return -1;
-	return keeper_open(&node->keeper, &node->loop, platform, node->members, &limits, seed + 1,
-			   err);
+	return keeper_open(&node->keeper, &node->loop, node->store, node->members, &limits,
+			   seed + 1, err);
 }
 
 /* Opens membership and the exchange of configuration with peers. */
@@ -174,7 +189,7 @@
 		.config = node->config,
 		.members = node->members,
 		.burn = &node->burn,
-		.platform = platform_client_interface(node->platform),
+		.platform = node->store,
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
@@ -231,11 +246,12 @@
 	demand_shell_close(node->demand);
 	keeper_close(node->keeper);
 	follow_close(node->follow);
-	platform_client_close(node->platform);
+	platform_close(node->store);
 	entry_close(node->entry);
 	gate_shell_close(node->gate);
 	channel_close(node->channel);
 	announce_close(node->announce);
+	ready_close(node->ready);
 	caller_close(node->caller);
 	uv_close((uv_handle_t *)&node->housekeeping, NULL);
 	for (int i = 0; i < 2; i++)
--- /dev/null
+++ b/src/fescuemilld/ready.c
@@ -0,0 +1,67 @@
+/*
+ * Ready: GET /ready is answered with 200 while callers should send new work, else with 503.
+ */
+#include "fescuemilld/ready.h"
+
+#include "fescuemill/http/server.h"
+
+#include <stdlib.h>
+
+#define BODY_BYTES_MAX 1024
+#define IDLE_MS	       30000
+
+struct ready {
+	struct http_server *server;
+	bool (*is_ready)(void *user);
+	void *user;
+};
+
+/* Answers one question. */
+static void handle(void *user, h2o_req_t *req)
+{
+	const struct ready *ready = user;
+
+	if (!h2o_memis(req->input.path.base, req->input.path.len, H2O_STRLIT("/ready")))
+		http_respond_json(req, 404, "{}");
+	else if (ready->is_ready(ready->user))
+		http_respond_json(req, 200, "{\"ready\":true}");
+	else
+		http_respond_json(req, 503, "{\"ready\":false}");
+}
+
+/* Opens the listener. */
+int ready_open(struct ready **out, uv_loop_t *loop, const struct endpoint *at,
+	       bool (*is_ready)(void *user), void *user, struct error *err)
+{
+	struct http_server_options options = {
+		.ip = at->ip,
+		.port = at->port,
+		.body_bytes_max = BODY_BYTES_MAX,
+		.idle_ms = IDLE_MS,
+		.on_request = handle,
+	};
+	struct ready *ready;
+
+	*out = NULL;
+	if (at->port == 0)
+		return 0;
+	ready = calloc(1, sizeof(*ready));
+	if (!ready)
+		return error_set(err, ERROR_MEMORY, "no memory for the ready listener");
+	ready->is_ready = is_ready;
+	ready->user = user;
+	options.user = ready;
+	if (http_server_open(&ready->server, loop, &options, err) != 0) {
+		free(ready);
+		return -1;
+	}
+	*out = ready;
+	return 0;
+}
+
+/* Stops listening. */
+void ready_close(struct ready *ready)
+{
+	if (ready)
+		http_server_close(ready->server);
+}
--- a/test/functional/support/admin_node.h
+++ b/test/functional/support/admin_node.h
@@ -14,8 +14,8 @@
 extern "C" {
 #include "fescuemill/fleet/keeper.h"
 #include "fescuemill/http/admin.h"
-#include "fescuemill/platform/client.h"
-#include "fescuemill/platform/follow.h"
+#include "fescuemill/store/client.h"
+#include "fescuemill/store/follow.h"
 }
 
 namespace support
@@ -35,7 +35,7 @@
 			follow_close(follow);
 			keeper_close(keeper);
 			admin_close(admin);
-			platform_client_close(client);
+			platform_close(platform);
 		});
 		std::this_thread::sleep_for(std::chrono::milliseconds(50));
 		loop.run([this] {
@@ -113,9 +113,8 @@
 		ASSERT_EQ(0, config_open(&config, 1, &err));
 		ASSERT_EQ(0, member_table_open(&members, &err));
 		budget_init(&budget, bytes_per_s, bytes_per_s, 1);
-		ASSERT_EQ(0, platform_client_open(&client, &loop.loop, s.get(), &budget, &err));
-		platform *platform = platform_client_interface(client);
-
+		ASSERT_EQ(0, platform_client_open(&platform, &loop.loop, s.get(),
+						  &own_store_dialect, &budget, &err));
 		ASSERT_EQ(0, follow_open(&follow, &loop.loop, platform, CONFIG_KIND, &limits, 1,
 					 on_batch, this, &err));
 		follow_set_on(follow, true);
@@ -156,7 +155,7 @@
 	// So much that nothing waits for it.
 	static constexpr uint64_t bytes_per_s = 1000000000;
 	struct budget budget;
-	platform_client *client = nullptr;
+	struct platform *platform = nullptr;
 	struct keeper *keeper = nullptr;
 	struct admin *admin = nullptr;
 };
--- a/test/property/change_property_test.cc
+++ b/test/property/change_property_test.cc
@@ -11,7 +11,7 @@
 #include <rapidcheck/gtest.h>
 
 extern "C" {
-#include "fescuemill/platform/change.h"
+#include "fescuemill/store/change.h"
 }
 
 namespace
--- a/test/support/fake_platform.h
+++ b/test/support/fake_platform.h
@@ -8,7 +8,7 @@
 #include <string>
 
 extern "C" {
-#include "fescuemill/platform/platform.h"
+#include "fescuemill/store/platform.h"
 }
 
 namespace support
@@ -31,7 +31,7 @@
 
 	FakePlatform()
 	{
-		static const platform_ops ops = {start};
+		static const platform_ops ops = {start, nullptr};
 
 		head.base.ops = &ops;
 		head.owner = this;
--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -28,7 +28,8 @@
 
 	void begin(bool idempotent, bool keyed = false)
 	{
-		attempt_entry_settings settings = {DEADLINE_US, 1000, idempotent, keyed, false, 0};
+		attempt_entry_settings settings = {DEADLINE_US, 1000, idempotent, keyed,
+						   false,	0,    0};
 
 		attempt_entry_init(&call, &settings);
 		EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_START));
--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -75,6 +75,7 @@
 		options.incarnation = kIncarnation;
 		options.key_retention_ms = 1000;
 		options.key_spread_ms = 100;
+		options.dialect = &own_dialect;
 		options.answer_bytes_max = 65536;
 		options.memory_bytes_max = 1 << 24;
 		ASSERT_EQ(gate_shell_open(&shell, &loop, &options, &err), 0);
@@ -228,10 +229,16 @@
 		}
 	}
 
+	void set_port(uint16_t port)
+	{
+		struct endpoint to = {0, port};
+		backend_client_set_address(shell->client, &to);
+	}
+
 	// Breaks the running call's connection while no other can be made.
 	void fail_all()
 	{
-		backend_client_set_port(shell->client, 0);
+		set_port(0);
 		close(held);
 		held = -1;
 		run_until([this] { return gate_shell_live(shell) == 0; });
@@ -265,7 +272,7 @@
 	uint16_t port = shell->backend.port;
 	size_t few = stack_of_failing(kClasses);
 
-	backend_client_set_port(shell->client, port);
+	set_port(port);
 	size_t many = stack_of_failing(GATE_QUEUE_MAX);
 	EXPECT_LT(many, few + kPageBytes) << "few " << few << ", many " << many;
 }
--- a/test/unit/http/backend_test.cc
+++ b/test/unit/http/backend_test.cc
@@ -10,6 +10,7 @@
 
 extern "C" {
 #include "fescuemill/http/backend.h"
+#include "fescuemill/http/dialect.h"
 }
 
 namespace
@@ -141,7 +142,9 @@
 	{
 		signal(SIGPIPE, SIG_IGN);
 		uv_loop_init(&loop);
-		ASSERT_EQ(backend_client_open(&client, &loop, kAnswerBytesMax, nullptr), 0);
+		ASSERT_EQ(
+			backend_client_open(&client, &loop, &own_dialect, kAnswerBytesMax, nullptr),
+			0);
 		strcpy(msg.class_name, "purchase");
 		msg.method = bytes_of("POST");
 		msg.path = bytes_of("/buy?lot=7");
@@ -170,10 +173,16 @@
 			delete server;
 	}
 
+	void set_port(uint16_t port)
+	{
+		struct endpoint to = {0, port};
+		backend_client_set_address(client, &to);
+	}
+
 	ScriptedServer &serve(ScriptedServer::Script script)
 	{
 		servers.push_back(new ScriptedServer(&loop, std::move(script)));
-		backend_client_set_port(client, servers.back()->port());
+		set_port(servers.back()->port());
 		return *servers.back();
 	}
 
@@ -285,7 +294,7 @@
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr *>(&addr), size), 0);
 	getsockname(fd, reinterpret_cast<sockaddr *>(&addr), &size);
-	backend_client_set_port(client, ntohs(addr.sin_port));
+	set_port(ntohs(addr.sin_port));
 	EXPECT_EQ(call_once().end, BACKEND_END_NOT_CONNECTED);
 	close(fd);
 }
--- a/test/unit/http/caller_test.cc
+++ b/test/unit/http/caller_test.cc
@@ -47,6 +47,7 @@
 		options.ip = INADDR_LOOPBACK;
 		options.body_bytes_max = kBodyBytesMax;
 		options.memory_bytes_max = 3 * kBodyBytesMax;
+		options.dialect = &own_dialect;
 		options.user = this;
 		options.on_call = [](void *user, struct caller_call *call,
 				     const struct call_request *req) {
--- a/test/unit/platform/client_test.cc
+++ b/test/unit/store/client_test.cc
@@ -9,8 +9,8 @@
 extern "C" {
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
-#include "fescuemill/platform/client.h"
-#include "fescuemill/platform/cost.h"
+#include "fescuemill/store/client.h"
+#include "fescuemill/store/cost.h"
 }
 
 static const uint64_t rate = 7000;
@@ -119,7 +119,7 @@
 
 	void TearDown() override
 	{
-		platform_client_close(client);
+		platform_close(client);
 		server->close();
 		uv_run(&loop, UV_RUN_DEFAULT);
 		EXPECT_EQ(0, uv_loop_close(&loop));
@@ -132,13 +132,14 @@
 		int kind = -1;
 
 		if (!client)
-			platform_client_open(&client, &loop, s.get(), &budget, nullptr);
+			platform_client_open(&client, &loop, s.get(), &own_store_dialect, &budget,
+					     nullptr);
 		request.type = type;
 		request.kind = "service";
 		request.name = "ledger";
 		request.can_wait = can_wait;
 		platform_start(
-			platform_client_interface(client), &request,
+			client, &request,
 			[](void *user, const platform_result *result) {
 				*static_cast<int *>(user) = result->err.kind;
 			},
@@ -157,7 +158,7 @@
 	std::unique_ptr<settings> s = std::make_unique<settings>();
 	std::unique_ptr<CountingServer> server;
 	struct budget budget;
-	platform_client *client = nullptr;
+	struct platform *client = nullptr;
 };
 
 TEST_F(Client, EveryByteOfRequestAndAnswerIsChargedWithItsHeaders)
--- a/test/unit/platform/session_test.cc
+++ b/test/unit/store/session_test.cc
@@ -4,7 +4,7 @@
 
 extern "C" {
 #include "fescuemill/chart/chart.h"
-#include "fescuemill/platform/session.h"
+#include "fescuemill/store/session.h"
 }
 
 static const uint64_t second_us = 1000000;
