--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -23,10 +23,16 @@
 # add_test_program names the program after its kind and module, and fixes every seed.
 function(add_test_program kind source timeout_s)
 	get_filename_component(module ${source} NAME_WE)
+	get_filename_component(folder ${source} DIRECTORY)
+	get_filename_component(folder ${folder} NAME)
 	string(REGEX REPLACE "_test$" "" module ${module})
+	if(folder STREQUAL platform)
+		set(module platform_${module})
+	endif()
 	set(name ${kind}-${module})
 	add_executable(${name} ${source})
-	target_link_libraries(${name} PRIVATE fescuemilld_parts fescue_load_parts
+	target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/platform)
+	target_link_libraries(${name} PRIVATE platform_adapter fescuemilld_parts fescue_load_parts
 		fescue_report_parts fescuemill
 		GTest::gtest_main rapidcheck)
 	add_test(NAME ${name} COMMAND ${name})
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -27,6 +27,8 @@
 	  "messages meant for an earlier incarnation")                                             \
 	X(BACKEND_CONNECTIONS, "backend_connections", "connections",                               \
 	  "connections opened to the backend server")                                              \
+	X(BACKEND_PROBES, "backend_probes", "probes",                                              \
+	  "questions for the backend server's load and pace")                                      \
 	X(LOG_LINES_DROPPED, "log_lines_dropped", "lines", "log lines that could not be written")  \
 	X(WIRE_BAD_MESSAGES, "wire_bad_messages", "messages", "node messages that do not decode")  \
 	X(WIRE_CONNECTIONS_SILENT, "wire_connections_silent", "connections",                       \
--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -86,10 +86,34 @@
 		call->excluded[call->excluded_count++] = call->target.gate.node_id;
 }
 
+/* Keeps the present gate out for good: it lost the call or failed it. */
+static void entry_exclude_for_good(struct attempt_entry *call)
+{
+	if (call->excluded_count < ENTRY_EXCLUDED_MAX)
+		call->excluded_for_good |= 1U << call->excluded_count;
+	entry_exclude(call);
+}
+
+/* Lets the gates that only had no room be chosen again, to wait at one of them. */
+static void entry_become_patient(struct attempt_entry *call)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < call->excluded_count; i++) {
+		if (call->excluded_for_good & (1U << i))
+			call->excluded[kept++] = call->excluded[i];
+	}
+	call->is_patient = true;
+	call->excluded_count = (uint8_t)kept;
+	call->excluded_for_good = (1U << kept) - 1;
+}
+
 /* Tells whether another gate may do better after a refusal. */
-static bool entry_reason_is_retryable(enum call_reason reason)
+static bool entry_reason_is_retryable(const struct attempt_entry *call, enum call_reason reason)
 {
 	switch (reason) {
+	case REASON_EXPIRED: /* the gate's wait is too long; another's may not be */
+		return call->servers_max > 0;
 	case REASON_OVERLOAD:
 	case REASON_DRAINING:
 	case REASON_NO_BACKEND:
@@ -125,8 +149,14 @@
 {
 	if (call->servers_max == 0)
 		return retry_take(entry_bucket_for(bucket, reason), &call->retries);
-	if (!entry_reached_server(reason))
-		return ++call->refusals <= ENTRY_REFUSALS_MAX;
+	if (!entry_reached_server(reason)) {
+		if (++call->refusals <= ENTRY_REFUSALS_MAX)
+			return true;
+		if (call->is_patient)
+			return false;
+		entry_become_patient(call);
+		return true;
+	}
 	return ++call->servers < call->servers_max && retry_take_token(bucket);
 }
 
@@ -144,7 +174,7 @@
 			 enum call_reason reason, struct attempt_entry_actions *out,
 			 struct error *err)
 {
-	bool may_retry = entry_reason_is_retryable(reason);
+	bool may_retry = entry_reason_is_retryable(call, reason);
 
 	if (call->keyed && reason != REASON_INCARNATION)
 		may_retry = false;
@@ -152,7 +182,9 @@
 	call->last_reason = (uint8_t)reason;
 	if (!may_retry || !entry_take_after_refusal(call, bucket, reason))
 		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
-	if (reason != REASON_INCARNATION)
+	if (reason == REASON_SHED)
+		entry_exclude_for_good(call);
+	else if (reason != REASON_INCARNATION)
 		entry_exclude(call);
 	return entry_choose_again(call, out, err);
 }
@@ -165,7 +197,7 @@
 	call->last_reason = (uint8_t)reason;
 	if (!call->idempotent || !entry_take_after_loss(call, bucket))
 		return entry_finish(call, OUTCOME_UNKNOWN, reason, out, err);
-	entry_exclude(call);
+	entry_exclude_for_good(call);
 	return entry_choose_again(call, out, err);
 }
 
@@ -178,7 +210,7 @@
 	if (call->servers_max == 0 || !call->idempotent || !entry_take_after_loss(call, bucket))
 		return entry_finish(call, OUTCOME_ANSWERED, reason, out, err);
 	call->may_have_run = true;
-	entry_exclude(call);
+	entry_exclude_for_good(call);
 	return entry_choose_again(call, out, err);
 }
 
@@ -198,10 +230,36 @@
 	call->attempts++;
 	action = entry_emit(call, out, ENTRY_ACTION_SEND_CALL);
 	action->time_left_us = left_us - margin_us;
+	action->refuse_to_wait = call->servers_max > 0 && !call->is_patient;
 	action->retries_passed = retry_tree_pass(&call->retries, call->idempotent);
 	return 0;
 }
 
+/* No gate is left to choose. One that only had no room may still be waited at. */
+static int entry_no_gate(struct attempt_entry *call, enum call_reason reason,
+			 struct attempt_entry_actions *out, struct error *err)
+{
+	if (call->servers_max == 0 || call->is_patient || call->refusals == 0)
+		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
+	entry_become_patient(call);
+	entry_emit(call, out, ENTRY_ACTION_CHOOSE);
+	return 0;
+}
+
+/* The gate's process is another one than the attempt is meant for. An attempt that went out over
+ * the very connection that this process answers on never reached the earlier one, and this one
+ * refuses it. An attempt of an earlier connection may have run. */
+static int entry_gate_restarted(struct attempt_entry *call, uint32_t epoch,
+				struct retry_bucket *bucket, struct attempt_entry_actions *out,
+				struct error *err)
+{
+	if (!entry_is_outstanding(call))
+		return 0;
+	if (call->state == ENTRY_SENT && call->target.epoch == epoch)
+		return entry_not_run(call, bucket, REASON_INCARNATION, out, err);
+	return entry_lost(call, bucket, REASON_CONNECTION_LOST, out, err);
+}
+
 /* Takes an answer message. One for another attempt is acknowledged and otherwise ignored. */
 static int entry_answer(struct attempt_entry *call, const struct attempt_entry_event *event,
 			struct retry_bucket *bucket, struct attempt_entry_actions *out,
@@ -277,8 +335,9 @@
 	call->answer_margin_us = settings->answer_margin_us;
 	call->idempotent = settings->idempotent;
 	call->keyed = settings->keyed;
-	call->servers_max = settings->servers_max < UINT8_MAX ? (uint8_t)settings->servers_max
-							      : UINT8_MAX;
+	call->is_patient = settings->is_patient;
+	call->servers_max =
+		settings->servers_max < UINT8_MAX ? (uint8_t)settings->servers_max : UINT8_MAX;
 	call->state = ENTRY_CHOOSING;
 	retry_tree_init(&call->retries, settings->retries_stated, settings->retry_budget);
 }
@@ -305,7 +364,7 @@
 	case ENTRY_EVENT_CHOSEN:
 		return entry_send(call, &event->chosen, now_us, out, err);
 	case ENTRY_EVENT_NO_GATE:
-		return entry_finish(call, OUTCOME_NOT_RUN, event->no_gate.reason, out, err);
+		return entry_no_gate(call, event->no_gate.reason, out, err);
 	case ENTRY_EVENT_SEND_FAILED:
 		if (call->state != ENTRY_SENT)
 			return error_set(err, ERROR_STATE, "send failed, but none was tried");
@@ -321,6 +380,8 @@
 		if (!entry_is_outstanding(call))
 			return 0;
 		return entry_lost(call, bucket, REASON_CONNECTION_LOST, out, err);
+	case ENTRY_EVENT_GATE_RESTARTED:
+		return entry_gate_restarted(call, event->gate_restarted.epoch, bucket, out, err);
 	case ENTRY_EVENT_CALLER_GONE:
 		return entry_abandon(call, REASON_CANCELLED, out, err);
 	case ENTRY_EVENT_TICK:
--- a/src/fescuemill/decide/attempt_entry.h
+++ b/src/fescuemill/decide/attempt_entry.h
@@ -24,6 +24,7 @@
 	bool keyed; /* goes to the key's home gate only, so it is not retried elsewhere */
 	bool retries_stated;
 	uint32_t retry_budget; /* from the header, if stated */
+	bool is_patient;       /* may wait at the first gate, where asking others costs too much */
 	uint32_t servers_max;  /* backend servers it may be handed to; 0: only the tree's budget */
 };
 
@@ -40,11 +41,13 @@
 	struct attempt_target target; /* the present attempt */
 	struct retry_tree retries;
 	uint64_t excluded[ENTRY_EXCLUDED_MAX]; /* node ids not to choose again */
+	uint32_t excluded_for_good;	       /* bits of those that lost or failed it */
 	uint8_t excluded_count;
 	uint8_t attempts;
 	uint8_t servers_max;
-	uint8_t servers;  /* that it was, or may have been, handed to */
-	uint8_t refusals; /* by gates, before a backend server saw it */
+	uint8_t servers;     /* that it was, or may have been, handed to */
+	bool is_patient;     /* every gate was asked: from now on it may wait at one */
+	uint8_t refusals;    /* by gates, before a backend server saw it */
 	uint8_t state;	     /* enum attempt_entry_state */
 	uint8_t last_reason; /* enum call_reason of the last attempt that was not run */
 	bool idempotent;
@@ -53,15 +56,16 @@
 };
 
 enum attempt_entry_event_type {
-	ENTRY_EVENT_START,	   /* the call came from its caller */
-	ENTRY_EVENT_CHOSEN,	   /* a gate was chosen */
-	ENTRY_EVENT_NO_GATE,	   /* none can be chosen */
-	ENTRY_EVENT_SEND_FAILED,   /* the call message was certainly not handed to the socket */
-	ENTRY_EVENT_ANSWER,	   /* an answer message came */
-	ENTRY_EVENT_PENDING,	   /* a pending message came */
-	ENTRY_EVENT_HELD,	   /* a held message came: the answer waits for the bulk link */
-	ENTRY_EVENT_LINK_REPLACED, /* the attempt's link went silent or broke; a new one is open */
-	ENTRY_EVENT_GATE_GONE,	   /* the gate is dead, restarted, or cannot be connected to */
+	ENTRY_EVENT_START,	    /* the call came from its caller */
+	ENTRY_EVENT_CHOSEN,	    /* a gate was chosen */
+	ENTRY_EVENT_NO_GATE,	    /* none can be chosen */
+	ENTRY_EVENT_SEND_FAILED,    /* the call message was certainly not handed to the socket */
+	ENTRY_EVENT_ANSWER,	    /* an answer message came */
+	ENTRY_EVENT_PENDING,	    /* a pending message came */
+	ENTRY_EVENT_HELD,	    /* a held message came: the answer waits for the bulk link */
+	ENTRY_EVENT_LINK_REPLACED,  /* the attempt's link went silent or broke; a new one is open */
+	ENTRY_EVENT_GATE_GONE,	    /* the gate is dead, restarted, or cannot be connected to */
+	ENTRY_EVENT_GATE_RESTARTED, /* the link in use leads to a later process of the gate */
 	ENTRY_EVENT_CALLER_GONE,
 	ENTRY_EVENT_TICK,
 };
@@ -85,6 +89,9 @@
 		struct {
 			uint32_t epoch; /* of the new link, of the same kind */
 		} link_replaced;
+		struct {
+			uint32_t epoch; /* of the link that the gate's later process answered on */
+		} gate_restarted;
 	};
 };
 
@@ -102,6 +109,7 @@
 	enum attempt_entry_action_type type;
 	struct attempt_target target; /* of sends */
 	uint64_t time_left_us;	      /* of SEND_CALL */
+	bool refuse_to_wait;	      /* of SEND_CALL: the gate refuses it rather than queue it */
 	uint32_t retries_passed;      /* of SEND_CALL: the header's value */
 	enum call_outcome outcome;    /* of FINISH */
 	enum call_reason reason;
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -6,6 +6,7 @@
 #include "fescuemill/decide/choice.h"
 
 #include "fescuemill/decide/choice_table.h"
+#include "fescuemill/decide/pace.h"
 #include "fescuemill/fleet/member_defs.h"
 
 #include <math.h>
@@ -36,6 +37,7 @@
 		.candidates = 5,
 		.round_trip_us = {300, 3500, 17000},
 		.step_us = {0, 200, 10000},
+		.step_us_per_kib = {0, 0, 0},
 		.service_time_us = 5000,
 		.load_age_us = 50000,
 		.trial_age_us = 1000000,
@@ -168,13 +170,28 @@
 	return seen > (float)gate->in_flight ? seen : (float)gate->in_flight;
 }
 
+/* Gives how much longer a call takes for the noise on a gate's host, as far as a noisy spell that
+ * was seen some time ago is expected to last. */
+static float noise_factor(const struct choice_gate *gate, uint64_t now_us)
+{
+	float weight = aged_weight(gate->load_us, now_us, PACE_SPELL_US);
+
+	if (gate->pace_percent <= PACE_USUAL_PERCENT)
+		return 1;
+	return 1 + weight * (float)(gate->pace_percent - PACE_USUAL_PERCENT) / PACE_USUAL_PERCENT;
+}
+
 /* Expected completion of an attempt sent now, in microseconds, with the cost of a likely error
  * and of the distance. */
 static float expected_completion_us(const struct choice *choice, const struct choice_gate *gate,
-				    uint32_t class_index, uint64_t now_us)
+				    const struct choice_query *query, uint64_t now_us)
 {
+	uint32_t class_index = query->class_index;
+	uint32_t distance = gate->member.distance;
+	float body_kib = (float)query->body_bytes / 1024;
 	float slowness = expected_slowness(choice, gate, now_us);
-	float service = slowness * class_typical_us(choice, class_index);
+	float service =
+		slowness * noise_factor(gate, now_us) * class_typical_us(choice, class_index);
 	float limit = (float)gate->limit;
 	float excess = expected_occupancy(choice, gate, now_us) + 1 - limit;
 	float errors = is_on_trial(choice, gate, now_us) ? 0 : error_excess(choice, gate);
@@ -182,7 +199,8 @@
 
 	return gate->round_trip_us + wait + service +
 	       errors * (float)choice->settings.error_penalty_us +
-	       (float)choice->settings.step_us[gate->member.distance];
+	       (float)choice->settings.step_us[distance] +
+	       body_kib * (float)choice->settings.step_us_per_kib[distance];
 }
 
 /* Draws gates at one distance without repeats and compares them with the best so far. */
@@ -203,8 +221,7 @@
 		if (!choice_may_pick(&choice->gates[number], query, now_us))
 			continue;
 		drawn++;
-		cost = expected_completion_us(choice, &choice->gates[number], query->class_index,
-					      now_us);
+		cost = expected_completion_us(choice, &choice->gates[number], query, now_us);
 		if (best >= 0 && cost >= *best_us)
 			continue;
 		best = number;
@@ -288,6 +305,7 @@
 {
 	gate->load_us = now_us;
 	gate->occupancy = load->in_use + load->queued;
+	gate->pace_percent = load->pace_percent;
 	gate->sent_since = 0;
 	gate_state_taken(gate, load->state, now_us);
 	if (load->limit > 0)
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -32,6 +32,7 @@
 	uint32_t candidates;			/* gates compared at each distance */
 	uint32_t round_trip_us[DISTANCE_COUNT]; /* before one was measured */
 	uint32_t step_us[DISTANCE_COUNT];	/* by how much a gate there must win */
+	uint32_t step_us_per_kib[DISTANCE_COUNT]; /* the same for each KiB of the request's body */
 	uint32_t service_time_us;		/* before one was seen */
 	uint32_t load_age_us;			/* a seen queue this old counts for 1/e */
 	uint32_t trial_age_us;			/* a slow gate is not tried again sooner */
@@ -57,6 +58,7 @@
 	const uint64_t *excluded; /* node ids */
 	uint32_t excluded_count;
 	uint8_t class_index; /* of the call in its service's list of classes */
+	uint32_t body_bytes; /* of the request */
 };
 
 enum choice_result_kind {
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -15,6 +15,7 @@
 	uint64_t held_to_us;  /* the gate said that it drains, and is not chosen before */
 	uint32_t in_flight;   /* attempts of this entry */
 	uint32_t sent_since;  /* of them sent since the load was seen */
+	uint32_t pace_percent; /* of its host, as it said last; 0: unknown */
 	uint32_t occupancy;   /* slots in use and attempts queued, as seen */
 	uint32_t limit;	      /* slots that the gate uses, as seen */
 	bool is_timed;	      /* an answer has set slowness */
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -9,6 +9,8 @@
 #include "fescuemill/decide/gate_tally.h"
 #include "fescuemill/decide/headroom.h"
 
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static const struct gate_verdict verdict_start = {GATE_START, REASON_NONE};
@@ -153,6 +155,41 @@
 	return gate->state == BACKEND_READY || gate->state == BACKEND_DRAINING;
 }
 
+/* Gives the service time of a class to plan with; one that is not known counts as long. */
+static uint64_t planned_us(const struct gate_class *class)
+{
+	return class->service.usual_us ? class->service.usual_us : class->target.latency_us;
+}
+
+/* Advises whether a ticket had better start now, by the pace of the host. */
+static enum pace_advice advise(const struct gate *gate, const struct gate_ticket *ticket,
+			       uint64_t now_us)
+{
+	return pace_advise(&gate->pace, planned_us(&gate->classes[ticket->class_index]), now_us);
+}
+
+/* Refuses the tickets of a list that would rather be elsewhere than wait. */
+static void send_on_list(struct gate *gate, struct gate_ticket *ticket,
+			 struct gate_actions *actions)
+{
+	while (ticket) {
+		struct gate_ticket *next = ticket->next;
+
+		if (ticket->refuse_to_wait)
+			refuse(gate, ticket, REASON_OVERLOAD, actions);
+		ticket = next;
+	}
+}
+
+/* Refuses all waiting tickets that would rather be elsewhere than wait. */
+static void send_on(struct gate *gate, struct gate_actions *actions)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		send_on_list(gate, gate->classes[i].in_profile.head, actions);
+		send_on_list(gate, gate->classes[i].out_of_profile.head, actions);
+	}
+}
+
 /* Fills free slots with waiting work. */
 static void dispatch(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
@@ -165,6 +202,10 @@
 			refuse(gate, ticket, REASON_EXPIRED, actions);
 			continue;
 		}
+		if (advise(gate, ticket, now_us) == PACE_WAIT)
+			send_on(gate, actions);
+		if (advise(gate, ticket, now_us) != PACE_START)
+			return;
 		gate_queue_remove(gate, ticket);
 		start(gate, ticket, now_us);
 		actions_add(actions, ticket, verdict_start);
@@ -226,6 +267,27 @@
 	return -1;
 }
 
+/* Gives the class that is nearest in rank to a class which this gate does not know, by the name that
+ * routes give it; -1 when there is none. Versions of the routes differ for a moment between nodes. */
+int gate_nearest_class(const struct gate *gate, const char *name)
+{
+	unsigned int wanted = 0;
+	int nearest = -1;
+
+	if (sscanf(name, "rank%u-", &wanted) != 1)
+		return -1;
+	for (int i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		const struct gate_class *class = &gate->classes[i];
+
+		if (!class->active)
+			continue;
+		if (nearest < 0 || abs((int)class->target.rank - (int)wanted) <
+					   abs((int)gate->classes[nearest].target.rank - (int)wanted))
+			nearest = i;
+	}
+	return nearest;
+}
+
 /* Takes away the classes that a configuration does not name and updates those that it does. */
 static void update_classes(struct gate *gate, const struct service_config *config,
 			   struct gate_actions *actions)
@@ -407,17 +469,22 @@
 			       uint64_t deadline_us, uint64_t now_us, struct gate_actions *actions)
 {
 	enum call_reason reason;
+	bool has_room;
 
 	now_us = begin(gate, now_us, actions);
 	reason = find_objection(gate, class_index, deadline_us, now_us);
 	if (reason != REASON_NONE)
 		return verdict_refuse(reason);
 	fill_ticket(gate, ticket, class_index, deadline_us, now_us);
-	if (gate->queued == 0 && may_take_slot(gate, class_index)) {
+	if (gate->queued == 0 && may_take_slot(gate, class_index) && advise(gate, ticket, now_us) == PACE_START) {
 		start(gate, ticket, now_us);
 		return verdict_start;
 	}
-	reason = enqueue(gate, ticket, now_us, actions);
+	has_room = gate->in_use + gate->queued < gate->limit.current;
+	if (ticket->refuse_to_wait && (!has_room || advise(gate, ticket, now_us) == PACE_WAIT))
+		reason = REASON_OVERLOAD;
+	else
+		reason = enqueue(gate, ticket, now_us, actions);
 	if (reason == REASON_NONE) {
 		dispatch(gate, now_us, actions);
 		return take_verdict(actions, ticket);
@@ -472,6 +539,31 @@
 	dispatch(gate, now_us, actions);
 }
 
+/* Takes the pace of the host and starts what waited for it. */
+void gate_take_pace(struct gate *gate, uint32_t percent, uint64_t now_us,
+		    struct gate_actions *actions)
+{
+	now_us = begin(gate, now_us, actions);
+	pace_seen(&gate->pace, percent, now_us);
+	dispatch(gate, now_us, actions);
+}
+
+/* Takes that the pace could not be had; nothing waits for it for a while. */
+void gate_pace_unknown(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
+{
+	now_us = begin(gate, now_us, actions);
+	pace_probe_failed(&gate->pace, now_us);
+	dispatch(gate, now_us, actions);
+}
+
+/* Tells whether work with a free slot waits for a figure. */
+bool gate_wants_pace(struct gate *gate, uint64_t now_us)
+{
+	if (gate->queued == 0 || gate->in_use >= gate->limit.current || !may_start(gate))
+		return false;
+	return pace_take_probe(&gate->pace, now_us);
+}
+
 /* Gives a value that fits 32 bits. */
 static uint32_t saturate(uint64_t value)
 {
@@ -492,4 +584,5 @@
 	load->service_time_us = saturate(gate->service_us + gate->penalty_us);
 	load->wait_us = saturate(wait_us);
 	load->state = (uint8_t)gate->state;
+	load->pace_percent = gate->pace.is_used ? gate->pace.percent : 0;
 }
--- a/src/fescuemill/decide/gate.h
+++ b/src/fescuemill/decide/gate.h
@@ -14,6 +14,7 @@
 void gate_set_backend(struct gate *gate, enum backend_state state, uint32_t slots, uint64_t now_us,
 		      struct gate_actions *actions);
 int gate_find_class(const struct gate *gate, const char *name);
+int gate_nearest_class(const struct gate *gate, const char *name);
 struct gate_verdict gate_offer(struct gate *gate, struct gate_ticket *ticket, uint32_t class_index,
 			       uint64_t deadline_us, uint64_t now_us, struct gate_actions *actions);
 void gate_finish(struct gate *gate, struct gate_ticket *ticket, enum gate_result result,
@@ -21,6 +22,12 @@
 void gate_cancel(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
 		 struct gate_actions *actions);
 void gate_tick(struct gate *gate, uint64_t now_us, struct gate_actions *actions);
+/* Takes the pace of the backend server's host, or that it could not be asked for it. */
+void gate_take_pace(struct gate *gate, uint32_t percent, uint64_t now_us,
+		    struct gate_actions *actions);
+void gate_pace_unknown(struct gate *gate, uint64_t now_us, struct gate_actions *actions);
+/* Whether the owner is to ask the backend server for its pace now. */
+bool gate_wants_pace(struct gate *gate, uint64_t now_us);
 void gate_get_load(const struct gate *gate, struct gate_load *load);
 
 #endif
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -10,6 +10,7 @@
 #include "fescuemill/decide/floor.h"
 #include "fescuemill/decide/limit.h"
 #include "fescuemill/decide/load_defs.h"
+#include "fescuemill/decide/pace.h"
 #include "fescuemill/decide/profile.h"
 #include "fescuemill/fleet/member_defs.h"
 
@@ -29,7 +30,7 @@
 	TICKET_RUNNING,
 };
 
-/* One attempt at the gate. The owner sets only owner; the gate sets the rest. */
+/* One attempt at the gate. The owner sets only owner and refuse_to_wait; the gate sets the rest. */
 struct gate_ticket {
 	void *owner;
 	struct gate_ticket *prev;
@@ -42,6 +43,7 @@
 	uint8_t class_index;
 	uint8_t generation; /* of the class's place */
 	uint8_t state;	    /* enum ticket_state */
+	bool refuse_to_wait; /* set by the owner: refused unless a slot is free at once */
 	bool in_profile;
 	bool ahead_of_rank; /* started for its floor while more urgent work in profile waited */
 };
@@ -113,6 +115,7 @@
 	struct gate_class classes[CLASSES_PER_SERVICE_MAX];
 	enum backend_state state;
 	struct limit limit;
+	struct pace pace;
 	uint32_t slots_used_percent; /* the owner may set it; 0: the limit is measured */
 	uint32_t in_use;
 	uint32_t queued;
--- a/src/fescuemill/decide/retry_after.c
+++ b/src/fescuemill/decide/retry_after.c
@@ -4,7 +4,7 @@
 #include "fescuemill/decide/retry_after.h"
 
 #define ELSEWHERE_MS  50   /* another node or backend server may take it at once */
-#define STARTING_MS   300  /* a node or backend server that starts is ready within about this */
+#define STARTING_MS   150  /* a node that starts has its configuration within about this */
 #define FULL_MS	      200  /* a queue that is full has room again after a few service times */
 #define WAIT_MS_MAX   2000 /* a longer forecast is worth less than another try */
 #define SPREAD_FACTOR 1.0  /* the latest return is this much later than the earliest, relatively */
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -11,6 +11,7 @@
 #include "fescuemill/admin/view.h"
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
+#include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/base/random.h"
 #include "fescuemill/http/server.h"
@@ -215,6 +216,9 @@
 	char *text = h2o_mem_alloc_pool(&req->pool, METRICS_BYTES);
 	size_t size = counter_write_text(text, METRICS_BYTES);
 
+	if (size < METRICS_BYTES)
+		size += latency_write_text(text + size, METRICS_BYTES - size);
+
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE, NULL,
 		       H2O_STRLIT("text/plain; version=0.0.4"));
 	http_respond(req, 200, text, size < METRICS_BYTES ? size : METRICS_BYTES - 1);
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -121,6 +121,28 @@
 	return 0;
 }
 
+/* Tells whether a start of the backend server has said that it leaves. */
+static bool has_left(const struct announcement *latest, const char *instance)
+{
+	bool is_leaving = latest->state == BACKEND_DRAINING || latest->state == BACKEND_LEAVING;
+
+	return is_leaving &&
+	       (!instance[0] || !latest->instance[0] || strcmp(latest->instance, instance) == 0);
+}
+
+/* Takes what a health check found. */
+void announce_found(struct announce *ann, const struct announcement *found)
+{
+	struct announcement news = *found;
+
+	if (ann->now.state != BACKEND_NONE || has_left(&ann->latest, found->instance))
+		return;
+	log_write(LOG_INFO, LOG_PART_HTTP, "A backend server was found by its health check.",
+		  "service=%s instance=%s slots=%u", found->service, found->instance, found->slots);
+	if (take(ann, &news, NULL) == 0)
+		uv_timer_start(&ann->lease, on_lease_ended, ann->options.lease_ms, 0);
+}
+
 /* Lists a request's head as wire bytes; announcements need no headers. */
 static struct call_head head_of(const h2o_req_t *req)
 {
--- a/src/fescuemill/http/announce.h
+++ b/src/fescuemill/http/announce.h
@@ -33,6 +33,9 @@
 uint16_t announce_port(const struct announce *ann);
 /* Ends the lease before its time: the backend server does not listen any more. */
 void announce_end_lease(struct announce *ann);
+/* Takes what a health check found, while no announcement holds. A start that said that it leaves is
+ * not taken back for answering on. */
+void announce_found(struct announce *ann, const struct announcement *found);
 void announce_close(struct announce *ann);
 void announce_free(struct announce *ann);
 
--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -364,6 +364,18 @@
 	*buf = uv_buf_init(conn->client->read_buffer, READ_BYTES);
 }
 
+/* Tells whether a connection that has nothing more to read was closed in order. libuv reports a reset
+ * that comes right behind the last bytes as an end, so the socket itself is asked. */
+static bool was_closed_in_order(const struct connection *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 /* Takes what was read. Bytes on an idle connection belong to no call. */
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
@@ -372,7 +384,7 @@
 	if (size == 0 || conn->is_closing)
 		return;
 	if (size < 0)
-		take_end(conn, size == UV_EOF);
+		take_end(conn, size == UV_EOF && was_closed_in_order(conn));
 	else if (conn->call)
 		take_bytes(conn->call, (const uint8_t *)buf->base, (size_t)size);
 	else
--- a/src/fescuemill/http/backend.h
+++ b/src/fescuemill/http/backend.h
@@ -6,6 +6,7 @@
 #define FESCUEMILL_HTTP_BACKEND_H
 
 #include "fescuemill/base/error.h"
+#include "fescuemill/http/announcement.h"
 #include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/wire/message_defs.h"
 
@@ -28,7 +29,8 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
-	uint32_t pace_percent; /* how long work takes now, 100 as usual */
+	uint32_t pace_percent;		    /* how long work takes now, 100 as usual */
+	char instance[INSTANCE_NAME_BYTES]; /* the start that tells it; empty: not stated */
 };
 
 /* Everything is valid only during the callback. */
@@ -47,6 +49,7 @@
 	struct attempt_id id;
 	const struct message_call *call;
 	uint64_t time_left_us;
+	bool is_probe;	      /* a health check of the node's own, not a call */
 	const char *instance; /* the start of the backend server that is meant; NULL: any */
 	struct endpoint to;   /* set by the client */
 };
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -66,6 +66,10 @@
 	uint32_t key_spread_ms;
 	uint32_t retry_share_permille;
 	uint32_t retry_burst;
+	uint32_t load_age_ms;
+	uint32_t region_body_us_per_kib;
+	uint32_t far_body_us_per_kib;
+	uint32_t join_wait_ms;
 	uint32_t own_domain_distance_us;
 	uint32_t own_region_distance_us;
 	uint32_t other_region_distance_us;
@@ -75,6 +79,7 @@
 	uint32_t platform_watchers;
 	uint32_t platform_timeout_ms;
 	uint32_t platform_watch_ms;
+	uint32_t platform_backoff_ms;
 	uint32_t admin_key_count;
 	struct admin_key admin_keys[ADMIN_KEYS_MAX];
 	uint32_t team_rights_count;
--- a/src/fescuemill/store/client.c
+++ b/src/fescuemill/store/client.c
@@ -7,6 +7,7 @@
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
+#include "fescuemill/base/latency.h"
 #include "fescuemill/http/fetch.h"
 #include "fescuemill/store/cost.h"
 
@@ -36,6 +37,7 @@
 	struct store_pages pages;	 /* of a list that comes in several answers */
 	uint32_t page_count;
 	bool can_wait;
+	uint64_t begun_us;
 	uint32_t endpoint;
 	platform_done_fn done;
 	void *user;
@@ -85,6 +87,8 @@
 	bool lost = result->err.kind == ERROR_TIMEOUT || result->err.kind == ERROR_UNREACHABLE ||
 		    result->err.kind == ERROR_STATE;
 
+	if (call->type != PLATFORM_WATCH)
+		latency_record(LATENCY_STORE_CALL, clock_monotonic_us() - call->begun_us);
 	result->effect_unknown = lost && was_sent && call_changes(call);
 	if (lost && call->endpoint == client->endpoint)
 		client->endpoint = (call->endpoint + 1) % client->endpoint_count;
@@ -215,6 +219,7 @@
 	call->client = client;
 	call->type = request->type;
 	call->can_wait = request->can_wait;
+	call->begun_us = clock_monotonic_us();
 	memcpy(call->kind, request->kind, strlen(request->kind) + 1);
 	call->done = done;
 	call->user = user;
--- a/src/fescuemill/store/follow.c
+++ b/src/fescuemill/store/follow.c
@@ -55,9 +55,8 @@
 	if (!follow->session.list_needed && err->kind == ERROR_TIMEOUT)
 		counter_add(COUNTER_PLATFORM_WATCHES_SILENT, 1);
 	if (err->kind == ERROR_VERSION) {
-		/* The history after the last version is gone: only a list tells what exists. */
-		session_refresh(&follow->session);
-		session_put_off(&follow->session, clock_monotonic_us());
+		log_failure(LOG_INFO, LOG_PART_PLATFORM, "The history is gone; listing anew.", err);
+		session_forgotten(&follow->session, clock_monotonic_us());
 		return;
 	}
 	if (!follow->failing)
--- a/src/fescuemill/store/session.c
+++ b/src/fescuemill/store/session.c
@@ -54,6 +54,16 @@
 	session->not_before_us = 0;
 }
 
+/* Takes that the history after the version reached is gone: only a list tells what exists now. The
+ * list waits a little, so that all followers do not ask at once. */
+void session_forgotten(struct session *session, uint64_t now_us)
+{
+	session->list_needed = true;
+	session_move(session, PLATFORM_SESSION_INPUT_OUTDATED);
+	session_put_off(session, now_us);
+	session->failures = 0;
+}
+
 static void fill_tokens(struct session *session, uint64_t now_us)
 {
 	double rate = session->limits.calls_per_minute / SECONDS_PER_MINUTE / USEC_PER_SEC;
--- a/src/fescuemill/store/session.h
+++ b/src/fescuemill/store/session.h
@@ -63,6 +63,7 @@
 struct session_action session_next(struct session *session, uint64_t now_us);
 void session_succeeded(struct session *session, uint64_t version);
 void session_failed(struct session *session, uint64_t now_us);
+void session_forgotten(struct session *session, uint64_t now_us);
 void session_put_off(struct session *session, uint64_t now_us);
 
 #endif
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -30,19 +30,20 @@
 /* Packs a gate's load. */
 static void pack_load(msgpack_packer *pk, const struct gate_load *load)
 {
-	msgpack_pack_array(pk, 6);
+	msgpack_pack_array(pk, 7);
 	msgpack_pack_uint32(pk, load->in_use);
 	msgpack_pack_uint32(pk, load->limit);
 	msgpack_pack_uint32(pk, load->queued);
 	msgpack_pack_uint32(pk, load->service_time_us);
 	msgpack_pack_uint32(pk, load->wait_us);
 	msgpack_pack_uint8(pk, load->state);
+	msgpack_pack_uint32(pk, load->pace_percent);
 }
 
 /* Packs the fields of a call. */
 static void pack_call(msgpack_packer *pk, const struct message_call *call)
 {
-	msgpack_pack_array(pk, 12);
+	msgpack_pack_array(pk, 13);
 	msgpack_pack_uint64(pk, call->gate_incarnation);
 	pack_name(pk, call->service);
 	pack_name(pk, call->class_name);
@@ -55,6 +56,7 @@
 	pack_bytes(pk, &call->path);
 	pack_headers(pk, &call->headers);
 	pack_bytes(pk, &call->body);
+	msgpack_pack_uint8(pk, call->refuse_to_wait);
 }
 
 /* Packs the fields of an answer. */
@@ -180,6 +182,8 @@
 	load->service_time_us = (uint32_t)reader_uint(&inner, UINT32_MAX);
 	load->wait_us = (uint32_t)reader_uint(&inner, UINT32_MAX);
 	load->state = (uint8_t)reader_uint(&inner, UINT8_MAX);
+	if (reader_has_more(&inner))
+		load->pace_percent = (uint32_t)reader_uint(&inner, UINT32_MAX);
 	rd->failed = rd->failed || inner.failed;
 }
 
@@ -198,6 +202,8 @@
 	call->path = reader_bytes(rd, UINT16_MAX);
 	read_headers(rd, &call->headers);
 	call->body = reader_bytes(rd, CALL_BODY_BYTES_MAX);
+	if (reader_has_more(rd))
+		call->refuse_to_wait = reader_uint(rd, 1) != 0;
 }
 
 /* Reads the fields of an answer. */
--- a/src/fescuemilld/demand_shell.c
+++ b/src/fescuemilld/demand_shell.c
@@ -103,6 +103,16 @@
 	counter_set(COUNTER_DEMAND_REPORTED, demand_reported(&shell->table, now_us));
 }
 
+/* Tells whether there is no stated amount that the gates could share. */
+static bool amounts_are_unstated(const struct service_config *config)
+{
+	for (uint32_t i = 0; i < config->class_count; i++) {
+		if (config->classes[i].calls_per_s != CLASS_CALLS_UNSTATED)
+			return false;
+	}
+	return true;
+}
+
 /* Takes the members and the configuration as they are now. */
 void demand_shell_refresh(struct demand_shell *shell, uint64_t now_us)
 {
@@ -111,8 +121,8 @@
 
 	if (self->backend != BACKEND_NONE)
 		config = config_find(shell->options.config, self->service);
-	shell->is_on = config != NULL;
-	if (!config)
+	shell->is_on = config != NULL && !amounts_are_unstated(config);
+	if (!shell->is_on)
 		return;
 	shell->config = *config;
 	demand_set_classes(&shell->table, demand_layout_of(config), config->class_count, now_us);
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -6,6 +6,7 @@
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
+#include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/retry_after.h"
 #include "fescuemilld/entry_classify.h"
@@ -21,6 +22,9 @@
 #define ANSWER_MARGIN_US 2000
 #define HTTP_ERROR_MIN	 500
 
+/* A body above this is not sent to gates that may refuse it: it costs more than a short wait. */
+#define ASK_BODY_BYTES_MAX 16384
+
 static const struct entry_input no_input = {NULL, NULL, 0};
 
 static void on_timer(uv_timer_t *timer);
@@ -59,6 +63,7 @@
 	if (!call->link)
 		return;
 	result.elapsed_us = (uint32_t)(now_us - call->sent_us);
+	latency_record(LATENCY_ATTEMPT, result.elapsed_us);
 	if (answer) {
 		entry_log_ended(call, answer);
 		call->wait_us = answer->load.wait_us;
@@ -105,8 +110,8 @@
 }
 
 /* Answers a call that never got as far as an attempt. */
-static void refuse(struct entry *entry, struct caller_call *caller,
-		   const struct call_request *req, enum call_reason reason)
+static void refuse(struct entry *entry, struct caller_call *caller, const struct call_request *req,
+		   enum call_reason reason)
 {
 	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
 
@@ -140,6 +145,7 @@
 	}
 	record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
 		    call->begun_us);
+	latency_record(LATENCY_CALL, clock_monotonic_us() - call->begun_us);
 	entry_log_finished(call, &answer);
 	release_slot(call);
 	caller_call_set_data(call->caller, NULL);
@@ -182,7 +188,7 @@
 static bool pick_life(struct entry_call *call, struct node_life *gate)
 {
 	struct choice_query query = {call->state.excluded, call->state.excluded_count,
-				     call->class_index};
+				     call->class_index, call->request->body.size};
 
 	entry_service_refresh(call->entry, call->service);
 	if (call->state.keyed) {
@@ -251,6 +257,7 @@
 	msg->call.depth = request->depth;
 	msg->call.retries_left = action->retries_passed;
 	msg->call.idempotent = call->idempotent;
+	msg->call.refuse_to_wait = action->refuse_to_wait;
 	msg->call.key = request->key;
 	msg->call.method = request->method;
 	msg->call.path = request->path;
@@ -391,6 +398,7 @@
 		.retries_stated = req->retry_budget_stated,
 		.retry_budget = req->retry_budget,
 		.servers_max = class->servers_max,
+		.is_patient = req->body.size > ASK_BODY_BYTES_MAX,
 	};
 
 	memset(call, 0, sizeof(*call));
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -33,6 +33,8 @@
 	bool (*region_is_usable)(void *user, const char *region);
 	/* A gate did not answer over several connections. */
 	void (*on_unreachable)(void *user, uint64_t node_id);
+	/* A gate says that it was started again. */
+	void (*on_new_life)(void *user, const struct node_life *life);
 	void *user;
 };
 
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -25,6 +25,7 @@
 	struct gate_link *owner;
 	struct peer peer;
 	struct channel_link *connection; /* NULL while closed */
+	bool is_other_life;		 /* a later process of the gate answered on it */
 	h2o_linklist_t calls;		 /* of struct call_place: answers that are due */
 };
 
@@ -82,7 +83,7 @@
 	char service[SERVICE_NAME_BYTES];
 	char name[CLASS_NAME_BYTES];
 	char route[ROUTE_NAME_BYTES];
-	uint8_t index;	       /* in the service's configuration */
+	uint8_t index; /* in the service's configuration */
 	bool idempotent;
 	uint32_t servers_max;  /* 0: not bounded */
 	uint64_t time_left_us; /* the client's, cut to the route's */
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -57,10 +57,16 @@
 /* Ends the attempts of a link whose gate is gone. */
 static void tell_gone(struct gate_link *link)
 {
-	struct attempt_entry_event event = {.type = ENTRY_EVENT_GATE_GONE};
+	for (int kind = 0; kind < LINK_KIND_COUNT; kind++) {
+		struct link_side *side = &link->sides[kind];
+		struct attempt_entry_event event = {.type = ENTRY_EVENT_GATE_GONE};
 
-	for (int kind = 0; kind < LINK_KIND_COUNT; kind++)
-		tell_calls(&link->sides[kind], &event);
+		if (side->is_other_life) {
+			event.type = ENTRY_EVENT_GATE_RESTARTED;
+			event.gate_restarted.epoch = side->peer.epoch;
+		}
+		tell_calls(side, &event);
+	}
 }
 
 /* Forgets a link and ends its attempts. Its memory is kept for the while: a step up the stack may
@@ -160,6 +166,30 @@
 	entry_link_send(side, &ack, NULL);
 }
 
+/* Passes on that a gate says it lives another life than this entry knows. */
+static void note_life(struct link_side *side, uint64_t incarnation)
+{
+	const struct gate_link *link = side->owner;
+	const struct entry_options *options = &link->entry->options;
+	struct node_life life = {link->life.node_id, incarnation};
+
+	if (incarnation <= link->life.incarnation)
+		return;
+	side->is_other_life = true;
+	if (options->on_new_life)
+		options->on_new_life(options->user, &life);
+}
+
+/* Gives the reason of an answer. A gate whose routes are of another version than this entry's may
+ * not know the class yet; that is no fault of the client. */
+static enum call_reason reason_of(const struct entry_call *call,
+				  const struct message_answer *answer)
+{
+	if (answer->reason == REASON_UNKNOWN_CLASS && call->route[0])
+		return REASON_NOT_READY;
+	return answer->reason;
+}
+
 /* Hands a message to its call. */
 static void hand_on(struct link_side *side, const struct message *msg)
 {
@@ -175,10 +205,12 @@
 	}
 	event.about.id = msg->id;
 	if (msg->type == MESSAGE_ANSWER) {
+		if (msg->answer.reason == REASON_INCARNATION)
+			note_life(side, msg->answer.gate_incarnation);
 		event.type = ENTRY_EVENT_ANSWER;
 		event.answer.id = msg->id;
 		event.answer.outcome = msg->answer.outcome;
-		event.answer.reason = msg->answer.reason;
+		event.answer.reason = reason_of(call, &msg->answer);
 		event.answer.failed = msg->answer.status >= HTTP_ERROR_MIN;
 		input.answer = &msg->answer;
 	} else {
@@ -194,9 +226,10 @@
 	struct gate_link *link = side->owner;
 	const struct call_place *place = (const struct call_place *)side->calls.next;
 
-	if (pong->gate_incarnation != link->life.incarnation)
+	if (pong->gate_incarnation != link->life.incarnation) {
+		note_life(side, pong->gate_incarnation);
 		tell_gone(link);
-	else if (!h2o_linklist_is_empty(&side->calls))
+	} else if (!h2o_linklist_is_empty(&side->calls))
 		choice_load_seen(place->call->service->choice, link->life.node_id, &pong->load,
 				 clock_monotonic_us());
 }
@@ -233,6 +266,7 @@
 			      &side->connection, err) != 0)
 		return -1;
 	peer_opened(&side->peer, clock_monotonic_us());
+	side->is_other_life = false;
 	return 0;
 }
 
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry_service.c
@@ -22,6 +22,9 @@
 	choice_default_settings(out);
 	out->policy = settings->choice_policy;
 	out->own_id = own_id;
+	out->load_age_us = settings->load_age_ms * USEC_PER_MSEC;
+	out->step_us_per_kib[DISTANCE_REGION] = settings->region_body_us_per_kib;
+	out->step_us_per_kib[DISTANCE_OTHER_REGION] = settings->far_body_us_per_kib;
 	out->round_trip_us[DISTANCE_DOMAIN] = 2 * settings->own_domain_distance_us;
 	out->round_trip_us[DISTANCE_REGION] = 2 * settings->own_region_distance_us;
 	out->round_trip_us[DISTANCE_OTHER_REGION] = 2 * settings->other_region_distance_us;
--- a/src/fescuemilld/gate_admission.c
+++ b/src/fescuemilld/gate_admission.c
@@ -7,6 +7,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_key.h"
+#include "fescuemilld/gate_probe.h"
 
 #include <string.h>
 
@@ -56,12 +57,14 @@
 	struct gate_shell *shell = attempt->shell;
 	struct gate_actions actions;
 	struct gate_verdict verdict = {GATE_REFUSE, REASON_NO_BACKEND};
-	uint32_t class_index =
-		(uint32_t)gate_find_class(&shell->admission, attempt->call.class_name);
+	int class_index = gate_find_class(&shell->admission, attempt->call.class_name);
 
+	if (class_index < 0)
+		class_index = gate_nearest_class(&shell->admission, attempt->call.class_name);
+	attempt->ticket.refuse_to_wait = attempt->call.refuse_to_wait;
 	actions.count = 0;
 	if (strcmp(attempt->call.service, shell->backend.service) == 0)
-		verdict = gate_offer(&shell->admission, &attempt->ticket, class_index,
+		verdict = gate_offer(&shell->admission, &attempt->ticket, (uint32_t)class_index,
 				     attempt->deadline_us, attempt->offered_us, &actions);
 	count_profile(&attempt->ticket);
 	if (verdict.kind != GATE_WAIT)
@@ -125,6 +128,25 @@
 		report_verdict(attempt);
 	}
 	shell->is_carrying_out = false;
+	gate_probe_check(shell);
+}
+
+/* Takes the pace of the host. */
+void gate_admission_take_pace(struct gate_shell *shell, uint32_t percent)
+{
+	struct gate_actions actions;
+
+	gate_take_pace(&shell->admission, percent, clock_monotonic_us(), &actions);
+	queue_verdicts(&actions);
+}
+
+/* Takes that the pace could not be had. */
+void gate_admission_pace_unknown(struct gate_shell *shell)
+{
+	struct gate_actions actions;
+
+	gate_pace_unknown(&shell->admission, clock_monotonic_us(), &actions);
+	queue_verdicts(&actions);
 }
 
 /* Lets time pass. */
--- a/src/fescuemilld/gate_admission.h
+++ b/src/fescuemilld/gate_admission.h
@@ -27,4 +27,8 @@
 void gate_admission_set_backend(struct gate_shell *shell, enum backend_state state);
 void gate_admission_set_config(struct gate_shell *shell, const struct service_config *config);
 
+/* Takes the pace of the backend server's host, or that it could not be had. */
+void gate_admission_take_pace(struct gate_shell *shell, uint32_t percent);
+void gate_admission_pace_unknown(struct gate_shell *shell);
+
 #endif
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -5,10 +5,12 @@
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
+#include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemilld/gate_admission.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_key.h"
+#include "fescuemilld/gate_probe.h"
 #include "fescuemilld/gate_reply.h"
 #include "fescuemilld/gate_shell_defs.h"
 
@@ -79,6 +81,23 @@
 	}
 }
 
+/* Tells how a run ended, with the load that the backend server told. */
+static void log_run_ended(const struct gate_attempt *attempt, const struct backend_answer *answer)
+{
+	bool is_good = answer->end == BACKEND_END_ANSWERED && answer->status < HTTP_ERROR_MIN;
+
+	log_write(
+		is_good ? LOG_DEBUG : LOG_INFO, LOG_PART_GATE, "A run ended.",
+		"entry=%016llx sequence=%llu class=%s end=%s status=%u queue_us=%llu server_us=%u "
+		"beside=%u running=%u waiting=%u slots=%u pace_percent=%u",
+		(unsigned long long)attempt->id.entry.node_id,
+		(unsigned long long)attempt->id.sequence, attempt->call.class_name,
+		backend_end_name(answer->end), answer->status,
+		(unsigned long long)(attempt->started_us - attempt->offered_us), answer->server_us,
+		attempt->ticket.beside, answer->load.running, answer->load.waiting,
+		answer->load.slots, answer->load.pace_percent);
+}
+
 /* Takes the end of a run from the backend client. */
 static void on_backend_done(void *user, const struct backend_answer *answer)
 {
@@ -89,6 +108,9 @@
 	uint64_t bytes = 0;
 
 	attempt->run = NULL;
+	log_run_ended(attempt, answer);
+	latency_record(LATENCY_RUN, answer->server_us);
+	gate_probe_take_load(shell, answer);
 	gate_admission_finish(attempt, result_of(answer));
 	if (outcome == OUTCOME_ANSWERED)
 		bytes = gate_attempt_keep(attempt, answer);
@@ -116,6 +138,7 @@
 	}
 	counter_add(COUNTER_GATE_ADMITTED, 1);
 	attempt->started_us = now_us;
+	latency_record(LATENCY_GATE_QUEUE, now_us - attempt->offered_us);
 	if (shell->backend.instance[0])
 		req.instance = shell->backend.instance;
 	if (attempt->deadline_us > now_us)
@@ -392,6 +415,13 @@
 		gate_admission_set_config(shell, config);
 }
 
+/* Sets where the backend server tells its load; an empty path when it does not. */
+void gate_shell_set_health_path(struct gate_shell *shell, const char *path)
+{
+	memcpy(shell->health_path, path, strlen(path) + 1);
+	shell->admission.pace.is_used = path[0] != '\0';
+}
+
 /* Gives the gate that decides. */
 struct gate *gate_shell_admission(struct gate_shell *shell)
 {
@@ -405,6 +435,13 @@
 			  clock_wall_us() / USEC_PER_MSEC);
 }
 
+/* Looks for the backend server. */
+void gate_shell_look(struct gate_shell *shell)
+{
+	if (shell->backend.state == BACKEND_NONE && shell->options.backend_server.port != 0)
+		gate_probe_look(shell);
+}
+
 /* Takes no new work from now on. */
 void gate_shell_drain(struct gate_shell *shell)
 {
@@ -495,6 +532,7 @@
 /* Closes a gate without live attempts. */
 void gate_shell_close(struct gate_shell *shell)
 {
+	gate_probe_cancel(shell);
 	backend_client_close(shell->client);
 	uv_close((uv_handle_t *)&shell->timer, free_shell);
 }
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -28,6 +28,8 @@
 	struct endpoint backend_server; /* port 0: as the backend server announces itself */
 	uint32_t answer_bytes_max;
 	uint64_t memory_bytes_max;
+	/* A probe found the backend server although it has not announced itself. May be NULL. */
+	void (*on_found)(void *user, const struct backend_load *load);
 	/* Called when the backend server took no connection; it may set the backend server. */
 	void (*on_unreachable)(void *user);
 	void *user;
@@ -47,6 +49,10 @@
 void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now);
 /* Sets the classes of the service; whoever changes them sets their rates too. */
 void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config);
+/* Sets where the backend server tells its load and pace; empty when it does not. */
+void gate_shell_set_health_path(struct gate_shell *shell, const char *path);
+/* Looks for the backend server by a probe while it has not announced itself. */
+void gate_shell_look(struct gate_shell *shell);
 /* The gate itself, for whoever sets the rates of its classes. */
 struct gate *gate_shell_admission(struct gate_shell *shell);
 /* Sets the homes of keys anew; call it at every change of members and twice a second. */
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -7,6 +7,7 @@
 #include "fescuemill/decide/attempt_gate.h"
 #include "fescuemill/decide/gate.h"
 #include "fescuemill/decide/key.h"
+#include "fescuemill/decide/route.h"
 #include "fescuemill/http/backend.h"
 #include "fescuemilld/gate_shell.h"
 
@@ -48,6 +49,10 @@
 	bool is_carrying_out;	 /* the verdicts are being worked off further up the stack */
 	struct backend_client *client;
 	struct announcement backend;
+	struct backend_call *probe; /* NULL unless one is on its way */
+	struct message_call probe_call;
+	uint64_t looked_us;		     /* when a backend server was looked for last */
+	char health_path[HEALTH_PATH_BYTES]; /* empty: the backend server cannot be probed */
 	bool is_draining;
 };
 
--- a/src/fescuemilld/main.c
+++ b/src/fescuemilld/main.c
@@ -61,6 +61,7 @@
 	log_set_level(settings.log_level);
 	if (node_open(&node, &settings, &own_outside, &err) != 0)
 		return fail("The node cannot start.", &err);
+	node_watch_settings(node, path);
 	if (node_run(node, &err) != 0)
 		return fail("The stop was not graceful.", &err);
 	return 0;
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node.c
@@ -8,6 +8,7 @@
 #include "fescuemilld/node_defs.h"
 #include "fescuemilld/node_events.h"
 #include "fescuemilld/node_parts.h"
+#include "fescuemilld/node_reload.h"
 #include "fescuemilld/node_stop.h"
 
 #include <signal.h>
@@ -99,6 +100,15 @@
 	entry_sweep(node->entry);
 }
 
+/* Tells whether a node that has its configuration has waited long enough for a peer to confirm its
+ * table of members. */
+static bool has_waited_for_peers(struct node *node, uint64_t now_us)
+{
+	if (node->config_ready_us == 0)
+		node->config_ready_us = now_us;
+	return now_us >= node->config_ready_us + node->settings.join_wait_ms * USEC_PER_MSEC;
+}
+
 /* Keeps up with the configuration: few nodes watch the platform, the others ask their peers. A
  * node that is not ready does both. */
 static void keep_up(struct node *node, uint64_t now_us)
@@ -107,10 +117,12 @@
 
 	follow_set_on(node->follow, !is_ready || is_watcher(node));
 	config_pull_tick(node->pull, now_us);
-	if (!is_ready)
+	if (!is_ready) {
+		node->config_ready_us = 0;
 		return;
+	}
 	gossip_set_config_version(node->gossip, config_version(node->config));
-	if (gossip_is_joined(node->gossip))
+	if (gossip_is_joined(node->gossip) || has_waited_for_peers(node, now_us))
 		node_move(node, NODE_INPUT_CAUGHT_UP);
 }
 
@@ -126,17 +138,24 @@
 	demand_shell_tick(node->demand, now_us);
 	if (gossip_is_superseded(node->gossip))
 		node_on_drain(node);
+	if (node->stop_phase == STOP_NONE)
+		gate_shell_look(node->gate);
+	node_reload_check(node, now_us);
 	node_stop_advance(node, now_us);
 	node_stop_check_limit(node, now_us);
 }
 
-/* Takes a signal: the first begins a stop, unless an operator's drain has begun it; the second
- * ends it at once. */
+/* Takes a signal. SIGHUP reads the settings again. Of the others the first begins a stop, unless an
+ * operator's drain has begun it; the second ends it at once. */
 static void on_signal(uv_signal_t *handle, int number)
 {
 	struct node *node = handle->data;
 
-	(void)number;
+	log_write(LOG_INFO, LOG_PART_MAIN, "A signal came.", "number=%d", number);
+	if (number == SIGHUP) {
+		node_reload(node);
+		return;
+	}
 	if (!node->was_signalled) {
 		node->was_signalled = true;
 		node_on_drain(node);
@@ -149,13 +168,13 @@
 /* Starts the timers and signals of a node whose parts are open. */
 static void start_handles(struct node *node)
 {
-	static const int numbers[2] = {SIGTERM, SIGINT};
+	static const int numbers[NODE_SIGNALS] = {SIGTERM, SIGINT, SIGHUP};
 
 	uv_timer_init(&node->loop, &node->housekeeping);
 	node->housekeeping.data = node;
 	uv_timer_start(&node->housekeeping, on_housekeeping, NODE_HOUSEKEEPING_MS,
 		       NODE_HOUSEKEEPING_MS);
-	for (int i = 0; i < 2; i++) {
+	for (int i = 0; i < NODE_SIGNALS; i++) {
 		uv_signal_init(&node->loop, &node->signals[i]);
 		node->signals[i].data = node;
 		uv_signal_start(&node->signals[i], on_signal, numbers[i]);
@@ -180,9 +199,16 @@
 		return -1;
 	start_handles(node);
 	node_move(node, NODE_INPUT_LISTENING);
+	keep_up(node, node->time_checked_us);
 	return 0;
 }
 
+/* Looks for changes of the settings file from now on. */
+void node_watch_settings(struct node *node, const char *path)
+{
+	node_reload_watch(node, path);
+}
+
 /* Prints the ports that the node really has. */
 static void print_start_line(const struct node *node)
 {
--- a/src/fescuemilld/node.h
+++ b/src/fescuemilld/node.h
@@ -22,6 +22,8 @@
 
 int node_open(struct node **out, const struct settings *settings, const struct outside *outside,
 	      struct error *err);
+/* Reads the settings file again when it changes, and at SIGHUP. */
+void node_watch_settings(struct node *node, const char *path);
 /* Prints the start-up line and runs until stopped by SIGTERM or SIGINT. Errors: ERROR_TIMEOUT when
  * the stop was not graceful; the detail says what was cut. */
 int node_run(struct node *node, struct error *err);
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -24,6 +24,8 @@
 #include <uv.h>
 
 #define NODE_HOUSEKEEPING_MS 100ULL
+#define NODE_SIGNALS	     3
+#define SETTINGS_PATH_BYTES  256
 
 /* How far a stop has come. */
 enum stop_phase {
@@ -48,12 +50,16 @@
 	uint64_t time_checked_us; /* at the latest at the last housekeeping */
 	uint64_t stall_us;	  /* how long the loop stood still last */
 	uint64_t stall_end_us;
+	uint64_t config_ready_us; /* since when, 0 while it is not */
 	uint64_t config_revision;
 	uint64_t members_revision;
 	bool was_signalled; /* to stop */
 	bool was_cut;
 	uv_timer_t housekeeping;
-	uv_signal_t signals[2];
+	uv_signal_t signals[NODE_SIGNALS];
+	char settings_path[SETTINGS_PATH_BYTES]; /* empty: settings do not change */
+	uint64_t settings_changed_ns;
+	uint64_t settings_checked_us;
 	struct config_store *config;
 	struct member_table *members;
 	struct burn_tables burn;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -8,6 +8,7 @@
 #include "fescuemill/chart/chart.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define TIME_SKIP_US  GOSSIP_PAUSE_US
 #define STALL_US_MIN  (2ULL * NODE_HOUSEKEEPING_MS * USEC_PER_MSEC)
@@ -96,6 +97,26 @@
 	gossip_report_failure(node->gossip, node_id, clock_monotonic_us());
 }
 
+/* Takes a gate's own word that it was started again. The fleet's news of it may be seconds away. */
+void node_on_new_life(void *user, const struct node_life *life)
+{
+	struct node *node = user;
+	const struct member *known = member_find(node->members, life->node_id);
+	struct member now;
+
+	if (!known || known->life.incarnation >= life->incarnation)
+		return;
+	now = *known;
+	now.life = *life;
+	now.revision = 0;
+	now.state = MEMBER_ALIVE;
+	log_write(LOG_INFO, LOG_PART_ENTRY, "A gate was started again.",
+		  "gate=%s incarnation=%llu known=%llu", known->name,
+		  (unsigned long long)life->incarnation,
+		  (unsigned long long)known->life.incarnation);
+	member_upsert(node->members, &now);
+}
+
 /* Notes that a peer has a newer configuration, and fetches it. */
 void node_on_newer_config(void *user, uint64_t node_id, uint64_t version)
 {
@@ -117,11 +138,16 @@
 /* Gives the gate the classes of its service, and its part of their rates. */
 void node_apply_config(struct node *node)
 {
-	const char *service = gossip_self(node->gossip)->service;
+	const struct member *self = gossip_self(node->gossip);
+	const char *service = self->service[0] ? self->service : node->settings.backend_service;
 	const struct service_config *config = config_find(node->config, service);
 
+	const struct routing *routing = config_routing(node->config);
+	const struct route_service *routed = routing ? routing_service(routing, service) : NULL;
+
 	if (config)
 		gate_shell_set_config(node->gate, config);
+	gate_shell_set_health_path(node->gate, routed ? routed->health_path : "");
 	demand_shell_refresh(node->demand, clock_monotonic_us());
 }
 
@@ -139,6 +165,26 @@
 	gate_shell_set_backend(node->gate, now);
 }
 
+/* Takes the backend server that the settings state and a probe found: a node that was started again
+ * need not wait for the next announcement. */
+void node_on_backend_found(void *user, const struct backend_load *load)
+{
+	struct node *node = user;
+	const struct settings *settings = &node->settings;
+	struct announcement found = {
+		.ip = settings->backend_server.ip,
+		.port = settings->backend_server.port,
+		.slots = load->slots,
+		.state = BACKEND_READY,
+	};
+
+	if (settings->backend_service[0] == '\0' || load->slots == 0)
+		return;
+	memcpy(found.service, settings->backend_service, sizeof(found.service));
+	memcpy(found.instance, load->instance, sizeof(found.instance));
+	announce_found(node->announce, &found);
+}
+
 /* Takes the backend server out of choice at once, rather than at the end of its lease. */
 void node_on_backend_unreachable(void *user)
 {
@@ -187,7 +233,7 @@
 	enum call_reason reason = node_refusal(node);
 	struct message call = *msg;
 
-	if (reason == REASON_NOT_READY)
+	if (reason == REASON_NOT_READY && !config_routing(node->config))
 		gate_shell_refuse(node->gate, from, msg, reason);
 	else if (clock_monotonic_us() > node->stall_end_us + STALL_READ_US)
 		gate_shell_message(node->gate, from, msg);
@@ -220,6 +266,8 @@
 
 	if (config_apply_batch(node->config, from, json, size, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG, "An answer was refused.", &err);
+	/* What has changed is passed on from the loop, at once rather than with the next tick. */
+	uv_timer_start(&node->housekeeping, node->housekeeping.timer_cb, 0, NODE_HOUSEKEEPING_MS);
 }
 
 /* Gives the node's state by its name in the chart. */
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -82,6 +82,7 @@
 		.refusal = node_refusal,
 		.region_is_usable = node_region_is_usable,
 		.on_unreachable = node_on_unreachable,
+		.on_new_life = node_on_new_life,
 		.user = node,
 	};
 	struct gate_shell_options gate = {
@@ -96,6 +97,7 @@
 		.slots_used_percent = settings->slots_used_percent,
 		.answer_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
+		.on_found = node_on_backend_found,
 		.on_unreachable = node_on_backend_unreachable,
 		.user = node,
 	};
@@ -120,6 +122,7 @@
 		session_limits_for(settings->platform_calls_per_minute, settings->platform_watchers,
 				   settings->platform_watch_ms);
 
+	limits.backoff_highest_us = settings->platform_backoff_ms * USEC_PER_MSEC;
 	if (platform_client_open(&node->store, &node->loop, settings, node->outside.store_dialect,
 				 &node->budget, err) != 0)
 		return -1;
@@ -254,6 +257,6 @@
 	ready_close(node->ready);
 	caller_close(node->caller);
 	uv_close((uv_handle_t *)&node->housekeeping, NULL);
-	for (int i = 0; i < 2; i++)
+	for (int i = 0; i < NODE_SIGNALS; i++)
 		uv_close((uv_handle_t *)&node->signals[i], NULL);
 }
--- a/test/property/attempt_world.h
+++ b/test/property/attempt_world.h
@@ -152,7 +152,7 @@
 	{
 		auto call = std::make_unique<Call>();
 		attempt_entry_settings settings = {now + deadline_us, 2000, idempotent, false, true,
-						   RETRY_BUDGET,      0};
+						   RETRY_BUDGET, false, 0};
 		attempt_entry_event event = {};
 
 		attempt_entry_init(&call->state, &settings);
--- a/test/property/choice_loop.h
+++ b/test/property/choice_loop.h
@@ -183,7 +183,7 @@
 	void arrive()
 	{
 		uint32_t entry = random_below(&rng, setup.entries);
-		choice_query query = {nullptr, 0, 0};
+		choice_query query = {nullptr, 0, 0, 0};
 		node_life life;
 
 		push({now + 1 + (uint64_t)exponential(1e6 / setup.calls_per_s),
@@ -258,7 +258,7 @@
 			      (uint32_t)server.queue.size(),
 			      (uint32_t)server.service_us,
 			      0,
-			      2};
+			      2, 0};
 		event.kind = BACK;
 		event.at_us = now + (uint64_t)ONE_WAY_US;
 		push(event);
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -69,7 +69,7 @@
 	bool pick(const std::vector<uint64_t> &excluded, node_life *life)
 	{
 		choice_query query = {excluded.data(), uint32_t(excluded.size()),
-				      uint8_t(random_below(&rng, 20))};
+				      uint8_t(random_below(&rng, 20)), 0};
 
 		return choice_pick(made, &query, &rng, now, life);
 	}
@@ -83,7 +83,7 @@
 		result.has_load = random_below(&rng, 2);
 		result.load = {random_below(&rng, 9),	  random_below(&rng, 9),
 			       random_below(&rng, 50),	  random_below(&rng, 90000),
-			       random_below(&rng, 90000), 2};
+			       random_below(&rng, 90000), 2, 0};
 		result.elapsed_us = random_below(&rng, 200000);
 		result.server_us = random_below(&rng, 100000);
 		choice_done(made, node_id, &result, now);
@@ -134,8 +134,8 @@
 RC_GTEST_PROP(Choice, AGateThatSaysItDrainsGetsNothingUntilItsWordIsOld, ())
 {
 	World world(choice_policy(*rc::gen::inRange<int>(0, CHOICE_POLICY_COUNT)));
-	gate_load draining = {0, 6, 0, 5000, 0, uint8_t(*rc::gen::element(3, 4))};
-	gate_load ready = {0, 6, 0, 5000, 0, 2};
+	gate_load draining = {0, 6, 0, 5000, 0, uint8_t(*rc::gen::element(3, 4)), 0};
+	gate_load ready = {0, 6, 0, 5000, 0, 2, 0};
 	choice_result result = {CHOICE_RESULT_REFUSED, 0, true, draining, 500, 0, 0};
 	node_life life;
 
@@ -180,7 +180,7 @@
 
 	world.join(*rc::gen::inRange(1, 60), true);
 	for (const auto &member : world.members) {
-		gate_load busy = {6, 6, random_below(&world.rng, 10), 5000, 0, 2};
+		gate_load busy = {6, 6, random_below(&world.rng, 10), 5000, 0, 2, 0};
 
 		if (member.distance != DISTANCE_OTHER_REGION)
 			choice_load_seen(world.made, member.life.node_id, &busy, world.now);
--- a/test/property/decision_cost_test.cc
+++ b/test/property/decision_cost_test.cc
@@ -49,7 +49,7 @@
 	EXPECT_EQ(0, choice_set_members(made, members.data(), gates, &err));
 	random_seed(&rng, 7);
 	double ns = ns_each(200000, [&](int) {
-		choice_query query = {nullptr, 0, 0};
+		choice_query query = {nullptr, 0, 0, 0};
 		choice_result result = {};
 		node_life life = {};
 
@@ -57,7 +57,7 @@
 		choice_pick(made, &query, &rng, now, &life);
 		choice_sent(made, life.node_id, now);
 		result.has_load = true;
-		result.load = {3, 6, 1, 5000, 0, 2};
+		result.load = {3, 6, 1, 5000, 0, 2, 0};
 		result.elapsed_us = 6000;
 		result.server_us = 5000;
 		choice_done(made, life.node_id, &result, now);
--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -26,10 +26,10 @@
 		begin(true);
 	}
 
-	void begin(bool idempotent, bool keyed = false)
+	void begin(bool idempotent, bool keyed = false, uint32_t servers_max = 0)
 	{
 		attempt_entry_settings settings = {DEADLINE_US, 1000, idempotent, keyed,
-						   false,	0,    0};
+						   false,	0,    false,	  servers_max};
 
 		attempt_entry_init(&call, &settings);
 		EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_START));
@@ -244,3 +244,117 @@
 	EXPECT_EQ(ERROR_STATE, err.kind);
 	EXPECT_EQ(0U, out.count);
 }
+
+// Where a route bounds the backend servers of a call, a gate's refusal reaches none of them.
+
+TEST_F(AttemptEntry, GatesAreAskedOneAfterTheOtherBeforeTheCallWaits)
+{
+	begin(true, false, 2);
+	bucket.tokens_milli = 0;
+	choose(5);
+	EXPECT_TRUE(out.list[0].refuse_to_wait);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(1, OUTCOME_NOT_RUN, REASON_OVERLOAD));
+	choose(6);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD));
+	EXPECT_EQ(2, call.excluded_count);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_NO_GATE));
+	EXPECT_EQ(0, call.excluded_count);
+	choose(5);
+	EXPECT_FALSE(out.list[0].refuse_to_wait);
+}
+
+TEST_F(AttemptEntry, APatientCallIsRefusedOnceAllGatesRefuseItAgain)
+{
+	begin(true, false, 2);
+	for (uint64_t i = 1; i <= ENTRY_REFUSALS_MAX + 1; i++) {
+		choose(i);
+		ASSERT_EQ(ENTRY_ACTION_CHOOSE, answer(i, OUTCOME_NOT_RUN, REASON_OVERLOAD));
+	}
+	EXPECT_TRUE(call.is_patient);
+	choose(1);
+	answer(ENTRY_REFUSALS_MAX + 2, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	expect_told(OUTCOME_NOT_RUN, REASON_OVERLOAD);
+}
+
+TEST_F(AttemptEntry, BackendServersAreBoundedByTheRoute)
+{
+	begin(true, false, 2);
+	bucket.tokens_milli = 10000;
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(1, OUTCOME_NOT_RUN, REASON_SHED));
+	choose(6);
+	answer(2, OUTCOME_NOT_RUN, REASON_SHED);
+	expect_told(OUTCOME_NOT_RUN, REASON_SHED);
+}
+
+TEST_F(AttemptEntry, AServersOwnErrorIsTriedElsewhereOnlyIfTheCallIsIdempotent)
+{
+	attempt_entry_event failed = {};
+
+	failed.type = ENTRY_EVENT_ANSWER;
+	failed.answer.outcome = OUTCOME_ANSWERED;
+	failed.answer.failed = true;
+	for (bool idempotent : {true, false}) {
+		begin(idempotent, false, 2);
+		bucket.tokens_milli = 10000;
+		choose(5);
+		failed.answer.id = call.target.id;
+		EXPECT_EQ(idempotent ? ENTRY_ACTION_CHOOSE : ENTRY_ACTION_FINISH, step(failed));
+	}
+	expect_told(OUTCOME_ANSWERED, REASON_NONE);
+}
+
+TEST_F(AttemptEntry, AnErrorIsTheAnswerWhenNoOtherServerMayBeTried)
+{
+	attempt_entry_event failed = {};
+
+	failed.type = ENTRY_EVENT_ANSWER;
+	failed.answer.outcome = OUTCOME_ANSWERED;
+	failed.answer.failed = true;
+	begin(true, false, 2);
+	bucket.tokens_milli = 0;
+	choose(5);
+	failed.answer.id = call.target.id;
+	EXPECT_EQ(ENTRY_ACTION_FINISH, step(failed));
+	expect_told(OUTCOME_ANSWERED, REASON_NONE);
+}
+
+TEST_F(AttemptEntry, AGateThatLostTheCallIsNotChosenAgainWhenTheOthersAreFull)
+{
+	begin(true, false, 3);
+	bucket.tokens_milli = 10000;
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_GATE_GONE));
+	choose(6);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD));
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_NO_GATE));
+	ASSERT_EQ(1, call.excluded_count);
+	EXPECT_EQ(5U, call.excluded[0]);
+}
+
+// A gate that was started again answers on the connection over which attempts for its earlier
+// process went out: those cannot have reached the earlier one.
+TEST_F(AttemptEntry, AnAttemptThatOnlyTheGatesLaterProcessSawDidNotRun)
+{
+	attempt_entry_event restarted = {};
+
+	begin(false, false, 2);
+	choose(5);
+	restarted.type = ENTRY_EVENT_GATE_RESTARTED;
+	restarted.gate_restarted.epoch = call.target.epoch;
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(restarted));
+	EXPECT_FALSE(call.may_have_run);
+}
+
+TEST_F(AttemptEntry, AnAttemptOfAnEarlierConnectionMayHaveRun)
+{
+	attempt_entry_event restarted = {};
+
+	begin(false, false, 2);
+	choose(5);
+	replaced(link_epoch(LINK_CALLS, 2));
+	restarted.type = ENTRY_EVENT_GATE_RESTARTED;
+	restarted.gate_restarted.epoch = call.target.epoch;
+	step(restarted);
+	expect_told(OUTCOME_UNKNOWN, REASON_CONNECTION_LOST);
+}
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -70,6 +70,77 @@
 	std::array<struct gate_ticket, 400> tickets = {};
 };
 
+// A call that would rather be elsewhere takes no place in the queue.
+TEST_F(Gate, RefusesRatherThanQueuesWhatIsToBeElsewhere)
+{
+	gate_ticket first = {};
+	gate_ticket second = {};
+
+	make_ready(1);
+	EXPECT_EQ(GATE_START, offer(first, BROWSE).kind);
+	second.refuse_to_wait = true;
+	gate_verdict verdict = offer(second, PURCHASE);
+	EXPECT_EQ(GATE_REFUSE, verdict.kind);
+	EXPECT_EQ(REASON_OVERLOAD, verdict.reason);
+	EXPECT_EQ(0U, gate.queued);
+	finish(first, GATE_RESULT_OK, 1000);
+	EXPECT_EQ(GATE_START, offer(second, PURCHASE).kind);
+}
+
+class NoisyGate : public Gate
+{
+      protected:
+	void SetUp() override
+	{
+		Gate::SetUp();
+		gate.pace.is_used = true;
+		gate.pace.base_percent = 100;
+		make_ready(4);
+	}
+};
+
+TEST_F(NoisyGate, WorkWaitsForTheFigureAndStartsWithIt)
+{
+	gate_ticket ticket = {};
+
+	EXPECT_EQ(GATE_WAIT, offer(ticket, BROWSE).kind);
+	EXPECT_TRUE(gate_wants_pace(&gate, now_us));
+	EXPECT_FALSE(gate_wants_pace(&gate, now_us)) << "one probe at a time";
+	gate_take_pace(&gate, 100, now_us, &actions);
+	expect_started(ticket);
+}
+
+TEST_F(NoisyGate, WorkWaitsForACalmMomentUnlessItIsToBeElsewhere)
+{
+	gate_ticket patient = {};
+	gate_ticket other = {};
+
+	other.refuse_to_wait = true;
+	EXPECT_EQ(GATE_WAIT, offer(patient, BROWSE).kind);
+	EXPECT_EQ(GATE_WAIT, offer(other, BROWSE).kind);
+	gate_take_pace(&gate, 500, now_us, &actions);
+	ASSERT_EQ(1U, actions.count);
+	EXPECT_EQ(&other, actions.list[0].ticket);
+	EXPECT_EQ(GATE_REFUSE, actions.list[0].verdict.kind);
+	gate_take_pace(&gate, 100, now_us, &actions);
+	expect_started(patient);
+}
+
+TEST_F(NoisyGate, AFigureThatDoesNotComeHoldsNothingUp)
+{
+	gate_ticket ticket = {};
+
+	EXPECT_EQ(GATE_WAIT, offer(ticket, BROWSE).kind);
+	EXPECT_TRUE(gate_wants_pace(&gate, now_us));
+	gate_pace_unknown(&gate, now_us, &actions);
+	expect_started(ticket);
+}
+
+TEST_F(NoisyGate, NothingIsAskedWhileNothingCouldStart)
+{
+	EXPECT_FALSE(gate_wants_pace(&gate, now_us));
+}
+
 } // namespace
 
 TEST_F(Gate, RefusesWithoutBackendServer)
--- /dev/null
+++ b/test/unit/decide/route_test.cc
@@ -0,0 +1,165 @@
+// Routes: longest prefix, hosts, exact shares of splits, classes that follow from them.
+#include <cmath>
+#include <cstring>
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "fescuemill/fleet/routing_json.h"
+}
+
+namespace
+{
+
+struct Routes {
+	routing table{};
+	struct random rng{};
+	error err{};
+	int status;
+
+	explicit Routes(const std::string &routes,
+			const std::string &services = R"([{"name":"a"},{"name":"b"},{"name":"c"}])")
+	{
+		std::string text = R"({"number":7,"routes":)" + routes + R"(,"services":)" + services + "}";
+		json_t *json = json_loads(text.c_str(), 0, nullptr);
+
+		EXPECT_TRUE(json) << text;
+		random_seed(&rng, 7);
+		status = routing_read(json, &rng, &table, &err);
+		json_decref(json);
+	}
+	~Routes() { routing_free(&table); }
+	Routes(const Routes &) = delete;
+	Routes &operator=(const Routes &) = delete;
+
+	route *find(const std::string &host, const std::string &path)
+	{
+		return routing_find(&table, host.data(), host.size(), path.data(), path.size());
+	}
+	std::string name(const std::string &host, const std::string &path)
+	{
+		route *found = find(host, path);
+		return found ? found->name : "";
+	}
+};
+
+std::string route_json(const std::string &name, const std::string &host, const std::string &prefix,
+		       const std::string &services = R"([{"service":"a","weight":1}])",
+		       int rank = 0, int latency = 500)
+{
+	return R"({"name":")" + name + R"(","host":")" + host + R"(","prefix":")" + prefix +
+	       R"(","idempotent":true,"timeout_ms":2000,"latency_ms":)" + std::to_string(latency) +
+	       R"(,"rank":)" + std::to_string(rank) + R"(,"attempts":2,"services":)" + services + "}";
+}
+
+TEST(Route, TheLongestPrefixOfTheHostWins)
+{
+	Routes routes("[" + route_json("short", "x.example", "/a/") + "," +
+		      route_json("long", "x.example", "/a/b/") + "," +
+		      route_json("other", "y.example", "/a/") + "]");
+
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	EXPECT_EQ("long", routes.name("x.example", "/a/b/c"));
+	EXPECT_EQ("long", routes.name("X.Example", "/a/b/?q=/"));
+	EXPECT_EQ("short", routes.name("x.example", "/a/bc"));
+	EXPECT_EQ("other", routes.name("y.example", "/a/b/c"));
+	EXPECT_EQ("", routes.name("x.example", "/a"));
+	EXPECT_EQ("", routes.name("x.example", "/b?/a/"));
+	EXPECT_EQ("", routes.name("x.exampl", "/a/"));
+	EXPECT_EQ("", routes.name("z.example", "/a/"));
+}
+
+TEST(Route, ManyRoutesAreFound)
+{
+	std::string list = "[";
+
+	for (int i = 0; i < 500; i++)
+		list += (i ? "," : "") + route_json("r" + std::to_string(i),
+						    "h" + std::to_string(i % 7) + ".example",
+						    "/p" + std::to_string(i) + "/");
+	Routes routes(list + "]");
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	for (int i = 0; i < 500; i++)
+		EXPECT_EQ("r" + std::to_string(i),
+			  routes.name("h" + std::to_string(i % 7) + ".example",
+				      "/p" + std::to_string(i) + "/x"));
+}
+
+TEST(Route, SplitsKeepTheirSharesOverAnyStretch)
+{
+	Routes routes("[" +
+		      route_json("split", "x", "/",
+				 R"([{"service":"a","weight":90},{"service":"b","weight":9},)"
+				 R"({"service":"c","weight":1}])") +
+		      "]");
+	std::map<std::string, int> seen;
+
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	for (int i = 1; i <= 1000; i++) {
+		seen[route_pick_part(routes.find("x", "/"))->service]++;
+		EXPECT_NEAR(seen["a"], 0.90 * i, 3);
+		EXPECT_NEAR(seen["b"], 0.09 * i, 3);
+	}
+	EXPECT_NEAR(seen["c"], 10, 3);
+}
+
+TEST(Route, APartOfWeightZeroGetsNothing)
+{
+	Routes routes("[" +
+		      route_json("split", "x", "/",
+				 R"([{"service":"a","weight":0},{"service":"b","weight":3}])") +
+		      "]");
+	for (int i = 0; i < 100; i++)
+		EXPECT_STREQ("b", route_pick_part(routes.find("x", "/"))->service);
+}
+
+TEST(Route, ClassesFollowFromRankAndObjective)
+{
+	Routes routes("[" + route_json("one", "x", "/1/", R"([{"service":"a","weight":1}])", 0, 500) +
+		      "," + route_json("two", "x", "/2/", R"([{"service":"a","weight":1}])", 0, 500) +
+		      "," + route_json("three", "x", "/3/", R"([{"service":"a","weight":1}])", 2, 500) +
+		      "]");
+	const route_service *service = routing_service(&routes.table, "a");
+
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	EXPECT_EQ(2u, service->config.class_count);
+	EXPECT_STREQ(routes.find("x", "/1/")->parts[0].class_name,
+		     routes.find("x", "/2/")->parts[0].class_name);
+	EXPECT_STRNE(routes.find("x", "/1/")->parts[0].class_name,
+		     routes.find("x", "/3/")->parts[0].class_name);
+}
+
+TEST(Route, MoreKindsThanClassesShareTheNearest)
+{
+	std::string list = "[";
+
+	for (int i = 0; i < 40; i++)
+		list += (i ? "," : "") + route_json("r" + std::to_string(i), "x",
+						    "/" + std::to_string(i) + "/",
+						    R"([{"service":"a","weight":1}])", i % 3,
+						    100 + i);
+	Routes routes(list + "]");
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	EXPECT_EQ((uint32_t)CLASSES_PER_SERVICE_MAX,
+		  routing_service(&routes.table, "a")->config.class_count);
+}
+
+TEST(Route, BadObjectsAreRefusedWithAKind)
+{
+	const std::string good = route_json("one", "x", "/1/");
+
+	EXPECT_EQ(ERROR_RANGE, Routes("[" + good + "," + good + "]").err.kind);
+	EXPECT_EQ(ERROR_RANGE, Routes("[" + route_json("r", "x", "no-slash") + "]").err.kind);
+	EXPECT_EQ(ERROR_RANGE,
+		  Routes("[" + route_json("r", "x", "/", R"([{"service":"nobody","weight":1}])") + "]")
+			  .err.kind);
+	EXPECT_EQ(ERROR_RANGE, Routes("[" + route_json("r", "x", "/", "[]") + "]").err.kind);
+	EXPECT_EQ(ERROR_RANGE,
+		  Routes("[" + route_json("r", "x", "/", R"([{"service":"a","weight":0}])") + "]").err.kind);
+	EXPECT_EQ(ERROR_MISSING, Routes(R"([{"name":"r"}])").err.kind);
+	EXPECT_EQ(ERROR_TYPE, Routes("{}").err.kind);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/http/answer_test.cc
@@ -0,0 +1,154 @@
+// Answers of a backend server, byte by byte and all at once: what is whole, what is not.
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "fescuemill/http/answer.h"
+}
+
+namespace
+{
+
+constexpr size_t kBodyMax = 100;
+
+struct Reading {
+	answer_state state = ANSWER_READING;
+	size_t used = 0;
+	uint32_t status = 0;
+	std::string body;
+	bool keeps = false;
+	uint32_t keep_alive_s = 0;
+	answer_state after_end = ANSWER_READING;
+};
+
+// Feeds a text in pieces of a size.
+Reading read_in_pieces(const std::string &text, size_t piece, bool answers_head = false)
+{
+	struct answer answer;
+	Reading out;
+
+	answer_init(&answer, kBodyMax, answers_head);
+	for (size_t at = 0; at < text.size() && out.state == ANSWER_READING; at += piece) {
+		size_t used = 0;
+		size_t size = std::min(piece, text.size() - at);
+
+		out.state = answer_feed(&answer, (const uint8_t *)text.data() + at, size, &used);
+		out.used += used;
+	}
+	out.status = answer.status;
+	out.keeps = answer.keeps_connection;
+	out.keep_alive_s = answer.keep_alive_s;
+	out.after_end = answer_end(&answer);
+	if (out.state == ANSWER_WHOLE || out.after_end == ANSWER_WHOLE) {
+		wire_bytes body = answer_body(&answer);
+		out.body.assign((const char *)body.data, body.size);
+	}
+	answer_free(&answer);
+	return out;
+}
+
+// Every size of piece must read the same.
+Reading read_all(const std::string &text, bool answers_head = false)
+{
+	Reading whole = read_in_pieces(text, text.size(), answers_head);
+
+	for (size_t piece : {1, 2, 3, 7}) {
+		Reading other = read_in_pieces(text, piece, answers_head);
+		EXPECT_EQ(whole.state, other.state) << "pieces of " << piece;
+		EXPECT_EQ(whole.body, other.body) << "pieces of " << piece;
+		EXPECT_EQ(whole.after_end, other.after_end) << "pieces of " << piece;
+	}
+	return whole;
+}
+
+TEST(Answer, AStatedLengthEndsTheBodyAndWhatFollowsIsLeft)
+{
+	std::string text = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nkeep-alive: timeout=10\r\n\r\nlots";
+	Reading reading = read_in_pieces(text + "HTTP/1.1 200", text.size() + 12);
+
+	EXPECT_EQ(ANSWER_WHOLE, reading.state);
+	EXPECT_EQ("lots", reading.body);
+	EXPECT_EQ(text.size(), reading.used);
+	EXPECT_TRUE(reading.keeps);
+	EXPECT_EQ(10u, reading.keep_alive_s);
+	EXPECT_EQ("lots", read_all(text).body);
+}
+
+TEST(Answer, ChunksWithExtensionsAndTrailers)
+{
+	Reading reading = read_all("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+				   "3;x=1\r\nabc\r\nA\r\n0123456789\r\n0\r\nt: 1\r\n\r\n");
+	EXPECT_EQ(ANSWER_WHOLE, reading.state);
+	EXPECT_EQ("abc0123456789", reading.body);
+}
+
+TEST(Answer, AnInterimAnswerIsPassedOver)
+{
+	Reading reading = read_all("HTTP/1.1 100 Continue\r\n\r\n"
+				   "HTTP/1.1 201 Created\r\ncontent-length: 1\r\n\r\nx");
+	EXPECT_EQ(ANSWER_WHOLE, reading.state);
+	EXPECT_EQ(201u, reading.status);
+	EXPECT_EQ("x", reading.body);
+}
+
+TEST(Answer, ABodyWithoutALengthEndsWithItsConnection)
+{
+	Reading reading = read_all("HTTP/1.1 200 OK\r\nx: 1\r\n\r\nuntil the end");
+	EXPECT_EQ(ANSWER_READING, reading.state);
+	EXPECT_EQ(ANSWER_WHOLE, reading.after_end);
+	EXPECT_EQ("until the end", reading.body);
+	EXPECT_FALSE(reading.keeps);
+}
+
+TEST(Answer, TheEndOfTheConnectionCompletesNothingElse)
+{
+	EXPECT_EQ(ANSWER_BROKEN, read_all("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf").after_end);
+	EXPECT_EQ(ANSWER_BROKEN,
+		  read_all("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n").after_end);
+	EXPECT_EQ(ANSWER_BROKEN, read_all("HTTP/1.1 200 OK\r\ncontent-le").after_end);
+	EXPECT_EQ(ANSWER_BROKEN, read_all("").after_end);
+}
+
+TEST(Answer, ClosingIsNoted)
+{
+	EXPECT_FALSE(read_all("HTTP/1.1 200 OK\r\nconnection: x, Close\r\ncontent-length: 0\r\n\r\n").keeps);
+	EXPECT_FALSE(read_all("HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n").keeps);
+}
+
+TEST(Answer, AnswersToHeadAndWithoutContentHaveNoBody)
+{
+	EXPECT_EQ(ANSWER_WHOLE, read_all("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", true).state);
+	EXPECT_EQ(ANSWER_WHOLE, read_all("HTTP/1.1 204 No\r\nx: y\r\n\r\n").state);
+}
+
+TEST(Answer, WhatIsNoAnswerIsBroken)
+{
+	for (const char *text : {
+		     "nonsense\r\n\r\n",
+		     "HTTP/2 200 OK\r\n\r\n",
+		     "HTTP/1.1 2x0 OK\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\nbad name: 1\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
+		     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nxyz\r\n",
+		     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabcd",
+	     })
+		EXPECT_EQ(ANSWER_BROKEN, read_all(text).state) << text;
+}
+
+TEST(Answer, TooMuchIsTooLarge)
+{
+	std::string headers;
+
+	for (int i = 0; i <= WIRE_HEADERS_MAX; i++)
+		headers += "h" + std::to_string(i) + ": 1\r\n";
+	EXPECT_EQ(ANSWER_TOO_LARGE, read_all("HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n").state);
+	EXPECT_EQ(ANSWER_TOO_LARGE, read_all("HTTP/1.1 200 OK\r\n" + headers + "\r\n").state);
+	EXPECT_EQ(ANSWER_TOO_LARGE,
+		  read_all("HTTP/1.1 200 OK\r\nx: 1\r\n\r\n" + std::string(kBodyMax + 1, 'x')).state);
+}
+
+} // namespace
--- a/test/unit/http/backend_test.cc
+++ b/test/unit/http/backend_test.cc
@@ -335,6 +335,108 @@
 	EXPECT_EQ(call_once().end, BACKEND_END_LOST);
 }
 
+// A dialect whose answers may end with their connection, and carry the id of their call.
+enum answer_verdict judge_by_id(const struct backend_request *, uint32_t,
+				const struct wire_headers *headers)
+{
+	for (uint32_t i = 0; i < headers->count; i++) {
+		const wire_header &header = headers->list[i];
+		if (std::string((const char *)header.name.data, header.name.size) == "x-id")
+			return header.value.data[0] == 'm' ? ANSWER_RUN : ANSWER_FOREIGN;
+	}
+	return ANSWER_INVALID;
+}
+
+class OpenEndedTest : public BackendTest
+{
+      protected:
+	struct http_dialect dialect = own_dialect;
+
+	void SetUp() override
+	{
+		BackendTest::SetUp();
+		backend_client_close(client);
+		dialect.takes_unframed_answers = true;
+		dialect.judge_answer = judge_by_id;
+		ASSERT_EQ(backend_client_open(&client, &loop, &dialect, kAnswerBytesMax, nullptr), 0);
+	}
+};
+
+TEST_F(OpenEndedTest, ABodyMayEndWithItsConnection)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nall of it");
+		ScriptedServer::close_peer(peer);
+	});
+	Result result = call_once();
+	EXPECT_EQ(result.end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(result.body, "all of it");
+}
+
+TEST_F(OpenEndedTest, AResetRightBehindTheLastBytesIsNoEndOfABody)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		uv_os_fd_t fd;
+		struct linger reset = {1, 0};
+
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nhalf of");
+		ASSERT_EQ(uv_fileno((uv_handle_t *)peer, &fd), 0);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		ScriptedServer::close_peer(peer);
+	});
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(call_once().end, BACKEND_END_LOST);
+}
+
+TEST_F(OpenEndedTest, AnAnswerToAnEarlierCallIsPassedOver)
+{
+	auto &server = serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 5\r\n\r\n"
+					   "wrongHTTP/1.1 200 OK\r\nx-id: mine\r\n"
+					   "content-length: 5\r\n\r\nright");
+	});
+	Result result = call_once();
+	EXPECT_EQ(result.end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(result.body, "right");
+	EXPECT_EQ(server.connections, 1);
+}
+
+TEST_F(OpenEndedTest, BytesBehindAWholeAnswerEndItsConnection)
+{
+	auto &server = serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 2\r\n\r\nok"
+					   "HTTP/1.1 200 OK\r\nx-id: mine\r\n");
+	});
+	EXPECT_EQ(call_once().body, "ok");
+	EXPECT_EQ(call_once().body, "ok");
+	EXPECT_EQ(server.connections, 2);
+}
+
+TEST_F(OpenEndedTest, AnAnswerThatCannotBeTrustedIsLost)
+{
+	serve([](uv_stream_t *peer, const std::string &) {
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_LOST);
+}
+
+// The server answers before it has read the body; what is left of the body must reach nobody else.
+TEST_F(OpenEndedTest, AnEarlyAnswerIsTakenAndItsConnectionIsNotUsedAgain)
+{
+	std::string body(8 << 20, 'b');
+	auto &server = serve([](uv_stream_t *peer, const std::string &) {
+		uv_read_stop(peer);
+		ScriptedServer::send(peer, "HTTP/1.1 400 Bad\r\nx-id: mine\r\ncontent-length: 2\r\n\r\nno");
+	});
+	msg.body = {reinterpret_cast<const uint8_t *>(body.data()), (uint32_t)body.size()};
+	Result result = call_once();
+	EXPECT_EQ(result.end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(result.status, 400u);
+	msg.body = bytes_of("copper");
+	EXPECT_EQ(call_once().status, 400u);
+	EXPECT_EQ(server.connections, 2);
+}
+
 TEST_F(BackendTest, AConnectionClosedWhileIdleIsNotUsedAgain)
 {
 	uv_stream_t *last = nullptr;
--- a/test/unit/http/caller_test.cc
+++ b/test/unit/http/caller_test.cc
@@ -410,4 +410,40 @@
 	EXPECT_FALSE(header_is_listed(bytes_of("x-c"), bytes_of(list)));
 }
 
+// What two readers could take in two ways is refused, and the connection ends with the answer.
+TEST_F(CallerTest, RequestsThatCanBeReadInTwoWaysAreRefusedAndTheirConnectionEnds)
+{
+	const std::string chunked = "2\r\nok\r\n0\r\n\r\n";
+	const std::string smuggled = "GET /catalogue/evil HTTP/1.1\r\nhost: n\r\nx-fescue-class: b\r\n\r\n";
+	const std::string post = "POST /catalogue/lots HTTP/1.1\r\nx-fescue-class: browse\r\n";
+	const std::string host = "host: n\r\n";
+	int calls = 0;
+
+	on_call = [&calls](struct caller_call *call, const struct call_request *) {
+		calls++;
+		answer_ok(call);
+	};
+	for (const std::string &text : {
+		     post + host + "content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n" + chunked,
+		     post + host + "transfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n" + chunked,
+		     post + host + "content-length: 2\r\ncontent-length: 2\r\n\r\nok",
+		     post + host + "content-length: 2\r\ncontent-length: 60\r\n\r\nok",
+		     post + "content-length: 2\r\n\r\nok",
+		     post + host + "host: m\r\ncontent-length: 2\r\n\r\nok",
+	     }) {
+		char byte;
+
+		send_text(text + smuggled);
+		EXPECT_EQ(receive().find("http/1.1 400"), 0u) << text;
+		for (int i = 0; i < 200 && recv(fd, &byte, 1, MSG_DONTWAIT) < 0 && errno == EAGAIN; i++) {
+			uv_run(&loop, UV_RUN_NOWAIT);
+			usleep(500);
+		}
+		EXPECT_LE(recv(fd, &byte, 1, MSG_DONTWAIT), 0) << text;
+		close(fd);
+		fd = connect_caller();
+	}
+	EXPECT_EQ(calls, 0);
+}
+
 } // namespace
--- /dev/null
+++ b/test/unit/platform/http_dialect_test.cc
@@ -0,0 +1,222 @@
+// The platform's names towards clients and backend servers, and what its answers say of a call.
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "adapter.h"
+#include "names.h"
+}
+
+namespace
+{
+
+wire_bytes bytes_of(const char *text)
+{
+	return {(const uint8_t *)text, (uint32_t)strlen(text)};
+}
+
+std::string text_of(wire_bytes bytes)
+{
+	return std::string((const char *)bytes.data, bytes.size);
+}
+
+struct Head {
+	std::vector<wire_header> list;
+
+	Head(std::initializer_list<std::pair<const char *, const char *>> headers)
+	{
+		for (auto &[name, value] : headers)
+			list.push_back({bytes_of(name), bytes_of(value)});
+	}
+	call_head head(const char *host = "shop.example:8300") const
+	{
+		call_head out = {};
+		out.authority = bytes_of(host);
+		out.method = bytes_of("POST");
+		out.path = bytes_of("/a/b?c=1");
+		out.headers = list.data();
+		out.header_count = (uint32_t)list.size();
+		return out;
+	}
+	wire_headers wire() const
+	{
+		wire_headers out = {};
+		for (const wire_header &header : list)
+			out.list[out.count++] = header;
+		return out;
+	}
+};
+
+std::string find(const wire_headers &headers, const char *name)
+{
+	std::string out;
+	for (uint32_t i = 0; i < headers.count; i++) {
+		if (text_of(headers.list[i].name) == name)
+			out += (out.empty() ? "" : "|") + text_of(headers.list[i].value);
+	}
+	return out;
+}
+
+const http_dialect &dialect()
+{
+	return *platform_dialect("ledger");
+}
+
+call_reason read(const Head &head, call_request *out)
+{
+	call_head raw = head.head();
+	error err = {};
+	return dialect().read_call(&raw, out, &err);
+}
+
+TEST(PlatformHttp, ReadsWhatAClientStates)
+{
+	call_request request;
+
+	ASSERT_EQ(REASON_NONE,
+		  read({{NAME_REQUEST_ID, "id-1"}, {NAME_TIME_LEFT_MS, "2000"}, {"x-own", "1"}},
+		       &request));
+	EXPECT_EQ(CALL_ADDRESS_ROUTE, request.address);
+	EXPECT_EQ("id-1", text_of(request.id));
+	EXPECT_EQ("shop.example", text_of(request.host));
+	EXPECT_EQ("/a/b?c=1", text_of(request.path));
+	EXPECT_EQ(2000000u, request.time_left_us);
+	EXPECT_EQ("shop.example:8300", find(request.headers, "host"));
+	EXPECT_EQ("id-1", find(request.headers, NAME_REQUEST_ID));
+	EXPECT_EQ("1", find(request.headers, "x-own"));
+}
+
+TEST(PlatformHttp, WhatTheSystemSetsIsNotTakenFromAClient)
+{
+	call_request request;
+
+	ASSERT_EQ(REASON_NONE, read({{NAME_CALLER_SERVICE, "forged"},
+				     {NAME_EXPECTED, "i-1"},
+				     {"connection", "close, x-once"},
+				     {"x-once", "1"},
+				     {"te", "trailers"}},
+				    &request));
+	EXPECT_EQ("ledger", find(request.headers, NAME_CALLER_SERVICE));
+	EXPECT_EQ("", find(request.headers, NAME_EXPECTED));
+	EXPECT_EQ("", find(request.headers, "x-once"));
+	EXPECT_EQ("", find(request.headers, "te"));
+}
+
+TEST(PlatformHttp, BadInputIsABadRequest)
+{
+	call_request request;
+	std::vector<std::string> names;
+	Head many = {};
+
+	EXPECT_EQ(REASON_BAD_REQUEST, read({{NAME_TIME_LEFT_MS, "soon"}}, &request));
+	EXPECT_EQ(REASON_BAD_REQUEST, read({{NAME_TIME_LEFT_MS, "-1"}}, &request));
+	for (int i = 0; i < WIRE_HEADERS_MAX; i++)
+		many.list.push_back({bytes_of("x"), bytes_of("1")});
+	EXPECT_EQ(REASON_BAD_REQUEST, read(many, &request));
+}
+
+answer_lines told(call_outcome outcome, call_reason reason, uint32_t retry_after_ms = 0)
+{
+	answer_lines lines = {};
+	caller_answer answer = {};
+
+	answer.outcome = outcome;
+	answer.reason = reason;
+	answer.retry_after_ms = retry_after_ms;
+	dialect().write_outcome(&answer, nullptr, &lines);
+	return lines;
+}
+
+// 502, 504 and a closed connection promise nothing; every other status of our own says "not run".
+TEST(PlatformHttp, OnlyWhatCertainlyDidNotRunIsToldSo)
+{
+	for (int reason = 0; reason < REASON_COUNT; reason++) {
+		int unknown = told(OUTCOME_UNKNOWN, (call_reason)reason).status;
+		int not_run = told(OUTCOME_NOT_RUN, (call_reason)reason).status;
+		EXPECT_TRUE(unknown == 502 || unknown == 504) << reason;
+		EXPECT_TRUE(not_run == 503 || not_run == 429 || not_run == 400 || not_run == 404 ||
+			    not_run == 413)
+			<< reason;
+	}
+	EXPECT_EQ(404, told(OUTCOME_NOT_RUN, REASON_UNKNOWN_SERVICE).status);
+	EXPECT_EQ(503, told(OUTCOME_NOT_RUN, REASON_NOT_READY).status);
+}
+
+TEST(PlatformHttp, RetryAfterIsInSecondsWithAFraction)
+{
+	answer_lines lines = told(OUTCOME_NOT_RUN, REASON_OVERLOAD, 1250);
+
+	ASSERT_EQ(1u, lines.count);
+	EXPECT_STREQ("retry-after", lines.list[0].name);
+	EXPECT_STREQ("1.250", lines.list[0].value);
+	EXPECT_EQ(0u, told(OUTCOME_UNKNOWN, REASON_EXPIRED, 1250).count);
+}
+
+answer_verdict judge(uint32_t status, const Head &answer, const char *asked = "id-1",
+		     bool probe = false)
+{
+	message_call call = {};
+	backend_request request = {};
+	wire_headers headers = answer.wire();
+
+	call.headers.list[call.headers.count++] = {bytes_of(NAME_REQUEST_ID), bytes_of(asked)};
+	request.call = &call;
+	request.is_probe = probe;
+	return dialect().judge_answer(&request, status, &headers);
+}
+
+TEST(PlatformHttp, AnswersAreJudgedByIdSignatureAndWord)
+{
+	EXPECT_EQ(ANSWER_RUN, judge(200, {{NAME_REQUEST_ID, "id-1"}, {NAME_SIGNATURE, "s"}}));
+	EXPECT_EQ(ANSWER_FOREIGN, judge(200, {{NAME_REQUEST_ID, "id-2"}, {NAME_SIGNATURE, "s"}}));
+	EXPECT_EQ(ANSWER_INVALID, judge(200, {{NAME_REQUEST_ID, "id-1"}}));
+	EXPECT_EQ(ANSWER_INVALID, judge(200, {{NAME_SIGNATURE, "s"}}));
+	EXPECT_EQ(ANSWER_INVALID, judge(200, {{NAME_REQUEST_ID, "id-1"},
+					      {NAME_SIGNATURE, "s"},
+					      {"content-encoding", "gzip"}}));
+	EXPECT_EQ(ANSWER_RUN, judge(500, {{NAME_REQUEST_ID, "id-1"}, {NAME_SIGNATURE, "s"}}));
+	EXPECT_EQ(ANSWER_NOT_RUN, judge(503, {{NAME_NOT_RUN, "1"}}));
+	EXPECT_EQ(ANSWER_NOT_RUN, judge(421, {}));
+	EXPECT_EQ(ANSWER_RUN, judge(503, {}));
+	EXPECT_EQ(ANSWER_RUN, judge(200, {}, "", true));
+	EXPECT_EQ(ANSWER_FOREIGN, judge(200, {{NAME_REQUEST_ID, "id-9"}}, "", true));
+}
+
+TEST(PlatformHttp, LoadHasThreeFiguresOrFour)
+{
+	backend_load load = {};
+	auto reads = [&load](const char *text) {
+		wire_headers headers = Head({{NAME_LOAD, text}}).wire();
+		return dialect().read_load(&headers, &load);
+	};
+
+	EXPECT_TRUE(reads("3,1,8"));
+	EXPECT_EQ(8u, load.slots);
+	EXPECT_EQ(100u, load.pace_percent);
+	EXPECT_TRUE(reads("3,1,8,500"));
+	EXPECT_EQ(500u, load.pace_percent);
+	EXPECT_TRUE(reads("3,1,8,500,7"));
+	for (const char *bad : {"", "3,1", "3,,8", "a,b,c", "3,1,8,x", "-1,1,8"})
+		EXPECT_FALSE(reads(bad)) << bad;
+}
+
+TEST(PlatformHttp, TheHeadOfACallCarriesTheTimeLeftAndWhomItIsFor)
+{
+	char room[512];
+	head_text head = {room, 0, sizeof(room)};
+	message_call call = {};
+	backend_request request = {};
+
+	call.headers.list[call.headers.count++] = {bytes_of("host"), bytes_of("shop.example")};
+	request.call = &call;
+	request.time_left_us = 1234567;
+	request.instance = "i-1";
+	dialect().write_call(&request, &head);
+	EXPECT_EQ(std::string("host: shop.example\r\n") + NAME_TIME_LEFT_MS + ": 1234\r\n" +
+			  NAME_EXPECTED + ": i-1\r\n",
+		  std::string(head.data, head.size));
+}
+
+} // namespace
--- a/test/unit/store/session_test.cc
+++ b/test/unit/store/session_test.cc
@@ -258,3 +258,19 @@
 	// Even if every node followed, the platform's reads a second are not exceeded.
 	EXPECT_LE(worst, platform_reads_per_s);
 }
+
+TEST_F(Session, AHistoryThatIsGoneIsListedAnewWithinASecond)
+{
+	next();
+	session_succeeded(&session, 42);
+	EXPECT_EQ(SESSION_DO_WATCH, next().type);
+	session_forgotten(&session, now);
+	now += second_us;
+	session_action action = next();
+	EXPECT_EQ(SESSION_DO_LIST, action.type);
+	EXPECT_EQ(0u, action.after);
+	session_succeeded(&session, 50);
+	action = next();
+	EXPECT_EQ(SESSION_DO_WATCH, action.type);
+	EXPECT_EQ(50u, action.after);
+}
