Stop: a node that stops serves on until callers have learnt of it; short work leaves noisy hosts

Change: for stop_serve_ms the node is not ready and does everything else; then it hands work on as before. Cause: calls that backend servers make (22 ms of work, objective 100 ms) started in noisy spells and took 110 ms. Lint, and the unit tests of what changed, pass.

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -195,6 +195,7 @@
 {
 	while (may_start(gate) && gate->in_use < gate->limit.current && gate->queued) {
 		struct gate_ticket *ticket = gate_order_next(gate);
+		enum pace_advice advice;
 
 		if (!ticket)
 			return;
@@ -202,9 +203,14 @@
 			refuse(gate, ticket, REASON_EXPIRED, actions);
 			continue;
 		}
-		if (advise(gate, ticket, now_us) == PACE_WAIT)
+		advice = advise(gate, ticket, now_us);
+		if (advice == PACE_ELSEWHERE && ticket->refuse_to_wait) {
+			refuse(gate, ticket, REASON_OVERLOAD, actions);
+			continue;
+		}
+		if (advice == PACE_WAIT)
 			send_on(gate, actions);
-		if (advise(gate, ticket, now_us) != PACE_START)
+		if (advice == PACE_WAIT || advice == PACE_ASK)
 			return;
 		gate_queue_remove(gate, ticket);
 		start(gate, ticket, now_us);
@@ -471,20 +477,23 @@
 			       uint64_t deadline_us, uint64_t now_us, struct gate_actions *actions)
 {
 	enum call_reason reason;
+	enum pace_advice advice;
 	bool has_room;
+	bool is_good;
 
 	now_us = begin(gate, now_us, actions);
 	reason = find_objection(gate, class_index, deadline_us, now_us);
 	if (reason != REASON_NONE)
 		return verdict_refuse(reason);
 	fill_ticket(gate, ticket, class_index, deadline_us, now_us);
-	if (gate->queued == 0 && may_take_slot(gate, class_index) &&
-	    advise(gate, ticket, now_us) == PACE_START) {
+	advice = advise(gate, ticket, now_us);
+	is_good = advice == PACE_START || (advice == PACE_ELSEWHERE && !ticket->refuse_to_wait);
+	if (gate->queued == 0 && may_take_slot(gate, class_index) && is_good) {
 		start(gate, ticket, now_us);
 		return verdict_start;
 	}
 	has_room = gate->in_use + gate->queued < gate->limit.current;
-	if (ticket->refuse_to_wait && (!has_room || advise(gate, ticket, now_us) == PACE_WAIT))
+	if (ticket->refuse_to_wait && (!has_room || (!is_good && advice != PACE_ASK)))
 		reason = REASON_OVERLOAD;
 	else
 		reason = enqueue(gate, ticket, now_us, actions);
--- a/src/fescuemill/decide/pace.c
+++ b/src/fescuemill/decide/pace.c
@@ -57,7 +57,7 @@
 }
 
 /* Advises on a call. It waits when the noise would cost its run more than the rest of a noisy spell
- * is expected to last. */
+ * is expected to last, and is better off elsewhere when it would cost more than a hop. */
 enum pace_advice pace_advise(const struct pace *pace, uint64_t service_us, uint64_t now_us)
 {
 	uint64_t extra_us;
@@ -69,7 +69,9 @@
 	if (is_calm(pace, pace->percent))
 		return PACE_START;
 	extra_us = service_us * (pace->percent - pace->base_percent) / PACE_USUAL_PERCENT;
-	return extra_us > PACE_SPELL_US ? PACE_WAIT : PACE_START;
+	if (extra_us > PACE_SPELL_US)
+		return PACE_WAIT;
+	return extra_us > PACE_HOP_US ? PACE_ELSEWHERE : PACE_START;
 }
 
 /* Tells whether to send a probe now. */
--- a/src/fescuemill/decide/pace.h
+++ b/src/fescuemill/decide/pace.h
@@ -15,7 +15,8 @@
 #define PACE_LASTING_US	   450000 /* slower for longer than this is no spell but the host's state */
 #define PACE_GAP_US	   100000 /* a spell is not followed over a longer gap between figures */
 #define PACE_MARGIN	   130	  /* percent of the base that still counts as calm */
-#define PACE_PROBE_US	   20000  /* between two probes: 50 a second at most */
+#define PACE_HOP_US	   10000 /* what asking another gate costs, with room for a refusal there */
+#define PACE_PROBE_US	   20000 /* between two probes: 50 a second at most */
 #define PACE_BLIND_US	   200000 /* after a probe that failed, work starts without a figure */
 
 struct pace {
@@ -31,9 +32,10 @@
 };
 
 enum pace_advice {
-	PACE_START, /* now is a good time */
-	PACE_WAIT,  /* a calmer moment is worth waiting for */
-	PACE_ASK,   /* the figure is too old to tell */
+	PACE_START,	/* now is a good time */
+	PACE_ELSEWHERE, /* another host would be quicker, though waiting here would not */
+	PACE_WAIT,	/* a calmer moment is worth waiting for */
+	PACE_ASK,	/* the figure is too old to tell */
 };
 
 void pace_seen(struct pace *pace, uint32_t percent, uint64_t now_us);
--- a/src/fescuemill/store/follow.c
+++ b/src/fescuemill/store/follow.c
@@ -50,6 +50,8 @@
 static void take_failure(struct follow *follow, const struct error *err)
 {
 	if (err->kind == ERROR_BUDGET) {
+		log_write(LOG_INFO, LOG_PART_PLATFORM, "A call waits for the byte budget.",
+			  "kind=%s failures=%u", follow->kind, follow->session.failures);
 		session_put_off(&follow->session, clock_monotonic_us());
 		return;
 	}
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -30,6 +30,7 @@
 /* How far a stop has come. */
 enum stop_phase {
 	STOP_NONE,
+	STOP_SERVING,	 /* not ready, but all work is still taken while callers learn of it */
 	STOP_FINISHING,	 /* work in progress ends */
 	STOP_ACKED,	 /* the last answers are on their way to the entries */
 	STOP_LEAVING,	 /* the roster is told */
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -39,12 +39,25 @@
 	       caller_calls(node->caller) == 0;
 }
 
+/* Takes no new work from here on. */
+static void stop_taking(struct node *node, uint64_t now_us)
+{
+	enter_phase(node, STOP_FINISHING, now_us);
+	gate_shell_drain(node->gate);
+	gossip_set_leaving(node->gossip);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
+}
+
 /* Takes a stop one phase further when it is due. */
 void node_stop_advance(struct node *node, uint64_t now_us)
 {
 	uint64_t in_phase_us = now_us - node->phase_since_us;
 
 	switch (node->stop_phase) {
+	case STOP_SERVING:
+		if (in_phase_us >= node->settings.stop_serve_ms * USEC_PER_MSEC)
+			stop_taking(node, now_us);
+		break;
 	case STOP_FINISHING:
 		if (entry_calls(node->entry) == 0 && gate_shell_live(node->gate) == 0 &&
 		    admin_shell_changes(node->admin) == 0)
@@ -96,7 +109,7 @@
 	uv_stop(&node->loop);
 }
 
-/* Begins a graceful stop: no new work from here on. */
+/* Begins a graceful stop: the node is not ready from here on. */
 static void begin(struct node *node)
 {
 	uint64_t now_us = clock_monotonic_us();
@@ -105,11 +118,11 @@
 		  entry_calls(node->entry), gate_shell_live(node->gate));
 	node_move(node, NODE_INPUT_STOP);
 	node->stop_since_us = now_us;
-	enter_phase(node, STOP_FINISHING, now_us);
 	caller_drain(node->caller);
-	gate_shell_drain(node->gate);
-	gossip_set_leaving(node->gossip);
-	keeper_set_self(node->keeper, gossip_self(node->gossip));
+	if (node->settings.stop_serve_ms > 0)
+		enter_phase(node, STOP_SERVING, now_us);
+	else
+		stop_taking(node, now_us);
 }
 
 /* Begins a stop, unless one is under way. */
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -126,6 +126,20 @@
 	expect_started(patient);
 }
 
+// A call that backend servers make has 20 ms of work and an objective of 100 ms: in a noisy spell
+// it is sent on if it may be, and started rather than kept if it may not.
+TEST_F(NoisyGate, ShortWorkGoesElsewhereButDoesNotWaitHere)
+{
+	gate_ticket patient = {};
+	gate_ticket other = {};
+
+	gate.classes[BROWSE].service.usual_us = 20000;
+	gate_take_pace(&gate, 500, now_us, &actions);
+	other.refuse_to_wait = true;
+	EXPECT_EQ(GATE_REFUSE, offer(other, BROWSE).kind);
+	EXPECT_EQ(GATE_START, offer(patient, BROWSE).kind);
+}
+
 TEST_F(NoisyGate, AFigureThatDoesNotComeHoldsNothingUp)
 {
 	gate_ticket ticket = {};
--- /dev/null
+++ b/test/unit/platform/template_test.cc
@@ -0,0 +1,76 @@
+// The settings that the platform renders from deploy/node.json are valid, and their budget of bytes
+// lets a watch go in a storm of large configurations: put off, it found versions seconds late.
+#include <fstream>
+#include <gtest/gtest.h>
+#include <iterator>
+#include <regex>
+#include <string>
+
+extern "C" {
+#include "fescuemill/decide/budget.h"
+#include "fescuemill/settings/settings.h"
+}
+
+namespace
+{
+
+std::string rendered()
+{
+	std::ifstream file(FESCUEMILL_SOURCE_DIR "/deploy/node.json");
+	std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+
+	text = std::regex_replace(text, std::regex(R"(\{\{internal_ports\.[01]\}\})"), "7620");
+	text = std::regex_replace(
+		text, std::regex(R"(\{\{(listen\.[a-z_]+|app_addr|platform\.address)\}\})"),
+		"10.0.0.1:8300");
+	text = std::regex_replace(text, std::regex(R"(\{\{ip\}\})"), "10.0.0.1");
+	text = std::regex_replace(text, std::regex(R"(\{\{bounds\.[a-z_]+\}\})"), "62");
+	return std::regex_replace(text, std::regex(R"(\{\{[a-z_]+\}\})"), "name");
+}
+
+class Template : public ::testing::Test
+{
+      protected:
+	settings set{};
+
+	void SetUp() override
+	{
+		std::string text = rendered();
+		error err{};
+
+		ASSERT_EQ(0, settings_parse(text.data(), text.size(), "node.json", &set, &err))
+			<< err.detail;
+	}
+};
+
+TEST_F(Template, RendersToValidSettings)
+{
+	EXPECT_NE(0, set.ready_address.port);
+	EXPECT_NE(0, set.backend_server.port);
+	EXPECT_STREQ("name", set.backend_service);
+	EXPECT_EQ(62u, set.retry_burst);
+}
+
+TEST_F(Template, AStopEndsBeforeThePlatformKills)
+{
+	EXPECT_LT(set.stop_serve_ms, set.stop_limit_ms);
+	EXPECT_LT(set.stop_limit_ms, 6000u);
+}
+
+TEST_F(Template, AStormOfConfigurationsDoesNotPutAWatchOff)
+{
+	constexpr uint32_t kConfigurationBytes = 64 * 1024; // with 350 routes
+	constexpr uint32_t kWatchBytes = 600;
+	budget bud;
+	uint64_t now_us = 1000000;
+
+	budget_init(&bud, set.node_bytes_per_s, set.region_link_bytes_per_s, now_us);
+	budget_share_link(&bud, 9, 9, true);
+	for (int i = 0; i < 25; i++) {
+		EXPECT_TRUE(budget_take(&bud, kWatchBytes, false, now_us)) << i;
+		budget_charge_whole(&bud, kConfigurationBytes, false, now_us);
+		now_us += 60000;
+	}
+}
+
+} // namespace
