--- /dev/null
+++ b/src/fescuemill/base/json_read.c
@@ -0,0 +1,53 @@
+/*
+ * JSON read: fields of an object, checked for type and range.
+ */
+#include "fescuemill/base/json_read.h"
+
+#include <string.h>
+
+/* Copies a text. */
+int json_read_text(const json_t *object, const char *key, char *out, size_t room, struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+	size_t size = json_string_length(value);
+
+	if (!value)
+		return error_set(err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_string(value))
+		return error_set(err, ERROR_TYPE, "%s: allowed is a text", key);
+	if (size == 0 || size >= room)
+		return error_set(err, ERROR_RANGE, "%s: found %zu bytes, allowed 1 to %zu", key,
+				 size, room - 1);
+	memcpy(out, json_string_value(value), size + 1);
+	return 0;
+}
+
+/* Reads a whole number of 64 bits. */
+int json_read_large(const json_t *object, const char *key, json_int_t lowest, json_int_t highest,
+		    uint64_t *out, struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+	json_int_t number = json_integer_value(value);
+
+	*out = 0;
+	if (!value)
+		return error_set(err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_integer(value))
+		return error_set(err, ERROR_TYPE, "%s: allowed is a whole number", key);
+	if (number < lowest || number > highest)
+		return error_set(err, ERROR_RANGE, "%s: found %lld, allowed %lld to %lld", key,
+				 (long long)number, (long long)lowest, (long long)highest);
+	*out = (uint64_t)number;
+	return 0;
+}
+
+/* Reads a whole number of 32 bits. */
+int json_read_number(const json_t *object, const char *key, json_int_t lowest, json_int_t highest,
+		     uint32_t *out, struct error *err)
+{
+	uint64_t number;
+	int status = json_read_large(object, key, lowest, highest, &number, err);
+
+	*out = (uint32_t)number;
+	return status;
+}
--- a/src/fescuemill/fleet/routing_json.c
+++ b/src/fescuemill/fleet/routing_json.c
@@ -7,6 +7,8 @@
  */
 #include "fescuemill/fleet/routing_json.h"
 
+#include "fescuemill/base/json_read.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,40 +17,6 @@
 #define WEIGHT_MAX   1000000
 #define RANK_MAX     255
 
-/* Reads a text. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
-static int read_text(const json_t *object, const char *key, char *out, size_t room,
-		     struct error *err)
-{
-	const json_t *value = json_object_get(object, key);
-
-	if (!value)
-		return error_set(err, ERROR_MISSING, "%s: required", key);
-	if (!json_is_string(value))
-		return error_set(err, ERROR_TYPE, "%s: allowed is a text", key);
-	if (json_string_length(value) == 0 || json_string_length(value) >= room)
-		return error_set(err, ERROR_RANGE, "%s: allowed are 1 to %zu bytes", key, room - 1);
-	memcpy(out, json_string_value(value), json_string_length(value) + 1);
-	return 0;
-}
-
-/* Reads a whole number. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
-static int read_number(const json_t *object, const char *key, json_int_t lowest, json_int_t highest,
-		       uint32_t *out, struct error *err)
-{
-	const json_t *value = json_object_get(object, key);
-	json_int_t number = json_integer_value(value);
-
-	if (!value)
-		return error_set(err, ERROR_MISSING, "%s: required", key);
-	if (!json_is_integer(value))
-		return error_set(err, ERROR_TYPE, "%s: allowed is a whole number", key);
-	if (number < lowest || number > highest)
-		return error_set(err, ERROR_RANGE, "%s: found %lld, allowed %lld to %lld", key,
-				 (long long)number, (long long)lowest, (long long)highest);
-	*out = (uint32_t)number;
-	return 0;
-}
-
 /* Reads the services of a route and their weights, of which one must be above 0. */
 static int read_parts(const json_t *json, struct route *out, struct error *err)
 {
@@ -63,8 +31,9 @@
 		const json_t *item = json_array_get(list, i);
 		struct route_part *part = &out->parts[out->part_count++];
 
-		if (read_text(item, "service", part->service, sizeof(part->service), err) != 0 ||
-		    read_number(item, "weight", 0, WEIGHT_MAX, &part->weight, err) != 0)
+		if (json_read_text(item, "service", part->service, sizeof(part->service), err) !=
+			    0 ||
+		    json_read_number(item, "weight", 0, WEIGHT_MAX, &part->weight, err) != 0)
 			return -1;
 		total += part->weight;
 	}
@@ -79,13 +48,13 @@
 	const json_t *idempotent = json_object_get(json, "idempotent");
 	size_t size;
 
-	if (read_text(json, "name", out->name, sizeof(out->name), err) != 0 ||
-	    read_text(json, "host", out->host, sizeof(out->host), err) != 0 ||
-	    read_text(json, "prefix", out->prefix, sizeof(out->prefix), err) != 0 ||
-	    read_number(json, "timeout_ms", 1, TIME_MS_MAX, &out->timeout_ms, err) != 0 ||
-	    read_number(json, "latency_ms", 1, TIME_MS_MAX, &out->latency_ms, err) != 0 ||
-	    read_number(json, "rank", 0, RANK_MAX, &out->rank, err) != 0 ||
-	    read_number(json, "attempts", 1, ATTEMPTS_MAX, &out->attempts_max, err) != 0)
+	if (json_read_text(json, "name", out->name, sizeof(out->name), err) != 0 ||
+	    json_read_text(json, "host", out->host, sizeof(out->host), err) != 0 ||
+	    json_read_text(json, "prefix", out->prefix, sizeof(out->prefix), err) != 0 ||
+	    json_read_number(json, "timeout_ms", 1, TIME_MS_MAX, &out->timeout_ms, err) != 0 ||
+	    json_read_number(json, "latency_ms", 1, TIME_MS_MAX, &out->latency_ms, err) != 0 ||
+	    json_read_number(json, "rank", 0, RANK_MAX, &out->rank, err) != 0 ||
+	    json_read_number(json, "attempts", 1, ATTEMPTS_MAX, &out->attempts_max, err) != 0)
 		return -1;
 	size = strlen(out->prefix);
 	if (out->prefix[0] != '/' || out->prefix[size - 1] != '/')
@@ -99,11 +68,11 @@
 /* Reads one service. */
 static int read_service(const json_t *json, struct route_service *out, struct error *err)
 {
-	if (read_text(json, "name", out->name, sizeof(out->name), err) != 0)
+	if (json_read_text(json, "name", out->name, sizeof(out->name), err) != 0)
 		return -1;
 	if (!json_object_get(json, "health_path"))
 		return 0;
-	return read_text(json, "health_path", out->health_path, sizeof(out->health_path), err);
+	return json_read_text(json, "health_path", out->health_path, sizeof(out->health_path), err);
 }
 
 /* Reads both lists into memory that is there. */
--- a/src/fescuemill/http/answer.c
+++ b/src/fescuemill/http/answer.c
@@ -16,7 +16,6 @@
 #define CHUNK_LINE_MAX	 256
 #define CHUNK_HEX_DIGITS 8
 #define STATUS_LINE_MIN	 12 /* "HTTP/1.1 200" */
-#define LENGTH_DIGITS	 10
 
 /* Where a chunked body is being read. */
 enum chunk_state {
@@ -81,22 +80,6 @@
 	return (struct wire_bytes){NULL, 0};
 }
 
-/* Reads a decimal number that fills the text; returns -1 when it does not. */
-static int read_decimal(struct wire_bytes text, uint64_t *out)
-{
-	uint64_t number = 0;
-
-	if (text.size == 0 || text.size > LENGTH_DIGITS)
-		return -1;
-	for (uint32_t i = 0; i < text.size; i++) {
-		if (!isdigit(text.data[i]))
-			return -1;
-		number = number * 10 + (uint64_t)(text.data[i] - '0');
-	}
-	*out = number;
-	return 0;
-}
-
 /* Cuts a line off the head; the line end, with or without a carriage return, is left out. */
 static struct wire_bytes next_line(struct wire_bytes *rest)
 {
@@ -113,14 +96,14 @@
 /* Reads the status line; returns -1 when it is none. */
 static int read_status_line(struct answer *answer, struct wire_bytes line)
 {
-	uint64_t status;
+	uint32_t status;
 
 	if (line.size < STATUS_LINE_MIN || memcmp(line.data, "HTTP/1.", 7) != 0 ||
 	    !isdigit(line.data[7]) || line.data[8] != ' ')
 		return -1;
-	if (read_decimal((struct wire_bytes){line.data + 9, 3}, &status) != 0 || status < 100)
+	if (wire_bytes_number((struct wire_bytes){line.data + 9, 3}, &status) != 0 || status < 100)
 		return -1;
-	answer->status = (uint32_t)status;
+	answer->status = status;
 	answer->keeps_connection = line.data[7] != '0';
 	return 0;
 }
@@ -188,6 +171,17 @@
 	return count;
 }
 
+/* Reads the stated length of the body. */
+static int read_length(struct answer *answer, struct wire_bytes text)
+{
+	uint32_t length;
+
+	if (wire_bytes_number(text, &length) != 0)
+		return -1;
+	answer->body_left = length;
+	return 0;
+}
+
 /* Finds how the body ends; returns -1 when that is stated in two ways or not understood. */
 static int read_framing(struct answer *answer)
 {
@@ -206,7 +200,7 @@
 	if (count_headers(&answer->headers, "content-length") > 1)
 		return -1;
 	if (length.data)
-		return read_decimal(length, &answer->body_left);
+		return read_length(answer, length);
 	answer->framing = ANSWER_FRAMING_CLOSE;
 	answer->keeps_connection = false;
 	return 0;
--- a/src/fescuemill/http/call_request.c
+++ b/src/fescuemill/http/call_request.c
@@ -62,6 +62,22 @@
 	return bytes.size == size && strncasecmp((const char *)bytes.data, text, size) == 0;
 }
 
+/* Reads a decimal number. */
+int wire_bytes_number(struct wire_bytes text, uint32_t *out)
+{
+	uint32_t number = 0;
+
+	if (text.size == 0 || text.size > NUMBER_DIGITS)
+		return -1;
+	for (uint32_t i = 0; i < text.size; i++) {
+		if (!isdigit(text.data[i]))
+			return -1;
+		number = number * 10 + (uint32_t)(text.data[i] - '0');
+	}
+	*out = number;
+	return 0;
+}
+
 /* Tells whether a header belongs to one connection only, or is made anew on each. */
 bool header_is_hop_by_hop(struct wire_bytes name)
 {
@@ -128,13 +144,10 @@
 		return error_set(err, ERROR_TYPE, "%.*s: found %u bytes, allowed 1 to %d digits",
 				 shown_size(header.name), (const char *)header.name.data, text.size,
 				 NUMBER_DIGITS);
-	for (uint32_t i = 0; i < text.size; i++) {
-		if (!isdigit(text.data[i]))
-			return error_set(err, ERROR_TYPE, "%.*s: found \"%.*s\", allowed digits",
-					 shown_size(header.name), (const char *)header.name.data,
-					 shown_size(text), (const char *)text.data);
-		number = number * 10 + (uint32_t)(text.data[i] - '0');
-	}
+	if (wire_bytes_number(text, &number) != 0)
+		return error_set(err, ERROR_TYPE, "%.*s: found \"%.*s\", allowed digits",
+				 shown_size(header.name), (const char *)header.name.data,
+				 shown_size(text), (const char *)text.data);
 	if (number < lowest || number > highest)
 		return error_set(err, ERROR_RANGE, "%.*s: found %u, allowed %u to %u",
 				 shown_size(header.name), (const char *)header.name.data, number,
--- a/src/fescuemill/http/call_request.h
+++ b/src/fescuemill/http/call_request.h
@@ -51,6 +51,8 @@
 bool header_is_hop_by_hop(struct wire_bytes name);
 bool header_is_listed(struct wire_bytes name, struct wire_bytes list);
 bool wire_bytes_is(struct wire_bytes bytes, const char *text);
+/* Reads a decimal number of at most nine digits that fills the text; -1 when it is none. */
+int wire_bytes_number(struct wire_bytes text, uint32_t *out);
 int outcome_http_status(enum call_outcome outcome, enum call_reason reason);
 
 #endif
--- a/src/fescuemill/http/own_dialect.c
+++ b/src/fescuemill/http/own_dialect.c
@@ -4,6 +4,7 @@
 #include "fescuemill/http/dialect.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/base/json_read.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/http/answer.h"
 
@@ -14,7 +15,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define PORT_MAX 65535
+#define PORT_MAX	 65535
+#define STATE_NAME_BYTES 32
 
 static const struct {
 	const char *name;
@@ -114,61 +116,24 @@
 	return false;
 }
 
-/* Reads a whole number of an object. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
-static int read_number(const json_t *object, const char *key, json_int_t highest, uint32_t *out,
-		       struct error *err)
-{
-	const json_t *value = json_object_get(object, key);
-	json_int_t number = json_integer_value(value);
-
-	if (!value)
-		return error_set(err, ERROR_MISSING, "%s: required", key);
-	if (!json_is_integer(value))
-		return error_set(err, ERROR_TYPE, "%s: allowed is a whole number", key);
-	if (number < 1 || number > highest)
-		return error_set(err, ERROR_RANGE, "%s: found %lld, allowed 1 to %lld", key,
-				 (long long)number, (long long)highest);
-	*out = (uint32_t)number;
-	return 0;
-}
-
-/* Reads a text of an object. Errors: ERROR_MISSING, ERROR_TYPE. */
-static int read_text(const json_t *object, const char *key, const char **out, struct error *err)
-{
-	const json_t *value = json_object_get(object, key);
-
-	if (!value)
-		return error_set(err, ERROR_MISSING, "%s: required", key);
-	if (!json_is_string(value))
-		return error_set(err, ERROR_TYPE, "%s: allowed is a text", key);
-	*out = json_string_value(value);
-	return 0;
-}
-
 /* Reads the service's name. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE, ERROR_SYNTAX. */
 static int read_service(const json_t *object, struct announcement *out, struct error *err)
 {
-	const char *text = "";
-
-	if (read_text(object, "service", &text, err) != 0)
+	if (json_read_text(object, "service", out->service, sizeof(out->service), err) != 0)
 		return -1;
-	if (text[0] == '\0' || strlen(text) >= sizeof(out->service))
-		return error_set(err, ERROR_RANGE, "service: allowed are 1 to %zu bytes",
-				 sizeof(out->service) - 1);
-	for (size_t i = 0; text[i]; i++) {
-		if (!isalnum((unsigned char)text[i]) && !strchr("-_.", text[i]))
+	for (size_t i = 0; out->service[i]; i++) {
+		if (!isalnum((unsigned char)out->service[i]) && !strchr("-_.", out->service[i]))
 			return error_set(err, ERROR_SYNTAX, "service: byte %zu is not allowed", i);
 	}
-	memcpy(out->service, text, strlen(text) + 1);
 	return 0;
 }
 
 /* Reads the state. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
 static int read_state(const json_t *object, struct announcement *out, struct error *err)
 {
-	const char *text = "";
+	char text[STATE_NAME_BYTES];
 
-	if (read_text(object, "state", &text, err) != 0)
+	if (json_read_text(object, "state", text, sizeof(text), err) != 0)
 		return -1;
 	for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
 		if (strcmp(text, states[i].name) == 0) {
@@ -189,10 +154,10 @@
 
 	if (read_service(object, out, err) != 0)
 		return -1;
-	if (read_number(object, "port", PORT_MAX, &port, err) != 0)
+	if (json_read_number(object, "port", 1, PORT_MAX, &port, err) != 0)
 		return -1;
 	out->port = (uint16_t)port;
-	if (read_number(object, "slots", ANNOUNCE_SLOTS_MAX, &out->slots, err) != 0)
+	if (json_read_number(object, "slots", 1, ANNOUNCE_SLOTS_MAX, &out->slots, err) != 0)
 		return -1;
 	return read_state(object, out, err);
 }
