--- a/test/property/retry_property_test.cc
+++ b/test/property/retry_property_test.cc
@@ -66,6 +66,7 @@
 		event.answer.outcome = !ran	  ? OUTCOME_NOT_RUN
 				       : answered ? OUTCOME_ANSWERED
 						  : OUTCOME_UNKNOWN;
+		event.answer.failed = false; /* the union held the choice before */
 		event.answer.reason = ran ? REASON_CONNECTION_LOST : REASON_OVERLOAD;
 		RC_ASSERT(attempt_entry_step(state, &event, nullptr, 1, out, &err) == 0);
 	}
--- a/test/unit/http/fetch_test.cc
+++ b/test/unit/http/fetch_test.cc
@@ -86,8 +86,8 @@
 	EXPECT_EQ(ERROR_UNREACHABLE, ended.kind);
 	EXPECT_FALSE(ended.sent) << "a change that was not sent certainly took no effect";
 	fetcher_close(fetcher);
-	for (int i = 0; i < 5; i++)
-		uv_run(&loop, UV_RUN_NOWAIT);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	EXPECT_EQ(0, uv_loop_close(&loop));
 }
 
 } // namespace
