Backend client: an idle connection is looked at before it is used again

Cause: a connection that its far end closes while the loop is busy elsewhere was used again, and the request counted as lost: 502 for a call that may not be repeated. Change: the socket is peeked at first, as the library's pool did that this client replaced.

--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -14,6 +14,7 @@
 #include "fescuemill/http/dialect.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <h2o/linklist.h>
 #include <h2o/memory.h>
 #include <netinet/tcp.h>
@@ -490,6 +491,18 @@
 	return -1;
 }
 
+/* Tells whether an idle connection can still be used: its far end has neither closed it nor sent
+ * bytes. The loop may not have come to read that yet. */
+static bool is_open_and_quiet(const struct connection *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 /* Takes the idle connection that was used last, and closes those whose time is up. */
 static struct connection *take_idle(struct backend_client *client)
 {
@@ -501,7 +514,7 @@
 		struct connection *conn = H2O_STRUCT_FROM_MEMBER(struct connection, link, at);
 
 		at = at->next;
-		if (now_us >= conn->usable_to_us)
+		if (now_us >= conn->usable_to_us || (!found && !is_open_and_quiet(conn)))
 			close_connection(conn);
 		else if (!found)
 			found = conn;
--- a/test/unit/http/backend_test.cc
+++ b/test/unit/http/backend_test.cc
@@ -456,6 +456,23 @@
 	EXPECT_EQ(server.requests.size(), 2u);
 }
 
+// The far end closes while the loop is busy elsewhere; a request that follows at once is not lost.
+TEST_F(BackendTest, AnIdleConnectionIsLookedAtBeforeItIsUsedAgain)
+{
+	uv_stream_t *last = nullptr;
+	uv_os_fd_t fd;
+	auto &server = serve([&last](uv_stream_t *peer, const std::string &) {
+		last = peer;
+		ScriptedServer::send(peer, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+	});
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+	ASSERT_EQ(uv_fileno((uv_handle_t *)last, &fd), 0);
+	shutdown(fd, SHUT_RDWR);
+	usleep(5000);
+	EXPECT_EQ(call_once().end, BACKEND_END_ANSWERED);
+	EXPECT_EQ(server.connections, 2);
+}
+
 TEST_F(BackendTest, AnAnswerOverTheCapIsTooLarge)
 {
 	serve([](uv_stream_t *peer, const std::string &) {
