HTTP listeners: a closed listener no longer calls its owner

The loop runs four more times after the parts of a node are closed, and the backend server's announcement over its kept connection was still handed to the node, whose gate had been freed. Ruled out: the order in which the parts are closed, as the entry and the administration API are asked the same way. Test: unit-announce, AnAnnouncementAfterTheCloseDoesNotReachTheOwner, failed before (200, the owner asked twice).

--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -447,7 +447,7 @@
 		return;
 	admin->closing = true;
 	http_server_drain(admin->server);
-	http_server_close(admin->server);
+	http_server_release(admin->server);
 }
 
 /* Counts the changes that still run; the platform client must outlive them. */
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -213,7 +213,7 @@
 /* Stops listening; no change is told any more. */
 void announce_close(struct announce *ann)
 {
-	http_server_close(ann->server);
+	http_server_release(ann->server);
 	uv_close((uv_handle_t *)&ann->lease, NULL);
 }
 
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -407,7 +407,7 @@
 /* Stops listening, and looking for callers that went away and for their bodies. */
 void caller_close(struct caller *caller)
 {
-	caller_stop_listening(caller);
+	http_server_release(caller->server);
 	body_watch_close(&caller->watch);
 	uv_close((uv_handle_t *)&caller->gone_timer, NULL);
 }
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -38,6 +38,7 @@
 	h2o_linklist_t connections; /* of struct connection */
 	uint32_t connection_count;
 	uint16_t port;
+	bool is_released; /* the owner takes no more requests */
 };
 
 /* An accepted connection; it stays allocated until libuv has closed the handle. */
@@ -57,6 +58,13 @@
 	return req->conn->callbacks->get_socket(req->conn)->on_close.data;
 }
 
+/* Refuses a request that came over an open connection after the owner had gone: nothing ran. */
+static void refuse_released(h2o_req_t *req)
+{
+	req->http1_is_persistent = 0;
+	http_respond(req, 503, NULL, 0);
+}
+
 /* Passes a request to the owner's handler. */
 static int handle_request(h2o_handler_t *self, h2o_req_t *req)
 {
@@ -65,7 +73,10 @@
 
 	conn->read_bytes = conn->sock->bytes_read;
 	conn->is_handled = true;
-	srv->options.on_request(srv->options.user, req);
+	if (srv->is_released)
+		refuse_released(req);
+	else
+		srv->options.on_request(srv->options.user, req);
 	return 0;
 }
 
@@ -131,7 +142,7 @@
 
 	if (!conn->is_handled && timerisset(&req->timestamps.request_body_begin_at))
 		http_server_linger(req);
-	if (srv->options.on_respond)
+	if (srv->options.on_respond && !srv->is_released)
 		srv->options.on_respond(srv->options.user, req);
 	conn->is_handled = false;
 	h2o_setup_next_ostream(req, slot);
@@ -301,6 +312,13 @@
 		uv_close((uv_handle_t *)&srv->listener, NULL);
 }
 
+/* Stops listening and lets go of the owner, which is about to be freed. */
+void http_server_release(struct http_server *srv)
+{
+	srv->is_released = true;
+	http_server_close(srv);
+}
+
 /* Frees a closed server without connections. */
 void http_server_free(struct http_server *srv)
 {
--- a/src/fescuemill/http/server.h
+++ b/src/fescuemill/http/server.h
@@ -40,6 +40,9 @@
 void http_server_stop_accepting(struct http_server *srv);
 /* Stops listening. The loop must run on before http_server_free. */
 void http_server_close(struct http_server *srv);
+/* Stops listening, and refuses with 503 what still comes over open connections: the handler and its
+ * user are not touched any more. */
+void http_server_release(struct http_server *srv);
 void http_server_free(struct http_server *srv);
 /* Lingering connections included. */
 uint32_t http_server_connections(const struct http_server *srv);
--- a/test/unit/http/announce_test.cc
+++ b/test/unit/http/announce_test.cc
@@ -61,6 +61,8 @@
 	uv_loop_t loop{};
 	struct announce *announce = nullptr;
 	std::vector<struct announcement> changes;
+	int asked = 0; // how often the owner was asked for the slots in use
+	bool is_closed = false;
 	int fd = -1;
 
 	void SetUp() override
@@ -74,7 +76,10 @@
 		options.on_change = [](void *user, const struct announcement *now) {
 			static_cast<AnnounceTest *>(user)->changes.push_back(*now);
 		};
-		options.in_use = [](void *) -> uint32_t { return 4; };
+		options.in_use = [](void *user) -> uint32_t {
+			static_cast<AnnounceTest *>(user)->asked++;
+			return 4;
+		};
 		ASSERT_EQ(announce_open(&announce, &loop, &options, nullptr), 0);
 		fd = support::connect_to(announce_port(announce));
 		ASSERT_GE(fd, 0);
@@ -83,7 +88,7 @@
 	void TearDown() override
 	{
 		close(fd);
-		announce_close(announce);
+		close_announce();
 		for (int i = 0; i < 20; i++) {
 			uv_run(&loop, UV_RUN_NOWAIT);
 			usleep(1000);
@@ -93,6 +98,13 @@
 		uv_loop_close(&loop);
 	}
 
+	void close_announce()
+	{
+		if (!is_closed)
+			announce_close(announce);
+		is_closed = true;
+	}
+
 	static std::string announced(const std::string &state)
 	{
 		return R"({"service":"ledger","port":81,"slots":6,"state":")" + state + "\"}";
@@ -133,6 +145,19 @@
 	EXPECT_EQ(changes[1].port, 0);
 }
 
+// The backend server keeps its connection open, and the parts that the owner would ask are freed
+// once the listener is closed.
+TEST_F(AnnounceTest, AnAnnouncementAfterTheCloseDoesNotReachTheOwner)
+{
+	ASSERT_EQ(post("/announce", kReady).find("HTTP/1.1 200"), 0u);
+	close_announce();
+	std::string answer = post("/announce", announced("draining"));
+	EXPECT_EQ(answer.find("HTTP/1.1 503"), 0u) << answer;
+	EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+	EXPECT_EQ(asked, 1);
+	EXPECT_EQ(changes.size(), 1u);
+}
+
 // Every announcement in every state: the chart decides what is taken and which state follows.
 TEST_F(AnnounceTest, FollowsTheChart)
 {
