Entry: gates are asked only while one promises more than waiting at one that was full

Each refusal for lack of room also counted as an error of its gate. Change: a gate that had no room is still compared, by the load that it told; if it is the best, the call waits there. Lack of room is no error. A noisy spell costs at most its rest, since the gate has a call wait for the end.

--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -94,6 +94,15 @@
 	entry_exclude(call);
 }
 
+/* Keeps the present gate out until the call may wait, or is better off waiting there than
+ * elsewhere. */
+static void entry_exclude_full(struct attempt_entry *call)
+{
+	if (call->excluded_count < ENTRY_EXCLUDED_MAX)
+		call->excluded_full |= 1U << call->excluded_count;
+	entry_exclude(call);
+}
+
 /* Lets the gates that only had no room be chosen again, to wait at one of them. */
 static void entry_become_patient(struct attempt_entry *call)
 {
@@ -106,6 +115,31 @@
 	call->is_patient = true;
 	call->excluded_count = (uint8_t)kept;
 	call->excluded_for_good = (1U << kept) - 1;
+	call->excluded_full = 0;
+}
+
+/* Lists the gates that must not be chosen next. Until the call may wait, one that had no room is
+ * still compared with those that were not asked yet. */
+uint32_t attempt_entry_excluded(const struct attempt_entry *call, uint64_t *list)
+{
+	bool compares_full = call->servers_max > 0 && !call->is_patient;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < call->excluded_count; i++) {
+		if (!compares_full || !(call->excluded_full & (1U << i)))
+			list[count++] = call->excluded[i];
+	}
+	return count;
+}
+
+/* Tells whether a gate had no room for the call. */
+bool attempt_entry_was_full(const struct attempt_entry *call, uint64_t node_id)
+{
+	for (uint32_t i = 0; i < call->excluded_count; i++) {
+		if ((call->excluded_full & (1U << i)) && call->excluded[i] == node_id)
+			return true;
+	}
+	return false;
 }
 
 /* Tells whether another gate may do better after a refusal. */
@@ -184,6 +218,8 @@
 		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
 	if (reason == REASON_SHED)
 		entry_exclude_for_good(call);
+	else if (reason == REASON_OVERLOAD)
+		entry_exclude_full(call);
 	else if (reason != REASON_INCARNATION)
 		entry_exclude(call);
 	return entry_choose_again(call, out, err);
--- a/src/fescuemill/decide/attempt_entry.h
+++ b/src/fescuemill/decide/attempt_entry.h
@@ -42,6 +42,7 @@
 	struct retry_tree retries;
 	uint64_t excluded[ENTRY_EXCLUDED_MAX]; /* node ids not to choose again */
 	uint32_t excluded_for_good;	       /* bits of those that lost or failed it */
+	uint32_t excluded_full;		       /* bits of those that had no room */
 	uint8_t excluded_count;
 	uint8_t attempts;
 	uint8_t servers_max;
@@ -122,6 +123,11 @@
 	struct attempt_entry_action list[ENTRY_ACTIONS_MAX];
 };
 
+/* Lists the gates that must not be chosen next; the list has room for ENTRY_EXCLUDED_MAX. */
+uint32_t attempt_entry_excluded(const struct attempt_entry *call, uint64_t *list);
+/* Tells whether a gate had no room for the call: if it is the best all the same, the call had
+ * better wait there than be sent around (ENTRY_EVENT_NO_GATE). */
+bool attempt_entry_was_full(const struct attempt_entry *call, uint64_t node_id);
 void attempt_entry_init(struct attempt_entry *call, const struct attempt_entry_settings *settings);
 int attempt_entry_step(struct attempt_entry *call, const struct attempt_entry_event *event,
 		       struct retry_bucket *bucket, uint64_t now_us,
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -170,15 +170,19 @@
 	return seen > (float)gate->in_flight ? seen : (float)gate->in_flight;
 }
 
-/* Gives how much longer a call takes for the noise on a gate's host, as far as a noisy spell that
- * was seen some time ago is expected to last. */
-static float noise_factor(const struct choice_gate *gate, uint64_t now_us)
+/* Gives how much longer a call of a service time takes for the noise on a gate's host, as far as a
+ * noisy spell that was seen some time ago is expected to last. The gate has a call wait for the end
+ * of the spell if that is shorter. */
+static float noise_us(const struct choice_gate *gate, float service_us, uint64_t now_us)
 {
 	float weight = aged_weight(gate->load_us, now_us, PACE_SPELL_US);
+	float extra_us;
 
 	if (gate->pace_percent <= PACE_USUAL_PERCENT)
-		return 1;
-	return 1 + weight * (float)(gate->pace_percent - PACE_USUAL_PERCENT) / PACE_USUAL_PERCENT;
+		return 0;
+	extra_us =
+		service_us * (float)(gate->pace_percent - PACE_USUAL_PERCENT) / PACE_USUAL_PERCENT;
+	return weight * (extra_us < PACE_SPELL_US ? extra_us : PACE_SPELL_US);
 }
 
 /* Expected completion of an attempt sent now, in microseconds, with the cost of a likely error
@@ -190,14 +194,13 @@
 	uint32_t distance = gate->member.distance;
 	float body_kib = (float)query->body_bytes / 1024;
 	float slowness = expected_slowness(choice, gate, now_us);
-	float service =
-		slowness * noise_factor(gate, now_us) * class_typical_us(choice, class_index);
+	float service = slowness * class_typical_us(choice, class_index);
 	float limit = (float)gate->limit;
 	float excess = expected_occupancy(choice, gate, now_us) + 1 - limit;
 	float errors = is_on_trial(choice, gate, now_us) ? 0 : error_excess(choice, gate);
 	float wait = excess > 0 ? slowness * choice->typical_us * excess / limit : 0;
 
-	return gate->round_trip_us + wait + service +
+	return gate->round_trip_us + wait + service + noise_us(gate, service, now_us) +
 	       errors * (float)choice->settings.error_penalty_us +
 	       (float)choice->settings.step_us[distance] +
 	       body_kib * (float)choice->settings.step_us_per_kib[distance];
@@ -409,6 +412,7 @@
 	case CHOICE_RESULT_LOST:
 		gate_error_taken(choice, gate, true, now_us);
 		break;
+	case CHOICE_RESULT_NO_ROOM:
 	case CHOICE_RESULT_CANCELLED:
 		break;
 	}
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -64,7 +64,8 @@
 enum choice_result_kind {
 	CHOICE_RESULT_ANSWERED, /* with a status below 500 */
 	CHOICE_RESULT_FAILED,	/* with a status of 500 or more */
-	CHOICE_RESULT_REFUSED,	/* not run */
+	CHOICE_RESULT_NO_ROOM,	/* not run: all slots are taken, as the load beside it says */
+	CHOICE_RESULT_REFUSED,	/* not run for another reason */
 	CHOICE_RESULT_LOST,	/* unknown, gone or timed out */
 	CHOICE_RESULT_CANCELLED,
 };
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -47,7 +47,8 @@
 		return answer->status < HTTP_ERROR_MIN ? CHOICE_RESULT_ANSWERED
 						       : CHOICE_RESULT_FAILED;
 	case OUTCOME_NOT_RUN:
-		return CHOICE_RESULT_REFUSED;
+		return answer->reason == REASON_OVERLOAD ? CHOICE_RESULT_NO_ROOM
+							 : CHOICE_RESULT_REFUSED;
 	default:
 		return CHOICE_RESULT_LOST;
 	}
@@ -184,10 +185,12 @@
 	return true;
 }
 
-/* Picks a gate by the service's choice, or the home of a key. */
+/* Picks a gate by the service's choice, or the home of a key. There is none to ask when the best is
+ * one that had no room. */
 static bool pick_life(struct entry_call *call, struct node_life *gate)
 {
-	struct choice_query query = {call->state.excluded, call->state.excluded_count,
+	uint64_t excluded[ENTRY_EXCLUDED_MAX];
+	struct choice_query query = {excluded, attempt_entry_excluded(&call->state, excluded),
 				     call->class_index, call->request->body.size};
 
 	entry_service_refresh(call->entry, call->service);
@@ -196,7 +199,8 @@
 		return find_home(call, gate);
 	}
 	return choice_pick(call->service->choice, &query, &call->entry->rng, clock_monotonic_us(),
-			   gate);
+			   gate) &&
+	       !attempt_entry_was_full(&call->state, gate->node_id);
 }
 
 /* Picks a gate and makes its link ready. Returns false when there is none. */
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -78,7 +78,7 @@
 	{
 		choice_result result = {};
 
-		result.kind = choice_result_kind(random_below(&rng, 5));
+		result.kind = choice_result_kind(random_below(&rng, CHOICE_RESULT_CANCELLED + 1));
 		result.class_index = uint8_t(random_below(&rng, 20));
 		result.has_load = random_below(&rng, 2);
 		result.load = {random_below(&rng, 9),
--- a/test/property/gate_property_test.cc
+++ b/test/property/gate_property_test.cc
@@ -228,8 +228,8 @@
 		check_order(call);
 	}
 
-	// Within a class: the earliest due while it has time to spare. Else the latest due as long as
-	// that one can be answered in time, or else the earliest due.
+	// Within a class: the earliest due while it has time to spare. Else the latest due as long
+	// as that one can be answered in time, or else the earliest due.
 	void check_due(const struct gate_ticket &started)
 	{
 		const struct gate_class &c = gate.classes[started.class_index];
--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -263,6 +263,37 @@
 	EXPECT_FALSE(out.list[0].refuse_to_wait);
 }
 
+TEST_F(AttemptEntry, AGateThatHadNoRoomIsStillComparedButOneThatRefusedForAnotherReasonIsNot)
+{
+	uint64_t list[ENTRY_EXCLUDED_MAX];
+
+	begin(true, false, 2);
+	choose(5);
+	answer(1, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	EXPECT_EQ(0U, attempt_entry_excluded(&call, list));
+	EXPECT_TRUE(attempt_entry_was_full(&call, 5));
+	choose(6);
+	answer(2, OUTCOME_NOT_RUN, REASON_NO_BACKEND);
+	ASSERT_EQ(1U, attempt_entry_excluded(&call, list));
+	EXPECT_EQ(6U, list[0]);
+	EXPECT_FALSE(attempt_entry_was_full(&call, 6));
+}
+
+TEST_F(AttemptEntry, OnceACallMayWaitAGateThatRefusesItAgainIsLeftOut)
+{
+	uint64_t list[ENTRY_EXCLUDED_MAX];
+
+	begin(true, false, 2);
+	choose(5);
+	answer(1, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, step(ENTRY_EVENT_NO_GATE));
+	EXPECT_FALSE(attempt_entry_was_full(&call, 5));
+	choose(5);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD));
+	ASSERT_EQ(1U, attempt_entry_excluded(&call, list));
+	EXPECT_EQ(5U, list[0]);
+}
+
 TEST_F(AttemptEntry, APatientCallIsRefusedOnceAllGatesRefuseItAgain)
 {
 	begin(true, false, 2);
