Choice and gate: unknown gates are as full as the others; short calls take the slots kept back

By the log lines of a trial, in the two seconds of the first restarts 2,000 calls were refused 12,500 times: what an entry knows of 26 gates is mostly older than half a second, and an unknown gate counted as idle, so each call asked five. And calls made by backend servers (100 ms objective) waited for long calls to end: reg-lookup 189 ms at the median beside a burst of cert-fetch, half of them failed, and their callers held slots meanwhile. Change: the typical fill of the gates that told their load lately stands for the others. Classes whose calls are a quarter as long as the gate's mean, or shorter, may exceed the fixed limit up to the announced slots. Tests: unit-choice and unit-gate, each failed before.

--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -18,6 +18,9 @@
 #define ERROR_WEIGHT	  0.2F
 #define ERROR_DEAD_ZONE	  0.25F /* above twice the typical error rate */
 
+#define FILL_WEIGHT 0.125F  /* of one gate's load; the last eight or so make the typical one */
+#define FILL_AGE_US 1000000 /* floods come and go within seconds */
+
 #define SLOW_FACTOR	    2.0F  /* slowness from which a gate counts as slow */
 #define FAST_SLOWNESS	    0.25F /* up to which a gate is faster than chance makes it look */
 #define UNTRIED_SLOWNESS    0.5F  /* of a gate without a result: it may be better than those seen */
@@ -94,6 +97,12 @@
 	return expf(-(float)(now_us - seen_us) / (float)age_us);
 }
 
+/* Moves a smoothed value towards a sample. */
+static float smoothed(float value, float sample, float weight)
+{
+	return value + weight * (sample - value);
+}
+
 /* Tells whether a gate was last seen to be slow. Smaller differences are noise of the service
  * times: to follow them would send the work of all entries to whoever was lucky last. */
 static bool is_slow(const struct choice_gate *gate)
@@ -159,13 +168,25 @@
 	return stalled > SLOW_FACTOR * slowness ? stalled : slowness;
 }
 
-/* Expected number of attempts at the gate: those last seen, aged, and this entry's own since; at
- * least this entry's own in flight. */
+/* Expected number of attempts at a gate of which nothing is known: as at the gates that told their
+ * load lately. In a flood all gates are full, and to take the others for idle would send each call
+ * around all of them. */
+static float typical_occupancy(const struct choice *choice, const struct choice_gate *gate,
+			       uint64_t now_us)
+{
+	return aged_weight(choice->fill_us, now_us, FILL_AGE_US) * choice->typical_fill *
+	       (float)gate->limit;
+}
+
+/* Expected number of attempts at the gate: those last seen, and the more of the typical number the
+ * longer that is ago, and this entry's own since; at least this entry's own in flight. */
 static float expected_occupancy(const struct choice *choice, const struct choice_gate *gate,
 				uint64_t now_us)
 {
 	float weight = aged_weight(gate->load_us, now_us, choice->settings.load_age_us);
-	float seen = weight * (float)gate->occupancy + (float)gate->sent_since;
+	float seen = weight * (float)gate->occupancy +
+		     (1 - weight) * typical_occupancy(choice, gate, now_us) +
+		     (float)gate->sent_since;
 
 	return seen > (float)gate->in_flight ? seen : (float)gate->in_flight;
 }
@@ -302,10 +323,23 @@
 	gate->held_to_us = is_draining ? now_us + CHOICE_DRAINING_HOLD_US : 0;
 }
 
+/* Moves the typical fill towards that of a gate that tells its load. */
+static void fill_taken(struct choice *choice, const struct gate_load *load, uint64_t now_us)
+{
+	if (load->limit == 0)
+		return;
+	choice->typical_fill =
+		smoothed(choice->typical_fill,
+			 (float)(load->in_use + load->queued) / (float)load->limit, FILL_WEIGHT);
+	choice->fill_us = now_us;
+}
+
 /* Takes in a gate's own word on its load. Its service time is left out: it mixes classes, and fast
  * failures shorten it. */
-static void gate_load_taken(struct choice_gate *gate, const struct gate_load *load, uint64_t now_us)
+static void gate_load_taken(struct choice *choice, struct choice_gate *gate,
+			    const struct gate_load *load, uint64_t now_us)
 {
+	fill_taken(choice, load, now_us);
 	gate->load_us = now_us;
 	gate->occupancy = load->in_use + load->queued;
 	gate->pace_percent = load->pace_percent;
@@ -315,12 +349,6 @@
 		gate->limit = load->limit;
 }
 
-/* Moves a smoothed value towards a sample. */
-static float smoothed(float value, float sample, float weight)
-{
-	return value + weight * (sample - value);
-}
-
 /* Moves the typical service times towards a sample; the first answers weigh more. */
 static void typical_taken(struct choice *choice, uint32_t class_index, float server_us)
 {
@@ -417,7 +445,7 @@
 		break;
 	}
 	if (result->has_load)
-		gate_load_taken(gate, &result->load, now_us);
+		gate_load_taken(choice, gate, &result->load, now_us);
 }
 
 /* Takes in a load report that came by itself. */
@@ -427,7 +455,7 @@
 	struct choice_gate *gate = gate_find(choice, node_id);
 
 	if (gate)
-		gate_load_taken(gate, load, now_us);
+		gate_load_taken(choice, gate, load, now_us);
 }
 
 /* Gives the number of gates that state is kept for. */
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -28,6 +28,8 @@
 	struct choice_settings settings;
 	float typical_us; /* service time of the answers to this entry */
 	float typical_error_rate;
+	float typical_fill; /* attempts for each slot at the gates that told their load lately */
+	uint64_t fill_us;   /* when one told it last; 0: never */
 	float class_typical_us[CLASSES_PER_SERVICE_MAX];
 	uint32_t class_answers[CLASSES_PER_SERVICE_MAX]; /* up to TYPICAL_ANSWERS_MAX */
 	uint32_t trial_tokens;				 /* in thousandths of a trial */
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -190,11 +190,40 @@
 	}
 }
 
+/* Tells whether a class may fill the slots over the limit. A limit that is fixed keeps some back,
+ * since work slows down when nearly all are taken. That costs a short call little, while the wait
+ * for a long one to end can cost it its target, and its caller a slot meanwhile. */
+static bool may_exceed_limit(const struct gate *gate, const struct gate_class *class)
+{
+	return gate->slots_used_percent > 0 && gate_order_is_short(gate, class);
+}
+
+/* Gives how many slots a class may fill. */
+static uint32_t slots_for(const struct gate *gate, const struct gate_class *class)
+{
+	return may_exceed_limit(gate, class) ? gate->limit.slots : gate->limit.current;
+}
+
+/* Tells whether a short call waits that may take a slot over the limit. */
+static bool may_start_short(const struct gate *gate)
+{
+	return gate->slots_used_percent > 0 && gate->in_use < gate->limit.slots &&
+	       gate_order_next_short(gate);
+}
+
+/* Gives the waiting ticket that may start now, or NULL. */
+static struct gate_ticket *next_to_start(struct gate *gate)
+{
+	if (gate->in_use < gate->limit.current)
+		return gate_order_next(gate);
+	return may_start_short(gate) ? gate_order_next_short(gate) : NULL;
+}
+
 /* Fills free slots with waiting work. */
 static void dispatch(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
-	while (may_start(gate) && gate->in_use < gate->limit.current && gate->queued) {
-		struct gate_ticket *ticket = gate_order_next(gate);
+	while (may_start(gate) && gate->queued) {
+		struct gate_ticket *ticket = next_to_start(gate);
 		enum pace_advice advice;
 
 		if (!ticket)
@@ -450,8 +479,20 @@
 /* Tells whether a slot is free for a class. */
 static bool may_take_slot(const struct gate *gate, uint32_t class_index)
 {
-	return gate->in_use < gate->limit.current &&
-	       !headroom_holds_back(gate, &gate->classes[class_index]);
+	const struct gate_class *class = &gate->classes[class_index];
+
+	return gate->in_use < slots_for(gate, class) && !headroom_holds_back(gate, class);
+}
+
+/* Tells whether a call of a class would be next to start, as soon as the pace of the host allows.
+ */
+static bool has_room(const struct gate *gate, uint32_t class_index)
+{
+	const struct gate_class *class = &gate->classes[class_index];
+
+	if (may_exceed_limit(gate, class))
+		return gate->in_use + gate_queue_length(class) < gate->limit.slots;
+	return gate->in_use + gate->queued < gate->limit.current;
 }
 
 /* Takes the decision about a ticket out of the actions; without one the ticket waits. */
@@ -478,7 +519,6 @@
 {
 	enum call_reason reason;
 	enum pace_advice advice;
-	bool has_room;
 	bool is_good;
 
 	now_us = begin(gate, now_us, actions);
@@ -492,8 +532,8 @@
 		start(gate, ticket, now_us);
 		return verdict_start;
 	}
-	has_room = gate->in_use + gate->queued < gate->limit.current;
-	if (ticket->refuse_to_wait && (!has_room || (!is_good && advice != PACE_ASK)))
+	if (ticket->refuse_to_wait &&
+	    (!has_room(gate, class_index) || (!is_good && advice != PACE_ASK)))
 		reason = REASON_OVERLOAD;
 	else
 		reason = enqueue(gate, ticket, now_us, actions);
@@ -571,7 +611,9 @@
 /* Tells whether work with a free slot waits for a figure. */
 bool gate_wants_pace(struct gate *gate, uint64_t now_us)
 {
-	if (gate->queued == 0 || gate->in_use >= gate->limit.current || !may_start(gate))
+	bool has_slot = gate->in_use < gate->limit.current || may_start_short(gate);
+
+	if (gate->queued == 0 || !has_slot || !may_start(gate))
 		return false;
 	return pace_take_probe(&gate->pace, now_us);
 }
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -20,6 +20,7 @@
 #define GATE_ACTIONS_MAX      GATE_QUEUE_MAX /* one operation decides at most all that waits */
 #define GATE_TICK_INTERVAL_US 5000
 #define GATE_DUE_MARGIN	      2	 /* service times that answering in time takes */
+#define GATE_SHORT_DIVISOR    4	 /* calls this many times shorter than the mean are short */
 #define GATE_USUAL_KNOWN      16 /* samples that make a usual service time known */
 #define GATE_USUAL_SAMPLES    256
 #define GATE_PENALTY_HALF_US  500000 /* a failure counts half as much after this time */
--- a/src/fescuemill/decide/gate_order.c
+++ b/src/fescuemill/decide/gate_order.c
@@ -36,6 +36,29 @@
 	return best;
 }
 
+/* Tells whether a class's calls are so short that they may take a slot over the limit. */
+bool gate_order_is_short(const struct gate *gate, const struct gate_class *class)
+{
+	return class->service.recent_us > 0 &&
+	       class->service.recent_us * GATE_SHORT_DIVISOR <= gate->service_us;
+}
+
+/* Gives the waiting ticket of the most urgent class of short calls with work in profile, or NULL.
+ */
+struct gate_ticket *gate_order_next_short(const struct gate *gate)
+{
+	const struct gate_class *best = NULL;
+
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		const struct gate_class *class = &gate->classes[i];
+
+		if (class->in_profile.head && gate_order_is_short(gate, class) &&
+		    (!best || is_before(class, best, gate->advanced_us)))
+			best = class;
+	}
+	return best ? gate_queue_next_in_profile(best, gate->advanced_us) : NULL;
+}
+
 /* Gives the class that lags furthest behind its floor, or NULL when none is owed. */
 static struct gate_class *find_owed(struct gate *gate)
 {
--- a/test/unit/decide/choice_test.cc
+++ b/test/unit/decide/choice_test.cc
@@ -116,3 +116,14 @@
 	end(FAR, CHOICE_RESULT_ANSWERED, 0, 0, 100);
 	EXPECT_EQ(pick(), FAR);
 }
+
+// A flood at all gates: those that told their load are full, and nothing is known of the nearest.
+TEST_F(Choice, AGateOfWhichNothingIsKnownIsTakenToBeAsFullAsTheOthers)
+{
+	settle();
+	now_us += 10000000;
+	for (int i = 0; i < 30; i++)
+		end(FAR, CHOICE_RESULT_NO_ROOM, SLOTS, 3 * SLOTS, 100);
+	end(FAR, CHOICE_RESULT_NO_ROOM, SLOTS, 0, 100);
+	EXPECT_EQ(pick(), FAR);
+}
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -157,6 +157,32 @@
 
 } // namespace
 
+// Calls that backend servers make while they run others are short, and their caller holds a slot
+// meanwhile: they need not wait for a long call to end while slots are kept back.
+TEST_F(Gate, AShortCallTakesASlotThatIsKeptBackAndALongOneDoesNot)
+{
+	gate.slots_used_percent = 50;
+	gate_set_backend(&gate, BACKEND_READY, 4, now_us, &actions);
+	ASSERT_EQ(2U, gate.limit.current);
+	for (int i = 0; i < 50; i++) {
+		offer(tickets[0], BROWSE);
+		finish(tickets[0], GATE_RESULT_OK, 100000);
+		offer(tickets[0], PURCHASE);
+		finish(tickets[0], GATE_RESULT_OK, 1000);
+		offer(tickets[0], BROWSE);
+		finish(tickets[0], GATE_RESULT_OK, 100000);
+	}
+	tickets = {};
+	EXPECT_EQ(GATE_START, offer(tickets[0], BROWSE).kind);
+	EXPECT_EQ(GATE_START, offer(tickets[1], BROWSE).kind);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[2], BROWSE).kind);
+	EXPECT_EQ(GATE_START, offer(tickets[3], PURCHASE).kind);
+	EXPECT_EQ(GATE_START, offer(tickets[4], PURCHASE).kind);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[5], PURCHASE).kind);
+	finish(tickets[3], GATE_RESULT_OK, 1000);
+	expect_started(tickets[5]);
+}
+
 TEST_F(Gate, RefusesWithoutBackendServer)
 {
 	EXPECT_EQ(REASON_NO_BACKEND, offer(tickets[0], PURCHASE).reason);
