--- a/src/fescuemill/decide/gate_queue.c
+++ b/src/fescuemill/decide/gate_queue.c
@@ -86,14 +86,6 @@
 	return now_us + class->service.recent_us * service_times <= ticket->due_us;
 }
 
-/* Tells whether the ticket that a class serves next can still be answered by its due time. */
-bool gate_queue_is_in_time(const struct gate_class *class, uint64_t now_us)
-{
-	const struct gate_ticket *next = gate_queue_next_in_profile(class, now_us);
-
-	return next && is_in_time(class, next, 1, now_us);
-}
-
 /*
  * Gives the ticket in profile that a class serves next, or NULL: the earliest due. A class that has
  * fallen behind serves the latest due as long as that one can be answered in time: in the order of
