--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -4,13 +4,12 @@
 #include "fescuemill/decide/gate.h"
 
 #include "fescuemill/decide/gate_account.h"
+#include "fescuemill/decide/gate_class.h"
 #include "fescuemill/decide/gate_order.h"
 #include "fescuemill/decide/gate_queue.h"
 #include "fescuemill/decide/gate_tally.h"
 #include "fescuemill/decide/headroom.h"
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 static const struct gate_verdict verdict_start = {GATE_START, REASON_NONE};
@@ -255,16 +254,6 @@
 	gate->decayed_us = now_us;
 }
 
-/* Gives the class of a configuration with a name, or NULL. */
-static const struct class_target *find_target(const struct service_config *config, const char *name)
-{
-	for (uint32_t i = 0; i < config->class_count; i++) {
-		if (strncmp(config->classes[i].name, name, CLASS_NAME_BYTES) == 0)
-			return &config->classes[i];
-	}
-	return NULL;
-}
-
 /* Takes a class away: what waits is refused, what runs finishes without account. */
 static void remove_class(struct gate *gate, struct gate_class *class, struct gate_actions *actions)
 {
@@ -275,56 +264,6 @@
 	class->generation = (uint8_t)(generation + 1);
 }
 
-/* Gives a class of the configuration a place of its own. */
-static void add_class(struct gate *gate, const struct class_target *target, uint64_t now_us)
-{
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		struct gate_class *class = &gate->classes[i];
-
-		if (class->active)
-			continue;
-		class->active = true;
-		class->target = *target;
-		class->profile.refill_us = now_us;
-		return;
-	}
-}
-
-/* Gives the index of a class for gate_offer, or -1 when there is none of this name. */
-int gate_find_class(const struct gate *gate, const char *name)
-{
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		const struct gate_class *class = &gate->classes[i];
-
-		if (class->active && strncmp(class->target.name, name, CLASS_NAME_BYTES) == 0)
-			return (int)i;
-	}
-	return -1;
-}
-
-/* Gives the class that is nearest in rank to a class which this gate does not know, by the name
- * that routes give it; -1 when there is none. Versions of the routes differ for a moment between
- * nodes. */
-int gate_nearest_class(const struct gate *gate, const char *name)
-{
-	unsigned int wanted = 0;
-	int nearest = -1;
-
-	if (sscanf(name, "rank%u-", &wanted) != 1)
-		return -1;
-	for (int i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		const struct gate_class *class = &gate->classes[i];
-
-		if (!class->active)
-			continue;
-		if (nearest < 0 ||
-		    abs((int)class->target.rank - (int)wanted) <
-			    abs((int)gate->classes[nearest].target.rank - (int)wanted))
-			nearest = i;
-	}
-	return nearest;
-}
-
 /* Takes away the classes that a configuration does not name and updates those that it does. */
 static void update_classes(struct gate *gate, const struct service_config *config,
 			   struct gate_actions *actions)
@@ -335,7 +274,7 @@
 
 		if (!class->active)
 			continue;
-		target = find_target(config, class->target.name);
+		target = gate_class_target(config, class->target.name);
 		if (target)
 			class->target = *target;
 		else
@@ -361,7 +300,7 @@
 		const struct class_target *target = &config->classes[i];
 
 		if (gate_find_class(gate, target->name) < 0)
-			add_class(gate, target, now_us);
+			gate_class_add(gate, target, now_us);
 	}
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++)
 		rates_milli[i] = gate->classes[i].target.calls_per_s * 1000ULL;
--- a/src/fescuemilld/entry_classify.c
+++ b/src/fescuemilld/entry_classify.c
@@ -20,7 +20,6 @@
 	if (!target)
 		return REASON_UNKNOWN_CLASS;
 	out->index = (uint8_t)(target - config->classes);
-	out->latency_us = target->latency_us;
 	return REASON_NONE;
 }
 
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -87,7 +87,6 @@
 	bool idempotent;
 	uint32_t servers_max;  /* 0: not bounded */
 	uint64_t time_left_us; /* the client's, cut to the route's */
-	uint64_t latency_us;   /* the class's objective; 0 while unknown */
 };
 
 struct entry {
