Retry-After: a backend server that refuses with free slots is come back to at once

Change: where the gate expects no wait, a refusal by the backend server asks the client back after 50 to 100 ms, as for another gate. Test: unit-retry_after, failed before.

--- a/src/fescuemill/decide/retry_after.c
+++ b/src/fescuemill/decide/retry_after.c
@@ -15,8 +15,13 @@
 	uint32_t wait_ms = wait_us / 1000;
 
 	switch (reason) {
-	case REASON_OVERLOAD:
 	case REASON_SHED:
+		/* With slots free at its gate the backend server refused for a reason of its own;
+		 * the next try is as good as any later one. */
+		if (wait_us == 0)
+			return ELSEWHERE_MS;
+		/* fall through */
+	case REASON_OVERLOAD:
 	case REASON_EXPIRED:
 	case REASON_RETRY_BUDGET:
 		if (wait_ms > WAIT_MS_MAX)
