Soak: faults of one process do not overlap where the first keeps it from answering

Change: faults say which process they keep from answering; those of the same process do not overlap, and no change goes through a node that is paused or gone.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -31,13 +31,20 @@
 };
 Plan plan;
 
+// The process that a fault keeps from answering: no other fault of that process begins meanwhile.
+enum class Takes {
+	nothing,
+	node,
+	backend,
+};
+
 // One fault: what begins it, what ends it, and how long it lasts at most.
 struct Fault {
 	const char *name;
 	int longest_ms;
 	std::function<void(size_t host)> begin;
 	std::function<void(size_t host)> end;
-	bool takes_host; // no other fault of a process hits the same host meanwhile
+	Takes takes;
 };
 
 struct Running {
@@ -67,55 +74,60 @@
 		auto none = [](size_t) {};
 
 		add(
-			"pause node", 4000, true, [node](size_t h) { node(h).signal(SIGSTOP); },
+			"pause node", 4000, Takes::node,
+			[node](size_t h) { node(h).signal(SIGSTOP); },
 			[node](size_t h) { node(h).signal(SIGCONT); });
 		add(
-			"kill node", 2000, true, [node](size_t h) { node(h).kill(); },
+			"kill node", 2000, Takes::node, [node](size_t h) { node(h).kill(); },
 			[this](size_t h) { restart(h); });
 		add(
-			"stop node", 500, true, [node](size_t h) { node(h).signal(SIGTERM); },
+			"stop node", 500, Takes::node,
+			[node](size_t h) { node(h).signal(SIGTERM); },
 			[this, node](size_t h) {
 				EXPECT_EQ(0, node(h).wait(STOP_MS)) << fleet.hosts[h].name;
 				restart(h);
 			});
 		add(
-			"settings read again", 100, false,
+			"settings read again", 100, Takes::nothing,
 			[node](size_t h) { node(h).signal(SIGHUP); }, none);
 		add(
-			"pause backend server", 2000, false,
+			"pause backend server", 2000, Takes::backend,
 			[backend](size_t h) { backend(h).signal(SIGSTOP); },
 			[backend](size_t h) { backend(h).signal(SIGCONT); });
 		add(
-			"slow backend server", 3000, false,
+			"slow backend server", 3000, Takes::backend,
 			[backend](size_t h) { Fleet::control(backend(h), "{\"slow_factor\":20}"); },
 			[backend](size_t h) { Fleet::control(backend(h), "{\"slow_factor\":1}"); });
 		add(
-			"shedding backend server", 3000, false,
+			"shedding backend server", 3000, Takes::backend,
 			[backend](size_t h) { Fleet::control(backend(h), "{\"shed\":true}"); },
 			[backend](size_t h) { Fleet::control(backend(h), "{\"shed\":false}"); });
 		add(
-			"store down", 4000, false, [this](size_t) { mode("down"); },
+			"store down", 4000, Takes::nothing, [this](size_t) { mode("down"); },
 			[this](size_t) { mode("up"); });
 		add(
-			"store loses answers", 3000, false,
+			"store loses answers", 3000, Takes::nothing,
 			[this](size_t) { mode("lose-answers"); }, [this](size_t) { mode("up"); });
 		add(
-			"regions cut off", 3000, false, [this](size_t) { link("{\"cut\":true}"); },
+			"regions cut off", 3000, Takes::nothing,
+			[this](size_t) { link("{\"cut\":true}"); },
 			[this](size_t) { link("{\"cut\":false}"); });
 		add(
-			"connections silenced", 100, false,
+			"connections silenced", 100, Takes::nothing,
 			[this](size_t) { link("{\"silence\":true}"); }, none);
 		add(
-			"slow link", 3000, false, [this](size_t) { link("{\"delay_ms\":150}"); },
+			"slow link", 3000, Takes::nothing,
+			[this](size_t) { link("{\"delay_ms\":150}"); },
 			[this](size_t) { link("{\"delay_ms\":8}"); });
 		add(
-			"configuration changed", 100, false, [this](size_t h) { change(h); }, none);
+			"configuration changed", 100, Takes::nothing,
+			[this](size_t h) { change(h); }, none);
 	}
 
-	void add(const char *name, int longest_ms, bool takes_host,
-		 std::function<void(size_t)> begin, std::function<void(size_t)> end)
+	void add(const char *name, int longest_ms, Takes takes, std::function<void(size_t)> begin,
+		 std::function<void(size_t)> end)
 	{
-		faults.push_back({name, longest_ms, std::move(begin), std::move(end), takes_host});
+		faults.push_back({name, longest_ms, std::move(begin), std::move(end), takes});
 	}
 
 	void mode(const char *name)
@@ -133,11 +145,18 @@
 		fleet.start_node(fleet.hosts[host]);
 	}
 
-	// A change may be refused while its node is paused or the store is away; nothing else may.
+	// A change may be refused while the store is away. A node that is paused or gone would hold
+	// up the schedule, and with it the end of its own fault: seed 210 had a pause of 2.7 s
+	// last 20.
 	void change(size_t host)
 	{
-		int64_t version = version_in_force(fleet.hosts[host]);
+		int64_t version = 0;
 
+		for (const Running &one : running) {
+			if (one.fault->takes == Takes::node && one.host == host)
+				return;
+		}
+		version = version_in_force(fleet.hosts[host]);
 		if (version > 0)
 			put_class(fleet.hosts[host], "purchase", 50 + draw(50), version);
 	}
@@ -152,7 +171,8 @@
 		for (const Running &one : running) {
 			if (one.fault == &fault)
 				return true;
-			if (fault.takes_host && one.fault->takes_host && one.host == host)
+			if (fault.takes != Takes::nothing && fault.takes == one.fault->takes &&
+			    one.host == host)
 				return true;
 		}
 		return false;
