Store client: a watch on a connection gone silent ends after 3 s

Cause: a watch rests for up to 10 s, and only its own time-out told that its connection carried nothing any more. With all connections silent at once no node had a change before its watch ended: in force 9 s after it was accepted. Ruled out: shorter watches (each is paid); gossip (nobody has the version). Change: the kernel probes these connections, as it did towards backend servers; one piece of code for both.

--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -12,12 +12,12 @@
 #include "fescuemill/http/answer.h"
 #include "fescuemill/http/deferred.h"
 #include "fescuemill/http/dialect.h"
+#include "fescuemill/http/keepalive.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
 #include <h2o/linklist.h>
 #include <h2o/memory.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -26,9 +26,6 @@
 #define REQUEST_HEAD_ROOM 1024
 #define READ_BYTES	  16384
 #define FOREIGN_MAX	  4 /* answers to earlier calls that are passed over in one call */
-#define PROBE_IDLE_S	  1 /* keep-alive probes find a connection that went silent */
-#define PROBE_INTERVAL_S  1
-#define PROBE_COUNT	  2
 
 struct connection {
 	uv_tcp_t tcp;
@@ -392,19 +389,14 @@
 	fail_call((struct backend_call *)timer, BACKEND_END_NOT_CONNECTED);
 }
 
-/* Has the kernel probe a connection that is quiet, so that one gone silent ends with an error. */
+/* Has the kernel probe a connection that is quiet. */
 static void probe_when_quiet(struct connection *conn)
 {
-	int interval_s = PROBE_INTERVAL_S;
-	int count = PROBE_COUNT;
 	uv_os_fd_t fd;
 
 	uv_tcp_nodelay(&conn->tcp, 1);
-	uv_tcp_keepalive(&conn->tcp, 1, PROBE_IDLE_S);
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0)
-		return;
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		keepalive_start(fd);
 }
 
 /* Sends the request of the call for which a connection was opened. */
--- a/src/fescuemill/http/fetch.c
+++ b/src/fescuemill/http/fetch.c
@@ -4,6 +4,8 @@
  */
 #include "fescuemill/http/fetch.h"
 
+#include "fescuemill/http/keepalive.h"
+
 #include <h2o.h>
 #include <h2o/http1client.h>
 #include <stdlib.h>
@@ -158,6 +160,8 @@
 		finish_error(fetch, ERROR_UNREACHABLE, errstr);
 		return NULL;
 	}
+	/* A watch rests for long: its own time-out would tell far too late. */
+	keepalive_start(h2o_socket_get_fd(http->sock));
 	fetch->result.sent = true;
 	uv_timer_start(&fetch->timer, on_timeout, fetch->timeout_ms, 0);
 	*buffers = fetch->buffers;
--- a/test/unit/http/fetch_test.cc
+++ b/test/unit/http/fetch_test.cc
@@ -1,10 +1,13 @@
-// Fetches: a connection that does not come about is given up long before the request's own time.
+// Fetches: a connection that does not come about, or that goes silent, is given up long before the
+// request's own time.
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
 #include <chrono>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <vector>
 
@@ -63,6 +66,79 @@
 	}
 };
 
+// A server that takes one request and answers none; from then on its host drops all that comes in
+// on the connection, as does a box in the path that has lost track of it.
+struct SilentServer {
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	uint16_t port = 0;
+	std::thread thread;
+
+	SilentServer()
+	{
+		sockaddr_in addr{};
+		socklen_t size = sizeof(addr);
+
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(0, bind(fd, (sockaddr *)&addr, sizeof(addr)));
+		EXPECT_EQ(0, listen(fd, 1));
+		getsockname(fd, (sockaddr *)&addr, &size);
+		port = ntohs(addr.sin_port);
+		thread = std::thread([this] { serve(); });
+	}
+	~SilentServer()
+	{
+		thread.join();
+		close(conn);
+		close(fd);
+	}
+
+      private:
+	int conn = -1;
+
+	void serve()
+	{
+		sock_filter drop_all[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+		sock_fprog program = {1, drop_all};
+		char byte;
+
+		conn = accept(fd, nullptr, nullptr);
+		EXPECT_EQ(1, read(conn, &byte, 1));
+		EXPECT_EQ(0, setsockopt(conn, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+					sizeof(program)));
+	}
+};
+
+// A watch of the store rests for many seconds. Where its connection went silent, a change of the
+// configuration was in force 9 s late; it must be within 2 s of the moment at which connections are
+// to be trusted again, 3 s after they went silent.
+TEST(Fetch, AConnectionThatWentSilentEndsLongBeforeTheRequestsTime)
+{
+	SilentServer server;
+	uv_loop_t loop;
+	fetcher *fetcher = nullptr;
+	fetch_request request{};
+	Ended ended;
+	error err{};
+
+	uv_loop_init(&loop);
+	ASSERT_EQ(0, fetcher_open(&fetcher, &loop, &err));
+	request.to = {INADDR_LOOPBACK, server.port};
+	request.method = "GET";
+	request.path = "/";
+	request.timeout_ms = 20000;
+	auto begun = std::chrono::steady_clock::now();
+	ASSERT_EQ(0, fetch_start(fetcher, &request, on_done, &ended, &err));
+	while (ended.calls == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(5));
+	EXPECT_EQ(ERROR_UNREACHABLE, ended.kind);
+	EXPECT_TRUE(ended.sent);
+	fetcher_close(fetcher);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	EXPECT_EQ(0, uv_loop_close(&loop));
+}
+
 TEST(Fetch, AConnectionThatDoesNotComeAboutIsGivenUpWithinASecond)
 {
 	FullListener full;
