--- a/src/fescuemill/store/follow.c
+++ b/src/fescuemill/store/follow.c
@@ -11,7 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define NEWS_PAUSE_MS 250 /* an eighth of the least time within which a change is to be in force */
+#define NEWS_PAUSE_MS 250 /* an eighth of the 2 s within which a change is to be in force */
 
 struct follow {
 	struct platform *platform;
