Membership: a node whose clock went back between two starts lives on

Cause: an incarnation is the time of day at the start. Where the time of day stepped back 5 s between two starts, the fleet held the later process for the earlier one, the process held itself superseded, drained and ended. Ruled out: the steady clock (starts anew with the host), a count in the store (a start would wait for it). Change: a later incarnation under the same name and address can only be an earlier process with its clock ahead; the node takes the incarnation after it, in gossip, entry and gate. At another address it is superseded as before. A gate looks for the record of an attempt before it compares incarnations, so that a repeat is never told "not run" for that. Test: property-gossip_property, ALifeThatBeganWithTheClockBack...: falsified at once before, 200 draws after; attempt properties pass.

--- a/src/fescuemill/decide/attempt_gate.c
+++ b/src/fescuemill/decide/attempt_gate.c
@@ -181,10 +181,10 @@
 {
 	enum link_kind kind = link_kind_of(st->event->epoch);
 
-	if (st->event->call.gate_incarnation != st->gate->settings.incarnation)
-		return reply_without_record(st, OUTCOME_NOT_RUN, REASON_INCARNATION);
 	if (rec)
 		return reply_known(st, rec, GATE_INPUT_CALL);
+	if (st->event->call.gate_incarnation != st->gate->settings.incarnation)
+		return reply_without_record(st, OUTCOME_NOT_RUN, REASON_INCARNATION);
 	if (st->event->id.sequence <= peer->forgotten[kind])
 		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_STALE_EPOCH);
 	return call_new(st, peer);
@@ -193,10 +193,10 @@
 /* Takes a question. An attempt that was never seen is refused from now on. */
 static int on_ask(struct step *st, struct entry_peer *peer, struct record *rec)
 {
-	if (st->event->ask.gate_incarnation != st->gate->settings.incarnation)
-		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_INCARNATION);
 	if (rec)
 		return reply_known(st, rec, GATE_INPUT_ASK);
+	if (st->event->ask.gate_incarnation != st->gate->settings.incarnation)
+		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_INCARNATION);
 	if (entry_peer_forgot_any(peer, st->event->id.sequence))
 		return reply_without_record(st, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST);
 	return refuse_new(st, peer, GATE_INPUT_ASK, REASON_CONNECTION_LOST,
@@ -383,6 +383,12 @@
 	return 0;
 }
 
+/* Changes the incarnation for which attempts that were never seen must be meant. */
+void attempt_gate_set_incarnation(struct attempt_gate *gate, uint64_t incarnation)
+{
+	gate->settings.incarnation = incarnation;
+}
+
 /* Attaches the shell's own data to an attempt; GATE_ACTION_FREE gives it back. Does nothing for an
  * attempt that is not in the table. */
 void attempt_gate_set_user(struct attempt_gate *gate, const struct attempt_id *id, void *user)
--- a/src/fescuemill/decide/attempt_gate.h
+++ b/src/fescuemill/decide/attempt_gate.h
@@ -92,6 +92,7 @@
 void attempt_gate_destroy(struct attempt_gate *gate);
 int attempt_gate_step(struct attempt_gate *gate, const struct attempt_gate_event *event,
 		      uint64_t now_us, struct attempt_gate_actions *out, struct error *err);
+void attempt_gate_set_incarnation(struct attempt_gate *gate, uint64_t incarnation);
 void attempt_gate_set_user(struct attempt_gate *gate, const struct attempt_id *id, void *user);
 void *attempt_gate_user(struct attempt_gate *gate, const struct attempt_id *id);
 uint64_t attempt_gate_next_due_us(const struct attempt_gate *gate);
--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -22,6 +22,9 @@
 	void *user;
 	/* A member sent demands. May be NULL. */
 	void (*demand)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
+	/* This process takes a later incarnation, since an earlier one of its address had a clock
+	 * ahead of its own. May be NULL. */
+	void (*new_life)(void *user, uint64_t incarnation);
 };
 
 /* Self is put into the table. The table and the budget belong to the caller and outlive the
@@ -51,7 +54,7 @@
 /* Whether the table has once matched another node's since the start or the last pause, or this
  * node knows of no other. */
 bool gossip_is_joined(const struct gossip *gsp);
-/* Whether another process uses this node's name with a later incarnation. */
+/* Whether another process uses this node's name, at another address, with a later incarnation. */
 bool gossip_is_superseded(const struct gossip *gsp);
 /* Whether the link to a region works; the members of a region that it does not reach are no gates
  * to choose. */
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -37,19 +37,44 @@
 	gossip_publish_self(gsp, RUMOR_STATE);
 }
 
+/* Tells whether two records are of processes at the same address, which cannot run at once. */
+static bool same_address(const struct member *a, const struct member *b)
+{
+	return a->internal.ip == b->internal.ip &&
+	       a->internal.gossip_port == b->internal.gossip_port;
+}
+
+/* Takes an incarnation after that of an earlier process at this address, which started while the
+ * clock was ahead. Without it everybody would take this process for the earlier one. */
+static void outlive(struct gossip *gsp, const struct member *earlier)
+{
+	gsp->self.life.incarnation = earlier->life.incarnation + 1;
+	log_write(LOG_WARNING, LOG_PART_GOSSIP,
+		  "An earlier process of this node started with its clock ahead.",
+		  "incarnation=%llu", (unsigned long long)gsp->self.life.incarnation);
+	gossip_publish_self(gsp, RUMOR_WHOLE);
+	if (gsp->io.new_life)
+		gsp->io.new_life(gsp->io.user, gsp->self.life.incarnation);
+}
+
+/* Takes news of a later incarnation of this node, which a whole record tells the address of. */
+static void take_later_self(struct gossip *gsp, const struct member *news)
+{
+	if (same_address(news, &gsp->self)) {
+		outlive(gsp, news);
+		return;
+	}
+	if (!gsp->superseded)
+		log_write(LOG_ERROR, LOG_PART_GOSSIP, "Another process uses this node's name.",
+			  "incarnation=%llu", (unsigned long long)news->life.incarnation);
+	gsp->superseded = true;
+}
+
 /* Answers what others say of this node: it alone decides that. */
 static void defend_self(struct gossip *gsp, const struct member *news)
 {
 	const struct member *self = &gsp->self;
 
-	if (news->life.incarnation > self->life.incarnation) {
-		if (!gsp->superseded)
-			log_write(LOG_ERROR, LOG_PART_GOSSIP,
-				  "Another process uses this node's name.", "incarnation=%llu",
-				  (unsigned long long)news->life.incarnation);
-		gsp->superseded = true;
-		return;
-	}
 	if (news->life.incarnation < self->life.incarnation || news->revision < self->revision)
 		return;
 	if (news->revision == self->revision && news->state == self->state)
@@ -150,6 +175,13 @@
 	}
 }
 
+/* Tells whether news is of a later incarnation of this node. */
+static bool is_later_self(const struct gossip *gsp, const struct member *news)
+{
+	return news->life.node_id == gsp->self.life.node_id &&
+	       news->life.incarnation > gsp->self.life.incarnation;
+}
+
 /* Applies all news of a packet and asks the sender for the records that are missing. */
 static void apply_news(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
@@ -159,7 +191,11 @@
 	for (uint32_t i = 0; i < packet->news_count; i++) {
 		const struct member *news = &packet->news[i].member;
 
-		if (news->life.node_id == gsp->self.life.node_id)
+		if (is_later_self(gsp, news) && packet->news[i].whole)
+			take_later_self(gsp, news);
+		else if (is_later_self(gsp, news))
+			want(gsp, news->life.node_id);
+		else if (news->life.node_id == gsp->self.life.node_id)
 			defend_self(gsp, news);
 		else if (!packet->news[i].whole)
 			apply_brief(gsp, news, now_us);
--- a/src/fescuemilld/admin_shell.c
+++ b/src/fescuemilld/admin_shell.c
@@ -24,7 +24,7 @@
 
 	gate_shell_get_load(options->gate, &load);
 	out->state = options->state(options->user);
-	out->incarnation = options->incarnation;
+	out->incarnation = self->life.incarnation;
 	out->uptime_ms = (clock_monotonic_us() - shell->started_us) / USEC_PER_MSEC;
 	out->calls_in_flight = entry_calls(options->entry);
 	out->attempts_waiting = load.queued;
--- a/src/fescuemilld/admin_shell.h
+++ b/src/fescuemilld/admin_shell.h
@@ -19,7 +19,6 @@
 	const struct entry *entry;
 	const struct gate_shell *gate;
 	struct gossip *gossip;
-	uint64_t incarnation;
 	const char *(*state)(void *user); /* the node's state by name */
 	const struct member *(*self)(void *user);
 	void (*drain)(void *user);
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -541,6 +541,12 @@
 	free(entry);
 }
 
+/* Names attempts after a later incarnation from now on. */
+void entry_set_incarnation(struct entry *entry, uint64_t incarnation)
+{
+	entry->options.life.incarnation = incarnation;
+}
+
 /* Closes an entry without calls. */
 void entry_close(struct entry *entry)
 {
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -51,5 +51,7 @@
  * table has changed, and now and then. */
 void entry_sweep(struct entry *entry);
 uint32_t entry_calls(const struct entry *entry);
+/* Names attempts after a later incarnation from now on; those in progress keep their names. */
+void entry_set_incarnation(struct entry *entry, uint64_t incarnation);
 
 #endif
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -449,6 +449,13 @@
 	apply_backend(shell);
 }
 
+/* Takes attempts that are meant for a later incarnation from now on. */
+void gate_shell_set_incarnation(struct gate_shell *shell, uint64_t incarnation)
+{
+	shell->options.incarnation = incarnation;
+	attempt_gate_set_incarnation(shell->table, incarnation);
+}
+
 /* Counts attempts that wait or run. */
 uint32_t gate_shell_live(const struct gate_shell *shell)
 {
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -59,6 +59,8 @@
 void gate_shell_set_members(struct gate_shell *shell, const struct key_members *members);
 /* Takes no new work from now on, and refuses what waits. */
 void gate_shell_drain(struct gate_shell *shell);
+/* Takes attempts that are meant for a later incarnation from now on. */
+void gate_shell_set_incarnation(struct gate_shell *shell, uint64_t incarnation);
 
 /* Attempts that wait or run. */
 uint32_t gate_shell_live(const struct gate_shell *shell);
--- a/src/fescuemilld/gossip_shell.c
+++ b/src/fescuemilld/gossip_shell.c
@@ -52,6 +52,14 @@
 	shell->options.demand(shell->options.user, node_id, data, size);
 }
 
+/* Passes on that this process takes a later incarnation. */
+static void on_new_life(void *user, uint64_t incarnation)
+{
+	struct gossip_shell *shell = user;
+
+	shell->options.new_life(shell->options.user, incarnation);
+}
+
 /* Gives libuv the shell's one buffer: a packet is handled before the next is read. */
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
@@ -164,7 +172,7 @@
 int gossip_shell_start(struct gossip_shell *shell, const struct member *self, uint64_t seed,
 		       struct error *err)
 {
-	struct gossip_io io = {send_packet, on_newer_config, shell, on_demand};
+	struct gossip_io io = {send_packet, on_newer_config, shell, on_demand, on_new_life};
 	int rc;
 
 	if (gossip_open(&shell->gossip, self, shell->options.members, shell->options.budget, &io,
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -116,6 +116,17 @@
 	member_upsert(node->members, &now);
 }
 
+/* Takes a later incarnation in every part that names this process to others. */
+void node_on_own_new_life(void *user, uint64_t incarnation)
+{
+	struct node *node = user;
+
+	node->self.life.incarnation = incarnation;
+	entry_set_incarnation(node->entry, incarnation);
+	gate_shell_set_incarnation(node->gate, incarnation);
+	keeper_set_self(node->keeper, gossip_self(node->gossip));
+}
+
 /* Notes that a peer has a newer configuration, and fetches it. */
 void node_on_newer_config(void *user, uint64_t node_id, uint64_t version)
 {
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -145,6 +145,7 @@
 		.budget = &node->budget,
 		.newer_config = node_on_newer_config,
 		.demand = node_on_demand,
+		.new_life = node_on_own_new_life,
 		.user = node,
 	};
 	struct config_pull_options pull = {
@@ -196,7 +197,6 @@
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
-		.incarnation = node->self.life.incarnation,
 		.state = node_state_name,
 		.self = node_self,
 		.drain = node_on_drain,
--- a/test/property/gossip_property_test.cc
+++ b/test/property/gossip_property_test.cc
@@ -52,6 +52,34 @@
 }
 
 // Under loss the news that tells of a new service may come after brief news of the same member.
+// A clock that was ahead when a process started and is right when the next one does: the later life
+// has the lower incarnation. It runs at the same address, so nobody else can be meant.
+RC_GTEST_PROP(Gossip, ALifeThatBeganWithTheClockBackIsAliveForAll, ())
+{
+	FakeFleet::Options options = random_options();
+
+	options.full_tables = true;
+	FakeFleet fleet(options);
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	const uint64_t ahead = 1000;
+
+	auto all_know_from = [&](uint64_t incarnation) {
+		return fleet.all_alive() && fleet.count_live([&](const FakeFleet::Node &node) {
+			return member_find(node.table, fleet.id_of(victim))->life.incarnation >=
+			       incarnation;
+		}) == fleet.size();
+	};
+
+	fleet.run_for(second_us);
+	fleet.restart(victim, ahead);
+	RC_ASSERT(fleet.run_until(join_limit_us, [&] { return all_know_from(ahead); }) !=
+		  UINT64_MAX);
+	fleet.restart(victim, 1 + *rc::gen::inRange<uint64_t>(1, ahead - 1));
+	RC_ASSERT(fleet.run_until(join_limit_us, [&] { return all_know_from(ahead + 1); }) !=
+		  UINT64_MAX);
+	RC_ASSERT(!gossip_is_superseded(fleet.node(victim).gossip));
+}
+
 RC_GTEST_PROP(Gossip, ChangesOfServiceReachEverybody, ())
 {
 	FakeFleet::Options options = random_options();
