Planned stops: a gate is away for a second less, and its work keeps its entry

Cause: goodbye, handshakes and the last connections followed each other (0.5 + 0.2 + 1 s) while the gate already refused all work; and the entry refused calls as soon as the gate did, so that a run of the backend server that made calls through its own node failed with them. Ruled out: a shorter time of serving on (callers learn in two seconds); a gate that works until its entry's calls end (these include the calls of what it runs). Change: the gate finishes first while the entry still takes calls; goodbye, handshakes and last connections share one half second; the roster is waited for one second at most. Tests: unit-stop (10 cases; the time a gate is away is bounded by its work and these), functional-path 11 of 11, failure_restart 2 of 2.

--- a/src/fescuemill/decide/stop.c
+++ b/src/fescuemill/decide/stop.c
@@ -3,10 +3,9 @@
  */
 #include "fescuemill/decide/stop.h"
 
-/* What the phases from the closing of the listener on need, and those from the goodbye on. */
-#define CLOSING_US    (STOP_IDLE_US + 2 * STOP_STEP_US)
-#define HANDSHAKES_US (STOP_HANDSHAKE_US + STOP_STEP_US + CLOSING_US)
-#define LEAVING_US    (STOP_GOODBYE_US + STOP_STEP_US + HANDSHAKES_US)
+/* What the phases from the goodbye on need, and the end of calls before them. */
+#define LEAVING_US (STOP_HANDSHAKE_US + STOP_QUIET_US + 3 * STOP_STEP_US)
+#define CALLS_US   (STOP_QUIET_US + LEAVING_US)
 
 /* Goes on to a phase. */
 static void enter_phase(struct stop *stop, enum stop_phase phase, uint64_t now_us)
@@ -30,10 +29,19 @@
 	enter_phase(stop, STOP_SERVING, now_us);
 }
 
+/* Tells whether calls are refused from now on. What the backend server still runs may make calls of
+ * its own through this node, and would fail with them. */
+static bool may_refuse_calls(const struct stop *stop, const struct stop_view *view, uint64_t now_us)
+{
+	return view->attempts == 0 || is_left_only(stop, CALLS_US, now_us);
+}
+
 /* Tells whether the goodbye may be said. Who hears only of the goodbye cannot tell this node from
  * a dead one, so word of the stop goes ahead of it; and the last answers had better be taken. */
 static bool may_say_goodbye(const struct stop *stop, const struct stop_view *view, uint64_t now_us)
 {
+	if (view->attempts + view->calls > 0)
+		return false;
 	if (is_left_only(stop, LEAVING_US, now_us))
 		return true;
 	if (now_us < stop->since_us + STOP_SPREAD_US)
@@ -41,28 +49,29 @@
 	return view->answers == 0 || now_us >= stop->phase_since_us + STOP_ACKS_US;
 }
 
-/* Tells whether the goodbye has had its time. */
-static bool has_left(const struct stop *stop, const struct stop_view *view, uint64_t now_us)
-{
-	if (is_left_only(stop, HANDSHAKES_US, now_us))
-		return true;
-	return view->has_left && now_us >= stop->phase_since_us + STOP_GOODBYE_US;
-}
-
 /* Tells whether no caller waits for an answer or is about to: all connections have ended, or those
  * left have been idle for a while. */
 static bool is_quiet(const struct stop *stop, const struct stop_view *view, uint64_t now_us)
 {
 	if (view->connections == 0)
 		return true;
-	return view->requests == 0 && now_us >= stop->phase_since_us + STOP_IDLE_US;
+	return view->requests == 0 && now_us >= stop->phase_since_us + STOP_QUIET_US &&
+	       now_us >= stop->since_us + STOP_IDLE_US;
+}
+
+/* Tells whether the goodbye has had its time. */
+static bool has_left(const struct stop *stop, const struct stop_view *view, uint64_t now_us)
+{
+	uint64_t least_us = view->has_left ? STOP_GOODBYE_US : STOP_ROSTER_US;
+
+	return now_us >= stop->goodbye_us + least_us;
 }
 
 /* Ends the stop, or its last phase at the limit. */
 static enum stop_action end(struct stop *stop, const struct stop_view *view, uint64_t now_us)
 {
 	enter_phase(stop, STOP_ENDED, now_us);
-	return view->work > 0 || view->requests > 0 ? STOP_CUT_OFF : STOP_END;
+	return view->attempts + view->calls + view->requests > 0 ? STOP_CUT_OFF : STOP_END;
 }
 
 /* Takes a stop one phase further when it is due, or ends it when its time is up. */
@@ -79,27 +88,25 @@
 		enter_phase(stop, STOP_FINISHING, now_us);
 		return STOP_TAKE_NO_WORK;
 	case STOP_FINISHING:
-		if (view->work > 0)
+		if (!may_refuse_calls(stop, view, now_us))
 			return STOP_WAIT;
 		enter_phase(stop, STOP_ACKED, now_us);
-		return stop_advance(stop, view, now_us);
+		return STOP_REFUSE_CALLS;
 	case STOP_ACKED:
 		if (!may_say_goodbye(stop, view, now_us))
 			return STOP_WAIT;
-		enter_phase(stop, STOP_LEAVING, now_us);
-		return STOP_SAY_GOODBYE;
-	case STOP_LEAVING:
-		if (!has_left(stop, view, now_us))
-			return STOP_WAIT;
 		enter_phase(stop, STOP_HANDSHAKES, now_us);
-		return STOP_ACCEPT_NO_MORE;
+		stop->goodbye_us = now_us;
+		return STOP_SAY_GOODBYE;
 	case STOP_HANDSHAKES:
 		if (now_us < stop->phase_since_us + STOP_HANDSHAKE_US)
 			return STOP_WAIT;
 		enter_phase(stop, STOP_CLOSING, now_us);
 		return STOP_LISTEN_NO_MORE;
 	case STOP_CLOSING:
-		return is_quiet(stop, view, now_us) ? end(stop, view, now_us) : STOP_WAIT;
+		if (!is_quiet(stop, view, now_us) || !has_left(stop, view, now_us))
+			return STOP_WAIT;
+		return end(stop, view, now_us);
 	case STOP_NONE:
 	case STOP_ENDED:
 		break;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -50,7 +50,7 @@
  * that it is not ready. */
 static bool node_still_serves(const struct node *node)
 {
-	return node->stop.phase == STOP_SERVING;
+	return node->stop.phase == STOP_SERVING || node->stop.phase == STOP_FINISHING;
 }
 
 /* Tells whether callers should send new work here. */
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -27,8 +27,8 @@
 static struct stop_view look(const struct node *node)
 {
 	return (struct stop_view){
-		.work = entry_calls(node->entry) + gate_shell_live(node->gate) +
-			admin_shell_changes(node->admin),
+		.attempts = gate_shell_live(node->gate),
+		.calls = entry_calls(node->entry) + admin_shell_changes(node->admin),
 		.answers = gate_shell_records(node->gate),
 		.connections = caller_connections(node->caller),
 		.requests = caller_receiving(node->caller) + caller_calls(node->caller),
@@ -45,11 +45,11 @@
 	case STOP_TAKE_NO_WORK:
 		stop_taking(node);
 		break;
+	case STOP_REFUSE_CALLS:
+		break; /* the phase says so, see node_refusal() */
 	case STOP_SAY_GOODBYE:
 		gossip_leave(node->gossip, now_us);
 		keeper_leave(node->keeper, on_left, node);
-		break;
-	case STOP_ACCEPT_NO_MORE:
 		caller_stop_accepting(node->caller);
 		break;
 	case STOP_LISTEN_NO_MORE:
--- a/test/functional/share_test.cc
+++ b/test/functional/share_test.cc
@@ -32,10 +32,16 @@
 		return options;
 	}
 
-	// Calls come to the entry whose gate is the only one of its failure domain, and stay there.
+	// Calls come to the entry whose gate is the only one of its failure domain, and stay there:
+	// on a busy machine an entry may take a near server for slow and send a fifth of the calls
+	// to the others, which is the case of a load that moves (design/share.md) and not this one.
 	void SetUp() override
 	{
 		fleet.start();
+		for (size_t i = 0; i < fleet.hosts.size(); i++) {
+			if (i != BUSY)
+				Fleet::control(*fleet.hosts[i].backend, "{\"slow_factor\":50}");
+		}
 		const Host &host = fleet.hosts[0];
 		HttpAnswer answer = admin(
 			host, "PUT", "/v1/services/ledger/classes/purchase",
--- a/test/unit/decide/stop_test.cc
+++ b/test/unit/decide/stop_test.cc
@@ -19,7 +19,8 @@
 
 // How long each thing that the stop waits for lasts, from its start on.
 struct Waits {
-	uint64_t work_us = 0;
+	uint64_t attempts_us = 0;
+	uint64_t calls_us = 0;
 	uint64_t answers_us = 0;
 	uint64_t roster_us = 0; // from the goodbye on
 	uint64_t connections_us = 0;
@@ -27,6 +28,7 @@
 
 struct Walk {
 	std::vector<stop_action> actions;
+	uint64_t refused_us = 0;
 	uint64_t goodbye_us = 0;
 	uint64_t closed_us = 0;
 	uint64_t took_us = 0;
@@ -54,13 +56,16 @@
 		stop_view view = {};
 		stop_action action;
 
-		view.work = out.took_us < waits.work_us;
+		view.attempts = out.took_us < waits.attempts_us;
+		view.calls = out.took_us < waits.calls_us;
 		view.answers = out.took_us < waits.answers_us;
 		view.connections = out.took_us < waits.connections_us;
 		view.has_left = out.did(STOP_SAY_GOODBYE) &&
 				out.took_us >= out.goodbye_us + waits.roster_us;
 		while ((action = stop_advance(&one, &view, now_us)) != STOP_WAIT) {
 			out.actions.push_back(action);
+			if (action == STOP_REFUSE_CALLS)
+				out.refused_us = out.took_us;
 			if (action == STOP_SAY_GOODBYE)
 				out.goodbye_us = out.took_us;
 			if (action == STOP_LISTEN_NO_MORE)
@@ -71,7 +76,7 @@
 	}
 	return out;
 }
-const std::vector<stop_action> WHOLE = {STOP_TAKE_NO_WORK, STOP_SAY_GOODBYE, STOP_ACCEPT_NO_MORE,
+const std::vector<stop_action> WHOLE = {STOP_TAKE_NO_WORK, STOP_REFUSE_CALLS, STOP_SAY_GOODBYE,
 					STOP_LISTEN_NO_MORE, STOP_END};
 } // namespace
 
@@ -81,53 +86,95 @@
 
 	EXPECT_EQ(WHOLE, out.actions);
 	EXPECT_GE(out.goodbye_us, SERVE_US);
-	EXPECT_LE(out.took_us, SERVE_US + STOP_GOODBYE_US + STOP_HANDSHAKE_US + 4 * TICK_US);
+	EXPECT_LE(out.took_us, SERVE_US + STOP_GOODBYE_US + 2 * TICK_US);
+}
+
+// A rolling restart takes each gate's slots away from its last admission to its successor's first.
+// The goodbye and the last connections need the same half second, not one after the other.
+TEST(Stop, AGateIsAwayForHardlyLongerThanItsWorkAndTheGoodbyeTake)
+{
+	const uint64_t work_us = 300 * MS;
+	Walk out = walk({SERVE_US + work_us, 0, SERVE_US + work_us, 0, LIMIT_US});
+
+	EXPECT_EQ(WHOLE, out.actions);
+	EXPECT_LE(out.took_us - SERVE_US,
+		  work_us + STOP_HANDSHAKE_US + STOP_QUIET_US + 3 * TICK_US);
+}
+
+// What the backend server runs may make calls of its own through this node.
+TEST(Stop, CallsAreTakenWhileTheBackendServerStillWorks)
+{
+	const uint64_t work_us = SERVE_US + 1200 * MS;
+	Walk out = walk({work_us, work_us, 0, 0, 0});
+
+	EXPECT_EQ(WHOLE, out.actions);
+	EXPECT_GE(out.refused_us, work_us);
 }
 
 // Seen on a replayed incident: entries that had stopped too never acknowledged their answers, the
 // store did not answer and connections stayed open. No call was left, and the stop counted as cut.
 TEST(Stop, WaitsThatAddUpToMoreThanTheLimitStillEndInOrder)
 {
-	Walk out = walk({0, LIMIT_US, LIMIT_US, LIMIT_US});
+	Walk out = walk({0, 0, LIMIT_US, LIMIT_US, LIMIT_US});
 
 	EXPECT_EQ(WHOLE, out.actions);
 	EXPECT_LE(out.took_us, LIMIT_US);
-	EXPECT_GE(out.took_us - out.closed_us, STOP_IDLE_US);
+	EXPECT_GE(out.took_us - out.closed_us, STOP_QUIET_US);
 }
 
 TEST(Stop, WorkThatOutlastsTheLimitIsCutOffAndSaid)
 {
-	Walk out = walk({LIMIT_US + TICK_US, 0, 0, 0});
+	Walk out = walk({LIMIT_US + TICK_US, 0, 0, 0, 0});
 
-	EXPECT_EQ((std::vector<stop_action>{STOP_TAKE_NO_WORK, STOP_CUT_OFF}), out.actions);
+	EXPECT_EQ((std::vector<stop_action>{STOP_TAKE_NO_WORK, STOP_REFUSE_CALLS, STOP_CUT_OFF}),
+		  out.actions);
 	EXPECT_EQ(LIMIT_US, out.took_us);
 }
 
 TEST(Stop, WorkMayTakeAllTheTimeButWhatCallersNeed)
 {
-	Walk out = walk({LIMIT_US - 400 * MS, LIMIT_US, LIMIT_US, LIMIT_US});
+	uint64_t work_us = LIMIT_US - 400 * MS;
+	Walk out = walk({work_us, work_us, LIMIT_US, LIMIT_US, LIMIT_US});
 
 	EXPECT_EQ(WHOLE, out.actions);
 	EXPECT_LE(out.took_us, LIMIT_US);
 }
 
+// The store may be away; a gate that waits for it is missed by all.
+TEST(Stop, AStoreThatIsAwayHoldsTheStopUpForASecond)
+{
+	Walk out = walk({0, 0, 0, LIMIT_US, 0});
+
+	EXPECT_EQ(WHOLE, out.actions);
+	EXPECT_LE(out.took_us, SERVE_US + STOP_ROSTER_US + 2 * TICK_US);
+}
+
+// Without time to serve on, requests over open connections still have a second.
+TEST(Stop, OpenConnectionsHaveASecondFromTheStart)
+{
+	Walk out = walk({0, 0, 0, 0, LIMIT_US}, 30000 * MS);
+
+	EXPECT_GE(out.took_us, STOP_IDLE_US);
+}
+
 TEST(Stop, WithAmpleTimeTheAnswersAndTheRosterAreWaitedFor)
 {
-	Walk out = walk({0, LIMIT_US, 3000 * MS, 0}, 30000 * MS);
+	Walk out = walk({0, 0, LIMIT_US, 3000 * MS, 0}, 30000 * MS);
 
 	EXPECT_GE(out.goodbye_us, SERVE_US + STOP_ACKS_US);
-	EXPECT_GE(out.closed_us, out.goodbye_us + 3000 * MS);
+	EXPECT_GE(out.took_us, out.goodbye_us + STOP_ROSTER_US);
 	EXPECT_EQ(STOP_END, out.last());
 }
 
 RC_GTEST_PROP(Stop, EndsWithinItsLimitAndCutsOnlyWork, ())
 {
 	auto any_us = [] { return *rc::gen::inRange<uint64_t>(0, 70) * TICK_US; };
-	Waits waits = {any_us(), any_us(), any_us(), any_us()};
+	Waits waits = {any_us(), any_us(), any_us(), any_us(), any_us()};
+	uint64_t work_us = std::max(waits.attempts_us, waits.calls_us);
 	Walk out = walk(waits);
 
 	RC_ASSERT(out.took_us <= LIMIT_US);
-	RC_ASSERT((out.last() == STOP_CUT_OFF) == (waits.work_us > LIMIT_US));
-	if (waits.work_us + 300 * MS <= LIMIT_US)
+	RC_ASSERT((out.last() == STOP_CUT_OFF) == (work_us > LIMIT_US));
+	if (work_us + 300 * MS <= LIMIT_US)
 		RC_ASSERT(out.actions == WHOLE);
 }
