--- a/src/fescuemill/decide/stop.h
+++ b/src/fescuemill/decide/stop.h
@@ -8,11 +8,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define STOP_SPREAD_US	2000000 /* for word of the stop to reach all members, from its start */
-#define STOP_ACKS_US	2000000 /* for entries to acknowledge the last answers */
-#define STOP_GOODBYE_US 500000	/* for the goodbye to reach the others */
-#define STOP_ROSTER_US	1000000 /* for the roster to be written; its writers enter what is missing \
-				 */
+#define STOP_SPREAD_US	  2000000 /* for word of the stop to reach all members, from its start */
+#define STOP_ACKS_US	  2000000 /* for entries to acknowledge the last answers */
+#define STOP_GOODBYE_US	  500000  /* for the goodbye to reach the others */
+#define STOP_ROSTER_US	  1000000 /* for the roster; its writers enter or prune what is missing */
 #define STOP_HANDSHAKE_US 200000  /* for connections that callers have begun */
 #define STOP_IDLE_US	  1000000 /* from the start, for requests over connections that are open */
 #define STOP_QUIET_US	  300000 /* for the last of these, which cross the closing of the listener */
