Links between nodes: a connection that was reset is replaced

Cause: ZeroMQ is told not to connect again by itself. A link whose connection was reset refused every message at once; no attempt got out on it, so nothing was due on it, and only links on which something is due were looked at. Change: the channel tells that a connection is gone; the link opens another, asks again for what is due and lets no attempt out before the gate answers a heartbeat over it. A socket that takes nothing for a heartbeat's time without a word counts as gone. A doubtful link is tried anew until the gate answers.

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -33,6 +33,8 @@
 	X(WIRE_BAD_MESSAGES, "wire_bad_messages", "messages", "node messages that do not decode")  \
 	X(WIRE_CONNECTIONS_SILENT, "wire_connections_silent", "connections",                       \
 	  "node connections replaced after silence")                                               \
+	X(WIRE_CONNECTIONS_LOST, "wire_connections_lost", "connections",                           \
+	  "node connections that were reset or closed by the other end")                           \
 	X(GOSSIP_BAD_PACKETS, "gossip_bad_packets", "packets", "gossip that does not decode")      \
 	X(CONFIG_REJECTED, "config_objects_rejected", "objects",                                   \
 	  "platform objects that do not parse")                                                    \
--- a/src/fescuemill/decide/peer.c
+++ b/src/fescuemill/decide/peer.c
@@ -52,6 +52,7 @@
 	peer->heard_us = now_us;
 	peer->used_us = now_us;
 	peer->waits_us = now_us;
+	peer->refused_us = 0;
 	peer->unheard++;
 	return peer->epoch;
 }
@@ -67,6 +68,8 @@
 {
 	peer->heard_us = now_us;
 	peer->unheard = 0;
+	peer->refused_us = 0;
+	peer->is_doubtful = false;
 	peer_move(peer, CONNECTION_INPUT_HEARD);
 }
 
@@ -133,6 +136,42 @@
 	return PEER_PING;
 }
 
+/* Notes that the socket took no message. */
+void peer_refused(struct peer *peer, uint64_t now_us)
+{
+	if (peer->refused_us == 0)
+		peer->refused_us = now_us;
+}
+
+/* Tells whether the connection must be gone. A doubtful one is tried anew now and then, since no
+ * attempt goes out on it that would. */
+bool peer_seems_lost(const struct peer *peer, const struct peer_settings *settings, uint64_t now_us)
+{
+	if (peer->state == PEER_CLOSED)
+		return false;
+	if (peer->is_doubtful &&
+	    now_us >= peer->heard_us + settings->quiet_us + settings->ping_wait_us)
+		return true;
+	return peer->refused_us > 0 && now_us >= peer->refused_us + settings->quiet_us;
+}
+
+/* Tells what to do when the connection turns out to be gone. One that carried an answer was reset
+ * on the way, or its gate has ended: another one tells which. If that is lost too before anything
+ * came over it, silence takes its time, so that a gate that is gone is not called in a loop. */
+enum peer_action peer_lost(struct peer *peer)
+{
+	if (peer->state == PEER_CLOSED)
+		return PEER_NOTHING;
+	peer->is_doubtful = true;
+	return peer->unheard == 0 ? PEER_REPLACE : PEER_NOTHING;
+}
+
+/* Tells whether an attempt had better go elsewhere. */
+bool peer_is_doubtful(const struct peer *peer)
+{
+	return peer->is_doubtful;
+}
+
 /* Tells whether new connections do not help: nothing came over the latest ones. */
 bool peer_is_unreachable(const struct peer *peer)
 {
--- a/src/fescuemill/decide/peer.h
+++ b/src/fescuemill/decide/peer.h
@@ -27,12 +27,14 @@
 	uint64_t used_us;     /* last message to the gate, pings included */
 	uint64_t waits_us;    /* since when an answer is due */
 	uint64_t pinged_us;   /* when the present ping was sent */
+	uint64_t refused_us;  /* since when the socket takes no message; 0: it does */
 	uint64_t transfer_us; /* expected time of the large bodies under way */
 	uint32_t epoch;	      /* of the open link; 0 before the first */
 	uint32_t outstanding;
 	uint32_t unheard; /* connections opened in a row over which nothing came */
 	uint8_t kind;	  /* enum link_kind */
 	uint8_t state;	  /* enum peer_state */
+	bool is_doubtful; /* opened after a loss, and nothing came over it yet */
 };
 
 extern const struct peer_settings peer_default_settings;
@@ -48,6 +50,18 @@
 				 uint64_t now_us);
 enum peer_action peer_tick(struct peer *peer, const struct peer_settings *settings,
 			   uint64_t now_us);
+/* Notes that the socket took no message. */
+void peer_refused(struct peer *peer, uint64_t now_us);
+/* Tells whether to open another connection: the socket has taken no message for so long without a
+ * word from the gate that its queue cannot just be full, or nothing came over one that was opened
+ * after a loss. */
+bool peer_seems_lost(const struct peer *peer, const struct peer_settings *settings,
+		     uint64_t now_us);
+/* Tells what to do when the connection turns out to be gone. */
+enum peer_action peer_lost(struct peer *peer);
+/* Tells whether an attempt must not go out on the link: its connection was lost, and whether the
+ * gate still answers is being found out. */
+bool peer_is_doubtful(const struct peer *peer);
 bool peer_is_unreachable(const struct peer *peer);
 uint64_t peer_next_due_us(const struct peer *peer, const struct peer_settings *settings);
 
--- a/src/fescuemill/wire/channel.c
+++ b/src/fescuemill/wire/channel.c
@@ -37,6 +37,7 @@
 	struct channel_link *next;
 	struct channel_link *prev;
 	channel_link_fn fn;
+	channel_lost_fn lost; /* NULL: not told */
 	void *user;
 };
 
@@ -167,25 +168,54 @@
 	ws->channel->has_unread = true;
 }
 
-/* Reads up to READS_A_TURN messages; a socket that may hold more stays marked. */
-static void socket_drain(struct watched_socket *ws)
+/* Tells whether a socket neither has nor takes a message: its connection is gone, since ZeroMQ does
+ * not make another one, or its queue is full. */
+static bool socket_is_lost(const struct watched_socket *ws)
+{
+	int events = 0;
+	size_t size = sizeof(events);
+
+	if (zmq_getsockopt(ws->socket, ZMQ_EVENTS, &events, &size) != 0)
+		return false;
+	return (events & (ZMQ_POLLOUT | ZMQ_POLLIN)) == 0;
+}
+
+/* Tells the owner of a link whose connection is gone, once. */
+static void tell_lost(struct watched_socket *ws)
+{
+	struct channel_link *link = (struct channel_link *)ws;
+	channel_lost_fn lost;
+
+	if (ws == &ws->channel->router || ws->closed || !link->lost || !socket_is_lost(ws))
+		return;
+	lost = link->lost;
+	link->lost = NULL;
+	lost(link->user);
+}
+
+/* Reads up to READS_A_TURN messages; a socket that may hold more stays marked. Returns whether
+ * there was any. */
+static bool socket_drain(struct watched_socket *ws)
 {
 	ws->unread = false;
 	for (int i = 0; i < READS_A_TURN; i++) {
 		if (ws->closed || ws->read_one(ws) < 0)
-			return;
+			return i > 0;
 	}
 	socket_mark_unread(ws);
+	return true;
 }
 
-/* Drains a socket whose descriptor became readable. */
+/* Drains a socket whose descriptor became readable. Without a message the event was that the queue
+ * was worked off or that the connection is gone. */
 static void on_poll(uv_poll_t *poll, int status, int events)
 {
 	struct watched_socket *ws = (struct watched_socket *)poll;
 
 	(void)status;
 	(void)events;
-	socket_drain(ws);
+	if (!socket_drain(ws))
+		tell_lost(ws);
 }
 
 /* Does nothing: an active idle handle alone keeps the loop from waiting. */
@@ -508,6 +538,12 @@
 	return -1;
 }
 
+/* Has the loss of a link's connection told, once. */
+void channel_link_watch(struct channel_link *link, channel_lost_fn lost)
+{
+	link->lost = lost;
+}
+
 /* Queues a message on a link; after an error it was certainly not queued. */
 int channel_link_send(struct channel_link *link, const struct message *msg, struct error *err)
 {
--- a/src/fescuemill/wire/channel.h
+++ b/src/fescuemill/wire/channel.h
@@ -26,6 +26,8 @@
 typedef void (*channel_request_fn)(void *user, const struct channel_route *from,
 				   const struct message *msg);
 typedef void (*channel_link_fn)(void *user, const struct message *msg);
+/* The connection of a link is gone: what it queued may be lost, and it takes no more. */
+typedef void (*channel_lost_fn)(void *user);
 
 /* Listens on ip:port (port 0: any). Errors: ERROR_SYSTEM, ERROR_MEMORY. */
 int channel_open(struct channel **out, uv_loop_t *loop, uint32_t ip, uint16_t port,
@@ -39,6 +41,10 @@
 
 int channel_link_open(struct channel *ch, uint32_t ip, uint16_t port, channel_link_fn fn,
 		      void *user, struct channel_link **out, struct error *err);
+/* Has the loss of the link's connection told once, with the link's user, from the loop. It may go
+ * unnoticed where it coincides with a send; then sends fail with ERROR_LIMIT, as on a full queue.
+ */
+void channel_link_watch(struct channel_link *link, channel_lost_fn lost);
 /* After an error the message was certainly not handed to the socket. */
 int channel_link_send(struct channel_link *link, const struct message *msg, struct error *err);
 /* Drops what was not yet sent. Safe inside the link's own callback. */
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -287,7 +287,9 @@
 	entry_link_add_call(side, call);
 	if (side->peer.kind == LINK_BULK)
 		peer_transfer(&side->peer, &call->entry->peer_settings, msg.call.body.size);
-	if (entry_link_send(side, &msg, &err) == 0)
+	if (peer_is_doubtful(&side->peer))
+		error_set(&err, ERROR_UNREACHABLE, "the connection was lost");
+	else if (entry_link_send(side, &msg, &err) == 0)
 		return;
 	log_failure(LOG_DEBUG, LOG_PART_ENTRY, "An attempt could not be sent.", &err);
 	entry_call_step(call, &event, &no_input);
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -256,6 +256,8 @@
 	}
 }
 
+static void on_lost(void *user);
+
 /* Opens a side's connection, in place of one that may be open. */
 static int open_side(struct link_side *side, struct error *err)
 {
@@ -265,6 +267,7 @@
 	if (channel_link_open(link->entry->options.channel, link->ip, link->port, on_message, side,
 			      &side->connection, err) != 0)
 		return -1;
+	channel_link_watch(side->connection, on_lost);
 	peer_opened(&side->peer, clock_monotonic_us());
 	side->is_other_life = false;
 	return 0;
@@ -286,7 +289,10 @@
 	if (!side->connection)
 		return error_set(err, ERROR_STATE, "the connection is closed");
 	msg->epoch = side->peer.epoch;
-	return channel_link_send(side->connection, msg, err);
+	if (channel_link_send(side->connection, msg, err) == 0)
+		return 0;
+	peer_refused(&side->peer, clock_monotonic_us());
+	return -1;
 }
 
 /* Notes that an answer is due on a side. */
@@ -316,7 +322,7 @@
 	call->link = NULL;
 }
 
-/* Replaces a silent connection and asks again for every attempt on it. */
+/* Opens another connection and asks again for every attempt on the side. */
 static void replace_side(struct link_side *side)
 {
 	const struct entry_options *options = &side->owner->entry->options;
@@ -324,9 +330,6 @@
 	struct error err = {0};
 	bool is_opened = open_side(side, &err) == 0;
 
-	counter_add(COUNTER_WIRE_CONNECTIONS_SILENT, 1);
-	log_write(LOG_INFO, LOG_PART_ENTRY, "A silent connection was replaced.", "epoch=%u",
-		  side->peer.epoch);
 	if (!is_opened)
 		log_failure(LOG_WARNING, LOG_PART_ENTRY, "A connection could not be opened.", &err);
 	if (!is_opened || peer_is_unreachable(&side->peer)) {
@@ -338,21 +341,56 @@
 	tell_calls(side, &event);
 }
 
-/* Does what is due on one side. */
-static void tick_side(struct link_side *side, uint64_t now_us)
+/* Sends a heartbeat. */
+static void ping(struct link_side *side, uint64_t now_us)
 {
-	struct message ping = {.type = MESSAGE_PING};
+	struct message msg = {.type = MESSAGE_PING};
 	struct gate_link *link = side->owner;
 
+	budget_charge(link->entry->options.budget, BUDGET_HEARTBEAT_BYTES, link->crosses_regions,
+		      now_us);
+	entry_link_send(side, &msg, NULL);
+}
+
+/* Opens another connection and has the gate answer over it. */
+static void renew_side(struct link_side *side)
+{
+	replace_side(side);
+	if (side->connection)
+		ping(side, clock_monotonic_us());
+}
+
+/* Takes that a connection is gone. No attempt goes out before the gate has answered over another.
+ */
+static void on_lost(void *user)
+{
+	struct link_side *side = user;
+
+	counter_add(COUNTER_WIRE_CONNECTIONS_LOST, 1);
+	log_write(LOG_INFO, LOG_PART_ENTRY, "A connection was lost.", "epoch=%u outstanding=%u",
+		  side->peer.epoch, side->peer.outstanding);
+	if (peer_lost(&side->peer) == PEER_REPLACE)
+		renew_side(side);
+}
+
+/* Does what is due on one side. */
+static void tick_side(struct link_side *side, uint64_t now_us)
+{
+	if (peer_seems_lost(&side->peer, &side->owner->entry->peer_settings, now_us)) {
+		peer_lost(&side->peer);
+		renew_side(side);
+		return;
+	}
 	if (h2o_linklist_is_empty(&side->calls))
 		return;
 	switch (peer_tick(&side->peer, &side->owner->entry->peer_settings, now_us)) {
 	case PEER_PING:
-		budget_charge(link->entry->options.budget, BUDGET_HEARTBEAT_BYTES,
-			      link->crosses_regions, now_us);
-		entry_link_send(side, &ping, NULL);
+		ping(side, now_us);
 		break;
 	case PEER_REPLACE:
+		counter_add(COUNTER_WIRE_CONNECTIONS_SILENT, 1);
+		log_write(LOG_INFO, LOG_PART_ENTRY, "A silent connection is replaced.", "epoch=%u",
+			  side->peer.epoch);
 		replace_side(side);
 		break;
 	case PEER_NOTHING:
--- a/test/unit/decide/peer_test.cc
+++ b/test/unit/decide/peer_test.cc
@@ -108,3 +108,70 @@
 	peer_heard(&peer, 300);
 	EXPECT_FALSE(peer_is_unreachable(&peer));
 }
+
+// All connections of a fleet were reset at once: the links took no message any more, nothing was
+// due on them, so nothing replaced them, and 90 of 100 calls were refused for the rest of the day.
+TEST(Peer, ALinkWhoseConnectionIsLostIsReplacedThoughNothingIsDue)
+{
+	peer peer = open_peer();
+
+	peer_heard(&peer, 10);
+	EXPECT_EQ(PEER_REPLACE, peer_lost(&peer));
+	peer_opened(&peer, 20);
+	EXPECT_TRUE(peer_is_doubtful(&peer));
+	peer_heard(&peer, 30);
+	EXPECT_FALSE(peer_is_doubtful(&peer));
+}
+
+// The gate's process has ended: what is opened again is refused, and must not be in a loop.
+TEST(Peer, ALinkThatIsLostAgainBeforeAWordIsLeftToSilence)
+{
+	peer peer = open_peer();
+
+	peer_heard(&peer, 10);
+	EXPECT_EQ(PEER_REPLACE, peer_lost(&peer));
+	peer_opened(&peer, 20);
+	EXPECT_EQ(PEER_NOTHING, peer_lost(&peer));
+	EXPECT_TRUE(peer_is_doubtful(&peer));
+}
+
+// A full queue takes no message either, but it is worked off with a word from the gate.
+TEST(Peer, ALinkThatTakesNoMessageForLongWithoutAWordIsLost)
+{
+	peer peer = open_peer();
+
+	peer_heard(&peer, 10);
+	EXPECT_FALSE(peer_seems_lost(&peer, &settings, 1000));
+	peer_refused(&peer, 1000);
+	peer_refused(&peer, 1050);
+	EXPECT_FALSE(peer_seems_lost(&peer, &settings, 1099));
+	EXPECT_TRUE(peer_seems_lost(&peer, &settings, 1100));
+	peer_heard(&peer, 1080);
+	EXPECT_FALSE(peer_seems_lost(&peer, &settings, 1100));
+}
+
+TEST(Peer, ADoubtfulLinkIsTriedAnewUntilTheGateAnswers)
+{
+	peer peer = open_peer();
+	const uint64_t again = settings.quiet_us + settings.ping_wait_us;
+
+	peer_heard(&peer, 10);
+	EXPECT_EQ(PEER_REPLACE, peer_lost(&peer));
+	peer_opened(&peer, 20);
+	EXPECT_FALSE(peer_seems_lost(&peer, &settings, 20 + again - 1));
+	EXPECT_TRUE(peer_seems_lost(&peer, &settings, 20 + again));
+	peer_opened(&peer, 20 + again);
+	EXPECT_TRUE(peer_is_doubtful(&peer));
+	EXPECT_TRUE(peer_seems_lost(&peer, &settings, 20 + 2 * again));
+	peer_heard(&peer, 20 + 2 * again);
+	EXPECT_FALSE(peer_seems_lost(&peer, &settings, 20 + 3 * again));
+}
+
+TEST(Peer, AClosedLinkCannotBeLost)
+{
+	peer peer = open_peer();
+
+	peer_closed(&peer);
+	EXPECT_EQ(PEER_NOTHING, peer_lost(&peer));
+	EXPECT_FALSE(peer_is_doubtful(&peer));
+}
--- a/test/unit/wire/channel_test.cc
+++ b/test/unit/wire/channel_test.cc
@@ -1,10 +1,13 @@
 // Tests of the channel over loopback: whole delivery both ways, refusals, garbage on the port.
 #include "support/connect.h"
 
+#include <atomic>
 #include <cstring>
 #include <functional>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <string>
+#include <thread>
 #include <vector>
 
 extern "C" {
@@ -75,6 +78,11 @@
 		return link;
 	}
 
+	static void on_lost(void *user)
+	{
+		((Channel *)user)->lost_++;
+	}
+
 	bool run_until(const std::function<bool()> &done)
 	{
 		uv_timer_t timer;
@@ -94,6 +102,67 @@
 	struct channel *client_ = nullptr;
 	std::vector<uint64_t> requests_;
 	std::vector<uint64_t> replies_;
+	int lost_ = 0;
+};
+
+// A box in the path of one connection that resets it on demand.
+class Relay
+{
+      public:
+	explicit Relay(uint16_t target)
+	{
+		sockaddr_in addr{};
+		socklen_t size = sizeof(addr);
+
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(0, bind(listener_, (sockaddr *)&addr, sizeof(addr)));
+		EXPECT_EQ(0, listen(listener_, 1));
+		getsockname(listener_, (sockaddr *)&addr, &size);
+		port = ntohs(addr.sin_port);
+		thread_ = std::thread([this, target] { run(target); });
+	}
+	~Relay()
+	{
+		over_ = true;
+		thread_.join();
+		close(listener_);
+	}
+
+	void reset()
+	{
+		over_ = true;
+	}
+
+	uint16_t port = 0;
+
+      private:
+	void run(uint16_t target)
+	{
+		const linger at_once = {1, 0};
+		pollfd ends[2] = {{accept(listener_, nullptr, nullptr), POLLIN, 0},
+				  {support::connect_to(target), POLLIN, 0}};
+		char bytes[4096];
+
+		while (!over_ && poll(ends, 2, 10) >= 0) {
+			for (int i = 0; i < 2; i++) {
+				ssize_t size = 0;
+
+				if (ends[i].revents & POLLIN)
+					size = recv(ends[i].fd, bytes, sizeof(bytes), 0);
+				if (size > 0)
+					send(ends[1 - i].fd, bytes, (size_t)size, MSG_NOSIGNAL);
+			}
+		}
+		for (pollfd &end : ends) {
+			setsockopt(end.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+			close(end.fd);
+		}
+	}
+
+	int listener_ = socket(AF_INET, SOCK_STREAM, 0);
+	std::atomic<bool> over_{false};
+	std::thread thread_;
 };
 } // namespace
 
@@ -128,6 +197,41 @@
 	EXPECT_EQ(ERROR_LIMIT, err.kind);
 }
 
+TEST_F(Channel, AConnectionThatIsResetIsToldThoughNothingIsSent)
+{
+	Relay relay(channel_port(server_));
+	struct channel_link *link = open_link(relay.port);
+	struct message msg = make_ask(1);
+	struct error err;
+
+	channel_link_watch(link, on_lost);
+	ASSERT_EQ(0, channel_link_send(link, &msg, &err));
+	ASSERT_TRUE(run_until([&] { return replies_.size() == 1; }));
+	EXPECT_EQ(0, lost_);
+	relay.reset();
+	EXPECT_TRUE(run_until([&] { return lost_ == 1; }));
+	EXPECT_EQ(-1, channel_link_send(link, &msg, &err));
+}
+
+TEST_F(Channel, AConnectionInUseIsNotToldAsLost)
+{
+	struct channel_link *link = open_link(channel_port(server_));
+	const uint64_t calls = 2000;
+
+	channel_link_watch(link, on_lost);
+	for (uint64_t i = 0; i < calls;) {
+		struct message msg = make_ask(i);
+		struct error err;
+
+		if (channel_link_send(link, &msg, &err) == 0)
+			i++;
+		else
+			uv_run(&loop_, UV_RUN_NOWAIT);
+	}
+	ASSERT_TRUE(run_until([&] { return replies_.size() == calls; }));
+	EXPECT_EQ(0, lost_);
+}
+
 TEST_F(Channel, SendOnAClosedLinkIsATypedError)
 {
 	struct channel_link *link = open_link(channel_port(server_));
