Membership: a later incarnation waits until no attempt is known at the gate

Cause: since a node whose clock went back takes a later incarnation while it runs. Ruled out: going back to the code before (its nodes end by themselves again); no inference from incarnations at the entry (a refusal of a restarted gate would be told "unknown"). Change: the node is asked whether it may take the incarnation, and may only while its gate knows of no attempt; the others tell of it again until it may.

--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -22,9 +22,9 @@
 	void *user;
 	/* A member sent demands. May be NULL. */
 	void (*demand)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
-	/* This process takes a later incarnation, since an earlier one of its address had a clock
-	 * ahead of its own. May be NULL. */
-	void (*new_life)(void *user, uint64_t incarnation);
+	/* This process would take a later incarnation, since an earlier one of its address had a
+	 * clock ahead of its own. Returns whether it may now. May be NULL: always. */
+	bool (*new_life)(void *user, uint64_t incarnation);
 };
 
 /* Self is put into the table. The table and the budget belong to the caller and outlive the
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -45,16 +45,19 @@
 }
 
 /* Takes an incarnation after that of an earlier process at this address, which started while the
- * clock was ahead. Without it everybody would take this process for the earlier one. */
+ * clock was ahead. Without it everybody would take this process for the earlier one. While it may
+ * not, the others go on telling of the earlier one. */
 static void outlive(struct gossip *gsp, const struct member *earlier)
 {
-	gsp->self.life.incarnation = earlier->life.incarnation + 1;
+	uint64_t incarnation = earlier->life.incarnation + 1;
+
+	if (gsp->io.new_life && !gsp->io.new_life(gsp->io.user, incarnation))
+		return;
+	gsp->self.life.incarnation = incarnation;
 	log_write(LOG_WARNING, LOG_PART_GOSSIP,
 		  "An earlier process of this node started with its clock ahead.",
 		  "incarnation=%llu", (unsigned long long)gsp->self.life.incarnation);
 	gossip_publish_self(gsp, RUMOR_WHOLE);
-	if (gsp->io.new_life)
-		gsp->io.new_life(gsp->io.user, gsp->self.life.incarnation);
 }
 
 /* Takes news of a later incarnation of this node, which a whole record tells the address of. */
--- a/src/fescuemill/fleet/keeper.c
+++ b/src/fescuemill/fleet/keeper.c
@@ -13,16 +13,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PERIOD_US      (60 * USEC_PER_SEC) /* between two readings when rosters are not watched */
-#define WRITER_TICK_US (4 * USEC_PER_SEC)  /* between two looks of a writer at the members */
-#define JOIN_WAIT_US   (8 * USEC_PER_SEC)  /* for the writers to enter a new node */
-#define ENOUGH_MEMBERS 3		   /* of a domain that a new node can join by gossip */
-#define ENTRY_SPREAD_US                                                                            \
-	(1 * USEC_PER_SEC) /* over which a domain that starts at once enters itself */
-#define CONFLICT_US                                                                                \
-	(50 * USEC_PER_MSEC) /* for the other writer's next change to be written too               \
-			      */
-#define LEAVE_ATTEMPTS 3
+#define PERIOD_US	(60 * USEC_PER_SEC)  /* between two readings when rosters are not watched */
+#define WRITER_TICK_US	(4 * USEC_PER_SEC)   /* between two looks of a writer at the members */
+#define JOIN_WAIT_US	(8 * USEC_PER_SEC)   /* for the writers to enter a new node */
+#define ENOUGH_MEMBERS	3		     /* of a domain that a new node can join by gossip */
+#define ENTRY_SPREAD_US (1 * USEC_PER_SEC)   /* of first entries into a short roster */
+#define CONFLICT_US	(50 * USEC_PER_MSEC) /* some answers of the store: others write too */
+#define LEAVE_ATTEMPTS	3
 
 enum keeper_stage {
 	KEEPER_IDLE,
@@ -47,12 +44,10 @@
 	uint32_t failures;
 	uint32_t leave_attempts;
 	uint64_t self_since_us;
-	uint64_t entry_due_us; /* when this node looks whether it still has to enter a short roster
-				*/
+	uint64_t entry_due_us; /* of this node's look whether a short roster still lacks it */
 	uint64_t version;      /* of the own domain's roster as last read; 0: there is none */
 	bool entered;	       /* whether this node stood in it once */
-	bool has_looked_again; /* a short roster was read a second time before this node enters it
-				*/
+	bool has_looked_again; /* at a short roster, before entering it */
 	bool has_heard;	       /* whether the first list has come */
 	bool known;	       /* whether it was read at all since the last doubt */
 	uint64_t read_due_us;  /* until then a writer goes by what it read or wrote last */
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -256,7 +256,7 @@
 	}
 }
 
-static void on_lost(void *user);
+static void on_lost(void *user); /* opens the side again */
 
 /* Opens a side's connection, in place of one that may be open. */
 static int open_side(struct link_side *side, struct error *err)
@@ -360,8 +360,7 @@
 		ping(side, clock_monotonic_us());
 }
 
-/* Takes that a connection is gone. No attempt goes out before the gate has answered over another.
- */
+/* Takes that a connection is gone. No attempt goes out before the gate answers over another. */
 static void on_lost(void *user)
 {
 	struct link_side *side = user;
--- a/src/fescuemilld/gossip_shell.c
+++ b/src/fescuemilld/gossip_shell.c
@@ -52,12 +52,12 @@
 	shell->options.demand(shell->options.user, node_id, data, size);
 }
 
-/* Passes on that this process takes a later incarnation. */
-static void on_new_life(void *user, uint64_t incarnation)
+/* Passes on that this process would take a later incarnation. */
+static bool on_new_life(void *user, uint64_t incarnation)
 {
 	struct gossip_shell *shell = user;
 
-	shell->options.new_life(shell->options.user, incarnation);
+	return shell->options.new_life(shell->options.user, incarnation);
 }
 
 /* Gives libuv the shell's one buffer: a packet is handled before the next is read. */
--- a/src/fescuemilld/gossip_shell.h
+++ b/src/fescuemilld/gossip_shell.h
@@ -20,8 +20,8 @@
 	void (*newer_config)(void *user, uint64_t node_id, uint64_t version);
 	/* A member sent demands. */
 	void (*demand)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
-	/* This process takes a later incarnation. */
-	void (*new_life)(void *user, uint64_t incarnation);
+	/* This process would take a later incarnation; returns whether it may now. */
+	bool (*new_life)(void *user, uint64_t incarnation);
 	void *user;
 };
 
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -116,15 +116,22 @@
 	member_upsert(node->members, &now);
 }
 
-/* Takes a later incarnation in every part that names this process to others. */
-void node_on_own_new_life(void *user, uint64_t incarnation)
+/* Takes a later incarnation in every part that names this process to others. An entry takes an
+ * attempt that was meant for another incarnation for one that has not run, so there must be none
+ * here that was accepted under the present one. */
+bool node_on_own_new_life(void *user, uint64_t incarnation)
 {
 	struct node *node = user;
+	struct member self = *gossip_self(node->gossip);
 
+	if (gate_shell_live(node->gate) + gate_shell_records(node->gate) > 0)
+		return false;
 	node->self.life.incarnation = incarnation;
 	entry_set_incarnation(node->entry, incarnation);
 	gate_shell_set_incarnation(node->gate, incarnation);
-	keeper_set_self(node->keeper, gossip_self(node->gossip));
+	self.life.incarnation = incarnation;
+	keeper_set_self(node->keeper, &self);
+	return true;
 }
 
 /* Notes that a peer has a newer configuration, and fetches it. */
--- a/test/property/gossip_property_test.cc
+++ b/test/property/gossip_property_test.cc
@@ -80,6 +80,30 @@
 	RC_ASSERT(!gossip_is_superseded(fleet.node(victim).gossip));
 }
 
+// A gate that has accepted attempts under its first incarnation keeps it until they are over: one
+// that changed meanwhile had its entries send a running upload a second time (hunted day, TWICE).
+RC_GTEST_PROP(Gossip, ALaterIncarnationWaitsUntilItMayBeTaken, ())
+{
+	FakeFleet::Options options = random_options();
+	const uint64_t ahead = 1000;
+	const uint64_t behind = 2;
+
+	options.full_tables = true;
+	FakeFleet fleet(options);
+	uint32_t victim = *rc::gen::inRange<uint32_t>(1, (uint32_t)fleet.size());
+	auto life = [&] { return gossip_self(fleet.node(victim).gossip)->life.incarnation; };
+
+	fleet.restart(victim, ahead);
+	fleet.run_for(10 * second_us);
+	fleet.node(victim).may_take_life = false;
+	fleet.restart(victim, behind);
+	fleet.run_for(*rc::gen::inRange<uint64_t>(1, 10) * second_us);
+	RC_ASSERT(life() == behind);
+	RC_ASSERT(!gossip_is_superseded(fleet.node(victim).gossip));
+	fleet.node(victim).may_take_life = true;
+	RC_ASSERT(fleet.run_until(join_limit_us, [&] { return life() > ahead; }) != UINT64_MAX);
+}
+
 RC_GTEST_PROP(Gossip, ChangesOfServiceReachEverybody, ())
 {
 	FakeFleet::Options options = random_options();
--- a/test/support/fake_fleet.h
+++ b/test/support/fake_fleet.h
@@ -32,6 +32,7 @@
 		uint64_t next_tick_us = 0;
 		bool up = true;
 		bool paused = false;
+		bool may_take_life = true; // a later incarnation than the one it started with
 	};
 
 	struct Options {
@@ -258,7 +259,7 @@
 	void open_node(Node &node, uint64_t incarnation)
 	{
 		struct member self = member_of(node.index, incarnation);
-		struct gossip_io io = {send, newer_config, &node, nullptr, nullptr};
+		struct gossip_io io = {send, newer_config, &node, nullptr, may_take_life};
 		uint32_t known = options_.full_tables ? options_.nodes : options_.contacts;
 		struct error err;
 
@@ -282,6 +283,11 @@
 		member_table_close(node.table);
 	}
 
+	static bool may_take_life(void *user, uint64_t)
+	{
+		return ((Node *)user)->may_take_life;
+	}
+
 	static void send(void *user, uint32_t ip, uint16_t, const uint8_t *data, size_t size)
 	{
 		Node *node = (Node *)user;
