--- a/test/support/connect.h
+++ b/test/support/connect.h
@@ -23,4 +23,19 @@
 	close(fd);
 	return -1;
 }
+
+// Binds a socket to a free port of loopback and listens; gives the port, 0 if that fails.
+inline uint16_t listen_on_loopback(int fd, int backlog)
+{
+	sockaddr_in address = {};
+	socklen_t size = sizeof(address);
+
+	address.sin_family = AF_INET;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0 ||
+	    listen(fd, backlog) != 0 ||
+	    getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
 } // namespace support
--- a/test/unit/http/fetch_test.cc
+++ b/test/unit/http/fetch_test.cc
@@ -1,5 +1,7 @@
 // Fetches: a connection that does not come about, or that goes silent, is given up long before the
 // request's own time.
+#include "support/connect.h"
+
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
@@ -75,15 +77,8 @@
 
 	SilentServer()
 	{
-		sockaddr_in addr{};
-		socklen_t size = sizeof(addr);
-
-		addr.sin_family = AF_INET;
-		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(0, bind(fd, (sockaddr *)&addr, sizeof(addr)));
-		EXPECT_EQ(0, listen(fd, 1));
-		getsockname(fd, (sockaddr *)&addr, &size);
-		port = ntohs(addr.sin_port);
+		port = support::listen_on_loopback(fd, 1);
+		EXPECT_NE(0, port);
 		thread = std::thread([this] { serve(); });
 	}
 	~SilentServer()
--- a/test/unit/wire/channel_test.cc
+++ b/test/unit/wire/channel_test.cc
@@ -111,15 +111,8 @@
       public:
 	explicit Relay(uint16_t target)
 	{
-		sockaddr_in addr{};
-		socklen_t size = sizeof(addr);
-
-		addr.sin_family = AF_INET;
-		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(0, bind(listener_, (sockaddr *)&addr, sizeof(addr)));
-		EXPECT_EQ(0, listen(listener_, 1));
-		getsockname(listener_, (sockaddr *)&addr, &size);
-		port = ntohs(addr.sin_port);
+		port = support::listen_on_loopback(listener_, 1);
+		EXPECT_NE(0, port);
 		thread_ = std::thread([this, target] { run(target); });
 	}
 	~Relay()
