Log and count fetches of configuration between nodes

Four counters, one line for each fetch and one for each that ended without an answer. No logic changed.

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -41,6 +41,11 @@
 	  "platform objects that do not parse")                                                    \
 	X(CONFIG_APPLIED, "config_changes_applied", "changes", "changes of services put in force") \
 	X(CONFIG_VERSION, "config_version", "version", "version through which all is known")       \
+	X(CONFIG_PULLS, "config_pulls", "requests", "requests to peers for configuration")         \
+	X(CONFIG_PULLS_UNANSWERED, "config_pulls_unanswered", "requests",                          \
+	  "requests to peers for configuration that ended without an answer")                      \
+	X(CONFIG_RECEIVED, "config_received", "bytes", "configuration received from peers")        \
+	X(CONFIG_SENT, "config_sent", "bytes", "configuration sent to peers")                      \
 	X(CONFIG_READY, "config_ready", "flag", "1 when the accepted configuration is known")      \
 	X(PLATFORM_CALLS, "platform_calls", "calls", "calls sent to the platform")                 \
 	X(PLATFORM_FAILURES, "platform_calls_failed", "calls", "platform calls that failed")       \
--- a/src/fescuemilld/config_pull.c
+++ b/src/fescuemilld/config_pull.c
@@ -5,9 +5,11 @@
 #include "fescuemilld/config_pull.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/base/random.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -61,6 +63,10 @@
 
 	if (msg->type != MESSAGE_CONFIG_BODY)
 		return;
+	counter_add(COUNTER_CONFIG_RECEIVED, body->json.size);
+	log_write(LOG_INFO, LOG_PART_CONFIG, "A peer sent configuration.",
+		  "bytes=%u after_us=%" PRIu64 " known_version=%" PRIu64, body->json.size,
+		  clock_monotonic_us() - pull->requested_us, config_version(pull->options.config));
 	budget_charge(pull->options.budget, body->json.size + BUDGET_SEGMENT_HEADER_BYTES,
 		      pull->crosses_link, clock_monotonic_us());
 	if (config_apply_peer_batch(pull->options.config, body->ticket,
@@ -80,6 +86,7 @@
 	msg.config_pull.after = config_version(config);
 	msg.config_pull.content = config_content_hash(config);
 	msg.config_pull.ticket = config_ticket(config);
+	counter_add(COUNTER_CONFIG_PULLS, 1);
 	if (channel_link_send(pull->link, &msg, &err) != 0)
 		end_request(pull);
 }
@@ -142,6 +149,15 @@
 		start_request(pull, member, now_us);
 }
 
+/* Counts and logs a request that ends without an answer. */
+static void record_unanswered(const struct config_pull *pull, uint64_t now_us)
+{
+	counter_add(COUNTER_CONFIG_PULLS_UNANSWERED, 1);
+	log_write(LOG_INFO, LOG_PART_CONFIG, "A peer sent no configuration in time.",
+		  "after_us=%" PRIu64 " known_version=%" PRIu64, now_us - pull->requested_us,
+		  config_version(pull->options.config));
+}
+
 /* Ends a request that got no answer in time. Then sends the next one to a random peer while the
  * configuration is outdated or not ready. */
 void config_pull_tick(struct config_pull *pull, uint64_t now_us)
@@ -151,6 +167,8 @@
 
 	if (pull->link && now_us < pull->requested_us + TIMEOUT_US)
 		return;
+	if (pull->link)
+		record_unanswered(pull, now_us);
 	end_request(pull);
 	if (config_is_ready(config) && !config_is_behind(config))
 		return;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -4,6 +4,7 @@
 #include "fescuemilld/node_events.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
 
@@ -261,6 +262,7 @@
 	msg.config_body.ticket = pull->config_pull.ticket;
 	msg.config_body.json.data = (const uint8_t *)json;
 	msg.config_body.json.size = (uint32_t)size;
+	counter_add(COUNTER_CONFIG_SENT, size);
 	if (channel_reply(node->channel, from, &msg, &err) != 0)
 		log_failure(LOG_DEBUG, LOG_PART_CONFIG,
 			    "Configuration could not be sent to a peer.", &err);
