--- a/test/unit/fleet/config_test.cc
+++ b/test/unit/fleet/config_test.cc
@@ -35,6 +35,22 @@
 	       R"(","weight":1}]}],"services":[{"name":")" + service + R"("}]})";
 }
 
+// A routing object with `count` routes, of which the first has the given timeout.
+static std::string many_routes(int number, int count, int first_timeout_ms)
+{
+	std::string list;
+
+	for (int i = 0; i < count; i++)
+		list += std::string(i ? "," : "") + R"({"name":"route-)" + std::to_string(i) +
+			R"(","host":"shop.example","prefix":"/lots/)" + std::to_string(i) +
+			R"(/","idempotent":true,"timeout_ms":)" +
+			std::to_string(i ? 3000 : first_timeout_ms) +
+			R"(,"latency_ms":500,"rank":1,"attempts":2,"services":)" +
+			R"([{"service":"catalogue","weight":1}]})";
+	return R"({"number":)" + std::to_string(number) + R"(,"routes":[)" + list +
+	       R"(],"services":[{"name":"catalogue"}]})";
+}
+
 class Store
 {
       public:
@@ -295,3 +311,25 @@
 		EXPECT_EQ(nullptr, config_routing(store.store)) << number;
 	}
 }
+
+// Guards against changes that take effect late because every version of the routes is sent whole to
+// every node.
+TEST(ConfigStore, ChangeOfOneRouteOfManyFitsIntoControlTrafficOfOneSecond)
+{
+	constexpr size_t kControlBytesPerS = 7000; // target for the control traffic of a node
+	Store newer;
+	Store asker;
+	std::string before = batch(5, item("main", 5, many_routes(1, 2800, 2000)));
+
+	newer.apply(0, before);
+	asker.apply(0, before);
+	newer.apply(5, batch(6, item("main", 6, many_routes(2, 2800, 1000))));
+	std::string answer = newer.answer(asker);
+
+	EXPECT_LE(answer.size(), kControlBytesPerS);
+	asker.apply_peer(answer, 1);
+	EXPECT_EQ(6U, config_version(asker.store));
+	EXPECT_EQ(1000U,
+		  routing_find_route(config_routing(asker.store), "shop.example", 12, "/lots/0/", 8)
+			  ->timeout_ms);
+}
