--- a/test/unit/http/caller_test.cc
+++ b/test/unit/http/caller_test.cc
@@ -214,6 +214,24 @@
 		EXPECT_EQ(ask(std::string(kGet) + "\r\n").find("http/1.1 200"), 0u);
 }
 
+// Guards against work for a caller that gave up while its request waited unread: both the request
+// and the end of the connection are there when the listener first reads.
+TEST_F(CallerTest, RequestOfCallerThatHasLeftIsNotPassedToEntry)
+{
+	int passed = 0;
+
+	on_call = [&passed](struct caller_call *call, const struct call_request *) {
+		passed++;
+		answer_ok(call);
+	};
+	send_text(std::string(kGet) + "\r\n");
+	close(fd);
+	fd = -1;
+	run_for_ms(50);
+	EXPECT_EQ(passed, 0);
+	EXPECT_EQ(caller_connection_count(caller), 0u);
+}
+
 TEST_F(CallerTest, BodyOverLimitIsAnsweredWith413AndReason)
 {
 	std::string head = "POST /intake/plate HTTP/1.1\r\nhost: n\r\nx-fescue-class: photo\r\n"
