--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -1,6 +1,6 @@
-// Guards against recursion in the gate shell: when the backend server fails, each waiting attempt
-// is started in the slot that the previous failed start released. Stack use must not grow with the
-// length of the queue.
+// The gate shell with a real channel. Guards against recursion: when the backend server fails, each
+// waiting attempt is started in the slot that the previous failed start released, and stack use
+// must not grow with the length of the queue.
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
@@ -296,4 +296,24 @@
 	EXPECT_EQ(gate_shell_record_count(shell), kClasses + 1);
 }
 
+// Guards against work for a caller that has left: a call and its cancellation that were both
+// waiting to be read reach the gate one right after the other, and the backend server must see
+// neither.
+TEST_F(GateShell, CallWhoseCancellationHasArrivedIsNotStarted)
+{
+	send_call(0);
+	ASSERT_TRUE(run_until([this] { return gate_shell_live_count(shell) == 1; }));
+	send_id_message(MESSAGE_CANCEL, sequence);
+	ASSERT_TRUE(run_until([this] { return answers.count(sequence) == 1; }));
+	while (close(accept(listener, nullptr, nullptr)) == 0) {
+	}
+	send_call(0);
+	send_id_message(MESSAGE_CANCEL, sequence);
+	usleep(100000); // both are in the socket's queue before the loop reads
+	ASSERT_TRUE(run_until([this] { return answers.count(sequence) == 1; }));
+	EXPECT_EQ(answers[sequence], std::make_pair(OUTCOME_NOT_RUN, REASON_CANCELLED));
+	run_until([] { return false; }, kTurnsShort);
+	EXPECT_LT(accept(listener, nullptr, nullptr), 0) << "the call reached the backend server";
+}
+
 } // namespace
