Send peers the changes of routes instead of all routes

Each version of the routes went whole to every node: 530 KB for 2,800 routes, to 75 hosts of which most have a link of 10 Mbit/s.

The class of fault: the cost of a change that grows with the size of what is configured, times the number of nodes. A node now knows through which version each route was last changed or removed, and answers a peer with the routes after the peer's version. A node may have skipped versions, so the answer carries a digest of all routes; where the result differs the peer keeps what it has and requests the whole object. A whole object, which a new node and a large change still need, is compressed, and the latest answer is kept for the next peer that asks the same. Nodes of the build before neither ask for changes nor get them.

Weighed: compression alone (each node would still parse all routes for each change); one object a route in the gossip (its digest is one version); changes only from versions that the peer itself had in force (in quick succession the watching nodes skip different ones, so most would get all).

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -4,7 +4,7 @@
 packages=(
 	gcc g++ git libc6-dev pkg-config cmake ninja-build
 	libuv1-dev libzmq3-dev libh2o-dev libargtable2-dev libjansson-dev libmsgpack-dev
-	libxxhash-dev libssl-dev libgtest-dev libgmock-dev librapidcheck-dev
+	libxxhash-dev libssl-dev zlib1g-dev libgtest-dev libgmock-dev librapidcheck-dev
 	clang clang-format clang-tidy cppcheck libclang-rt-14-dev curl
 )
 missing=()
--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -8,6 +8,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/fleet/config_batch.h"
+#include "fescuemill/fleet/route_history.h"
 #include "fescuemill/fleet/routing_json.h"
 
 #include <inttypes.h>
@@ -39,6 +40,8 @@
 	uint64_t ticket; /* sent with pulls; an answer must carry it to make the store ready */
 	struct routing routing;			  /* in force; empty if routing_owner is NULL */
 	const struct config_entry *routing_owner; /* the entry whose routes are in force */
+	struct route_history history;		  /* of the routes in force */
+	bool needs_whole_routes;		  /* a peer's changes could not be applied */
 	struct random rng;
 	bool ready;
 };
@@ -69,6 +72,7 @@
 	for (uint32_t i = 0; i < store->entry_count; i++)
 		entry_free(store->entries[i]);
 	routing_free(&store->routing);
+	route_history_clear(&store->history);
 	free(store);
 }
 
@@ -150,6 +154,7 @@
 	if (store->routing_owner != entry)
 		return;
 	routing_free(&store->routing);
+	route_history_clear(&store->history);
 	store->routing_owner = NULL;
 }
 
@@ -221,6 +226,9 @@
 	for (uint32_t i = 0; i < routing.service_count; i++)
 		routing.services[i].config.version = delivery->version;
 	routing_free(&store->routing);
+	if (store->routing_owner != entry)
+		route_history_clear(&store->history);
+	route_history_record(&store->history, delivery->json, delivery->version);
 	store->routing = routing;
 	store->routing_owner = entry;
 	entry->is_routing = true;
@@ -250,8 +258,8 @@
 	return 0;
 }
 
-/* Applies one delivery. Errors: ERROR_MEMORY if there is no room for another service; those of
- * service_read() and put_routing_in_force() if the object is invalid. */
+/* Applies one object or deletion. Errors: ERROR_MEMORY if there is no room for another service;
+ * those of service_read() and put_routing_in_force() if the object is invalid. */
 static int apply_delivery(struct config_store *store, const struct delivery *delivery,
 			  struct error *err)
 {
@@ -286,6 +294,57 @@
 	return -1;
 }
 
+/* Applies a peer's changes to the routes in force. Changes that are not newer are ignored. Errors:
+ * ERROR_STATE if the routes that they are for are not in force, and those of route_history_apply();
+ * the whole object is to be requested then. */
+static int apply_changes(struct config_store *store, const struct delivery *delivery,
+			 struct error *err)
+{
+	const struct config_entry *entry = find_entry(store, delivery->name);
+	struct delivery whole = *delivery;
+
+	if (entry && (delivery->version <= entry->object.config.version ||
+		      delivery->version <= entry->deleted_version))
+		return 0;
+	if (!entry || store->routing_owner != entry || entry->rejected)
+		return error_set(err, ERROR_STATE, "changes of %s: its routes are not in force",
+				 delivery->name);
+	whole.changes = NULL;
+	whole.json = route_history_apply(&store->history, delivery->changes, err);
+	if (!whole.json)
+		return -1;
+	if (apply_delivery(store, &whole, err) != 0 && err->kind != ERROR_MEMORY)
+		error_clear(err);
+	json_decref(whole.json);
+	return err->kind == ERROR_NONE ? 0 : -1;
+}
+
+/* Applies all items of a batch. Returns false if a peer's changes could not be applied, so that
+ * the batch did not bring this node up to date. */
+static bool apply_items(struct config_store *store, const struct batch *batch)
+{
+	bool is_whole = true;
+
+	for (uint32_t i = 0; i < batch->count; i++) {
+		struct delivery delivery;
+		struct error err = {0};
+
+		batch_item(batch, i, &delivery, NULL);
+		if (delivery.changes && apply_changes(store, &delivery, &err) != 0) {
+			is_whole = false;
+			log_failure(LOG_INFO, LOG_PART_CONFIG,
+				    "Changes from a peer do not fit; requesting the whole object.",
+				    &err);
+		} else if (!delivery.changes && apply_delivery(store, &delivery, &err) != 0 &&
+			   err.kind == ERROR_MEMORY) {
+			log_failure(LOG_ERROR, LOG_PART_CONFIG,
+				    "Configuration object was not applied.", &err);
+		}
+	}
+	store->needs_whole_routes = !is_whole;
+	return is_whole;
+}
+
 /* Deletes the objects up to the version of a complete batch that are not in the batch. */
 static void delete_absent(struct config_store *store, const struct batch *batch)
 {
@@ -355,16 +414,8 @@
 	bool is_contiguous =
 		batch->from <= store->applied_through &&
 		(!batch->has_same_content || batch->same_content == config_content_hash(store));
-	struct error err;
-
-	for (uint32_t i = 0; i < batch->count; i++) {
-		struct delivery delivery;
 
-		batch_item(batch, i, &delivery, NULL);
-		if (apply_delivery(store, &delivery, &err) && err.kind == ERROR_MEMORY)
-			log_failure(LOG_ERROR, LOG_PART_CONFIG,
-				    "Configuration object was not applied.", &err);
-	}
+	is_contiguous = apply_items(store, batch) && is_contiguous;
 	if (batch->from == 0)
 		delete_absent(store, batch);
 	if (is_contiguous && batch->pruned_version > batch->from &&
@@ -547,25 +598,52 @@
 					       (json_int_t)version, "value", value));
 }
 
+/* Appends the changes of the routes in force after a version. */
+static void append_changes(json_t *items, const struct config_store *store, uint64_t after)
+{
+	const struct config_entry *owner = store->routing_owner;
+
+	json_array_append_new(
+		items, json_pack("{s:s, s:I, s:o}", "name", owner->name, "version",
+				 (json_int_t)owner->object.config.version, "changes",
+				 route_history_changes(&store->history, owner->value, after)));
+}
+
 /* Appends the deletion, the object in force and the rejected object of an entry, each if it is
- * newer than the version `after`. They are in the order of their versions. */
-static void append_entry(json_t *items, const struct config_entry *entry, uint64_t after)
+ * newer than the version `after`. They are in the order of their versions. Of routes that the peer
+ * has in an earlier version, only the changes are sent. */
+static void append_entry(json_t *items, const struct config_store *store,
+			 const struct config_entry *entry, uint64_t after, bool takes_changes)
 {
+	bool sends_changes = takes_changes && after > 0 && entry == store->routing_owner &&
+			     entry->deleted_version <= after &&
+			     route_history_covers(&store->history, after);
+
 	if (entry->deleted_version > after)
 		json_array_append_new(items,
 				      json_pack("{s:s, s:I, s:b}", "name", entry->name, "version",
 						(json_int_t)entry->deleted_version, "deleted", 1));
-	if (entry->in_force && entry->object.config.version > after)
+	if (sends_changes && entry->object.config.version > after)
+		append_changes(items, store, after);
+	else if (entry->in_force && entry->object.config.version > after)
 		append_value(items, entry->name, entry->object.config.version, entry->value);
 	if (entry->rejected && entry->rejected_version > after)
 		append_value(items, entry->name, entry->rejected_version, entry->rejected);
 }
 
+/* Returns true if this store can apply the changes of routes that a peer sends. */
+bool config_takes_changes(const struct config_store *store)
+{
+	return store->routing_owner && !store->routing_owner->rejected &&
+	       !store->needs_whole_routes;
+}
+
 /* Writes the answer to a peer's pull. Errors: see the header. */
-int config_write_batch(const struct config_store *store, uint64_t after, uint64_t content,
+int config_write_batch(const struct config_store *store, const struct config_request *request,
 		       char **json, size_t *size, struct error *err)
 {
-	bool same = content == config_content_hash(store);
+	bool same = request->content == config_content_hash(store);
+	uint64_t after = request->after;
 	json_t *items;
 	json_t *root;
 
@@ -575,12 +653,12 @@
 		after = 0;
 	items = json_array();
 	for (uint32_t i = 0; i < store->entry_count && !same; i++)
-		append_entry(items, store->entries[i], after);
+		append_entry(items, store, store->entries[i], after, request->takes_changes);
 	root = json_pack("{s:I, s:I, s:I, s:o}", "from", (json_int_t)after, "known",
 			 (json_int_t)store->pruned_version, "version",
 			 (json_int_t)store->complete_version, "items", items);
 	if (same)
-		json_object_set_new(root, "same", json_integer((json_int_t)content));
+		json_object_set_new(root, "same", json_integer((json_int_t)request->content));
 	*json = root ? json_dumps(root, JSON_COMPACT) : NULL;
 	json_decref(root);
 	if (!*json)
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -17,6 +17,13 @@
 
 struct config_store;
 
+/* What a peer that pulls says of its store. */
+struct config_request {
+	uint64_t after;	    /* it has all changes up to this version */
+	uint64_t content;   /* its config_content_hash() */
+	bool takes_changes; /* its config_takes_changes() */
+};
+
 /* first_ticket is the ticket of the first pulls (see config_ticket()). It must be above every
  * ticket of the node's earlier processes; the incarnation number meets this. */
 int config_open(struct config_store **out, uint64_t first_ticket, struct error *err);
@@ -67,13 +74,16 @@
  * to a pull. */
 uint64_t config_content_hash(const struct config_store *store);
 /* Returns the ticket for a pull. A node that is behind or not ready pulls: it sends its
- * config_version(), config_content_hash() and ticket to a peer, which answers with
- * config_write_batch() and the same ticket. */
+ * config_version(), config_content_hash(), config_takes_changes() and ticket to a peer, which
+ * answers with config_write_batch() and the same ticket. */
 uint64_t config_ticket(const struct config_store *store);
-/* Writes a malloc'ed JSON batch {"from","known","version","items"} of what is newer than the
- * version `after`. If the peer's content hash equals this store's, the batch has no items and adds
- * "same" with the hash. Errors: ERROR_STATE if this store is not ready, ERROR_MEMORY. */
-int config_write_batch(const struct config_store *store, uint64_t after, uint64_t content,
+/* Returns true if this store can apply the changes of routes that a peer sends instead of all
+ * routes. */
+bool config_takes_changes(const struct config_store *store);
+/* Writes a malloc'ed JSON batch {"from","known","version","items"} that answers a peer's pull. If
+ * the peer's content hash equals this store's, the batch has no items and adds "same" with the
+ * hash. Errors: ERROR_STATE if this store is not ready, ERROR_MEMORY. */
+int config_write_batch(const struct config_store *store, const struct config_request *request,
 		       char **json, size_t *size, struct error *err);
 /* Applies a peer's batch; `ticket` is the one that the answer carries. Errors: those of
  * config_apply_batch(). */
--- a/src/fescuemill/fleet/config_batch.c
+++ b/src/fescuemill/fleet/config_batch.c
@@ -22,8 +22,10 @@
 		return -1;
 	out->name = json_string_value(name.json);
 	out->json = json_object_get(item.json, "value");
-	if (!out->json && !json_is_true(json_object_get(item.json, "deleted")))
-		return value_error(&item, ERROR_MISSING, err, "\"value\" or \"deleted\":true");
+	out->changes = json_object_get(item.json, "changes");
+	if (!out->json && !out->changes && !json_is_true(json_object_get(item.json, "deleted")))
+		return value_error(&item, ERROR_MISSING, err,
+				   "\"value\", \"changes\" or \"deleted\":true");
 	return 0;
 }
 
@@ -38,7 +40,7 @@
 	return 0;
 }
 
-/* Returns true if a batch has a value, rather than a deletion, for a service. */
+/* Returns true if a batch has a value or changes, rather than a deletion, for a service. */
 bool batch_has_value(const struct batch *batch, const char *name)
 {
 	size_t index;
@@ -48,7 +50,8 @@
 	{
 		const char *text = json_string_value(json_object_get(item, "name"));
 
-		if (text && json_object_get(item, "value") && strcmp(text, name) == 0)
+		if (text && strcmp(text, name) == 0 &&
+		    (json_object_get(item, "value") || json_object_get(item, "changes")))
 			return true;
 	}
 	return false;
--- a/src/fescuemill/fleet/config_batch.h
+++ b/src/fescuemill/fleet/config_batch.h
@@ -7,11 +7,13 @@
 #include "fescuemill/decide/call_defs.h"
 #include "fescuemill/settings/value.h"
 
-/* One item of a batch: an object or, if json is NULL, a deletion. */
+/* One item of a batch: an object, the changes of a routing object, or, if both are NULL, a
+ * deletion. */
 struct delivery {
 	const char *name;
 	uint64_t version;
 	json_t *json;
+	json_t *changes; /* see route_history_changes() */
 };
 
 struct batch {
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -114,15 +114,18 @@
 		pack_load(pk, &msg->pong.load);
 		break;
 	case MESSAGE_CONFIG_PULL:
-		msgpack_pack_array(pk, 3);
+		msgpack_pack_array(pk, 5);
 		msgpack_pack_uint64(pk, msg->config_pull.after);
 		msgpack_pack_uint64(pk, msg->config_pull.content);
 		msgpack_pack_uint64(pk, msg->config_pull.ticket);
+		msgpack_pack_uint8(pk, msg->config_pull.takes_changes);
+		msgpack_pack_uint8(pk, msg->config_pull.takes_compressed);
 		break;
 	case MESSAGE_CONFIG_BODY:
-		msgpack_pack_array(pk, 2);
+		msgpack_pack_array(pk, 3);
 		msgpack_pack_uint64(pk, msg->config_body.ticket);
 		pack_bytes(pk, &msg->config_body.json);
+		msgpack_pack_uint32(pk, msg->config_body.text_size);
 		break;
 	default:
 		msgpack_pack_array(pk, 0);
@@ -255,6 +258,18 @@
 	answer->body = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 }
 
+/* Reads the fields of a pull. A sender of an earlier version omits the last ones. */
+static void read_config_pull(struct reader *rd, struct message_config_pull *pull)
+{
+	pull->after = reader_uint(rd, UINT64_MAX);
+	pull->content = reader_uint(rd, UINT64_MAX);
+	pull->ticket = reader_uint(rd, UINT64_MAX);
+	if (reader_has_more(rd))
+		pull->takes_changes = reader_uint(rd, 1) != 0;
+	if (reader_has_more(rd))
+		pull->takes_compressed = reader_uint(rd, 1) != 0;
+}
+
 /* Reads the fields of the message's type. */
 static void read_fields(struct reader *rd, struct message *msg)
 {
@@ -277,13 +292,13 @@
 		read_load(rd, &msg->pong.load);
 		break;
 	case MESSAGE_CONFIG_PULL:
-		msg->config_pull.after = reader_uint(rd, UINT64_MAX);
-		msg->config_pull.content = reader_uint(rd, UINT64_MAX);
-		msg->config_pull.ticket = reader_uint(rd, UINT64_MAX);
+		read_config_pull(rd, &msg->config_pull);
 		break;
 	case MESSAGE_CONFIG_BODY:
 		msg->config_body.ticket = reader_uint(rd, UINT64_MAX);
 		msg->config_body.json = reader_bytes(rd, CALL_BODY_BYTES_MAX);
+		if (reader_has_more(rd))
+			msg->config_body.text_size = (uint32_t)reader_uint(rd, CALL_BODY_BYTES_MAX);
 		break;
 	default:
 		break;
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -88,14 +88,17 @@
 };
 
 struct message_config_pull {
-	uint64_t after;	  /* the requester has all changes up to this version; 0: none */
-	uint64_t content; /* config_content_hash() of the requester */
-	uint64_t ticket;  /* config_ticket() of the requester, returned with the answer */
+	uint64_t after;	    /* the requester has all changes up to this version; 0: none */
+	uint64_t content;   /* config_content_hash() of the requester */
+	uint64_t ticket;    /* config_ticket() of the requester, returned with the answer */
+	bool takes_changes; /* config_takes_changes() of the requester */
+	bool takes_compressed;
 };
 
 struct message_config_body {
 	uint64_t ticket;	/* from the CONFIG_PULL that this answers */
 	struct wire_bytes json; /* batch written by config_write_batch() */
+	uint32_t text_size;	/* of the batch, if json is compressed; 0: it is not */
 };
 
 struct message {
--- a/src/fescuemilld/config_pull.c
+++ b/src/fescuemilld/config_pull.c
@@ -8,6 +8,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/base/random.h"
+#include "fescuemill/wire/compress.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -54,6 +55,26 @@
 	free(pull);
 }
 
+/* Applies the configuration of a peer, decompressed if it is compressed. Errors: those of
+ * decompress_text() and config_apply_peer_batch(). */
+static int apply_body(struct config_pull *pull, const struct message_config_body *body,
+		      struct error *err)
+{
+	const char *json = (const char *)body->json.data;
+	char *text;
+	int result;
+
+	if (body->text_size == 0)
+		return config_apply_peer_batch(pull->options.config, body->ticket, json,
+					       body->json.size, err);
+	if (decompress_text(body->json.data, body->json.size, body->text_size, &text, err) != 0)
+		return -1;
+	result = config_apply_peer_batch(pull->options.config, body->ticket, text, body->text_size,
+					 err);
+	free(text);
+	return result;
+}
+
 /* Applies the configuration in a peer's answer and ends the request. */
 static void on_message(void *user, const struct message *msg)
 {
@@ -69,8 +90,7 @@
 		  clock_monotonic_us() - pull->requested_us, config_version(pull->options.config));
 	budget_charge(pull->options.budget, body->json.size + BUDGET_SEGMENT_HEADER_BYTES,
 		      pull->crosses_link, clock_monotonic_us());
-	if (config_apply_peer_batch(pull->options.config, body->ticket,
-				    (const char *)body->json.data, body->json.size, &err) != 0)
+	if (apply_body(pull, body, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG, "Configuration from a peer was rejected.",
 			    &err);
 	end_request(pull);
@@ -86,6 +106,8 @@
 	msg.config_pull.after = config_version(config);
 	msg.config_pull.content = config_content_hash(config);
 	msg.config_pull.ticket = config_ticket(config);
+	msg.config_pull.takes_changes = config_takes_changes(config);
+	msg.config_pull.takes_compressed = true;
 	counter_add(COUNTER_CONFIG_PULLS, 1);
 	if (channel_link_send(pull->link, &msg, &err) != 0)
 		end_request(pull);
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node_defs.h
@@ -13,6 +13,7 @@
 #include "fescuemill/store/list_watch.h"
 #include "fescuemilld/admin_shell.h"
 #include "fescuemilld/config_pull.h"
+#include "fescuemilld/config_reply.h"
 #include "fescuemilld/demand_shell.h"
 #include "fescuemilld/entry.h"
 #include "fescuemilld/gate_shell.h"
@@ -69,6 +70,7 @@
 	struct gossip_shell *gossip_shell;
 	struct gossip *gossip;
 	struct config_pull *pull;
+	struct config_reply config_reply;
 	struct key_members *key_members;
 	uint64_t keys_applied_us; /* when the owners of keys were last updated */
 	struct entry *entry;
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -4,11 +4,9 @@
 #include "fescuemilld/node_events.h"
 
 #include "fescuemill/base/clock.h"
-#include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #define TIME_SKIP_US GOSSIP_PAUSE_THRESHOLD_US
@@ -245,30 +243,6 @@
 	return load.in_use;
 }
 
-/* Answers a peer's pull with the configuration that it lacks. */
-static void reply_config(struct node *node, const struct channel_route *from,
-			 const struct message *pull)
-{
-	struct message msg = {.type = MESSAGE_CONFIG_BODY, .epoch = pull->epoch};
-	struct error err;
-	char *json;
-	size_t size;
-
-	if (config_write_batch(node->config, pull->config_pull.after, pull->config_pull.content,
-			       &json, &size, &err) != 0)
-		return;
-	budget_charge(&node->budget, (uint32_t)size + BUDGET_SEGMENT_HEADER_BYTES, false,
-		      clock_monotonic_us());
-	msg.config_body.ticket = pull->config_pull.ticket;
-	msg.config_body.json.data = (const uint8_t *)json;
-	msg.config_body.json.size = (uint32_t)size;
-	counter_add(COUNTER_CONFIG_SENT, size);
-	if (channel_reply(node->channel, from, &msg, &err) != 0)
-		log_failure(LOG_DEBUG, LOG_PART_CONFIG,
-			    "Configuration could not be sent to a peer.", &err);
-	free(json);
-}
-
 /* Passes a call from another node to the gate. The gate refuses a new call while this node is not
  * ready and has no routes yet. A call read within STALL_READ_US after a stall may have waited for
  * the whole stall, and its entry may have given it up. The stall is therefore subtracted from its
@@ -297,7 +271,7 @@
 	struct node *node = user;
 
 	if (msg->type == MESSAGE_CONFIG_PULL)
-		reply_config(node, from, msg);
+		config_reply_send(&node->config_reply, from, msg);
 	else if (msg->type == MESSAGE_CALL)
 		handle_call(node, from, msg);
 	else
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -162,6 +162,9 @@
 
 	budget_init(&node->budget, settings->node_bytes_per_s, settings->region_link_bytes_per_s,
 		    clock_monotonic_us());
+	node->config_reply.channel = node->channel;
+	node->config_reply.config = node->config;
+	node->config_reply.budget = &node->budget;
 	if (config_pull_open(&node->pull, &pull, err) != 0)
 		return -1;
 	if (gossip_shell_open(&node->gossip_shell, &node->loop, &gossip, err) != 0)
@@ -250,6 +253,7 @@
 	admin_shell_close(node->admin);
 	gossip_shell_close(node->gossip_shell);
 	config_pull_close(node->pull);
+	config_reply_free(&node->config_reply);
 	demand_shell_close(node->demand);
 	registration_close(node->registration);
 	list_watch_close(node->list_watch);
--- a/test/property/config_property_test.cc
+++ b/test/property/config_property_test.cc
@@ -166,8 +166,10 @@
 		size_t size;
 
 		config_record_peer_version(asker, config_version(nodes[peer]->store));
-		if (config_write_batch(nodes[peer]->store, config_version(asker),
-				       config_content_hash(asker), &json, &size, nullptr))
+		struct config_request request = {config_version(asker), config_content_hash(asker),
+						 config_takes_changes(asker)};
+
+		if (config_write_batch(nodes[peer]->store, &request, &json, &size, nullptr))
 			return;
 		messages.push_back({to, true, 0, config_ticket(asker), 0, std::string(json, size)});
 		free(json);
--- a/test/unit/fleet/config_test.cc
+++ b/test/unit/fleet/config_test.cc
@@ -81,8 +81,11 @@
 		char *json;
 		size_t size;
 
-		if (config_write_batch(store, config_version(asker.store),
-				       config_content_hash(asker.store), &json, &size, nullptr))
+		struct config_request request = {config_version(asker.store),
+						 config_content_hash(asker.store),
+						 config_takes_changes(asker.store)};
+
+		if (config_write_batch(store, &request, &json, &size, nullptr))
 			return "";
 		std::string text(json, size);
 
--- a/test/unit/wire/codec_test.cc
+++ b/test/unit/wire/codec_test.cc
@@ -164,6 +164,36 @@
 	EXPECT_EQ(5u, msg.ask.gate_incarnation);
 }
 
+TEST(Codec, ConfigurationPullAndBodyAreDecodedAsEncoded)
+{
+	struct message pull;
+	struct message body;
+	struct message msg;
+	struct error err;
+
+	memset(&pull, 0, sizeof(pull));
+	pull.type = MESSAGE_CONFIG_PULL;
+	pull.config_pull = {7, 8, 9, true, true};
+	std::vector<uint8_t> data = encode(pull);
+
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &msg, &err)) << err.detail;
+	EXPECT_EQ(9u, msg.config_pull.ticket);
+	EXPECT_TRUE(msg.config_pull.takes_changes);
+	EXPECT_TRUE(msg.config_pull.takes_compressed);
+	// A node of an earlier version sends three fields. It gets whole objects as plain text.
+	data[data.size() - 6] = 0x93;
+	data.resize(data.size() - 2);
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &msg, &err)) << err.detail;
+	EXPECT_FALSE(msg.config_pull.takes_changes);
+	EXPECT_FALSE(msg.config_pull.takes_compressed);
+	memset(&body, 0, sizeof(body));
+	body.type = MESSAGE_CONFIG_BODY;
+	body.config_body.text_size = 300;
+	data = encode(body);
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &msg, &err)) << err.detail;
+	EXPECT_EQ(300u, msg.config_body.text_size);
+}
+
 TEST(Codec, OversizedBodyIsRefusedByTheEncoder)
 {
 	std::string body(CALL_BODY_BYTES_MAX + 1, 'x');
