Do not pass on a request whose caller has already left

A request that waits unread, because its node is busy or was held up, can be followed by the end of its connection. The listener passed it to the entry all the same, which sent it to a gate; the poll of the calls in progress then cancelled it up to 25 ms later, when it had reached a backend server.

Ruled out: the poll itself (25 ms, seen to report), lost cancellations (each late call in the logs was cut as soon as it had started).

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -11,6 +11,8 @@
 	X(CALLS_ANSWERED, "entry_calls_answered", "calls", "calls answered whole")                 \
 	X(CALLS_NOT_RUN, "entry_calls_not_run", "calls", "calls told not run")                     \
 	X(CALLS_UNKNOWN, "entry_calls_unknown", "calls", "calls told unknown")                     \
+	X(CALLS_ABANDONED_UNREAD, "entry_calls_abandoned_unread", "calls",                         \
+	  "calls whose caller left before they were read")                                         \
 	X(RETRIES_SENT, "entry_retries", "attempts", "attempts after the first of a call")         \
 	X(REASKS_SENT, "entry_reasks", "messages", "attempts asked again on a new connection")     \
 	X(LATE_ANSWERS, "entry_late_answers", "messages", "answers that no call waits for")        \
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -20,6 +20,7 @@
 #define DISCONNECT_POLL_MS 25 /* work for a disconnected caller must end within 500 ms */
 #define IDLE_MS		   60000
 #define POLL_CHUNK	   64 /* sockets per poll() */
+#define LOG_ID_BYTES_MAX   64
 /* Bytes of a body that are read beyond body_bytes_max, so that the caller receives the 413. */
 #define BODY_EXCESS_BYTES_MAX (1024UL * 1024)
 
@@ -262,6 +263,29 @@
 	return REASON_NONE;
 }
 
+/* Returns true if the caller of a request has closed its connection already. */
+static bool has_left(const h2o_req_t *req)
+{
+	struct pollfd fd = {
+		.fd = h2o_socket_get_fd(req->conn->callbacks->get_socket(req->conn)),
+		.events = POLLRDHUP,
+	};
+
+	return poll(&fd, 1, 0) > 0;
+}
+
+/* Ends a request whose caller left while it waited to be read. */
+static void drop_abandoned(const struct caller *caller, h2o_req_t *req,
+			   const struct call_request *request)
+{
+	counter_add(COUNTER_CALLS_ABANDONED_UNREAD, 1);
+	log_write(LOG_INFO, LOG_PART_ENTRY, "The caller left before its request was read.",
+		  "request=%.*s",
+		  (int)(request->id.size < LOG_ID_BYTES_MAX ? request->id.size : LOG_ID_BYTES_MAX),
+		  (const char *)request->id.data);
+	refuse(caller, req, request, REASON_CANCELLED, NULL);
+}
+
 /* Checks a request and passes it to the entry. */
 static void handle_request(void *user, h2o_req_t *req)
 {
@@ -283,6 +307,10 @@
 		refuse(caller, req, parsed, reason, &err);
 		return;
 	}
+	if (has_left(req)) {
+		drop_abandoned(caller, req, parsed);
+		return;
+	}
 	parsed->body.data = (const uint8_t *)req->entity.base;
 	parsed->body.size = (uint32_t)req->entity.len;
 	caller->options.on_call(caller->options.user, add_call(caller, req, parsed), parsed);
