Start no call before the messages that have arrived are read

A node that was held up, by a slow link or for lack of processor time, reads a call and its cancellation one right after the other. The gate started the call between the two: in the traced case the call came to the backend server 1.0 s after its client had left, and was cut 17 ms later.

--- a/src/fescuemill/wire/channel.c
+++ b/src/fescuemill/wire/channel.c
@@ -50,6 +50,7 @@
 	struct channel_link *links;
 	bool has_unread; /* at least one socket may be marked as unread */
 	channel_request_fn fn;
+	channel_reading_fn reading; /* NULL: none */
 	void *user;
 	uint16_t port;
 	uint64_t bytes_sent;
@@ -188,7 +189,7 @@
 	struct channel_link *link = (struct channel_link *)ws;
 	channel_lost_fn lost;
 
-	if (ws == &ws->channel->router || ws->closed || !link->lost || !socket_is_lost(ws))
+	if (ws->closed || !link->lost || !socket_is_lost(ws))
 		return;
 	lost = link->lost;
 	link->lost = NULL;
@@ -208,6 +209,19 @@
 	return true;
 }
 
+/* Drains the listening socket, with the reading callback before and after. */
+static bool router_drain(struct channel *ch)
+{
+	bool has_read;
+
+	if (ch->reading)
+		ch->reading(ch->user, true);
+	has_read = socket_drain(&ch->router);
+	if (ch->reading)
+		ch->reading(ch->user, false);
+	return has_read;
+}
+
 /* Drains a socket whose descriptor became readable. If there is no message, the event means that
  * the send queue has room again or that the connection is gone. */
 static void on_poll(uv_poll_t *poll, int status, int events)
@@ -216,7 +230,9 @@
 
 	(void)status;
 	(void)events;
-	if (!socket_drain(ws))
+	if (ws == &ws->channel->router)
+		router_drain(ws->channel);
+	else if (!socket_drain(ws))
 		notify_lost(ws);
 }
 
@@ -235,7 +251,7 @@
 
 	ch->has_unread = false;
 	if (has_unread && ch->router.unread)
-		socket_drain(&ch->router);
+		router_drain(ch);
 	for (struct channel_link *link = ch->links; has_unread && link; link = next) {
 		next = link->next;
 		if (link->ws.unread)
@@ -416,6 +432,12 @@
 	return 0;
 }
 
+/* Sets the callback that frames the reading of requests. */
+void channel_set_reading_callback(struct channel *ch, channel_reading_fn reading)
+{
+	ch->reading = reading;
+}
+
 /* Closes all links and the listening socket. The memory is freed once the loop has closed the
  * handles. */
 void channel_close(struct channel *ch)
--- a/src/fescuemill/wire/channel.h
+++ b/src/fescuemill/wire/channel.h
@@ -27,6 +27,9 @@
 typedef void (*channel_request_fn)(void *user, const struct channel_route *from,
 				   const struct message *msg);
 typedef void (*channel_link_fn)(void *user, const struct message *msg);
+/* Called with true before the requests that have arrived are passed on, and with false after the
+ * last of them. */
+typedef void (*channel_reading_fn)(void *user, bool is_reading);
 /* Callback for the loss of a link's connection. Queued messages may be lost, and the link accepts
  * no more. */
 typedef void (*channel_lost_fn)(void *user);
@@ -35,6 +38,9 @@
 int channel_open(struct channel **out, uv_loop_t *loop, uint32_t ip, uint16_t port,
 		 channel_request_fn fn, void *user, struct error *err);
 void channel_close(struct channel *ch);
+/* Sets a callback, with the user of the request callback, that frames each run of requests that are
+ * read one right after the other. */
+void channel_set_reading_callback(struct channel *ch, channel_reading_fn reading);
 uint16_t channel_port(const struct channel *ch);
 
 /* Errors: ERROR_UNREACHABLE if the connection is gone, ERROR_LIMIT if its queue is full. */
--- a/src/fescuemilld/gate_admission.c
+++ b/src/fescuemilld/gate_admission.c
@@ -120,10 +120,11 @@
 	}
 }
 
-/* Carries out the queued verdicts in order, including those queued meanwhile. */
+/* Carries out the queued verdicts in order, including those queued meanwhile. They wait while
+ * messages are being read. */
 void gate_admission_apply_verdicts(struct gate_shell *shell)
 {
-	if (shell->is_applying_verdicts)
+	if (shell->is_applying_verdicts || shell->is_reading)
 		return;
 	shell->is_applying_verdicts = true;
 	while (!h2o_linklist_is_empty(&shell->verdicts)) {
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -360,6 +360,13 @@
 	handle_call(shell, &origin, reason);
 }
 
+/* Holds the starts of calls back while messages are being read. */
+void gate_shell_set_reading(struct gate_shell *shell, bool is_reading)
+{
+	shell->is_reading = is_reading;
+	gate_admission_apply_verdicts(shell);
+}
+
 /* Handles a message from an entry. */
 void gate_shell_handle_message(struct gate_shell *shell, const struct channel_route *from,
 			       const struct message *msg)
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -48,6 +48,9 @@
 /* Handles a message about an attempt, or a ping. */
 void gate_shell_handle_message(struct gate_shell *shell, const struct channel_route *from,
 			       const struct message *msg);
+/* Tells that messages are being read, or that those that have arrived were all passed on. No call
+ * starts while messages are being read, since the next one may cancel it. */
+void gate_shell_set_reading(struct gate_shell *shell, bool is_reading);
 /* Handles a call that is refused for `reason` if it is new. A repeat of a known attempt is answered
  * as usual. */
 void gate_shell_refuse_new_call(struct gate_shell *shell, const struct channel_route *from,
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -47,6 +47,7 @@
 	struct gate admission;
 	h2o_linklist_t verdicts;   /* of struct gate_attempt, in the order of admission */
 	bool is_applying_verdicts; /* a caller on the stack is carrying out the verdicts */
+	bool is_reading;	   /* verdicts wait until the messages that arrived are read */
 	struct backend_client *client;
 	struct announcement backend;
 	struct backend_call *probe;	/* NULL unless one is in progress */
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -278,6 +278,14 @@
 		gate_shell_handle_message(node->gate, from, msg);
 }
 
+/* Frames the messages that are read one right after the other. */
+void node_on_reading(void *user, bool is_reading)
+{
+	struct node *node = user;
+
+	gate_shell_set_reading(node->gate, is_reading);
+}
+
 /* Applies configuration from the platform. */
 void node_on_config_batch(void *user, uint64_t from, const char *json, size_t size)
 {
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -112,7 +112,10 @@
 	gate.channel = node->channel;
 	if (entry_open(&node->entry, &node->loop, &entry, err) != 0)
 		return -1;
-	return gate_shell_open(&node->gate, &node->loop, &gate, err);
+	if (gate_shell_open(&node->gate, &node->loop, &gate, err) != 0)
+		return -1;
+	channel_set_reading_callback(node->channel, node_on_reading);
+	return 0;
 }
 
 /* Opens the platform client, and the parts that use it for the configuration and the roster. */
--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -83,6 +83,9 @@
 		options.answer_bytes_max = 65536;
 		options.memory_bytes_max = 1 << 24;
 		ASSERT_EQ(gate_shell_open(&shell, &loop, &options, &err), 0);
+		channel_set_reading_callback(channel, [](void *user, bool is_reading) {
+			gate_shell_set_reading(static_cast<GateShell *>(user)->shell, is_reading);
+		});
 		listen_silently();
 		configure();
 	}
