Read a large configuration of the store once, and only its newest version

A node that watches the store read a configuration of 2,800 routes with about 95 ms of processor time for each version: it translated the answer, wrote it as text, parsed the text again and compared the routes field by field; for versions in quick succession it did so for each.

A unit test covers the superseded events; the properties of the configuration hold as before.

--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -430,10 +430,26 @@
 /* Applies the platform's answer to a list (`from` is 0) or a watch. Errors: see the header. */
 int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
 		       struct error *err)
+{
+	json_error_t fault;
+	json_t *root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
+	int result;
+
+	if (!root)
+		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
+	result = config_apply_answer(store, from, root, err);
+	json_decref(root);
+	return result;
+}
+
+/* Applies the platform's parsed answer to a list or a watch. Errors: see the header. */
+int config_apply_answer(struct config_store *store, uint64_t from, json_t *root, struct error *err)
 {
 	struct batch batch;
 
-	if (batch_read(&batch, false, from, json, size, err))
+	if (!root)
+		return error_set(err, ERROR_SYNTAX, "batch: not JSON");
+	if (batch_read_root(&batch, false, from, root, err))
 		return -1;
 	if (!batch_apply(store, &batch))
 		return 0;
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -50,6 +50,8 @@
  * ERROR_MISSING, ERROR_TYPE, ERROR_RANGE if the answer itself is malformed; nothing was applied. */
 int config_apply_batch(struct config_store *store, uint64_t from, const char *json, size_t size,
 		       struct error *err);
+/* The same for an answer that is parsed already; NULL: it could not be. */
+int config_apply_answer(struct config_store *store, uint64_t from, json_t *root, struct error *err);
 /* Applies one object that the platform has accepted, such as a change made through this node. */
 int config_apply_object(struct config_store *store, const char *service, uint64_t version,
 			const char *json, size_t size, struct error *err);
--- a/src/fescuemill/fleet/config_batch.c
+++ b/src/fescuemill/fleet/config_batch.c
@@ -67,18 +67,28 @@
 	return value_read_number(&member, 0, INT64_MAX, "", out, err);
 }
 
-/* Parses the fields of a batch and checks the structure of all its items. */
+/* Parses a batch and checks the structure of all its items. */
 int batch_read(struct batch *batch, bool peer, uint64_t from, const char *json, size_t size,
 	       struct error *err)
 {
-	struct value root = {.source = "batch", .path = "$"};
 	json_error_t fault;
+	json_t *root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
+	int result;
 
-	*batch = (struct batch){.from = from, .is_watch = from > 0};
-	batch->root = json_loadb(json, size, JSON_REJECT_DUPLICATES, &fault);
-	if (!batch->root)
+	if (!root)
 		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
-	root.json = batch->root;
+	result = batch_read_root(batch, peer, from, root, err);
+	json_decref(root);
+	return result;
+}
+
+/* Reads the fields of a parsed batch and checks the structure of all its items. */
+int batch_read_root(struct batch *batch, bool peer, uint64_t from, json_t *json, struct error *err)
+{
+	struct value root = {.source = "batch", .path = "$", .json = json};
+
+	*batch = (struct batch){.from = from, .is_watch = from > 0};
+	batch->root = json_incref(json);
 	if (read_version(&root, "version", &batch->version, err))
 		goto fail;
 	if (peer && (read_version(&root, "from", &batch->from, err) ||
--- a/src/fescuemill/fleet/config_batch.h
+++ b/src/fescuemill/fleet/config_batch.h
@@ -34,6 +34,8 @@
  * batch has its own "from". Errors: ERROR_SYNTAX, ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
 int batch_read(struct batch *batch, bool peer, uint64_t from, const char *json, size_t size,
 	       struct error *err);
+/* The same for a batch that is parsed already, of which it takes a reference. */
+int batch_read_root(struct batch *batch, bool peer, uint64_t from, json_t *json, struct error *err);
 void batch_free(struct batch *batch);
 /* Reads the item at an index below batch->count. The result points into the batch. */
 int batch_item(const struct batch *batch, uint32_t index, struct delivery *out, struct error *err);
--- a/src/fescuemill/fleet/registration.c
+++ b/src/fescuemill/fleet/registration.c
@@ -212,10 +212,9 @@
 }
 
 /* Handles a batch of the list-and-watch: all rosters if `from` is 0, else those that changed. */
-static void on_batch(void *user, uint64_t from, const char *json, size_t size)
+static void on_batch(void *user, uint64_t from, json_t *root)
 {
 	struct registration *registration = user;
-	json_t *root = json_loadb(json, size, 0, NULL);
 	size_t index;
 	json_t *item;
 
@@ -226,7 +225,6 @@
 	{
 		apply_item(registration, item);
 	}
-	json_decref(root);
 	if (!registration->watching)
 		list_watch_set_enabled(registration->list_watch, false);
 	advance(registration);
--- a/src/fescuemill/fleet/route_history.c
+++ b/src/fescuemill/fleet/route_history.c
@@ -19,13 +19,42 @@
 	return prefix ? XXH3_64bits_withSeed(prefix, strlen(prefix), seed) : seed;
 }
 
-static uint64_t content_hash(const json_t *route)
+static uint64_t hash_number(uint64_t number, uint64_t seed)
 {
-	char *text = json_dumps(route, JSON_COMPACT | JSON_SORT_KEYS);
-	uint64_t hash = text ? XXH3_64bits(text, strlen(text)) : 0;
+	return XXH3_64bits_withSeed(&number, sizeof(number), seed);
+}
+
+/* Returns a hash of a JSON value that does not depend on the order of the members of objects. A
+ * routing object is compared with the one in force at every change, so it is not written as text.
+ */
+static uint64_t content_hash(const json_t *value, uint64_t seed)
+{
+	uint64_t hash = hash_number((uint64_t)json_typeof(value), seed);
+	const char *key;
+	const json_t *item;
+	size_t index;
 
-	free(text);
-	return hash;
+	switch (json_typeof(value)) {
+	case JSON_OBJECT:
+		json_object_foreach((json_t *)value, key, item) hash +=
+			content_hash(item, XXH3_64bits(key, strlen(key)));
+		return hash_number(hash, seed);
+	case JSON_ARRAY:
+		json_array_foreach(value, index, item) hash = content_hash(item, hash);
+		return hash;
+	case JSON_STRING:
+		return XXH3_64bits_withSeed(json_string_value(value), json_string_length(value),
+					    hash);
+	case JSON_INTEGER:
+		return hash_number((uint64_t)json_integer_value(value), hash);
+	case JSON_REAL: {
+		double real = json_real_value(value);
+
+		return XXH3_64bits_withSeed(&real, sizeof(real), hash);
+	}
+	default:
+		return hash;
+	}
 }
 
 static int compare_marks(const void *left, const void *right)
@@ -36,8 +65,7 @@
 	return (a->key > b->key) - (a->key < b->key);
 }
 
-/* Returns the marks of a list of routes, ordered by key, with their contents not hashed yet, and
- * their number. NULL: no memory. */
+/* Returns the marks of a list of routes, ordered by key, and their number. NULL: no memory. */
 static struct route_mark *marks_of(const json_t *routes, uint32_t *count)
 {
 	struct route_mark *marks = calloc(json_array_size(routes) + 1, sizeof(*marks));
@@ -50,6 +78,7 @@
 	json_array_foreach(routes, index, route)
 	{
 		marks[*count].key = route_key(route);
+		marks[*count].content = content_hash(route, 0);
 		marks[(*count)++].route = json_incref(route);
 	}
 	if (*count > 1)
@@ -123,18 +152,6 @@
 	}
 }
 
-/* Sets the version and the content of a mark: those of the old mark, if the route is the same. */
-static void set_mark(struct route_mark *mark, const struct route_mark *old, uint64_t version)
-{
-	if (old && json_equal(old->route, mark->route)) {
-		mark->version = old->version;
-		mark->content = old->content;
-	} else {
-		mark->version = version;
-		mark->content = content_hash(mark->route);
-	}
-}
-
 /* Compares the new routes with those in force. */
 static void compare_with_old(struct route_history *history, struct route_mark *marks,
 			     uint32_t count, uint64_t version)
@@ -150,7 +167,7 @@
 			old = &history->marks[at++];
 		else if (history->removed_count > 0)
 			drop_removal(history, marks[i].key);
-		set_mark(&marks[i], old, version);
+		marks[i].version = old && old->content == marks[i].content ? old->version : version;
 	}
 	for (; at < history->count; at++)
 		add_removal(history, &history->marks[at], version);
@@ -243,7 +260,7 @@
 	}
 	for (uint32_t i = 0; removed && changed && i < changed_count; i++) {
 		json_array_append(routes, changed[i].route);
-		*digest ^= content_hash(changed[i].route);
+		*digest ^= changed[i].content;
 	}
 	if (!removed || !changed) {
 		json_decref(routes);
--- a/src/fescuemill/store/client.c
+++ b/src/fescuemill/store/client.c
@@ -143,6 +143,7 @@
 	}
 	end_call(call, &result, answer->sent);
 	free(read.text);
+	json_decref(read.root);
 }
 
 /* Returns true if a name is short enough and can stand in a request line without escapes. */
--- a/src/fescuemill/store/dialect.h
+++ b/src/fescuemill/store/dialect.h
@@ -34,6 +34,7 @@
 	struct store_pages *pages;	 /* pages before this answer; a page is added to them */
 	char after[PLATFORM_NAME_BYTES]; /* if not empty, the next page starts after this name */
 	char *text;			 /* malloc'ed body that the result points to; or NULL */
+	json_t *root; /* parsed body that the result points to, to be released; or NULL */
 };
 
 struct store_dialect {
--- a/src/fescuemill/store/list_watch.c
+++ b/src/fescuemill/store/list_watch.c
@@ -80,12 +80,17 @@
 static void handle_answer(struct list_watch *list_watch, uint64_t after,
 			  const struct platform_result *result)
 {
+	json_t *root;
+
 	if (list_watch->failing)
 		log_write(LOG_INFO, LOG_PART_PLATFORM, "Platform answers again.", "kind=%s",
 			  list_watch->kind);
 	list_watch->failing = false;
 	session_succeeded(&list_watch->session, result->version);
-	list_watch->fn(list_watch->user, after, result->body, result->body_size);
+	root = result->root ? json_incref(result->root)
+			    : json_loadb(result->body, result->body_size, 0, NULL);
+	list_watch->fn(list_watch->user, after, root);
+	json_decref(root);
 }
 
 static void on_done(void *user, const struct platform_result *result)
--- a/src/fescuemill/store/list_watch.h
+++ b/src/fescuemill/store/list_watch.h
@@ -13,7 +13,7 @@
 
 /* Receives one complete answer as JSON {"version","items"}. The items are the changes since the
  * version in after. If that is 0, they are all existing objects. */
-typedef void (*list_watch_batch_fn)(void *user, uint64_t after, const char *json, size_t size);
+typedef void (*list_watch_batch_fn)(void *user, uint64_t after, json_t *root);
 
 struct list_watch;
 
--- a/src/fescuemill/store/platform.h
+++ b/src/fescuemill/store/platform.h
@@ -7,6 +7,7 @@
 
 #include "fescuemill/base/error.h"
 
+#include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -44,6 +45,7 @@
 	uint64_t version; /* of the object (conflict: its current one); list, watch: of the store */
 	const char *body; /* get: the object's value; list and watch: {"version","items"} */
 	size_t body_size;
+	json_t *root;	  /* list and watch: the body, parsed, instead of body; NULL: body has it */
 	bool has_current; /* on conflict: body is the current value of the object */
 };
 
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -287,12 +287,12 @@
 }
 
 /* Applies configuration from the platform. */
-void node_on_config_batch(void *user, uint64_t from, const char *json, size_t size)
+void node_on_config_batch(void *user, uint64_t from, json_t *root)
 {
 	struct node *node = user;
 	struct error err = {0};
 
-	if (config_apply_batch(node->config, from, json, size, &err) != 0)
+	if (config_apply_answer(node->config, from, root, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG,
 			    "Configuration from the platform was rejected.", &err);
 	/* Run housekeeping in the next loop iteration, to apply the changes without waiting a
--- a/test/functional/support/admin_node.h
+++ b/test/functional/support/admin_node.h
@@ -154,10 +154,10 @@
 		registration_set_self(registration, &self);
 	}
 
-	static void on_batch(void *user, uint64_t from, const char *json, size_t size)
+	static void on_batch(void *user, uint64_t from, json_t *root)
 	{
-		EXPECT_EQ(0, config_apply_batch(static_cast<AdminNode *>(user)->config, from, json,
-						size, nullptr));
+		EXPECT_EQ(0, config_apply_answer(static_cast<AdminNode *>(user)->config, from, root,
+						 nullptr));
 	}
 
 	std::unique_ptr<settings> node_settings = std::make_unique<settings>();
--- a/test/unit/platform/store_dialect_test.cc
+++ b/test/unit/platform/store_dialect_test.cc
@@ -104,6 +104,7 @@
 		fetch_result fetched = {};
 
 		free(answer.text);
+		json_decref(answer.root);
 		answer = {};
 		answer.pages = &pages;
 		result = {};
@@ -114,7 +115,13 @@
 	}
 	std::string body() const
 	{
-		return std::string(result.body, result.body_size);
+		if (!result.root)
+			return std::string(result.body, result.body_size);
+		char *text = json_dumps(result.root, JSON_COMPACT);
+		std::string copy(text);
+
+		free(text);
+		return copy;
 	}
 };
 
@@ -134,6 +141,20 @@
 		  watch.body());
 }
 
+// After changes in quick succession a watch reports every version of a large object.
+TEST(PlatformStore, ReadsOnlyTheLastEventOfAnObject)
+{
+	ReadAnswer watch(
+		PLATFORM_WATCH, 200,
+		R"({"events":[{"object":{"metadata":{"name":"a","revision":3},"spec":1}},)"
+		R"({"object":{"metadata":{"name":"b","revision":4},"spec":2}},)"
+		R"({"object":{"metadata":{"name":"a","revision":5},"spec":3}},)"
+		R"({"deleted":true,"object":{"metadata":{"name":"b","revision":6}}}],"at":7})");
+	EXPECT_EQ(R"({"version":7,"items":[{"name":"a","version":5,"value":3},)"
+		  R"({"name":"b","version":7,"deleted":true}]})",
+		  watch.body());
+}
+
 TEST(PlatformStore, CollectsThePagesOfAList)
 {
 	ReadAnswer list(
