Hold a backend server to the rate limit that it states

Cause: nothing read the header. The class of fault: a word of the backend server's that only the answer carries, and that admission, choice and refusal do not know of.

The gate sees every call to its backend server, so it holds the rate alone, with a token bucket of one second, empty at first; a call waits for its token or is refused at once, by the same rules as for slots, and the time to come back after is that of its token. Load reports carry the limit and the wait, so entries choose other gates meanwhile. The limit ends with the first answer that does not state it, and with the start of the server; a value that is no rate changes nothing; at zero one call in 5 s goes through, as only an answer tells that it has ended.

A gate that restarts has forgotten the limit, which excuses only the requests that began at its own host: entries keep the latest notice of each gate's backend server, with the server's name and start, and send it with their calls. The restarted gate takes it until the server has answered it once.

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -23,6 +23,8 @@
 	X(GATE_OUT_OF_PROFILE, "gate_out_of_profile", "attempts",                                  \
 	  "attempts offered beyond the gate's rate")                                               \
 	X(GATE_RATE, "gate_rate", "calls/1000s", "the gate's part of its classes' calls_per_s")    \
+	X(GATE_RATE_LIMIT, "gate_rate_limit", "calls/1000s",                                       \
+	  "limit that the backend server states on its calls; 0: none, or none taken")             \
 	X(GATE_CANCELLED, "gate_cancelled", "attempts", "attempts cancelled")                      \
 	X(GATE_DUPLICATES, "gate_duplicates", "messages", "repeats of a known attempt")            \
 	X(GATE_STALE_EPOCH, "gate_stale_epoch", "messages", "messages of an older epoch")          \
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -32,6 +32,8 @@
 
 #define WAIT_LIMIT_US_MAX 60000000 /* a longer limit is none */
 
+#define RATE_MILLI_INTERVAL_US 1e9F /* between two calls at a rate of one in 1000 s */
+
 /* A trial costs 1000 tokens and each pick adds 3, so at most 0.3% of the picks are trials that
  * do not find the gate back to normal. */
 #define TRIAL_TOKEN_COST      1000U
@@ -247,9 +249,23 @@
 	return weight * (extra_us < SLOWDOWN_EXPECTED_US ? extra_us : SLOWDOWN_EXPECTED_US);
 }
 
+/* Returns the expected wait for the rate that a gate's backend server allows: the wait that it last
+ * reported, which loses its weight slowly as other entries use up what the rate allows meanwhile,
+ * and the time that each attempt sent since then takes up. */
+static float rate_wait_us(const struct choice_gate *gate, uint64_t now_us)
+{
+	float weight = decayed_weight(gate->load_observed_us, now_us, UTILIZATION_DECAY_US);
+
+	if (gate->rate_limit_milli == 0)
+		return 0;
+	return weight *
+	       ((float)gate->wait_us + (float)gate->sent_since_load * RATE_MILLI_INTERVAL_US /
+					       (float)gate->rate_limit_milli);
+}
+
 /* What an attempt sent to a gate now is expected to take, in microseconds. */
 struct expectation {
-	float wait_us;	/* part of total_us: the wait for a slot */
+	float wait_us;	/* part of total_us: the wait for a slot or for its rate */
 	float total_us; /* completion, with the cost of an error and of the distance */
 };
 
@@ -266,7 +282,8 @@
 	float limit = (float)gate->limit;
 	float excess = expected_occupancy(choice, gate, now_us) + 1 - limit;
 	float errors = is_due_for_trial(choice, gate, now_us) ? 0 : error_excess(choice, gate);
-	float wait = excess > 0 ? slowness * choice->typical_us * excess / limit : 0;
+	float slot_wait = excess > 0 ? slowness * choice->typical_us * excess / limit : 0;
+	float wait = fmaxf(slot_wait, rate_wait_us(gate, now_us));
 	float total = expected_round_trip_us(choice, gate, now_us) + wait + service +
 		      host_slowdown_us(gate, service, now_us) +
 		      errors * (float)choice->settings.error_penalty_us +
@@ -421,6 +438,8 @@
 	gate->slowdown_percent = load->slowdown_percent;
 	gate->sent_since_load = 0;
 	update_gate_state(gate, load->state, now_us);
+	gate->rate_limit_milli = load->rate_limit_milli;
+	gate->wait_us = load->wait_us;
 	if (load->limit > 0)
 		gate->limit = load->limit;
 }
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -19,6 +19,8 @@
 				       unknown */
 	uint32_t occupancy;	    /* slots in use plus attempts queued, as last reported */
 	uint32_t limit;		    /* most slots that it allows in use, as last reported */
+	uint32_t rate_limit_milli;  /* calls per 1000 s that it may start; 0: any number */
+	uint32_t wait_us;	    /* wait of a call that arrived when the load was reported */
 	bool has_slowness;	    /* slowness was measured by at least one answer */
 	float slowness;		    /* service time divided by the typical one of the same class */
 	float round_trip_us;	    /* moving average; network time only */
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -62,6 +62,7 @@
 static void start_ticket(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us)
 {
 	gate->in_use++;
+	rate_limit_take(&gate->rate, now_us);
 	retry_runs_started(&gate->runs, ticket->repeat_permille);
 	gate->classes[ticket->class_index].running++;
 	ticket->state = TICKET_RUNNING;
@@ -219,7 +220,7 @@
 /* Starts waiting tickets in free slots, as far as deadlines and the slowdown of the host allow. */
 static void dispatch(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
-	while (may_start(gate) && gate->queued) {
+	while (may_start(gate) && gate->queued && rate_limit_allows(&gate->rate, now_us)) {
 		struct gate_ticket *ticket = next_to_start(gate);
 		enum slowdown_advice advice;
 
@@ -324,6 +325,20 @@
 	gate_account_update_floors(gate);
 }
 
+/* Holds the calls that start to the rate that the backend server states. */
+void gate_set_rate_limit(struct gate *gate, uint32_t rate_milli, uint64_t now_us)
+{
+	rate_limit_set(&gate->rate, rate_milli, clamp_to_last_operation(gate, now_us));
+}
+
+/* Removes the limit of the rate, and starts what waited for it. */
+void gate_clear_rate_limit(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
+{
+	now_us = begin_operation(gate, now_us, actions);
+	rate_limit_clear(&gate->rate);
+	dispatch(gate, now_us, actions);
+}
+
 /* Initializes the limit for a backend server that was not in service before. */
 static void start_limit(struct gate *gate, uint32_t slots, uint64_t now_us)
 {
@@ -402,7 +417,7 @@
 static enum call_reason enqueue(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
 				struct gate_actions *actions)
 {
-	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket), now_us))
+	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
 		return REASON_EXPIRED;
 	if (gate_queue_is_full(gate, &gate->classes[ticket->class_index])) {
 		struct gate_ticket *victim = gate_queue_find_victim(gate, ticket);
@@ -417,15 +432,16 @@
 
 /*
  * Returns how long a ticket that cannot start at once is expected to wait, in microseconds: for a
- * slot, and for the end of a slowdown of the host. 0 if it only waits for a sample of the slowdown.
+ * slot, for the rate that the backend server states, and for the end of a slowdown of the host. 0
+ * if it only waits for a sample of the slowdown.
  */
 static uint64_t expected_wait_us(const struct gate *gate, const struct gate_ticket *ticket,
-				 bool can_start, enum slowdown_advice advice)
+				 bool can_start, enum slowdown_advice advice, uint64_t now_us)
 {
-	uint64_t wait_us = 0;
+	uint64_t wait_us = rate_limit_wait_us(&gate->rate, gate->queued, now_us);
 
-	if (!gate_slots_has_room(gate, ticket->class_index))
-		wait_us = gate_order_wait_us(gate, ticket) + 1;
+	if (wait_us > 0 || !gate_slots_has_room(gate, ticket->class_index))
+		wait_us = gate_order_wait_us(gate, ticket, now_us) + 1;
 	if (!can_start && advice != SLOWDOWN_PROBE)
 		wait_us += SLOWDOWN_EXPECTED_US;
 	return wait_us;
@@ -467,13 +483,15 @@
 	can_start = advice == SLOWDOWN_START ||
 		    (advice == SLOWDOWN_REDIRECT &&
 		     !exceeds_wait_limit(ticket, SLOWDOWN_REDIRECT_COST_US));
-	if (gate->queued == 0 && gate_slots_has_free(gate, class_index) && can_start) {
+	if (gate->queued == 0 && gate_slots_has_free(gate, class_index) && can_start &&
+	    rate_limit_allows(&gate->rate, now_us)) {
 		start_ticket(gate, ticket, now_us);
 		return verdict_start;
 	}
-	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket), now_us))
+	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
 		reason = REASON_EXPIRED;
-	else if (exceeds_wait_limit(ticket, expected_wait_us(gate, ticket, can_start, advice)))
+	else if (exceeds_wait_limit(ticket,
+				    expected_wait_us(gate, ticket, can_start, advice, now_us)))
 		reason = REASON_OVERLOAD;
 	else
 		reason = enqueue(gate, ticket, now_us, actions);
@@ -558,7 +576,8 @@
 {
 	bool has_slot = gate->in_use < gate->limit.current || may_start_short(gate);
 
-	if (gate->queued == 0 || !has_slot || !may_start(gate))
+	if (gate->queued == 0 || !has_slot || !may_start(gate) ||
+	    !rate_limit_allows(&gate->rate, now_us))
 		return false;
 	return slowdown_start_probe(&gate->slowdown, now_us);
 }
@@ -573,10 +592,13 @@
 void gate_get_load(const struct gate *gate, struct gate_load *load)
 {
 	uint32_t limit = gate->limit.current;
-	uint64_t wait_us = 0;
+	uint64_t wait_us = rate_limit_wait_us(&gate->rate, gate->queued, gate->accounted_until_us);
+	uint64_t slot_us = 0;
 
 	if (limit && gate->in_use >= limit)
-		wait_us = gate->service_us * (gate->queued + 1) / limit;
+		slot_us = gate->service_us * (gate->queued + 1) / limit;
+	if (slot_us > wait_us)
+		wait_us = slot_us;
 	load->in_use = gate->in_use;
 	load->limit = limit;
 	load->queued = gate->queued;
@@ -584,4 +606,5 @@
 	load->wait_us = saturate(wait_us);
 	load->state = (uint8_t)gate->state;
 	load->slowdown_percent = gate->slowdown.is_enabled ? gate->slowdown.percent : 0;
+	load->rate_limit_milli = gate->rate.is_set ? gate->rate.rate_milli : 0;
 }
--- a/src/fescuemill/decide/gate.h
+++ b/src/fescuemill/decide/gate.h
@@ -10,6 +10,10 @@
 void gate_init(struct gate *gate, uint64_t now_us);
 void gate_set_config(struct gate *gate, const struct service_config *config, uint64_t now_us,
 		     struct gate_actions *actions);
+/* Holds the calls that start to the rate that the backend server states, in calls per 1000 s. */
+void gate_set_rate_limit(struct gate *gate, uint32_t rate_milli, uint64_t now_us);
+/* Removes that limit, and starts what waited for it. */
+void gate_clear_rate_limit(struct gate *gate, uint64_t now_us, struct gate_actions *actions);
 void gate_set_rates(struct gate *gate, const uint64_t rates_milli[CLASSES_PER_SERVICE_MAX],
 		    uint64_t now_us);
 void gate_set_backend(struct gate *gate, enum backend_state state, uint32_t slots, uint64_t now_us,
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -11,6 +11,7 @@
 #include "fescuemill/decide/limit.h"
 #include "fescuemill/decide/load_defs.h"
 #include "fescuemill/decide/profile.h"
+#include "fescuemill/decide/rate_limit.h"
 #include "fescuemill/decide/retry.h"
 #include "fescuemill/decide/saturation.h"
 #include "fescuemill/decide/slowdown.h"
@@ -121,6 +122,7 @@
 	struct gate_class classes[CLASSES_PER_SERVICE_MAX];
 	enum backend_state state;
 	struct limit limit;
+	struct rate_limit rate;	      /* that the backend server states */
 	struct saturation saturation; /* lifts a fixed limit where that slows nothing down */
 	struct slowdown slowdown;
 	struct retry_runs runs;	     /* the running attempts, for the calls that they make */
--- a/src/fescuemill/decide/gate_order.c
+++ b/src/fescuemill/decide/gate_order.c
@@ -161,18 +161,27 @@
 
 /*
  * Returns the expected wait of a ticket if it were queued now, in microseconds. Counts in-profile
- * work that is served before it, and half a service time until the next slot becomes free.
+ * work that is served before it, and half a service time until the next slot becomes free, or the
+ * time until the rate that the backend server states allows it to start, if that is longer.
  */
-uint64_t gate_order_wait_us(const struct gate *gate, const struct gate_ticket *ticket)
+uint64_t gate_order_wait_us(const struct gate *gate, const struct gate_ticket *ticket,
+			    uint64_t now_us)
 {
 	uint32_t limit = gate->limit.current ? gate->limit.current : 1;
 	uint64_t before_us = gate->service_us / 2;
+	uint32_t before = 0;
+	uint64_t slot_us;
+	uint64_t rate_us;
 
 	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
 		const struct gate_class *class = &gate->classes[i];
 
-		if (class->in_profile.count && comes_before(gate, class, ticket))
-			before_us += class->in_profile.count * class->service.recent_mean_us;
+		if (!class->in_profile.count || !comes_before(gate, class, ticket))
+			continue;
+		before += class->in_profile.count;
+		before_us += class->in_profile.count * class->service.recent_mean_us;
 	}
-	return before_us / limit;
+	slot_us = before_us / limit;
+	rate_us = rate_limit_wait_us(&gate->rate, before, now_us);
+	return rate_us > slot_us ? rate_us : slot_us;
 }
--- a/src/fescuemill/decide/load_defs.h
+++ b/src/fescuemill/decide/load_defs.h
@@ -16,6 +16,7 @@
 	uint8_t state;		   /* enum backend_state */
 	uint32_t slowdown_percent; /* service time on the host now, in percent of normal; 0: unknown
 				    */
+	uint32_t rate_limit_milli; /* calls per 1000 s that its backend server allows; 0: any */
 };
 
 #endif
--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -266,6 +266,7 @@
 	call->answer.body = answer_body(&call->parser);
 	call->answer.has_load =
 		client->dialect->read_load(&call->parser.headers, &call->answer.load);
+	client->dialect->read_notice(&call->parser.headers, &call->answer.notice);
 	copy_headers(call);
 	finish_call(call, verdict == ANSWER_NOT_RUN ? BACKEND_END_REFUSED : BACKEND_END_ANSWERED);
 }
--- a/src/fescuemill/http/backend.h
+++ b/src/fescuemill/http/backend.h
@@ -34,11 +34,26 @@
 	char instance[INSTANCE_NAME_BYTES]; /* instance that reports it; empty: not stated */
 };
 
+/* Whether an answer states a limit on the rate of calls. */
+enum backend_rate {
+	BACKEND_RATE_NONE,    /* it states none: there is no limit, or no longer one */
+	BACKEND_RATE_STATED,  /* it states one */
+	BACKEND_RATE_INVALID, /* what it states is not a rate */
+};
+
+/* What the backend server says of itself in an answer, besides its load. */
+struct backend_notice {
+	enum backend_rate rate;
+	uint32_t rate_milli; /* calls per 1000 s, for BACKEND_RATE_STATED */
+	bool is_leaving;     /* it is about to stop, and is to get no new calls */
+};
+
 /* The end of a call. Valid only during the callback. */
 struct backend_answer {
 	enum backend_end end;
 	bool has_load;
 	struct backend_load load;
+	struct backend_notice notice; /* of BACKEND_END_ANSWERED and BACKEND_END_REFUSED */
 	uint32_t status;
 	uint32_t server_us; /* time from sending the request to the end of the call; 0: not sent */
 	struct wire_headers headers;
--- a/src/fescuemill/http/dialect.h
+++ b/src/fescuemill/http/dialect.h
@@ -67,6 +67,8 @@
 	/* Parses the backend server's load from an answer's headers; returns false if they have
 	 * none. */
 	bool (*read_load)(const struct wire_headers *headers, struct backend_load *out);
+	/* Reads the limit and the leaving that the backend server states in an answer. */
+	void (*read_notice)(const struct wire_headers *headers, struct backend_notice *out);
 	/* Parses an announcement of this node's own backend server. Errors: ERROR_NOT_FOUND if the
 	 * request is not an announcement, others if it is malformed. */
 	int (*read_announcement)(const struct call_head *head, struct wire_bytes body,
@@ -87,6 +89,10 @@
 /* Appends formatted text. Appends nothing if the text does not fit into the buffer. */
 void text_buffer_append(struct text_buffer *head, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
+/* Reads a limit from the value of a header, a decimal number of calls per second, and a leaving
+ * from one that is "1"; the data of a header that is missing is NULL. */
+void backend_notice_read(struct wire_bytes limit, struct wire_bytes leaving,
+			 struct backend_notice *out);
 void text_buffer_append_header(struct text_buffer *head, const struct wire_header *header);
 
 #endif
--- a/src/fescuemill/http/native_dialect.c
+++ b/src/fescuemill/http/native_dialect.c
@@ -15,10 +15,12 @@
 #include <stdio.h>
 #include <string.h>
 
-#define PORT_MAX	 65535
-#define STATE_NAME_BYTES 32
-#define HEADER_CALL_ID	 "x-fescue-call-id" /* an answer may repeat it */
-#define CALL_ID_BYTES	 64
+#define PORT_MAX	  65535
+#define STATE_NAME_BYTES  32
+#define HEADER_CALL_ID	  "x-fescue-call-id" /* an answer may repeat it */
+#define CALL_ID_BYTES	  64
+#define HEADER_RATE_LIMIT "x-fescue-rate-limit" /* calls per second */
+#define HEADER_LEAVING	  "x-fescue-leaving"	/* "1" */
 
 static const struct {
 	const char *name;
@@ -216,12 +218,20 @@
 	text_buffer_append(body, "{\"lease_ms\":%d,\"in_use\":%u}", ANNOUNCE_LEASE_MS, in_use);
 }
 
+/* Reads the limit and the leaving that an answer states. */
+static void read_notice(const struct wire_headers *headers, struct backend_notice *out)
+{
+	backend_notice_read(headers_find(headers, HEADER_RATE_LIMIT),
+			    headers_find(headers, HEADER_LEAVING), out);
+}
+
 const struct http_dialect native_dialect = {
 	.read_call = call_request_parse,
 	.write_outcome = write_outcome,
 	.write_call = write_call,
 	.judge_answer = judge_answer,
 	.read_load = read_load,
+	.read_notice = read_notice,
 	.read_announcement = read_announcement,
 	.write_announcement_reply = write_announcement_reply,
 	.allows_close_delimited_body = false,
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -45,7 +45,7 @@
 
 static void pack_load(msgpack_packer *pk, const struct gate_load *load)
 {
-	msgpack_pack_array(pk, 7);
+	msgpack_pack_array(pk, 8);
 	msgpack_pack_uint32(pk, load->in_use);
 	msgpack_pack_uint32(pk, load->limit);
 	msgpack_pack_uint32(pk, load->queued);
@@ -53,11 +53,22 @@
 	msgpack_pack_uint32(pk, load->wait_us);
 	msgpack_pack_uint8(pk, load->state);
 	msgpack_pack_uint32(pk, load->slowdown_percent);
+	msgpack_pack_uint32(pk, load->rate_limit_milli);
+}
+
+static void pack_notice(msgpack_packer *pk, const struct server_notice *notice)
+{
+	msgpack_pack_array(pk, 5);
+	msgpack_pack_uint64(pk, notice->instance);
+	msgpack_pack_uint64(pk, notice->started_ms);
+	msgpack_pack_uint8(pk, notice->has_rate_limit);
+	msgpack_pack_uint8(pk, notice->is_leaving);
+	msgpack_pack_uint32(pk, notice->rate_limit_milli);
 }
 
 static void pack_call(msgpack_packer *pk, const struct message_call *call)
 {
-	msgpack_pack_array(pk, 15);
+	msgpack_pack_array(pk, 16);
 	msgpack_pack_uint64(pk, call->gate_incarnation);
 	pack_name(pk, call->service);
 	pack_name(pk, call->class_name);
@@ -73,11 +84,12 @@
 	msgpack_pack_uint8(pk, call->has_wait_limit);
 	msgpack_pack_uint32(pk, call->wait_max_us);
 	msgpack_pack_uint32(pk, call->repeat_permille);
+	pack_notice(pk, &call->notice);
 }
 
 static void pack_answer(msgpack_packer *pk, const struct message_answer *answer)
 {
-	msgpack_pack_array(pk, 9);
+	msgpack_pack_array(pk, 10);
 	msgpack_pack_uint8(pk, (uint8_t)answer->outcome);
 	msgpack_pack_uint8(pk, (uint8_t)answer->reason);
 	msgpack_pack_uint64(pk, answer->gate_incarnation);
@@ -87,6 +99,7 @@
 	msgpack_pack_uint32(pk, answer->gate_queue_us);
 	pack_headers(pk, &answer->headers);
 	pack_bytes(pk, &answer->body);
+	pack_notice(pk, &answer->notice);
 }
 
 /* Packs the fields of the message's type. */
@@ -109,9 +122,10 @@
 		msgpack_pack_uint64(pk, msg->ask.gate_incarnation);
 		break;
 	case MESSAGE_PONG:
-		msgpack_pack_array(pk, 2);
+		msgpack_pack_array(pk, 3);
 		msgpack_pack_uint64(pk, msg->pong.gate_incarnation);
 		pack_load(pk, &msg->pong.load);
+		pack_notice(pk, &msg->pong.notice);
 		break;
 	case MESSAGE_CONFIG_PULL:
 		msgpack_pack_array(pk, 5);
@@ -206,7 +220,7 @@
 	rd->failed = rd->failed || inner.failed;
 }
 
-/* Reads the load of a gate. A sender of an earlier version omits the slowdown. */
+/* Reads the load of a gate. A sender of an earlier version omits the last fields. */
 static void read_load(struct reader *rd, struct gate_load *load)
 {
 	struct reader inner = reader_array(rd);
@@ -219,6 +233,25 @@
 	load->state = (uint8_t)reader_uint(&inner, UINT8_MAX);
 	if (reader_has_more(&inner))
 		load->slowdown_percent = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	if (reader_has_more(&inner))
+		load->rate_limit_milli = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	rd->failed = rd->failed || inner.failed;
+}
+
+/* Reads the notice of a backend server, if the sender is not of an earlier version that has none.
+ */
+static void read_notice(struct reader *rd, struct server_notice *notice)
+{
+	struct reader inner;
+
+	if (!reader_has_more(rd))
+		return;
+	inner = reader_array(rd);
+	notice->instance = reader_uint(&inner, UINT64_MAX);
+	notice->started_ms = reader_uint(&inner, UINT64_MAX);
+	notice->has_rate_limit = reader_uint(&inner, 1) != 0;
+	notice->is_leaving = reader_uint(&inner, 1) != 0;
+	notice->rate_limit_milli = (uint32_t)reader_uint(&inner, UINT32_MAX);
 	rd->failed = rd->failed || inner.failed;
 }
 
@@ -243,6 +276,7 @@
 		call->wait_max_us = (uint32_t)reader_uint(rd, UINT32_MAX);
 	if (reader_has_more(rd))
 		call->repeat_permille = (uint32_t)reader_uint(rd, RETRY_REPEAT_PERMILLE);
+	read_notice(rd, &call->notice);
 }
 
 static void read_answer(struct reader *rd, struct message_answer *answer)
@@ -256,6 +290,7 @@
 	answer->gate_queue_us = (uint32_t)reader_uint(rd, UINT32_MAX);
 	read_headers(rd, &answer->headers);
 	answer->body = reader_bytes(rd, CALL_BODY_BYTES_MAX);
+	read_notice(rd, &answer->notice);
 }
 
 /* Reads the fields of a pull. A sender of an earlier version omits the last ones. */
@@ -290,6 +325,7 @@
 	case MESSAGE_PONG:
 		msg->pong.gate_incarnation = reader_uint(rd, UINT64_MAX);
 		read_load(rd, &msg->pong.load);
+		read_notice(rd, &msg->pong.notice);
 		break;
 	case MESSAGE_CONFIG_PULL:
 		read_config_pull(rd, &msg->config_pull);
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -6,6 +6,7 @@
 
 #include "fescuemill/decide/call_defs.h"
 #include "fescuemill/decide/load_defs.h"
+#include "fescuemill/decide/notice_defs.h"
 
 #define WIRE_VERSION		1
 #define WIRE_HEADERS_MAX	32
@@ -54,7 +55,8 @@
 	bool has_wait_limit;	  /* refuse it if it is expected to wait longer than wait_max_us */
 	uint32_t wait_max_us;	  /* from this wait on another gate is better; 0: do not queue it */
 	uint32_t repeat_permille; /* chance that it repeats work that reached a backend server */
-	struct wire_bytes key;	  /* idempotency key; size 0: none */
+	struct server_notice notice; /* what the entry last heard through this gate */
+	struct wire_bytes key;	     /* idempotency key; size 0: none */
 	struct wire_bytes method;
 	struct wire_bytes path;
 	struct wire_headers headers;
@@ -69,6 +71,7 @@
 	uint32_t status;	/* HTTP status of the backend server; 0: it did not answer */
 	uint32_t server_us;	/* time at the backend server */
 	uint32_t gate_queue_us; /* time in the gate's queue */
+	struct server_notice notice;
 	struct wire_headers headers;
 	struct wire_bytes body;
 };
@@ -85,6 +88,7 @@
 struct message_pong {
 	uint64_t gate_incarnation;
 	struct gate_load load;
+	struct server_notice notice;
 };
 
 struct message_config_pull {
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -262,6 +262,7 @@
 		      struct message *msg)
 {
 	const struct call_request *request = call->request;
+	const struct server_notice *notice;
 
 	msg->type = MESSAGE_CALL;
 	msg->id = action->target.id;
@@ -275,6 +276,9 @@
 	msg->call.has_wait_limit = action->has_wait_limit;
 	msg->call.wait_max_us = call->wait_max_us;
 	msg->call.repeat_permille = action->repeat_permille;
+	notice = notice_table_find(&call->entry->notices, action->target.gate.node_id);
+	if (notice)
+		msg->call.notice = *notice;
 	msg->call.key = request->key;
 	msg->call.method = request->method;
 	msg->call.path = request->path;
@@ -507,10 +511,19 @@
 	return ENTRY_CALLS_MAX - entry->free_count;
 }
 
-/* Ends the attempts at gates that are gone and closes idle connections. */
+static bool is_member(void *user, uint64_t node_id)
+{
+	const struct entry *entry = user;
+
+	return member_find(entry->options.members, node_id) != NULL;
+}
+
+/* Ends the attempts at gates that are gone, closes idle connections, and forgets the notices of
+ * backend servers that are gone. */
 void entry_sweep(struct entry *entry)
 {
 	entry_links_sweep(entry);
+	notice_table_sweep(&entry->notices, is_member, entry);
 }
 
 /* Initializes the settings and the free slots of a new entry. */
@@ -541,8 +554,10 @@
 	if (!entry)
 		return error_set(err, ERROR_MEMORY, "no memory for the entry");
 	if (due_heap_init(&entry->due, ENTRY_CALLS_MAX, err) != 0 ||
-	    slot_map_init(&entry->link_map, FLEET_MEMBERS_MAX, err) != 0) {
+	    slot_map_init(&entry->link_map, FLEET_MEMBERS_MAX, err) != 0 ||
+	    notice_table_init(&entry->notices, FLEET_MEMBERS_MAX, err) != 0) {
 		due_heap_release(&entry->due);
+		slot_map_release(&entry->link_map);
 		free(entry);
 		return -1;
 	}
@@ -559,6 +574,7 @@
 	entry_services_free(entry);
 	due_heap_release(&entry->due);
 	slot_map_release(&entry->link_map);
+	notice_table_release(&entry->notices);
 	free(entry);
 }
 
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -8,6 +8,7 @@
 #include "fescuemill/decide/attempt_entry.h"
 #include "fescuemill/decide/choice.h"
 #include "fescuemill/decide/due_heap.h"
+#include "fescuemill/decide/notice_table.h"
 #include "fescuemill/decide/peer.h"
 #include "fescuemill/decide/route.h"
 #include "fescuemill/decide/slot_map.h"
@@ -103,7 +104,8 @@
 	uint32_t free_count;
 	struct due_heap due; /* deadlines of the calls, by slot */
 	struct entry_service *services;
-	struct slot_map link_map; /* finds the slot of a node id in `links` */
+	struct notice_table notices; /* of backend servers, by the id of their gate's node */
+	struct slot_map link_map;    /* finds the slot of a node id in `links` */
 	struct gate_link *links[FLEET_MEMBERS_MAX];
 	struct gate_link *dropped; /* removed links, freed once no caller on the stack uses them */
 };
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -208,6 +208,8 @@
 	}
 	event.about.id = msg->id;
 	if (msg->type == MESSAGE_ANSWER) {
+		notice_table_record(&call->entry->notices, conn->owner->identity.node_id,
+				    &msg->answer.notice);
 		if (msg->answer.reason == REASON_INCARNATION)
 			report_new_incarnation(conn, msg->answer.gate_incarnation);
 		event.type = ENTRY_EVENT_ANSWER;
--- a/src/fescuemilld/gate_admission.c
+++ b/src/fescuemilld/gate_admission.c
@@ -156,6 +156,21 @@
 	queue_verdicts(&actions);
 }
 
+/* Holds the calls that start to the rate that the backend server states. */
+void gate_admission_set_rate_limit(struct gate_shell *shell, uint32_t rate_milli)
+{
+	gate_set_rate_limit(&shell->admission, rate_milli, clock_monotonic_us());
+}
+
+/* Lets calls start at any rate. */
+void gate_admission_clear_rate_limit(struct gate_shell *shell)
+{
+	struct gate_actions actions;
+
+	gate_clear_rate_limit(&shell->admission, clock_monotonic_us(), &actions);
+	queue_verdicts(&actions);
+}
+
 /* Logs a new verdict on whether the backend server slows down with all slots in use. */
 static void log_saturation(struct gate_shell *shell)
 {
--- a/src/fescuemilld/gate_admission.h
+++ b/src/fescuemilld/gate_admission.h
@@ -31,5 +31,9 @@
  * it could not be obtained. Both queue verdicts without carrying them out. */
 void gate_admission_record_slowdown(struct gate_shell *shell, uint32_t percent);
 void gate_admission_slowdown_unknown(struct gate_shell *shell);
+/* Hold the calls that start to the rate that the backend server states, or no longer do. Both queue
+ * verdicts without carrying them out. */
+void gate_admission_set_rate_limit(struct gate_shell *shell, uint32_t rate_milli);
+void gate_admission_clear_rate_limit(struct gate_shell *shell);
 
 #endif
--- a/src/fescuemilld/gate_probe.c
+++ b/src/fescuemilld/gate_probe.c
@@ -7,6 +7,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemilld/gate_admission.h"
+#include "fescuemilld/gate_notice.h"
 
 #include <string.h>
 
@@ -55,6 +56,7 @@
 		gate_admission_slowdown_unknown(shell);
 	}
 	report_found(shell, answer);
+	gate_notice_record_probe(shell, answer);
 	gate_admission_apply_verdicts(shell);
 }
 
--- a/src/fescuemilld/gate_reply.c
+++ b/src/fescuemilld/gate_reply.c
@@ -39,6 +39,7 @@
 	msg->answer.reason = action->reason;
 	msg->answer.gate_incarnation = shell->options.incarnation;
 	gate_get_load(&shell->admission, &msg->answer.load);
+	msg->answer.notice = shell->notice;
 	if (!attempt)
 		return;
 	msg->answer.server_us = attempt->answer.server_us;
@@ -103,6 +104,7 @@
 
 	msg.pong.gate_incarnation = shell->options.incarnation;
 	gate_get_load(&shell->admission, &msg.pong.load);
+	msg.pong.notice = shell->notice;
 	budget_charge(shell->options.budget, BUDGET_HEARTBEAT_BYTES, false, clock_monotonic_us());
 	if (channel_reply(shell->options.channel, origin->route, &msg, &err) != 0)
 		log_failure(LOG_DEBUG, LOG_PART_GATE, "A pong could not be sent to its entry.",
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -10,6 +10,7 @@
 #include "fescuemilld/gate_admission.h"
 #include "fescuemilld/gate_attempt.h"
 #include "fescuemilld/gate_key.h"
+#include "fescuemilld/gate_notice.h"
 #include "fescuemilld/gate_probe.h"
 #include "fescuemilld/gate_reply.h"
 #include "fescuemilld/gate_shell_defs.h"
@@ -116,6 +117,7 @@
 	log_run_ended(attempt, answer);
 	latency_record(LATENCY_RUN, answer->server_us);
 	gate_probe_record_load(shell, answer);
+	gate_notice_record(shell, answer);
 	gate_admission_finish(attempt, gate_result_of(answer));
 	if (outcome == OUTCOME_ANSWERED)
 		bytes = gate_attempt_store_answer(attempt, answer);
@@ -342,6 +344,7 @@
 	const struct message *msg = origin->msg;
 	struct attempt_gate_event event = gate_shell_event(GATE_EVENT_CALL, &msg->id);
 
+	gate_notice_adopt(shell, &msg->call.notice);
 	event.epoch = msg->epoch;
 	event.call.gate_incarnation = msg->call.gate_incarnation;
 	event.call.time_left_us = msg->call.time_left_us;
@@ -417,6 +420,7 @@
 	if (shell->options.backend_server.port != 0)
 		to = shell->options.backend_server;
 	shell->backend = *now;
+	gate_notice_check_start(shell, now);
 	/* The backend server's lease can expire while it still runs calls: an announcement without
 	 * a port leaves the address as it is. */
 	if (to.port != 0)
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -7,6 +7,7 @@
 #include "fescuemill/decide/attempt_gate.h"
 #include "fescuemill/decide/gate.h"
 #include "fescuemill/decide/key.h"
+#include "fescuemill/decide/notice_defs.h"
 #include "fescuemill/decide/route.h"
 #include "fescuemill/http/backend.h"
 #include "fescuemilld/gate_shell.h"
@@ -53,6 +54,9 @@
 	struct backend_call *probe;	/* NULL unless one is in progress */
 	struct message_call probe_call; /* request of the probe in progress */
 	uint64_t last_discovery_us;	/* when an unannounced backend server was last probed for */
+	struct server_notice notice;	/* latest word of the backend server, for entries to keep */
+	bool has_heard_server;		/* this start of it has answered a call of this process */
+	bool has_logged_bad_rate;
 	char health_path[HEALTH_PATH_BYTES]; /* empty: the backend server cannot be probed */
 	uint64_t saturation_logged_us;	     /* time of the latest verdict that was logged */
 	bool is_draining;
--- a/test/property/choice_loop.h
+++ b/test/property/choice_loop.h
@@ -264,6 +264,7 @@
 			      (uint32_t)server.service_us,
 			      0,
 			      2,
+			      0,
 			      0};
 		event.kind = BACK;
 		event.at_us = now + (uint64_t)ONE_WAY_US;
--- a/test/property/choice_near_test.cc
+++ b/test/property/choice_near_test.cc
@@ -25,7 +25,7 @@
 	random_seed(&rng, *rc::gen::arbitrary<uint64_t>());
 	for (int i = 0; i < 100; i++) {
 		choice_result result = {
-			CHOICE_RESULT_ANSWERED, 0, true, {0, 6, 0, 0, 0, 2, 0}, 0, 0, 0};
+			CHOICE_RESULT_ANSWERED, 0, true, {0, 6, 0, 0, 0, 2, 0, 0}, 0, 0, 0};
 		choice_selection picked;
 
 		RC_ASSERT(choice_pick(choice, &query, &rng, now_us, &picked));
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -106,6 +106,51 @@
 	EXPECT_EQ(GATE_REFUSE, offer(hasty, BROWSE).kind) << "one is waiting before it";
 }
 
+// Guards against a backend server that gets more calls than the limit it states: the gate sees
+// every call to it, and holds the rate whatever slots are free.
+TEST_F(Gate, CallsStartAtTheRateThatTheServerStates)
+{
+	uint32_t started = 0;
+
+	make_ready(8);
+	gate_set_rate_limit(&gate, 2000, now_us);
+	for (size_t i = 0; i < 100; i++) {
+		gate_ticket &ticket = tickets[i];
+
+		ticket.has_wait_limit = true; // refuse rather than wait
+		if (offer(ticket, PURCHASE).kind == GATE_START) {
+			started++;
+			finish(ticket, GATE_RESULT_OK, 1000);
+		}
+		now_us += 40000;
+	}
+	EXPECT_GE(started, 7u) << "2 a second for 4 s";
+	EXPECT_LE(started, 9u);
+	EXPECT_EQ(load().rate_limit_milli, 2000u);
+	gate_clear_rate_limit(&gate, now_us, &actions);
+	EXPECT_EQ(GATE_START, offer(tickets[200], PURCHASE).kind);
+	EXPECT_EQ(GATE_START, offer(tickets[201], PURCHASE).kind);
+	EXPECT_EQ(load().rate_limit_milli, 0u);
+}
+
+TEST_F(Gate, CallThatTheStatedRateCannotServeInTimeIsRefusedAtOnce)
+{
+	make_ready(8);
+	gate_set_rate_limit(&gate, 1000, now_us);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[0], PURCHASE, 2500000).kind);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[1], PURCHASE, 2500000).kind);
+	gate_verdict verdict = offer(tickets[2], PURCHASE, 2500000);
+
+	EXPECT_EQ(GATE_REFUSE, verdict.kind) << "its turn comes after 3 s";
+	EXPECT_EQ(REASON_EXPIRED, verdict.reason);
+	EXPECT_EQ(3000000u, load().wait_us) << "told to the caller as the time to come back after";
+	now_us += 1000000;
+	gate_tick(&gate, now_us, &actions);
+	expect_started(tickets[0]);
+	gate_clear_rate_limit(&gate, now_us, &actions);
+	expect_started(tickets[1]);
+}
+
 class SlowHostGate : public Gate
 {
       protected:
--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -58,6 +58,10 @@
 	int listener = -1;
 	int running_fd = -1; // backend connection of the running call, or -1
 	uint64_t sequence = 0;
+	struct server_notice heard {
+	}; // notice of the latest answer, as an entry keeps it
+	struct server_notice hint {
+	}; // sent with the next calls
 	std::map<uint64_t, std::pair<call_outcome, call_reason>> answers;
 
 	void SetUp() override
@@ -114,6 +118,7 @@
 
 		if (msg->type != MESSAGE_ANSWER)
 			return;
+		self->heard = msg->answer.notice;
 		EXPECT_EQ(self->answers.count(msg->id.sequence), 0u) << "answered twice";
 		self->answers[msg->id.sequence] = {msg->answer.outcome, msg->answer.reason};
 	}
@@ -137,6 +142,45 @@
 		gate_shell_set_backend(shell, &backend);
 	}
 
+	// Announces a start of a backend server that states its name and when it started.
+	void announce(const char *instance, uint64_t started_ms, uint32_t slots = 4)
+	{
+		announcement backend = shell->backend;
+
+		snprintf(backend.instance, sizeof(backend.instance), "%s", instance);
+		backend.started_ms = started_ms;
+		backend.slots = slots;
+		gate_shell_set_backend(shell, &backend);
+	}
+
+	// Sends a call and answers it as the backend server, with more header lines.
+	void run_call(const std::string &lines)
+	{
+		std::string text = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n" +
+				   lines + "\r\n";
+		char request[4096];
+		int fd = -1;
+
+		send_call(0);
+		ASSERT_TRUE(run_until([&] {
+			fd = fd < 0 ? accept(listener, nullptr, nullptr) : fd;
+			return fd >= 0 && recv(fd, request, sizeof(request), MSG_DONTWAIT) > 0;
+		}));
+		ASSERT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL), (ssize_t)text.size());
+		EXPECT_TRUE(run_until([&] { return answers.count(sequence) == 1; }));
+		EXPECT_EQ(answers[sequence].first, OUTCOME_ANSWERED);
+		close(fd);
+		send_id_message(MESSAGE_ACK, sequence);
+	}
+
+	uint32_t rate_limit_milli() const
+	{
+		struct gate_load load;
+
+		gate_shell_get_load(shell, &load);
+		return load.rate_limit_milli;
+	}
+
 	static std::string class_name(uint32_t index)
 	{
 		return "class-" + std::to_string(index);
@@ -185,6 +229,7 @@
 		snprintf(msg.call.class_name, sizeof(msg.call.class_name), "%s", name.c_str());
 		msg.call.time_left_us = 60 * USEC_PER_SEC;
 		msg.call.idempotent = true;
+		msg.call.notice = hint;
 		msg.call.method = {reinterpret_cast<const uint8_t *>("GET"), 3};
 		msg.call.path = {reinterpret_cast<const uint8_t *>("/"), 1};
 		EXPECT_EQ(channel_link_send(link, &msg, &err), 0) << err.detail;
@@ -299,6 +344,49 @@
 	EXPECT_EQ(gate_shell_record_count(shell), kClasses + 1);
 }
 
+// Guards against more calls than a backend server's limit: it holds as long as answers state it.
+TEST_F(GateShell, LimitHoldsFromTheAnswerThatStatesItToTheOneThatDoesNot)
+{
+	announce("i-1", 100);
+	run_call("x-fescue-rate-limit: 200\r\n");
+	EXPECT_EQ(rate_limit_milli(), 200000u);
+	EXPECT_TRUE(heard.has_rate_limit) << "told to the entry with the answer itself";
+	EXPECT_EQ(heard.rate_limit_milli, 200000u);
+	run_call("x-fescue-rate-limit: plenty\r\n");
+	EXPECT_EQ(rate_limit_milli(), 200000u) << "not a rate, so not the end of the limit";
+	run_call("x-fescue-rate-limit: 300.5\r\n");
+	EXPECT_EQ(rate_limit_milli(), 300500u);
+	run_call("");
+	EXPECT_EQ(rate_limit_milli(), 0u);
+	EXPECT_FALSE(heard.has_rate_limit);
+	run_call("x-fescue-rate-limit: 200\r\n");
+	announce("i-2", 200);
+	EXPECT_EQ(rate_limit_milli(), 0u) << "a limit ends with the start of the server";
+}
+
+// Guards against more calls than a backend server's limit after a restart of its gate: the entries
+// that passed the limit on still keep it.
+TEST_F(GateShell, LimitThatAnEntryHasHeardHoldsUntilTheServerAnswers)
+{
+	announce("i-1", 100);
+	run_call("");
+	hint = heard;
+	hint.has_rate_limit = true;
+	hint.rate_limit_milli = 400000;
+	run_call("");
+	EXPECT_EQ(rate_limit_milli(), 0u) << "this process has heard the server itself";
+	announce("i-1", 300);
+	run_call("");
+	EXPECT_EQ(rate_limit_milli(), 0u) << "the entry has heard another start";
+	announce("i-1", 400);
+	hint.started_ms = 400;
+	send_call(0);
+	ASSERT_TRUE(run_until([this] { return rate_limit_milli() == 400000u; }));
+	hint = {};
+	send_id_message(MESSAGE_CANCEL, sequence);
+	run_until([this] { return gate_shell_live_count(shell) == 0; });
+}
+
 // Guards against work for a caller that has left: a call and its cancellation that were both
 // waiting to be read reach the gate one right after the other, and the backend server must see
 // neither.
--- a/test/unit/platform/http_dialect_test.cc
+++ b/test/unit/platform/http_dialect_test.cc
@@ -212,6 +212,40 @@
 		EXPECT_FALSE(reads(bad)) << bad;
 }
 
+// A value that is not a rate must be told from no value: a limit ends only where it is not stated.
+TEST(PlatformHttp, LimitIsADecimalNumberAndLeavingIsOne)
+{
+	backend_notice notice = {};
+	auto read = [&notice](std::initializer_list<std::pair<const char *, const char *>> list) {
+		wire_headers headers = Head(list).wire();
+		dialect().read_notice(&headers, &notice);
+		return notice.rate;
+	};
+
+	EXPECT_EQ(BACKEND_RATE_NONE, read({}));
+	EXPECT_FALSE(notice.is_leaving);
+	for (auto [text, milli] : {std::pair{"2.7", 2700u},
+				   {"0", 0u},
+				   {"0.0", 0u},
+				   {"12", 12000u},
+				   {"0.0049", 4u},
+				   {"3.30000", 3300u},
+				   {"007", 7000u},
+				   {"99999999999999999999.5", 1000000000u}}) {
+		EXPECT_EQ(BACKEND_RATE_STATED, read({{HEADER_RATE_LIMIT, text}})) << text;
+		EXPECT_EQ(milli, notice.rate_milli) << text;
+	}
+	for (const char *bad : {"", ".", "5.", ".5", "-1", "+1", "1e3", "nan", "inf", "1,5", "1 ",
+				" 1", "1.2.3", "0x10", "2.7/s"})
+		EXPECT_EQ(BACKEND_RATE_INVALID, read({{HEADER_RATE_LIMIT, bad}})) << bad;
+	read({{HEADER_LEAVING, "1"}});
+	EXPECT_TRUE(notice.is_leaving);
+	for (const char *other : {"0", "", "yes", "11"}) {
+		read({{HEADER_LEAVING, other}});
+		EXPECT_FALSE(notice.is_leaving) << other;
+	}
+}
+
 TEST(PlatformHttp, CallHeadHasTimeLeftAndExpectedInstance)
 {
 	char room[512];
--- a/test/unit/wire/codec_test.cc
+++ b/test/unit/wire/codec_test.cc
@@ -47,6 +47,7 @@
 	msg.call.has_wait_limit = true;
 	msg.call.wait_max_us = 70000;
 	msg.call.repeat_permille = 1000;
+	msg.call.notice = {71, 72, true, true, 2700};
 	msg.call.key = bytes_of(key);
 	msg.call.method = bytes_of(method);
 	msg.call.path = bytes_of(path);
@@ -93,6 +94,10 @@
 	EXPECT_TRUE(msg.call.has_wait_limit);
 	EXPECT_EQ(msg.call.wait_max_us, 70000U);
 	EXPECT_EQ(msg.call.repeat_permille, 1000U);
+	EXPECT_EQ(msg.call.notice.instance, 71U);
+	EXPECT_EQ(msg.call.notice.started_ms, 72U);
+	EXPECT_TRUE(msg.call.notice.has_rate_limit && msg.call.notice.is_leaving);
+	EXPECT_EQ(msg.call.notice.rate_limit_milli, 2700U);
 }
 
 TEST(Codec, EveryTruncationIsRefused)
