Drain a backend server that names its leaving in answers

Nothing read that word: only heartbeats and health checks told of a leaving, and one of a leaving server may still say ready.

The gate now takes the word from every answer and reports it to the announcements, where it holds until the next start of the server: heartbeats of the same start that say ready do not undo it, a health check does not bring the server back. A restarted gate learns it again from a health check, an answer, or the notices that entries keep, if they are of the same start.

--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -23,6 +23,7 @@
 	struct announcement current; /* BACKEND_NONE while no lease is running */
 	struct announcement latest;  /* last accepted announcement; kept after its lease expires */
 	bool is_refused;	     /* a health check found the backend server not ready */
+	bool is_leaving; /* this start of the backend server has stated in an answer that it is */
 };
 
 /* enum backend_state has the same numbering as the states of the chart. */
@@ -74,6 +75,9 @@
 	log_write(LOG_WARNING, LOG_PART_HTTP, "The lease of the backend server expired.",
 		  "service=%s", ann->current.service);
 	memset(&none, 0, sizeof(none));
+	/* Without a name or a start time, the next announcement may be from the next start. */
+	if (!ann->latest.instance[0] && !ann->latest.started_ms)
+		ann->is_leaving = false;
 	apply(ann, &none, NULL);
 }
 
@@ -121,6 +125,7 @@
 			  ann->latest.instance, (unsigned long long)ann->latest.sequence);
 		return 0;
 	case ANNOUNCEMENT_NEW_START:
+		ann->is_leaving = false;
 		if (ann->current.state != BACKEND_NONE)
 			apply(ann, &none, NULL);
 		break;
@@ -128,6 +133,8 @@
 		announcement_fill_partial(update, &ann->latest);
 		break;
 	}
+	if (ann->is_leaving && update->state != BACKEND_LEAVING)
+		update->state = BACKEND_DRAINING;
 	if (must_be_confirmed(ann, update)) {
 		log_write(
 			LOG_INFO, LOG_PART_HTTP,
@@ -169,6 +176,23 @@
 		uv_timer_start(&ann->lease, on_lease_expired, ann->options.lease_ms, 0);
 }
 
+/* Drains the backend server, which has stated in an answer that it is leaving. */
+void announce_backend_leaving(struct announce *ann, uint64_t started_ms)
+{
+	struct announcement update = ann->current;
+
+	ann->is_leaving = true;
+	if (ann->current.state != BACKEND_NONE && !ann->latest.instance[0])
+		ann->latest = ann->current;
+	if (ann->latest.state != BACKEND_LEAVING)
+		ann->latest.state = BACKEND_DRAINING;
+	if (!ann->latest.started_ms)
+		ann->latest.started_ms = started_ms;
+	update.state = BACKEND_DRAINING;
+	if (ann->current.state == BACKEND_READY || ann->current.state == BACKEND_STARTING)
+		apply(ann, &update, NULL);
+}
+
 /* Records that a health check found the backend server not ready. */
 void announce_backend_refused(struct announce *ann)
 {
--- a/src/fescuemill/http/announce.h
+++ b/src/fescuemill/http/announce.h
@@ -41,6 +41,9 @@
  * it may be a late one from before the backend server announced that it is leaving, to an earlier
  * process. */
 void announce_backend_refused(struct announce *ann);
+/* Drains the backend server, which, in its start at started_ms (0: not known), has stated in an
+ * answer that it is leaving. Later announcements of the same start do not undo it. */
+void announce_backend_leaving(struct announce *ann, uint64_t started_ms);
 void announce_close(struct announce *ann);
 void announce_free(struct announce *ann);
 
--- a/src/fescuemilld/gate_notice.c
+++ b/src/fescuemilld/gate_notice.c
@@ -39,6 +39,17 @@
 	gate_admission_clear_rate_limit(shell);
 }
 
+/* Records that the backend server is leaving, and reports it. */
+static void set_leaving(struct gate_shell *shell, const char *source)
+{
+	if (shell->notice.is_leaving)
+		return;
+	shell->notice.is_leaving = true;
+	log_write(LOG_INFO, LOG_PART_GATE, "The backend server is leaving.", "source=%s", source);
+	if (shell->options.on_leaving)
+		shell->options.on_leaving(shell->options.user, shell->notice.started_ms);
+}
+
 /* Applies the limit that an answer states. A value that is not a rate leaves the limit as it is. */
 static void apply_rate(struct gate_shell *shell, const struct backend_notice *stated,
 		       const char *source)
@@ -62,6 +73,8 @@
 	apply_rate(shell, &answer->notice, "answer");
 	if (answer->notice.rate == BACKEND_RATE_NONE)
 		clear_limit(shell);
+	if (answer->notice.is_leaving)
+		set_leaving(shell, "answer");
 }
 
 /* Applies what a health check states. */
@@ -70,6 +83,8 @@
 	if (answer->end != BACKEND_END_ANSWERED || shell->backend.state == BACKEND_NONE)
 		return;
 	apply_rate(shell, &answer->notice, "health check");
+	if (answer->notice.is_leaving)
+		set_leaving(shell, "health check");
 }
 
 /* Returns true if two values are known and differ. */
@@ -98,6 +113,8 @@
 		shell->notice.started_ms = heard->started_ms;
 	if (heard->has_rate_limit && !own->has_rate_limit)
 		set_limit(shell, heard->rate_limit_milli, "entry");
+	if (heard->is_leaving)
+		set_leaving(shell, "entry");
 }
 
 /* Forgets the notices of an earlier start of the backend server. */
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate_shell.h
@@ -38,6 +38,9 @@
 	/* Called when the backend server accepted no connection; the callback may call
 	 * gate_shell_set_backend(). May be NULL. */
 	void (*on_unreachable)(void *user);
+	/* Called when the backend server, in its start at started_ms (0: not known), states that it
+	 * is leaving. May be NULL. */
+	void (*on_leaving)(void *user, uint64_t started_ms);
 	void *user;
 };
 
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -233,6 +233,14 @@
 	announce_expire_lease(node->announce);
 }
 
+/* Drains the backend server that has stated in an answer that it is leaving. */
+void node_on_backend_leaving(void *user, uint64_t started_ms)
+{
+	struct node *node = user;
+
+	announce_backend_leaving(node->announce, started_ms);
+}
+
 /* Returns how many slots of the backend server are in use. */
 uint32_t node_slots_in_use(void *user)
 {
--- a/src/fescuemilld/node_events.h
+++ b/src/fescuemilld/node_events.h
@@ -24,6 +24,7 @@
 void node_on_backend_found(void *user, const struct backend_load *load);
 void node_on_backend_refused(void *user);
 void node_on_backend_unreachable(void *user);
+void node_on_backend_leaving(void *user, uint64_t started_ms);
 uint32_t node_slots_in_use(void *user);
 void node_on_message(void *user, const struct channel_route *from, const struct message *msg);
 void node_on_reading(void *user, bool is_reading);
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -101,6 +101,7 @@
 		.on_backend_found = node_on_backend_found,
 		.on_backend_refused = node_on_backend_refused,
 		.on_unreachable = node_on_backend_unreachable,
+		.on_leaving = node_on_backend_leaving,
 		.user = node,
 	};
 
--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate_shell_test.cc
@@ -58,6 +58,7 @@
 	int listener = -1;
 	int running_fd = -1; // backend connection of the running call, or -1
 	uint64_t sequence = 0;
+	int leaving_reports = 0;
 	struct server_notice heard {
 	}; // notice of the latest answer, as an entry keeps it
 	struct server_notice hint {
@@ -86,6 +87,10 @@
 		options.dialect = &native_dialect;
 		options.answer_bytes_max = 65536;
 		options.memory_bytes_max = 1 << 24;
+		options.user = this;
+		options.on_leaving = [](void *user, uint64_t) {
+			static_cast<GateShell *>(user)->leaving_reports++;
+		};
 		ASSERT_EQ(gate_shell_open(&shell, &loop, &options, &err), 0);
 		channel_set_reading_callback(channel, [](void *user, bool is_reading) {
 			gate_shell_set_reading(static_cast<GateShell *>(user)->shell, is_reading);
@@ -387,6 +392,30 @@
 	run_until([this] { return gate_shell_live_count(shell) == 0; });
 }
 
+// Guards against calls to a backend server that has named its leaving in answers, also after a
+// restart of its gate.
+TEST_F(GateShell, LeavingIsReportedOnceForEachStart)
+{
+	announce("i-1", 100);
+	run_call("x-fescue-leaving: 0\r\n");
+	EXPECT_EQ(leaving_reports, 0);
+	run_call("x-fescue-leaving: 1\r\n");
+	EXPECT_EQ(leaving_reports, 1);
+	EXPECT_TRUE(heard.is_leaving);
+	run_call("x-fescue-leaving: 1\r\n");
+	EXPECT_EQ(leaving_reports, 1);
+	hint = heard;
+	announce("i-1", 200);
+	run_call("");
+	EXPECT_EQ(leaving_reports, 1) << "the entry has heard another start";
+	announce("i-1", 300);
+	hint.started_ms = 300;
+	send_call(0);
+	ASSERT_TRUE(run_until([this] { return leaving_reports == 2; }));
+	send_id_message(MESSAGE_CANCEL, sequence);
+	run_until([this] { return gate_shell_live_count(shell) == 0; });
+}
+
 // Guards against work for a caller that has left: a call and its cancellation that were both
 // waiting to be read reach the gate one right after the other, and the backend server must see
 // neither.
