--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -8,7 +8,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/fleet/config_batch.h"
-#include "fescuemill/fleet/route_history.h"
+#include "fescuemill/fleet/config_store.h"
 #include "fescuemill/fleet/routing_json.h"
 
 #include <inttypes.h>
@@ -18,34 +18,6 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-struct config_entry {
-	char name[SERVICE_NAME_BYTES];
-	bool in_force;
-	struct service_object object; /* its config.version is the version in force */
-	bool is_routing;	      /* the object in force is a routing object, not a service */
-	json_t *value;		      /* the object in force, as delivered */
-	uint64_t deleted_version;     /* newest deletion; 0: none */
-	uint64_t rejected_version;    /* newest object that did not parse; 0: none */
-	json_t *rejected; /* that object while it is newer than the one in force, else NULL */
-};
-
-struct config_store {
-	uint32_t entry_count;
-	struct config_entry *entries[CONFIG_SERVICES_MAX];
-	uint64_t revision;	   /* number of changes of what is in force */
-	uint64_t applied_through;  /* all changes up to this version were delivered */
-	uint64_t complete_version; /* version of the newest change up to applied_through */
-	uint64_t peer_version;	   /* highest version that a peer announced */
-	uint64_t pruned_version;   /* deletions up to this version may be unknown here */
-	uint64_t ticket; /* sent with pulls; an answer must carry it to make the store ready */
-	struct routing routing;			  /* in force; empty if routing_owner is NULL */
-	const struct config_entry *routing_owner; /* the entry whose routes are in force */
-	struct route_history history;		  /* of the routes in force */
-	bool needs_whole_routes;		  /* a peer's changes could not be applied */
-	struct random rng;
-	bool ready;
-};
-
 /* Opens an empty store, which is not ready. Errors: ERROR_MEMORY. */
 int config_open(struct config_store **out, uint64_t first_ticket, struct error *err)
 {
@@ -608,81 +580,6 @@
 	return store->ticket;
 }
 
-static void append_value(json_t *items, const char *name, uint64_t version, json_t *value)
-{
-	json_array_append_new(items, json_pack("{s:s, s:I, s:O}", "name", name, "version",
-					       (json_int_t)version, "value", value));
-}
-
-/* Appends the changes of the routes in force after a version. */
-static void append_changes(json_t *items, const struct config_store *store, uint64_t after)
-{
-	const struct config_entry *owner = store->routing_owner;
-
-	json_array_append_new(
-		items, json_pack("{s:s, s:I, s:o}", "name", owner->name, "version",
-				 (json_int_t)owner->object.config.version, "changes",
-				 route_history_changes(&store->history, owner->value, after)));
-}
-
-/* Appends the deletion, the object in force and the rejected object of an entry, each if it is
- * newer than the version `after`. They are in the order of their versions. Of routes that the peer
- * has in an earlier version, only the changes are sent. */
-static void append_entry(json_t *items, const struct config_store *store,
-			 const struct config_entry *entry, uint64_t after, bool takes_changes)
-{
-	bool sends_changes = takes_changes && after > 0 && entry == store->routing_owner &&
-			     entry->deleted_version <= after &&
-			     route_history_covers(&store->history, after);
-
-	if (entry->deleted_version > after)
-		json_array_append_new(items,
-				      json_pack("{s:s, s:I, s:b}", "name", entry->name, "version",
-						(json_int_t)entry->deleted_version, "deleted", 1));
-	if (sends_changes && entry->object.config.version > after)
-		append_changes(items, store, after);
-	else if (entry->in_force && entry->object.config.version > after)
-		append_value(items, entry->name, entry->object.config.version, entry->value);
-	if (entry->rejected && entry->rejected_version > after)
-		append_value(items, entry->name, entry->rejected_version, entry->rejected);
-}
-
-/* Returns true if this store can apply the changes of routes that a peer sends. */
-bool config_takes_changes(const struct config_store *store)
-{
-	return store->routing_owner && !store->routing_owner->rejected &&
-	       !store->needs_whole_routes;
-}
-
-/* Writes the answer to a peer's pull. Errors: see the header. */
-int config_write_batch(const struct config_store *store, const struct config_request *request,
-		       char **json, size_t *size, struct error *err)
-{
-	bool same = request->content == config_content_hash(store);
-	uint64_t after = request->after;
-	json_t *items;
-	json_t *root;
-
-	if (!store->ready)
-		return error_set(err, ERROR_STATE, "the configuration is not up to date");
-	if (!same && (after < store->pruned_version || after >= store->complete_version))
-		after = 0;
-	items = json_array();
-	for (uint32_t i = 0; i < store->entry_count && !same; i++)
-		append_entry(items, store, store->entries[i], after, request->takes_changes);
-	root = json_pack("{s:I, s:I, s:I, s:o}", "from", (json_int_t)after, "known",
-			 (json_int_t)store->pruned_version, "version",
-			 (json_int_t)store->complete_version, "items", items);
-	if (same)
-		json_object_set_new(root, "same", json_integer((json_int_t)request->content));
-	*json = root ? json_dumps(root, JSON_COMPACT) : NULL;
-	json_decref(root);
-	if (!*json)
-		return error_set(err, ERROR_MEMORY, "no memory for a configuration batch");
-	*size = strlen(*json);
-	return 0;
-}
-
 /* Returns true if this node watches the platform. */
 bool config_is_watcher(const struct member_table *members, const struct member *self,
 		       uint32_t watchers)
--- a/src/fescuemill/fleet/route_history.c
+++ b/src/fescuemill/fleet/route_history.c
@@ -156,20 +156,21 @@
 static void compare_with_old(struct route_history *history, struct route_mark *marks,
 			     uint32_t count, uint64_t version)
 {
+	uint32_t old_count = history->marks ? history->count : 0;
 	uint32_t at = 0;
 
 	for (uint32_t i = 0; i < count; i++) {
 		const struct route_mark *old = NULL;
 
-		for (; at < history->count && history->marks[at].key < marks[i].key; at++)
+		for (; at < old_count && history->marks[at].key < marks[i].key; at++)
 			add_removal(history, &history->marks[at], version);
-		if (at < history->count && history->marks[at].key == marks[i].key)
+		if (at < old_count && history->marks[at].key == marks[i].key)
 			old = &history->marks[at++];
 		else if (history->removed_count > 0)
 			drop_removal(history, marks[i].key);
 		marks[i].version = old && old->content == marks[i].content ? old->version : version;
 	}
-	for (; at < history->count; at++)
+	for (; at < old_count; at++)
 		add_removal(history, &history->marks[at], version);
 }
 
--- a/src/fescuemill/http/backend.c
+++ b/src/fescuemill/http/backend.c
@@ -13,9 +13,9 @@
 #include "fescuemill/http/deferred_free.h"
 #include "fescuemill/http/dialect.h"
 #include "fescuemill/http/keepalive.h"
+#include "fescuemill/http/socket_state.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <h2o/linklist.h>
 #include <h2o/memory.h>
 #include <stdlib.h>
@@ -359,18 +359,6 @@
 	*buf = uv_buf_init(conn->client->read_buffer, READ_BYTES);
 }
 
-/* Returns true if the peer closed the connection in order rather than by a reset. libuv reports a
- * reset right behind the last bytes as UV_EOF, so the socket is checked with recv(). */
-static bool is_orderly_close(const struct connection *conn)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
-		return false;
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* Handles bytes or the end of a connection. Bytes on an idle connection belong to no call, so it is
  * closed. */
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
@@ -380,7 +368,9 @@
 	if (size == 0 || conn->is_closing)
 		return;
 	if (size < 0)
-		handle_connection_end(conn, size == UV_EOF && is_orderly_close(conn));
+		handle_connection_end(
+			conn,
+			size == UV_EOF && socket_ended_in_order((const uv_handle_t *)&conn->tcp));
 	else if (conn->call)
 		handle_bytes(conn->call, (const uint8_t *)buf->base, (size_t)size);
 	else
@@ -481,18 +471,6 @@
 	return -1;
 }
 
-/* Returns true if the peer has neither closed an idle connection nor sent bytes on it, both of
- * which the loop may not have read yet. */
-static bool is_reusable(const struct connection *conn)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
-		return false;
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
-}
-
 /* Removes the most recently used connection from the idle list and returns it, or NULL if there is
  * none. Closes the expired ones, and those before it that the peer has closed or sent bytes on. */
 static struct connection *take_idle_connection(struct backend_client *client)
@@ -505,7 +483,8 @@
 		struct connection *conn = H2O_STRUCT_FROM_MEMBER(struct connection, link, at);
 
 		at = at->next;
-		if (now_us >= conn->reusable_until_us || (!found && !is_reusable(conn)))
+		if (now_us >= conn->reusable_until_us ||
+		    (!found && !socket_is_quiet((const uv_handle_t *)&conn->tcp)))
 			close_connection(conn);
 		else if (!found)
 			found = conn;
--- a/src/fescuemill/wire/channel.c
+++ b/src/fescuemill/wire/channel.c
@@ -7,8 +7,8 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/wire/codec.h"
+#include "fescuemill/wire/endpoint_text.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,7 +19,6 @@
 #define ROUTER_QUEUE_MESSAGES 256  /* per connection and direction */
 #define LINK_QUEUE_MESSAGES   64   /* per direction */
 #define READS_PER_DRAIN	      128  /* messages read before the loop serves other handles */
-#define ENDPOINT_BYTES	      40
 
 /* One ZeroMQ socket watched by the loop. The handle is the first member, so that its callbacks can
  * cast it to the whole struct. */
@@ -340,24 +339,10 @@
 	zmq_close(ws->socket);
 }
 
-/* Writes an address as a ZeroMQ endpoint of at most ENDPOINT_BYTES. Port 0 stands for any free
- * port. */
-static void format_endpoint(char *text, uint32_t ip, uint16_t port)
-{
-	struct in_addr address = {.s_addr = htonl(ip)};
-	char dotted[INET_ADDRSTRLEN];
-
-	inet_ntop(AF_INET, &address, dotted, sizeof(dotted));
-	if (port)
-		snprintf(text, ENDPOINT_BYTES, "tcp://%s:%u", dotted, port);
-	else
-		snprintf(text, ENDPOINT_BYTES, "tcp://%s:*", dotted);
-}
-
 /* Returns the port that the listening socket is bound to, or 0 on failure. */
 static uint16_t bound_port(void *socket)
 {
-	char endpoint[ENDPOINT_BYTES * 2];
+	char endpoint[ENDPOINT_TEXT_BYTES * 2];
 	size_t size = sizeof(endpoint);
 	const char *colon;
 
@@ -370,14 +355,14 @@
 /* Creates and binds the listening socket. */
 static int router_open(struct channel *ch, uint32_t ip, uint16_t port, struct error *err)
 {
-	char endpoint[ENDPOINT_BYTES];
+	char endpoint[ENDPOINT_TEXT_BYTES];
 
 	ch->router.read_one = router_read_one;
 	ch->router.socket = socket_make(ch, ZMQ_ROUTER, ROUTER_QUEUE_MESSAGES);
 	if (!ch->router.socket)
 		return error_set_errno(err, errno, "cannot create the listening socket");
 	set_option(ch->router.socket, ZMQ_ROUTER_MANDATORY, 1);
-	format_endpoint(endpoint, ip, port);
+	endpoint_text(endpoint, ip, port);
 	if (zmq_bind(ch->router.socket, endpoint) || !(ch->port = bound_port(ch->router.socket))) {
 		error_set_errno(err, errno, "cannot listen on %s: %s", endpoint,
 				zmq_strerror(errno));
@@ -540,7 +525,7 @@
 		      void *user, struct channel_link **out, struct error *err)
 {
 	struct channel_link *link = calloc(1, sizeof(*link));
-	char endpoint[ENDPOINT_BYTES];
+	char endpoint[ENDPOINT_TEXT_BYTES];
 
 	if (!link)
 		return error_set(err, ERROR_MEMORY, "no memory for a link");
@@ -552,7 +537,7 @@
 		free(link);
 		return error_set_errno(err, errno, "cannot create the socket of a link");
 	}
-	format_endpoint(endpoint, ip, port);
+	endpoint_text(endpoint, ip, port);
 	if (zmq_connect(link->ws.socket, endpoint)) {
 		error_set_errno(err, errno, "cannot connect to %s: %s", endpoint,
 				zmq_strerror(errno));
