--- a/src/fescuemill/fleet/route_history.c
+++ b/src/fescuemill/fleet/route_history.c
@@ -36,11 +36,16 @@
 
 	switch (json_typeof(value)) {
 	case JSON_OBJECT:
-		json_object_foreach((json_t *)value, key, item) hash +=
-			content_hash(item, XXH3_64bits(key, strlen(key)));
+		json_object_foreach((json_t *)value, key, item)
+		{
+			hash += content_hash(item, XXH3_64bits(key, strlen(key)));
+		}
 		return hash_number(hash, seed);
 	case JSON_ARRAY:
-		json_array_foreach(value, index, item) hash = content_hash(item, hash);
+		json_array_foreach(value, index, item)
+		{
+			hash = content_hash(item, hash);
+		}
 		return hash;
 	case JSON_STRING:
 		return XXH3_64bits_withSeed(json_string_value(value), json_string_length(value),
