Test of limits and leavings in a fleet of processes

functional-notice: the stand-in backend server states a limit of 5 calls a second, or that it is leaving while its announcements still say ready.

--- a/test/standin/backend/main.c
+++ b/test/standin/backend/main.c
@@ -71,6 +71,8 @@
 	bool ignore_deadlines; /* gives every call CALL_DEADLINE_MS_DEFAULT */
 	bool is_draining;
 	bool is_leaving;
+	bool states_leaving;	   /* answers state that it is leaving; announcements do not */
+	char rate_limit[16];	   /* calls per second, stated in answers; empty: none */
 	double false_load;	   /* load that /health reports; below 0: the actual load */
 	uint64_t cold_ms;	   /* length of the cold start */
 	uint64_t cold_since_us;	   /* monotonic */
@@ -185,6 +187,10 @@
 	if (call->attempt[0])
 		server_add_header(req, "x-fescue-call-id", call->attempt);
 	server_add_header(req, "x-standin-run-us", run_us);
+	if (self.rate_limit[0])
+		server_add_header(req, "x-fescue-rate-limit", self.rate_limit);
+	if (self.states_leaving)
+		server_add_header(req, "x-fescue-leaving", "1");
 	server_send_text(req, 200, body, call->answer_bytes);
 }
 
@@ -352,6 +358,10 @@
 		self.ignore_deadlines = json_is_true(value);
 	if ((value = json_object_get(body, "drain")))
 		self.is_draining = json_is_true(value);
+	if ((value = json_object_get(body, "states_leaving")))
+		self.states_leaving = json_is_true(value);
+	if ((value = json_object_get(body, "rate_limit")))
+		snprintf(self.rate_limit, sizeof(self.rate_limit), "%s", json_string_value(value));
 	if ((value = json_object_get(body, "false_load")))
 		self.false_load = json_number_value(value);
 	if ((value = json_object_get(body, "cold_ms"))) {
