--- a/src/fescuemill/http/backend_notice.c
+++ b/src/fescuemill/http/backend_notice.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define MILLI_DIGITS   3	   /* digits after the point that count */
-#define RATE_MILLI_MAX 1000000000U /* a million calls a second; more is no limit worth the name */
+#define RATE_MILLI_MAX 1000000000U /* a million calls a second */
 
 /* Reads a decimal number as thousandths, cut off at RATE_MILLI_MAX. Digits after the third one of
  * the fraction are checked and ignored. Returns false if it is not a number of this form. */
