Test of the store dialect: release the parsed answer

The sanitizer build reported 10,678 bytes that the test's own answers leaked since an answer can be passed on parsed; the store client releases it.

--- a/test/unit/platform/store_dialect_test.cc
+++ b/test/unit/platform/store_dialect_test.cc
@@ -96,6 +96,7 @@
 	{
 		store_pages_free(&pages);
 		free(answer.text);
+		json_decref(answer.root);
 	}
 	ReadAnswer(const ReadAnswer &) = delete;
 	ReadAnswer &operator=(const ReadAnswer &) = delete;
