--- a/test/functional/support/load_driver.cc
+++ b/test/functional/support/load_driver.cc
@@ -18,6 +18,7 @@
 constexpr int CALL_GRACE_MS = 3000; // an answer is awaited until this long after the deadline
 constexpr int POLL_INTERVAL_MS = 10;
 constexpr int RETRY_DELAY_MS = 20;
+constexpr size_t BODY_TEXT_BYTES_MAX = 80; // kept of an answer that is not intact
 constexpr int ADMIN_TIMEOUT_MS = 15000;
 constexpr int ADMIN_TRIES = 10; // while the rate limit of the API refuses the request
 constexpr int ADMIN_RETRY_DELAY_MS = 100;
@@ -94,6 +95,9 @@
 	result.duration_ms = ms_since(start);
 	if (result.outcome == "answered")
 		result.is_intact = answer.status == 200 && is_answer_of(id, answer.body);
+	result.status = answer.status;
+	if (!result.is_intact)
+		result.body_text = answer.body.substr(0, BODY_TEXT_BYTES_MAX);
 	return result;
 }
 
@@ -216,7 +220,9 @@
 		}
 		if (result.outcome == "answered") {
 			EXPECT_GE(start_count, 1) << id;
-			EXPECT_TRUE(result.is_intact) << id;
+			EXPECT_TRUE(result.is_intact)
+				<< id << " status " << result.status << " after "
+				<< result.duration_ms << " ms: " << result.body_text;
 		}
 		if (!may_run_twice) {
 			EXPECT_LE(start_count, 1)
--- a/test/functional/support/load_driver.h
+++ b/test/functional/support/load_driver.h
@@ -15,6 +15,8 @@
 	// x-fescue-outcome of the answer, "not-run" if there was no connection, empty if no
 	// complete answer was received.
 	std::string outcome;
+	int status = 0;	       // of the last answer
+	std::string body_text; // of an answer that is not intact
 	std::string reason; // x-fescue-reason of the answer, "not-connected" without a connection
 	bool is_intact = true; // false: answered, but with another status than 200 or a wrong body
 	int64_t duration_ms = 0; // duration of the last try
