--- a/review/standin/scene.h
+++ b/review/standin/scene.h
@@ -11,7 +11,7 @@
 #include <stdio.h>
 #include <sys/types.h>
 
-#define SCENE_HOSTS_MAX 8
+#define SCENE_HOSTS_MAX 12
 #define SCENE_RUNS_MAX	8192
 
 /* What a backend server saw of a request. */
@@ -75,6 +75,7 @@
 	uint32_t run_count;
 	uint32_t request_count;
 	bool is_over;
+	bool is_restart; /* the nodes are started for a second time */
 };
 
 extern struct scene scene;
@@ -101,6 +102,8 @@
  * an instance and a service that are not those of the server. Returns true if it was taken. */
 bool host_report_foreign(struct host *host, const char *instance, const char *service);
 void host_signal(struct host *host, int number);
+/* Kills the nodes of all hosts at the same moment and starts them again. */
+void scene_restart_nodes(uint32_t down_ms);
 /* Returns true if callers of the host send it new work, as the platform decides. */
 bool host_is_in(const struct host *host);
 
