--- a/review/standin/scene.c
+++ b/review/standin/scene.c
@@ -236,6 +236,16 @@
 	kill(host->pid, number);
 }
 
+void host_restart_node(struct host *host, uint32_t down_ms)
+{
+	scene_note("node %s is killed", host->name);
+	kill(host->pid, SIGKILL);
+	waitpid(host->pid, NULL, 0);
+	usleep(down_ms * 1000);
+	scene.is_restart = true;
+	start_node(host);
+}
+
 void scene_restart_nodes(uint32_t down_ms)
 {
 	scene_note("all nodes are killed");
--- a/review/standin/scene.h
+++ b/review/standin/scene.h
@@ -43,6 +43,9 @@
 	bool has_left;	       /* it has ended */
 	uint64_t drain_ack_ms; /* when its draining was acknowledged; 0: not yet */
 	uint64_t born_ms;
+	uint32_t late_ms;      /* how late its status reports arrive */
+	bool is_silent;	       /* it sends no status reports any more */
+	uint64_t last_late_ms; /* when its last late report arrived; 0: none */
 	uint32_t sequence;
 	int listener;
 };
@@ -98,10 +101,16 @@
 /* Tells the node that the backend server is draining, until it acknowledges; then serves for
  * serve_ms, deregisters and ends the backend server. Runs in a thread of its own. */
 void host_drain(struct host *host, uint64_t serve_ms);
+/* Deregisters the backend server of a host without having said that it is draining. */
+void host_leave(struct host *host);
+/* Ends the backend server of a host. */
+void host_end(struct host *host);
 /* Sends a status report to the node of a host, as a writer other than its backend server would: of
  * an instance and a service that are not those of the server. Returns true if it was taken. */
 bool host_report_foreign(struct host *host, const char *instance, const char *service);
 void host_signal(struct host *host, int number);
+/* Kills the node of a host and starts it again. */
+void host_restart_node(struct host *host, uint32_t down_ms);
 /* Kills the nodes of all hosts at the same moment and starts them again. */
 void scene_restart_nodes(uint32_t down_ms);
 /* Returns true if callers of the host send it new work, as the platform decides. */
--- a/review/standin/server.c
+++ b/review/standin/server.c
@@ -242,12 +242,47 @@
 	const char *instance;
 	const char *service;
 	uint64_t born_ms;
+	uint32_t late_ms; /* how late it arrives */
 };
 
+/* A report that is under way. */
+struct late_report {
+	struct host *host;
+	char *path;
+	char *body;
+	uint32_t late_ms;
+};
+
+static bool deliver(const struct late_report *late)
+{
+	char *control = text_format("%s:8306", late->host->ip);
+	struct http_message reply;
+	int status = http_call(control, "POST", late->path, "Content-Type: application/json\r\n",
+			       late->body, BEAT_WAIT_MS, &reply);
+
+	http_free(&reply);
+	free(control);
+	return status >= 200 && status <= 299;
+}
+
+/* Delivers a report that is late, as a slow path does: after its sender has given up the answer. */
+static void *deliver_late(void *arg)
+{
+	struct late_report *late = arg;
+
+	usleep(late->late_ms * 1000);
+	late->host->last_late_ms = scene_now();
+	scene_note("a status report of %s that is %u ms late arrives: %s", late->host->name,
+		   late->late_ms, deliver(late) ? "answered 2xx" : "no 2xx");
+	free(late->path);
+	free(late->body);
+	free(late);
+	return NULL;
+}
+
 /* Sends a report to the node of a host. Returns true if it was acknowledged in time. */
 static bool send_report(struct host *host, const struct report *report)
 {
-	char *control = text_format("%s:8306", host->ip);
 	char *app = text_format("%s:8301", host->ip);
 	char *path = text_format("%s%s", report->prefix, report->instance);
 	char *slots = text_format("%u", host->slots);
@@ -263,32 +298,41 @@
 		{"state", host->is_draining ? "draining" : "ready"},
 	};
 	char *body = text_render(report->template, pairs, sizeof(pairs) / sizeof(pairs[0]));
-	struct http_message reply;
-	int status = http_call(control, "POST", path, "Content-Type: application/json\r\n", body,
-			       BEAT_WAIT_MS, &reply);
+	struct late_report now = {host, path, body, report->late_ms};
+	struct late_report *late = malloc(sizeof(*late));
+	pthread_t thread;
+	bool is_acknowledged = false;
 
-	http_free(&reply);
-	free(control);
 	free(app);
-	free(path);
 	free(slots);
 	free(sequence);
 	free(born);
+	if (!late)
+		abort();
+	*late = now;
+	if (now.late_ms > 0 && pthread_create(&thread, NULL, deliver_late, late) == 0) {
+		pthread_detach(thread);
+		return false;
+	}
+	is_acknowledged = deliver(&now);
+	free(path);
 	free(body);
-	return status >= 200 && status <= 299;
+	free(late);
+	return is_acknowledged;
 }
 
 static bool send_beat(struct host *host)
 {
-	struct report report = {name_of("p_beat"), name_of("beat"), host->instance, host->service,
-				host->born_ms};
+	struct report report = {name_of("p_beat"), name_of("beat"), host->instance,
+				host->service,	   host->born_ms,   host->late_ms};
 
 	return send_report(host, &report);
 }
 
 bool host_report_foreign(struct host *host, const char *instance, const char *service)
 {
-	struct report report = {name_of("p_beat"), name_of("beat"), instance, service, wall_ms()};
+	struct report report = {name_of("p_beat"), name_of("beat"), instance,
+				service,	   wall_ms(),	    0};
 	bool was_taken = send_report(host, &report);
 
 	scene_note("a report of %s, service %s, from another writer to node %s: %s", instance,
@@ -300,7 +344,7 @@
 {
 	struct host *host = arg;
 
-	while (!scene.is_over && !host->has_left) {
+	while (!scene.is_over && !host->has_left && !host->is_silent) {
 		send_beat(host);
 		usleep(BEAT_MS * 1000);
 	}
@@ -322,11 +366,30 @@
 	return 0;
 }
 
+void host_leave(struct host *host)
+{
+	struct report leave = {name_of("p_leave"), name_of("leave"), host->instance,
+			       host->service,	   host->born_ms,    0};
+
+	host->is_silent = true;
+	host->is_draining = true;
+	if (send_report(host, &leave) && !host->drain_ack_ms)
+		host->drain_ack_ms = scene_now();
+	scene_note("the server of %s deregisters: %s", host->name,
+		   host->drain_ack_ms ? "acknowledged" : "not acknowledged");
+}
+
+void host_end(struct host *host)
+{
+	host->has_left = true;
+	shutdown(host->listener, SHUT_RDWR);
+	close(host->listener);
+	scene_note("the server of %s has ended", host->name);
+}
+
 void host_drain(struct host *host, uint64_t serve_ms)
 {
 	uint64_t limit_ms = clock_ms() + DRAIN_WAIT_MS;
-	struct report leave = {name_of("p_leave"), name_of("leave"), host->instance, host->service,
-			       host->born_ms};
 
 	host->is_draining = true;
 	scene_note("the server of %s says that it is draining", host->name);
@@ -336,9 +399,6 @@
 	}
 	scene_note("node %s has acknowledged that its server is draining", host->name);
 	scene_sleep_until(host->drain_ack_ms + serve_ms);
-	send_report(host, &leave);
-	host->has_left = true;
-	shutdown(host->listener, SHUT_RDWR);
-	close(host->listener);
-	scene_note("the server of %s has ended", host->name);
+	host_leave(host);
+	host_end(host);
 }
