--- a/review/1/case.c
+++ b/review/1/case.c
@@ -7,17 +7,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define GRACE_MS      6000 /* SIGKILL follows SIGTERM after this */
-#define EXCUSED_MS    3000 /* what is sent later than this after SIGTERM has no excuse */
-#define LONG_WORK_MS  5300 /* the longest work of a lookup */
-#define LOOKUPS	      6
-#define BUY_WORK_MS   1700 /* the longest work of a purchase */
-#define BUY_LEFT_MS   5000
-#define BUY_PERIOD_MS 150
-#define TERM_AT_MS    3000
-#define TERM_GAP_MS   1000 /* between the two nodes */
-#define END_MS	      9000
-#define REQUESTS_MAX  256
+#define GRACE_MS       6000 /* SIGKILL follows SIGTERM after this */
+#define EXCUSED_MS     3000 /* what is sent later than this after SIGTERM has no excuse */
+#define LONG_WORK_MS   5300 /* the longest work of a lookup */
+#define LOOKUPS	       6
+#define BUY_WORK_MS    1700 /* the longest work of a purchase */
+#define BUY_LEFT_MS    5000
+#define BUY_TIMEOUT_MS 2500 /* of the route */
+#define BUY_PERIOD_MS  150
+#define TERM_AT_MS     3000
+#define TERM_GAP_MS    1000 /* between the two nodes */
+#define END_MS	       9000
+#define REQUESTS_MAX   256
 
 static struct request lookups[LOOKUPS];
 static struct request purchases[REQUESTS_MAX];
@@ -75,7 +76,7 @@
 			continue;
 		late += request->was_read_to_end;
 		if (request->status || !request->was_read_to_end || !scene_find_run(request->id) ||
-		    request->ended_ms >= request->sent_ms + BUY_LEFT_MS)
+		    request->ended_ms >= request->sent_ms + BUY_TIMEOUT_MS)
 			continue;
 		lost++;
 		scene_note("LOST: %s, sent %llu ms after SIGTERM, began to run; its connection "
