--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case once; record.txt has what was sent, answered and run. TROUBLE=0: without the burst.
+# Runs the case once; record.txt has what was sent, answered and run. TROUBLE=0: without the signals.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case-2 ] || exit 2
 RECORD=review/2/record.txt exec timeout --signal=KILL 118 target/review/case-2
