--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case once; record.txt has what was sent, answered and run. TROUBLE=0: the same change with a short prefix.
+# Runs the case once; record.txt has what was sent, answered and run. TROUBLE=0: without the burst.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case-3 ] || exit 2
 RECORD=review/3/record.txt exec timeout --signal=KILL 118 target/review/case-3
