--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -461,6 +461,8 @@
 		return entry_gate_restarted(call, event->gate_restarted.epoch, bucket, out, err);
 	case ENTRY_EVENT_CALLER_GONE:
 		return entry_abandon(call, REASON_CANCELLED, out, err);
+	case ENTRY_EVENT_NODE_STOPPING:
+		return entry_abandon(call, REASON_DRAINING, out, err);
 	case ENTRY_EVENT_TICK:
 		return 0;
 	}
--- a/src/fescuemill/decide/attempt_entry.h
+++ b/src/fescuemill/decide/attempt_entry.h
@@ -85,6 +85,7 @@
 	ENTRY_EVENT_GATE_GONE,	    /* the gate is dead, was restarted, or is unreachable */
 	ENTRY_EVENT_GATE_RESTARTED, /* a later incarnation of the gate replied */
 	ENTRY_EVENT_CALLER_GONE,    /* the caller disconnected */
+	ENTRY_EVENT_NODE_STOPPING,  /* this node ends before the call can be answered */
 	ENTRY_EVENT_TICK,	    /* time passed */
 };
 
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -111,6 +111,14 @@
 	return now_us + wait_us + class->service.recent_mean_us < ticket->deadline_us;
 }
 
+/* Returns false if an attempt of the class that starts now is expected to be cut off by the end of
+ * this node. */
+static bool can_end_before_stop(const struct gate *gate, const struct gate_class *class,
+				uint64_t now_us)
+{
+	return gate->end_us == 0 || now_us + class->service.recent_mean_us <= gate->end_us;
+}
+
 /* Refuses the tickets of a list that can no longer meet their deadlines. */
 static void refuse_expired_list(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
 				struct gate_actions *actions)
@@ -230,6 +238,10 @@
 			refuse_waiting(gate, ticket, REASON_EXPIRED, actions);
 			continue;
 		}
+		if (!can_end_before_stop(gate, &gate->classes[ticket->class_index], now_us)) {
+			refuse_waiting(gate, ticket, REASON_DRAINING, actions);
+			continue;
+		}
 		advice = advise(gate, ticket, now_us);
 		if (advice == SLOWDOWN_REDIRECT &&
 		    exceeds_wait_limit(ticket, SLOWDOWN_REDIRECT_COST_US)) {
@@ -325,6 +337,13 @@
 	gate_account_update_floors(gate);
 }
 
+/* Sets the time at which running attempts are cut off by the end of this node. Attempts that are
+ * not expected to end before it are refused from now on. */
+void gate_set_end(struct gate *gate, uint64_t end_us)
+{
+	gate->end_us = end_us;
+}
+
 /* Holds the calls that start to the rate that the backend server states. */
 void gate_set_rate_limit(struct gate *gate, uint32_t rate_milli, uint64_t now_us)
 {
@@ -391,6 +410,8 @@
 		return REASON_NO_BACKEND;
 	if (deadline_us <= now_us)
 		return REASON_EXPIRED;
+	if (!can_end_before_stop(gate, &gate->classes[class_index], now_us))
+		return REASON_DRAINING;
 	return REASON_NONE;
 }
 
--- a/src/fescuemill/decide/gate.h
+++ b/src/fescuemill/decide/gate.h
@@ -10,6 +10,7 @@
 void gate_init(struct gate *gate, uint64_t now_us);
 void gate_set_config(struct gate *gate, const struct service_config *config, uint64_t now_us,
 		     struct gate_actions *actions);
+void gate_set_end(struct gate *gate, uint64_t end_us);
 /* Holds the calls that start to the rate that the backend server states, in calls per 1000 s. */
 void gate_set_rate_limit(struct gate *gate, uint32_t rate_milli, uint64_t now_us);
 /* Removes that limit, and starts what waited for it. */
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -121,6 +121,7 @@
 	uint64_t config_version;
 	struct gate_class classes[CLASSES_PER_SERVICE_MAX];
 	enum backend_state state;
+	uint64_t end_us; /* running attempts are cut off then, as the node stops; 0: not known */
 	struct limit limit;
 	struct rate_limit rate;	      /* that the backend server states */
 	struct saturation saturation; /* lifts a fixed limit where that slows nothing down */
--- a/src/fescuemill/decide/stop.c
+++ b/src/fescuemill/decide/stop.c
@@ -25,6 +25,7 @@
 	stop->since_us = now_us;
 	stop->serve_us = serve_us;
 	stop->limit_us = limit_us;
+	stop->has_ended_calls = false;
 	enter_phase(stop, STOP_SERVING, now_us);
 }
 
@@ -35,6 +36,44 @@
 	return view->attempts == 0 || time_left_at_most(stop, CALLS_US, now_us);
 }
 
+/* Returns the time at which calls and attempts should have ended, so that the phases after them
+ * have their time. */
+uint64_t stop_work_end_us(const struct stop *stop)
+{
+	uint64_t end_us = stop->since_us + stop->limit_us;
+
+	return stop->limit_us > LEAVING_US ? end_us - LEAVING_US : stop->since_us;
+}
+
+/* Returns true if the entry may accept a new call that has time_left_us until its deadline. While
+ * callers notice that the node is not ready, it accepts all calls. From then on it accepts those
+ * whose deadline passes before the work must have ended, such as calls of what the backend server
+ * still runs: the process would end before the answer to a longer one. */
+bool stop_accepts_call(const struct stop *stop, uint64_t time_left_us, uint64_t now_us)
+{
+	switch (stop->phase) {
+	case STOP_NONE:
+	case STOP_SERVING:
+		return true;
+	case STOP_FINISHING:
+		return now_us + time_left_us <= stop_work_end_us(stop);
+	case STOP_AWAITING_ACKS:
+	case STOP_HANDSHAKES:
+	case STOP_CLOSING:
+	case STOP_ENDED:
+		break;
+	}
+	return false;
+}
+
+/* Returns true if calls are in progress for which no time is left: their connections would be
+ * closed without an answer. */
+static bool must_end_calls(const struct stop *stop, const struct stop_view *view, uint64_t now_us)
+{
+	return view->calls > 0 && !stop->has_ended_calls &&
+	       time_left_at_most(stop, STOP_ANSWERS_US, now_us);
+}
+
 /* Returns true if the node may leave the roster and gossip now. A member that receives only the
  * leave message cannot tell this node from a dead one, so gossip about the stop gets time to spread
  * before it. The last answers should be acknowledged too, within STOP_ACKS_US. */
@@ -85,6 +124,10 @@
 		return STOP_WAIT;
 	if (time_left_at_most(stop, 0, now_us))
 		return end(stop, view, now_us);
+	if (must_end_calls(stop, view, now_us)) {
+		stop->has_ended_calls = true;
+		return STOP_END_CALLS;
+	}
 	switch (stop->phase) {
 	case STOP_SERVING:
 		if (now_us < stop->phase_since_us + stop->serve_us)
--- a/src/fescuemill/decide/stop.h
+++ b/src/fescuemill/decide/stop.h
@@ -16,6 +16,7 @@
 #define STOP_HANDSHAKE_US     200000  /* for connections that callers are opening */
 #define STOP_IDLE_US	      1000000 /* for requests over open connections, from the start */
 #define STOP_QUIET_US	      300000  /* for requests sent while the listener closes */
+#define STOP_ANSWERS_US	      200000  /* for the answers to the calls that the stop ends */
 #define STOP_TICK_US	      100000  /* how late a phase may end: one housekeeping period */
 
 enum stop_phase {
@@ -33,6 +34,7 @@
 	STOP_WAIT,	       /* nothing */
 	STOP_REFUSE_ATTEMPTS,  /* stop admitting attempts, as a gate */
 	STOP_REFUSE_CALLS,     /* stop accepting calls, as an entry */
+	STOP_END_CALLS,	       /* answer the calls in progress, whose time the stop does not have */
 	STOP_ANNOUNCE_LEAVING, /* leave the roster and gossip, accept no connections */
 	STOP_CLOSE_LISTENER,   /* close the listener for callers */
 	STOP_END,	       /* exit: all work is done */
@@ -46,6 +48,7 @@
 	uint64_t announced_us;	 /* time of STOP_ANNOUNCE_LEAVING */
 	uint64_t serve_us;	 /* duration of STOP_SERVING */
 	uint64_t limit_us;	 /* duration of the whole stop */
+	bool has_ended_calls;	 /* STOP_END_CALLS was returned */
 };
 
 /* What the stop waits for: current counts. */
@@ -60,5 +63,7 @@
 
 void stop_begin(struct stop *stop, uint64_t serve_us, uint64_t limit_us, uint64_t now_us);
 enum stop_action stop_advance(struct stop *stop, const struct stop_view *view, uint64_t now_us);
+bool stop_accepts_call(const struct stop *stop, uint64_t time_left_us, uint64_t now_us);
+uint64_t stop_work_end_us(const struct stop *stop);
 
 #endif
--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry.c
@@ -511,6 +511,18 @@
 	return ENTRY_CALLS_MAX - entry->free_count;
 }
 
+/* Answers all calls in progress, because the process is about to end: as not run if no gate has
+ * them, else as unknown. */
+void entry_end_calls(struct entry *entry)
+{
+	struct attempt_entry_event event = {.type = ENTRY_EVENT_NODE_STOPPING};
+
+	for (uint32_t slot = 0; slot < ENTRY_CALLS_MAX; slot++) {
+		if (entry->calls[slot])
+			entry_call_step(entry->calls[slot], &event, &no_input);
+	}
+}
+
 static bool is_member(void *user, uint64_t node_id)
 {
 	const struct entry *entry = user;
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry.h
@@ -29,6 +29,8 @@
 	const struct key_members *key_members;
 	/* Returns why the node refuses calls now, or REASON_NONE. */
 	enum call_reason (*refusal)(void *user);
+	/* Returns false if the node ends before a call with this time left has ended. */
+	bool (*has_time_for)(void *user, uint64_t time_left_us);
 	/* Returns the chance, in permille, that a call made by this host's backend server is part
 	 * of a repeated run. */
 	uint32_t (*repeat_permille)(void *user);
@@ -55,6 +57,8 @@
 /* Ends the attempts at gates that died or restarted, and closes idle connections. To be called when
  * the member table has changed, and periodically. */
 void entry_sweep(struct entry *entry);
+/* Answers all calls in progress, because the process is about to end. */
+void entry_end_calls(struct entry *entry);
 /* Returns the number of calls in progress. */
 uint32_t entry_call_count(const struct entry *entry);
 /* Uses a later incarnation of this node in the ids of new attempts; attempts in progress keep
--- a/src/fescuemilld/entry_classify.c
+++ b/src/fescuemilld/entry_classify.c
@@ -78,5 +78,7 @@
 	}
 	if (reason != REASON_NONE)
 		return reason;
+	if (!entry->options.has_time_for(entry->options.user, out->time_left_us))
+		return REASON_DRAINING;
 	return entry->free_count > 0 ? REASON_NONE : REASON_OVERLOAD;
 }
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node_events.c
@@ -92,6 +92,14 @@
 	}
 }
 
+/* Returns false if the node stops before a new call with this time left has ended. */
+bool node_has_time_for(void *user, uint64_t time_left_us)
+{
+	const struct node *node = user;
+
+	return stop_accepts_call(&node->stop, time_left_us, clock_monotonic_us());
+}
+
 /* Returns true if the entry may use gates of the region. */
 bool node_region_is_usable(void *user, const char *region)
 {
--- a/src/fescuemilld/node_events.h
+++ b/src/fescuemilld/node_events.h
@@ -12,6 +12,7 @@
 void node_apply_config(struct node *node);
 
 enum call_reason node_refusal_reason(void *user);
+bool node_has_time_for(void *user, uint64_t time_left_us);
 uint32_t node_repeat_permille(void *user);
 bool node_is_ready(void *user);
 bool node_region_is_usable(void *user, const char *region);
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node_parts.c
@@ -80,6 +80,7 @@
 		.budget = &node->budget,
 		.key_members = node->key_members,
 		.refusal = node_refusal_reason,
+		.has_time_for = node_has_time_for,
 		.repeat_permille = node_repeat_permille,
 		.region_is_usable = node_region_is_usable,
 		.on_unreachable = node_on_gate_unreachable,
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node_stop.c
@@ -46,6 +46,12 @@
 		break;
 	case STOP_REFUSE_CALLS:
 		break; /* node_refusal_reason() checks the phase of the stop */
+	case STOP_END_CALLS:
+		log_write(LOG_WARNING, LOG_PART_MAIN,
+			  "The stop ends calls that are still in progress.", "calls=%u",
+			  entry_call_count(node->entry));
+		entry_end_calls(node->entry);
+		break;
 	case STOP_ANNOUNCE_LEAVING:
 		gossip_leave(node->gossip, now_us);
 		registration_leave(node->registration, on_roster_left, node);
@@ -90,6 +96,7 @@
 	caller_drain(node->caller);
 	stop_begin(&node->stop, node->settings.stop_serve_ms * USEC_PER_MSEC,
 		   node->settings.stop_limit_ms * USEC_PER_MSEC, now_us);
+	gate_set_end(gate_shell_admission(node->gate), stop_work_end_us(&node->stop));
 	node_stop_advance(node, now_us);
 }
 
--- a/test/functional/failure_restart_test.cc
+++ b/test/functional/failure_restart_test.cc
@@ -6,6 +6,9 @@
 #include <signal.h>
 
 #include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
 
 using namespace support;
 
@@ -75,6 +78,57 @@
 	EXPECT_LE(driver.refused(), driver.answered() / 4);
 }
 
+// Guards against calls that a stopping node accepts while its own backend server still works, and
+// whose connections end without an answer when the process does.
+TEST(Restart, StoppingNodeAnswersEveryCallThatItAccepts)
+{
+	constexpr int SERVICE_MS = 3500;
+	constexpr int STOP_LIMIT_MS = 4000;
+	constexpr int CALL_MS = 10000;
+	FleetOptions options = FleetOptions::small(2);
+	std::vector<std::thread> callers;
+	std::mutex lock;
+	std::map<std::string, int> outcomes;
+
+	options.spread = "none";
+	options.change_settings = [](const std::string &, json_t *settings) {
+		json_object_set_new(settings, "stop_limit_ms", json_integer(STOP_LIMIT_MS));
+		json_object_set_new(settings, "stop_serve_ms", json_integer(500));
+	};
+	Fleet fleet(options);
+	fleet.start();
+	Host &stopping = fleet.hosts[0];
+	auto call = [&](Host &entry, bool counts) {
+		callers.emplace_back([&, counts] {
+			HttpAnswer answer = fleet.call(
+				entry, "POST", "/ledger/buy", "purchase", "",
+				{"x-fescue-deadline-ms: " + std::to_string(CALL_MS)}, CALL_MS);
+			std::lock_guard<std::mutex> guard(lock);
+
+			if (counts)
+				outcomes[answer.headers["x-fescue-outcome"]]++;
+		});
+	};
+	for (Host &host : fleet.hosts)
+		Fleet::control(*host.backend,
+			       "{\"slow_factor\":" +
+				       std::to_string(SERVICE_MS / options.service_ms) + "}");
+	for (int i = 0; i < 2 * options.slots; i++)
+		call(fleet.hosts[1], false);
+	EXPECT_TRUE(wait_until([&] { return read_backend_stat(stopping, "running") > 0; },
+			       EVENT_TIMEOUT_MS));
+	stopping.node->signal(SIGTERM);
+	for (int i = 0; i < 5; i++) {
+		sleep_ms(400);
+		call(stopping, true);
+	}
+	stopping.node->wait(STOP_TIMEOUT_MS);
+	for (std::thread &caller : callers)
+		caller.join();
+	EXPECT_EQ(outcomes[""], 0) << "without an answer";
+	EXPECT_GE(outcomes["not-run"], 4);
+}
+
 // A key of the administration API is withdrawn by a change of the settings file. It must be refused
 // from then on, by the running process and by each that is started later.
 TEST(Restart, WithdrawnKeyIsRefusedAfterAReloadAndAfterARestart)
--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -223,6 +223,18 @@
 	expect_finished(OUTCOME_UNKNOWN, REASON_CANCELLED);
 }
 
+// Guards against a node that ends while a call is in progress and leaves it without an answer.
+TEST_F(AttemptEntry, StoppingNodeEndsTheCallWithItsTrueOutcome)
+{
+	step(ENTRY_EVENT_NODE_STOPPING);
+	expect_finished(OUTCOME_NOT_RUN, REASON_DRAINING);
+	begin(true);
+	choose(5);
+	step(ENTRY_EVENT_NODE_STOPPING);
+	EXPECT_EQ(ENTRY_ACTION_SEND_CANCEL, out.list[0].type);
+	expect_finished(OUTCOME_UNKNOWN, REASON_DRAINING);
+}
+
 TEST_F(AttemptEntry, FailedSendCountsAsNotRun)
 {
 	begin(false);
--- a/test/unit/decide/gate_test.cc
+++ b/test/unit/decide/gate_test.cc
@@ -106,6 +106,26 @@
 	EXPECT_EQ(GATE_REFUSE, offer(hasty, BROWSE).kind) << "one is waiting before it";
 }
 
+// Guards against attempts that a stopping node starts though its end will cut them off.
+TEST_F(Gate, AttemptThatTheNodesEndWouldCutOffIsRefused)
+{
+	make_ready(1);
+	EXPECT_EQ(GATE_START, offer(tickets[0], BROWSE).kind);
+	finish(tickets[0], GATE_RESULT_OK, 3000000);
+	EXPECT_EQ(GATE_START, offer(tickets[1], BROWSE).kind);
+	EXPECT_EQ(GATE_WAIT, offer(tickets[2], BROWSE).kind);
+	gate_set_end(&gate, now_us + 4000000);
+	finish(tickets[1], GATE_RESULT_OK, 2000000);
+	ASSERT_EQ(1U, actions.count);
+	EXPECT_EQ(&tickets[2], actions.list[0].ticket);
+	EXPECT_EQ(GATE_REFUSE, actions.list[0].verdict.kind);
+	EXPECT_EQ(REASON_DRAINING, actions.list[0].verdict.reason);
+	gate_verdict verdict = offer(tickets[3], BROWSE);
+	EXPECT_EQ(GATE_REFUSE, verdict.kind);
+	EXPECT_EQ(REASON_DRAINING, verdict.reason);
+	EXPECT_EQ(GATE_START, offer(tickets[4], PURCHASE).kind) << "of no known duration";
+}
+
 // Guards against a backend server that gets more calls than the limit it states: the gate sees
 // every call to it, and holds the rate whatever slots are free.
 TEST_F(Gate, CallsStartAtTheRateThatTheServerStates)
--- a/test/unit/decide/stop_test.cc
+++ b/test/unit/decide/stop_test.cc
@@ -170,6 +170,58 @@
 	EXPECT_EQ(STOP_END, out.last());
 }
 
+// Guards against calls that are accepted while the backend server still works and that are cut off
+// by the end of the process.
+TEST(Stop, CallsThatWouldOutlastTheStopAreRefused)
+{
+	stop one = {};
+	stop_view view = {};
+
+	EXPECT_TRUE(stop_accepts_call(&one, 60000 * MS, START_US)) << "no stop";
+	stop_begin(&one, SERVE_US, LIMIT_US, START_US);
+	view.attempts = 1;
+	EXPECT_TRUE(stop_accepts_call(&one, 60000 * MS, START_US)) << "callers have yet to notice";
+	EXPECT_EQ(STOP_REFUSE_ATTEMPTS, stop_advance(&one, &view, START_US + SERVE_US));
+	for (uint64_t after_us = SERVE_US; after_us < LIMIT_US; after_us += TICK_US) {
+		uint64_t now_us = START_US + after_us;
+
+		stop_advance(&one, &view, now_us);
+		for (uint64_t left_us = 0; left_us <= 15000 * MS; left_us += TICK_US) {
+			if (stop_accepts_call(&one, left_us, now_us)) {
+				EXPECT_LE(now_us + left_us, stop_work_end_us(&one));
+				EXPECT_LT(now_us + left_us, START_US + LIMIT_US);
+			}
+		}
+	}
+}
+
+TEST(Stop, CallsOfWhatTheServerStillRunsAreAccepted)
+{
+	stop one = {};
+	stop_view view = {};
+
+	view.attempts = 1;
+	stop_begin(&one, SERVE_US, LIMIT_US, START_US);
+	stop_advance(&one, &view, START_US + SERVE_US);
+	EXPECT_TRUE(stop_accepts_call(&one, 600 * MS, START_US + SERVE_US));
+	EXPECT_TRUE(stop_accepts_call(&one, 600 * MS, START_US + 4000 * MS));
+	view.attempts = 0;
+	stop_advance(&one, &view, START_US + 4000 * MS);
+	EXPECT_FALSE(stop_accepts_call(&one, 600 * MS, START_US + 4000 * MS));
+}
+
+// Guards against a process that ends while calls are in progress, and closes their connections
+// without an answer.
+TEST(Stop, CallsStillInProgressAreEndedBeforeTheProcess)
+{
+	StopRun out = run_stop({0, LIMIT_US + TICK_US, 0, 0, 0});
+
+	EXPECT_EQ((std::vector<stop_action>{STOP_REFUSE_ATTEMPTS, STOP_REFUSE_CALLS, STOP_END_CALLS,
+					    STOP_TIMED_OUT}),
+		  out.actions);
+	EXPECT_FALSE(run_stop({0, LIMIT_US - 300 * MS, 0, 0, 0}).did(STOP_END_CALLS));
+}
+
 RC_GTEST_PROP(Stop, EndsWithinItsLimitAndCutsOnlyWork, ())
 {
 	auto any_us = [] { return *rc::gen::inRange<uint64_t>(0, 70) * TICK_US; };
