--- a/src/fescuemill/decide/attempt_gate.c
+++ b/src/fescuemill/decide/attempt_gate.c
@@ -237,27 +237,9 @@
 	return 0;
 }
 
-/* Handles a message from an entry node. Drops messages of an earlier incarnation of the entry and
- * those received over a connection that was replaced. */
-static int on_message(struct step *st)
+/* Passes a message from an entry node to the handler of its type. */
+static int handle_message(struct step *st, struct entry_peer *peer, struct record *rec)
 {
-	const struct attempt_id *id = &st->event->id;
-	struct entry_peer *peer = entry_peer_get(st->gate, &id->entry, st->now_us);
-	enum link_kind kind = link_kind_of(st->event->epoch);
-	struct record *rec;
-
-	if (!peer)
-		return drop(st, REASON_OVERLOAD);
-	if (id->entry.incarnation < peer->identity.incarnation)
-		return drop(st, REASON_INCARNATION);
-	if (id->entry.incarnation > peer->identity.incarnation) {
-		entry_peer_reset(peer, id->entry.incarnation);
-	}
-	if (st->event->epoch < peer->epochs[kind])
-		return drop(st, REASON_STALE_EPOCH);
-	peer->epochs[kind] = st->event->epoch;
-	peer->seen_us = st->now_us;
-	rec = record_find(st->gate, id);
 	if (rec)
 		rec->epoch = st->event->epoch;
 	switch (st->event->type) {
@@ -272,6 +254,60 @@
 	}
 }
 
+/* Handles a message about an attempt of which this gate can tell nothing. The entry is told so, as
+ * it would otherwise wait until the deadline; nothing waits for a reply to the other messages. */
+static int reply_unknown(struct step *st, enum call_reason reason)
+{
+	if (st->event->type == GATE_EVENT_CALL || st->event->type == GATE_EVENT_ASK)
+		return reply_without_record(st, OUTCOME_UNKNOWN, reason);
+	return drop(st, reason);
+}
+
+/* Handles a message about an attempt that the entry node began before it took a later incarnation.
+ * The attempt goes on if it is in the table. If it is not, it may have run, as what was forgotten
+ * of the earlier incarnation is not known any more. */
+static int on_message_of_earlier_incarnation(struct step *st, struct entry_peer *peer)
+{
+	struct record *rec = record_find(st->gate, &st->event->id);
+
+	return rec ? handle_message(st, peer, rec) : reply_unknown(st, REASON_INCARNATION);
+}
+
+/* Handles a message received over a connection that was replaced. A call that was not received
+ * before is refused for good, so that an entry that still uses the connection need not wait for its
+ * deadline. Anything else is dropped: replies about known attempts go to the later connection. */
+static int on_stale_message(struct step *st, struct entry_peer *peer, const struct record *rec)
+{
+	bool is_new = !rec && !entry_peer_may_have_received(peer, st->event->id.sequence);
+
+	if (st->event->type != GATE_EVENT_CALL || !is_new)
+		return drop(st, REASON_STALE_EPOCH);
+	return refuse_new(st, peer, GATE_INPUT_REFUSED, REASON_STALE_EPOCH,
+			  st->now_us + REFUSED_KEEP_US);
+}
+
+/* Handles a message from an entry node. */
+static int on_message(struct step *st)
+{
+	const struct attempt_id *id = &st->event->id;
+	struct entry_peer *peer = entry_peer_get(st->gate, &id->entry, st->now_us);
+	enum link_kind kind = link_kind_of(st->event->epoch);
+	struct record *rec;
+
+	if (!peer)
+		return reply_unknown(st, REASON_OVERLOAD);
+	if (id->entry.incarnation < peer->identity.incarnation)
+		return on_message_of_earlier_incarnation(st, peer);
+	if (id->entry.incarnation > peer->identity.incarnation)
+		entry_peer_reset(peer, id->entry.incarnation);
+	rec = record_find(st->gate, id);
+	if (st->event->epoch < peer->epochs[kind])
+		return on_stale_message(st, peer, rec);
+	peer->epochs[kind] = st->event->epoch;
+	peer->seen_us = st->now_us;
+	return handle_message(st, peer, rec);
+}
+
 /* Handles the decision of admission. An attempt that was cancelled meanwhile does not start
  * (GATE_ACTION_DROP), and must not keep its slot. */
 static int on_admission(struct step *st, struct record *rec)
--- a/src/fescuemill/decide/peer.c
+++ b/src/fescuemill/decide/peer.c
@@ -33,21 +33,22 @@
 		peer->state = (uint8_t)next;
 }
 
-/* Initializes a link that has not been opened yet. */
-void peer_init(struct peer *peer, enum link_kind kind)
+/* Initializes a link that has not been opened yet. All links of the process share the count of
+ * connections. */
+void peer_init(struct peer *peer, enum link_kind kind, uint32_t *connections)
 {
 	memset(peer, 0, sizeof(*peer));
+	peer->connections = connections;
 	peer->kind = (uint8_t)kind;
 	peer->state = PEER_CLOSED;
 }
 
 /* Records that a connection was opened, the first one or a replacement. Returns its epoch, which is
- * higher than those of all earlier connections of the link. */
+ * higher than those of all earlier connections of this process: the gate remembers the highest one
+ * that it has received, and refuses calls of lower ones. */
 uint32_t peer_opened(struct peer *peer, uint64_t now_us)
 {
-	uint32_t nth = peer->epoch / LINK_KIND_COUNT + 1;
-
-	peer->epoch = link_epoch((enum link_kind)peer->kind, nth);
+	peer->epoch = link_epoch((enum link_kind)peer->kind, ++*peer->connections);
 	peer_move(peer, CONNECTION_INPUT_OPENED);
 	peer->last_received_us = now_us;
 	peer->last_sent_us = now_us;
--- a/src/fescuemill/decide/peer.h
+++ b/src/fescuemill/decide/peer.h
@@ -26,6 +26,9 @@
 };
 
 struct peer {
+	/* Connections that this process has opened, over all links and kinds: a new connection's
+	 * epoch is higher than any before it, also to a gate whose link was removed meanwhile. */
+	uint32_t *connections;
 	uint64_t last_received_us; /* last message from the gate, or time of opening */
 	uint64_t last_sent_us; /* last message to the gate, pings included, or time of opening */
 	uint64_t waiting_since_us; /* start of the wait for answers, or time of opening */
@@ -42,7 +45,7 @@
 
 extern const struct peer_settings peer_default_settings;
 
-void peer_init(struct peer *peer, enum link_kind kind);
+void peer_init(struct peer *peer, enum link_kind kind, uint32_t *connections);
 uint32_t peer_opened(struct peer *peer, uint64_t now_us);
 void peer_closed(struct peer *peer);
 void peer_message_received(struct peer *peer, uint64_t now_us);
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -99,6 +99,7 @@
 	struct choice_settings choice_settings;
 	struct random rng;
 	uint64_t sequence_count; /* number of attempt sequences issued */
+	uint32_t connections;	 /* number of connections opened to gates */
 	struct entry_call *calls[ENTRY_CALLS_MAX];
 	uint32_t free_slots[ENTRY_CALLS_MAX];
 	uint32_t free_count;
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry_link.c
@@ -134,7 +134,7 @@
 		struct gate_conn *conn = &link->conns[kind];
 
 		conn->owner = link;
-		peer_init(&conn->peer, (enum link_kind)kind);
+		peer_init(&conn->peer, (enum link_kind)kind, &entry->connections);
 		h2o_linklist_init_anchor(&conn->calls);
 	}
 	return link;
--- a/test/functional/failure_pause_test.cc
+++ b/test/functional/failure_pause_test.cc
@@ -13,6 +13,7 @@
 constexpr int DEADLINE_MS = 3000;	   // of a call
 constexpr int WATCH_MS = 3000;		   // duration of a watch request to the platform
 constexpr int PAUSE_MS = 8000;		   // longer than every timeout
+constexpr int LINK_PAUSE_MS = 800;	   // until a connection is replaced, and no node is dead
 constexpr int SHORT_PAUSE_MS = 1900;	   // shorter than the lease of a backend server
 constexpr int FAILURE_DETECTION_MS = 5000; // until no node chooses a paused node
 constexpr int IN_FORCE_MS = 4000;	   // until a change is in force on all nodes
@@ -106,6 +107,45 @@
 	EXPECT_EQ(state_in_view(fleet.hosts[0], paused), "alive");
 }
 
+// Guards against calls to a gate that was taken for dead while it was paused: it must not take them
+// for calls of an older connection, and leave them without an answer for good.
+TEST(Pause, ResumedNodeServesTheCallsOfOtherNodes)
+{
+	FleetOptions fleet_options = FleetOptions::small(2);
+	LoadDriverOptions options;
+
+	fleet_options.change_settings = [](const std::string &, json_t *settings) {
+		json_object_set_new(settings, "heartbeat_ms", json_integer(100));
+		json_object_set_new(settings, "silence_ms", json_integer(LINK_PAUSE_MS / 2));
+	};
+	Fleet fleet(fleet_options);
+
+	options.deadline_ms = DEADLINE_MS;
+	start_with_first_gate_draining(fleet);
+	Host &paused = fleet.hosts[1];
+	LoadDriver before(fleet, options);
+	ASSERT_TRUE(before.wait_answered(20, DEADLINE_MS));
+	// The entry replaces its connection, and keeps the link.
+	paused.node->signal(SIGSTOP);
+	sleep_ms(LINK_PAUSE_MS);
+	paused.node->signal(SIGCONT);
+	ASSERT_TRUE(before.wait_answered(20, DEADLINE_MS));
+	// The entry removes its link to the dead node.
+	paused.node->signal(SIGSTOP);
+	EXPECT_TRUE(wait_until([&] { return state_in_view(fleet.hosts[0], paused) == "dead"; },
+			       FAILURE_DETECTION_MS));
+	before.stop();
+	paused.node->signal(SIGCONT);
+	fleet.wait_until_reachable(paused, "ledger", FAILURE_DETECTION_MS);
+	ASSERT_TRUE(wait_until([&] { return state_in_view(fleet.hosts[0], paused) == "alive"; },
+			       FAILURE_DETECTION_MS));
+	options.prefix = "resumed";
+	LoadDriver after(fleet, options);
+	EXPECT_TRUE(after.wait_answered(20, DEADLINE_MS));
+	const CallResults &results = after.stop();
+	EXPECT_EQ(count_results(results, "unknown"), 0) << tally(results);
+}
+
 // The pause is too short for the lease of the backend server to expire, but longer than the
 // deadline of the calls that wait at the node. Their entry is killed during the pause, so that it
 // cannot cancel them.
--- a/test/property/attempt_network.h
+++ b/test/property/attempt_network.h
@@ -83,6 +83,7 @@
 
 struct Entry {
 	uint64_t incarnation = 1, sequence = 0, paused_until = 0;
+	uint32_t connections = 0; // opened, over all links
 	retry_bucket bucket;
 	peer links[GATES][LINK_KIND_COUNT];
 	uint64_t link_incarnation[GATES][LINK_KIND_COUNT] = {};
