--- a/src/fescue_load/main.c
+++ b/src/fescue_load/main.c
@@ -116,7 +116,7 @@
 		char service[SERVICE_NAME_BYTES] = "";
 		const char *address = strchr(opts->backend->sval[i], '=');
 
-		if (!address || sscanf(opts->backend->sval[i], "%31[^=]", service) != 1)
+		if (!address || sscanf(opts->backend->sval[i], "%255[^=]", service) != 1)
 			return error_set(err, ERROR_USAGE, "--backend %s: allowed SERVICE=IP:PORT",
 					 opts->backend->sval[i]);
 		if (plan_add_backend(plan, service, address + 1, err))
--- a/src/fescuemill/base/json_read.c
+++ b/src/fescuemill/base/json_read.c
@@ -22,6 +22,22 @@
 	return 0;
 }
 
+/* Returns a string of any length but 0, which belongs to the object. */
+const char *json_read_string(const json_t *object, const char *key, struct error *err)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (!value)
+		error_set(err, ERROR_MISSING, "%s: required", key);
+	else if (!json_is_string(value))
+		error_set(err, ERROR_TYPE, "%s: must be a string", key);
+	else if (json_string_length(value) == 0)
+		error_set(err, ERROR_RANGE, "%s: must not be empty", key);
+	else
+		return json_string_value(value);
+	return NULL;
+}
+
 /* Reads an integer into 64 bits. After an error *out is 0. */
 int json_read_u64(const json_t *object, const char *key, json_int_t lowest, json_int_t highest,
 		  uint64_t *out, struct error *err)
--- a/src/fescuemill/base/json_read.h
+++ b/src/fescuemill/base/json_read.h
@@ -13,6 +13,9 @@
 /* Copies a string of 1 to size - 1 bytes. Errors: ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
 int json_read_text(const json_t *object, const char *key, char *out, size_t size,
 		   struct error *err);
+/* Returns a string of any length but 0, which belongs to the object; NULL after an error. Errors:
+ * ERROR_MISSING, ERROR_TYPE, ERROR_RANGE. */
+const char *json_read_string(const json_t *object, const char *key, struct error *err);
 /*
  * Read an integer from lowest to highest into 32 or 64 bits. After an error *out is 0. Errors:
  * ERROR_MISSING, ERROR_TYPE, ERROR_RANGE.
--- a/src/fescuemill/decide/call_defs.h
+++ b/src/fescuemill/decide/call_defs.h
@@ -9,7 +9,7 @@
 #include <stdint.h>
 
 #define NODE_NAME_BYTES	   48 /* sizes of names include the terminating NUL */
-#define SERVICE_NAME_BYTES 32
+#define SERVICE_NAME_BYTES 256
 #define CLASS_NAME_BYTES   32
 #define REGION_NAME_BYTES  32
 #define DOMAIN_NAME_BYTES  32
--- a/src/fescuemill/decide/route.c
+++ b/src/fescuemill/decide/route.c
@@ -143,6 +143,8 @@
 {
 	free(routing->routes);
 	free(routing->services);
+	free(routing->parts);
+	free(routing->texts);
 	memset(routing, 0, sizeof(*routing));
 }
 
@@ -189,7 +191,7 @@
  * gets its share to within about one request. */
 const struct route_part *route_pick_part(struct route *route)
 {
-	uint64_t total = 0;
+	double total = 0;
 	double position;
 
 	for (uint32_t i = 0; i < route->part_count; i++)
@@ -197,7 +199,7 @@
 	route->split_position += GOLDEN_RATIO_STEP;
 	if (route->split_position >= 1)
 		route->split_position -= 1;
-	position = route->split_position * (double)total;
+	position = route->split_position * total;
 	for (uint32_t i = 0; i < route->part_count; i++) {
 		if (position < route->parts[i].weight)
 			return &route->parts[i];
--- a/src/fescuemill/decide/route.h
+++ b/src/fescuemill/decide/route.h
@@ -11,49 +11,46 @@
 
 #include <stddef.h>
 
-#define ROUTE_HOST_BYTES   128
-#define ROUTE_PREFIX_BYTES 128
-#define ROUTE_NAME_BYTES   64
-#define ROUTE_PARTS_MAX	   8
-#define ROUTES_MAX	   16384
-#define HEALTH_PATH_BYTES  64
-
 /* One service of a route and its share of the route's requests. The share is its weight in relation
  * to the sum of all weights of the route. */
 struct route_part {
-	char service[SERVICE_NAME_BYTES];
+	const char *service;
 	char class_name[CLASS_NAME_BYTES]; /* class within the service; set by routing_finish() */
-	uint32_t weight;
+	double weight;
 };
 
 struct route {
-	char name[ROUTE_NAME_BYTES];
-	char host[ROUTE_HOST_BYTES];
-	char prefix[ROUTE_PREFIX_BYTES];
+	const char *name;
+	const char *host;
+	const char *prefix;
 	bool idempotent;
 	uint32_t timeout_ms;   /* maximum time that a client waits for the answer */
 	uint32_t latency_ms;   /* latency objective */
 	uint32_t rank;	       /* urgency; 0 is the most urgent */
 	uint32_t attempts_max; /* maximum number of backend servers tried for one request */
 	uint32_t part_count;
-	struct route_part parts[ROUTE_PARTS_MAX];
+	struct route_part *parts;
 	double split_position; /* in [0,1); selects the next part, see route_pick_part() */
 };
 
 /* A service that is the destination of routes. */
 struct route_service {
 	char name[SERVICE_NAME_BYTES];
-	char health_path[HEALTH_PATH_BYTES]; /* empty if not configured */
+	const char *health_path;      /* empty if not configured */
 	struct service_config config; /* classes derived from rank and objective of its routes */
 };
 
-/* All routes of one configuration version, sorted by host, longer prefixes first. */
+/* All routes of one configuration version, sorted by host, longer prefixes first. The texts and the
+ * lists of the operators are kept whole, whatever their length. */
 struct routing {
 	uint64_t number; /* version number set by the operators */
 	uint32_t route_count;
 	struct route *routes;
 	uint32_t service_count;
 	struct route_service *services;
+	struct route_part *parts; /* of all routes */
+	char *texts;		  /* names, hosts, prefixes and health paths of all routes */
+	uint32_t adjusted_count;  /* numbers that were replaced by the nearest usable ones */
 };
 
 int routing_finish(struct routing *routing, struct random *rng, struct error *err);
--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -206,8 +206,9 @@
 	entry->is_routing = true;
 	put_in_force(store, entry, delivery, &none);
 	log_write(LOG_INFO, LOG_PART_CONFIG, "Routes are now in force.",
-		  "number=%" PRIu64 " version=%" PRIu64 " routes=%u services=%u", routing.number,
-		  delivery->version, routing.route_count, routing.service_count);
+		  "number=%" PRIu64 " version=%" PRIu64 " routes=%u services=%u adjusted=%u",
+		  routing.number, delivery->version, routing.route_count, routing.service_count,
+		  routing.adjusted_count);
 	return 0;
 }
 
--- a/src/fescuemill/fleet/routing_json.c
+++ b/src/fescuemill/fleet/routing_json.c
@@ -12,87 +12,189 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TIME_MS_MAX  600000
-#define ATTEMPTS_MAX 100
-#define WEIGHT_MAX   1000000
-#define RANK_MAX     255
+#define TIME_MS_MAX    600000 /* the longest deadline of a call */
+#define ATTEMPTS_MAX   UINT8_MAX
+#define TEXT_DEPTH_MAX 8
+
+/* What is filled while a routing object is read. */
+struct reading {
+	struct routing *out;
+	size_t text_size;    /* used bytes of out->texts */
+	uint32_t part_count; /* used elements of out->parts */
+	struct error *err;
+};
+
+/* Returns the bytes that copies of all texts in a value take, each with its terminating NUL. Texts
+ * nested deeper than any field of a routing object are left out. */
+static size_t text_bytes(const json_t *value, uint32_t depth)
+{
+	size_t size = 0;
+	const char *key;
+	const json_t *item;
+	size_t index;
+
+	if (json_is_string(value))
+		return json_string_length(value) + 1;
+	if (depth == TEXT_DEPTH_MAX)
+		return 0;
+	json_object_foreach((json_t *)value, key, item)
+	{
+		size += text_bytes(item, depth + 1);
+	}
+	json_array_foreach(value, index, item)
+	{
+		size += text_bytes(item, depth + 1);
+	}
+	return size;
+}
+
+/* Returns the number of parts of all routes. */
+static size_t count_parts(const json_t *routes)
+{
+	size_t count = 0;
+	const json_t *route;
+	size_t index;
+
+	json_array_foreach(routes, index, route)
+	{
+		count += json_array_size(json_object_get(route, "services"));
+	}
+	return count;
+}
+
+/* Copies a text of any length but 0. */
+static int read_text(struct reading *rd, const json_t *object, const char *key, const char **out)
+{
+	const char *text = json_read_string(object, key, rd->err);
+	size_t size;
+
+	if (!text)
+		return -1;
+	size = strlen(text) + 1;
+	*out = memcpy(rd->out->texts + rd->text_size, text, size);
+	rd->text_size += size;
+	return 0;
+}
+
+/* Reads an integer. One out of range is replaced by the nearest number in range, as an object that
+ * the platform has accepted must come into force. */
+static int read_number(struct reading *rd, const json_t *object, const char *key, json_int_t lowest,
+		       json_int_t highest, uint32_t *out)
+{
+	const json_t *value = json_object_get(object, key);
+	json_int_t number = json_integer_value(value);
+
+	if (!value)
+		return error_set(rd->err, ERROR_MISSING, "%s: required", key);
+	if (!json_is_integer(value))
+		return error_set(rd->err, ERROR_TYPE, "%s: must be an integer", key);
+	*out = (uint32_t)(number < lowest ? lowest : number > highest ? highest : number);
+	rd->out->adjusted_count += number != (json_int_t)*out;
+	return 0;
+}
+
+/* Reads a weight, which is a number of any size that is not negative. */
+static int read_weight(struct reading *rd, const json_t *object, double *out)
+{
+	const json_t *value = json_object_get(object, "weight");
+
+	if (!value)
+		return error_set(rd->err, ERROR_MISSING, "weight: required");
+	if (!json_is_number(value))
+		return error_set(rd->err, ERROR_TYPE, "weight: must be a number");
+	*out = json_number_value(value);
+	if (*out < 0)
+		return error_set(rd->err, ERROR_RANGE, "weight: found %g, allowed 0 or more", *out);
+	return 0;
+}
 
 /* Reads the services of a route and their weights. At least one weight must be above 0. */
-static int read_parts(const json_t *json, struct route *out, struct error *err)
+static int read_parts(struct reading *rd, const json_t *json, struct route *out)
 {
-	const json_t *list = json_object_get(json, "services");
-	size_t count = json_array_size(list);
-	uint64_t total = 0;
-
-	if (count == 0 || count > ROUTE_PARTS_MAX)
-		return error_set(err, ERROR_RANGE, "services: found %zu, allowed 1 to %d", count,
-				 ROUTE_PARTS_MAX);
-	for (size_t i = 0; i < count; i++) {
-		const json_t *item = json_array_get(list, i);
+	const json_t *item;
+	size_t index;
+	double total = 0;
+
+	out->parts = rd->out->parts + rd->part_count;
+	json_array_foreach(json_object_get(json, "services"), index, item)
+	{
 		struct route_part *part = &out->parts[out->part_count++];
 
-		if (json_read_text(item, "service", part->service, sizeof(part->service), err) !=
-			    0 ||
-		    json_read_u32(item, "weight", 0, WEIGHT_MAX, &part->weight, err) != 0)
+		if (read_text(rd, item, "service", &part->service) != 0 ||
+		    read_weight(rd, item, &part->weight) != 0)
 			return -1;
 		total += part->weight;
 	}
-	if (total == 0)
-		return error_set(err, ERROR_RANGE, "services: at least one weight must be above 0");
+	rd->part_count += out->part_count;
+	if (total <= 0)
+		return error_set(rd->err, ERROR_RANGE,
+				 "services: at least one weight must be above 0");
 	return 0;
 }
 
-static int read_route(const json_t *json, struct route *out, struct error *err)
+static int read_route(struct reading *rd, const json_t *json, struct route *out)
 {
 	const json_t *idempotent = json_object_get(json, "idempotent");
-	size_t size;
 
-	if (json_read_text(json, "name", out->name, sizeof(out->name), err) != 0 ||
-	    json_read_text(json, "host", out->host, sizeof(out->host), err) != 0 ||
-	    json_read_text(json, "prefix", out->prefix, sizeof(out->prefix), err) != 0 ||
-	    json_read_u32(json, "timeout_ms", 1, TIME_MS_MAX, &out->timeout_ms, err) != 0 ||
-	    json_read_u32(json, "latency_ms", 1, TIME_MS_MAX, &out->latency_ms, err) != 0 ||
-	    json_read_u32(json, "rank", 0, RANK_MAX, &out->rank, err) != 0 ||
-	    json_read_u32(json, "attempts", 1, ATTEMPTS_MAX, &out->attempts_max, err) != 0)
+	if (read_text(rd, json, "name", &out->name) != 0 ||
+	    read_text(rd, json, "host", &out->host) != 0 ||
+	    read_text(rd, json, "prefix", &out->prefix) != 0 ||
+	    read_number(rd, json, "timeout_ms", 1, TIME_MS_MAX, &out->timeout_ms) != 0 ||
+	    read_number(rd, json, "latency_ms", 1, TIME_MS_MAX, &out->latency_ms) != 0 ||
+	    read_number(rd, json, "rank", 0, UINT8_MAX, &out->rank) != 0 ||
+	    read_number(rd, json, "attempts", 1, ATTEMPTS_MAX, &out->attempts_max) != 0)
 		return -1;
-	size = strlen(out->prefix);
-	if (out->prefix[0] != '/' || out->prefix[size - 1] != '/')
-		return error_set(err, ERROR_RANGE, "prefix: must begin and end with \"/\"");
+	if (out->prefix[0] != '/' || out->prefix[strlen(out->prefix) - 1] != '/')
+		return error_set(rd->err, ERROR_RANGE, "prefix: must begin and end with \"/\"");
 	if (!json_is_boolean(idempotent))
-		return error_set(err, ERROR_TYPE, "idempotent: must be true or false");
+		return error_set(rd->err, ERROR_TYPE, "idempotent: must be true or false");
 	out->idempotent = json_is_true(idempotent);
-	return read_parts(json, out, err);
+	return read_parts(rd, json, out);
 }
 
-static int read_service(const json_t *json, struct route_service *out, struct error *err)
+static int read_service(struct reading *rd, const json_t *json, struct route_service *out)
 {
-	if (json_read_text(json, "name", out->name, sizeof(out->name), err) != 0)
+	out->health_path = "";
+	if (json_read_text(json, "name", out->name, sizeof(out->name), rd->err) != 0)
 		return -1;
 	if (!json_object_get(json, "health_path"))
 		return 0;
-	return json_read_text(json, "health_path", out->health_path, sizeof(out->health_path), err);
+	return read_text(rd, json, "health_path", &out->health_path);
 }
 
-/* Reads both lists into the arrays of `out`, which the caller has allocated. */
-static int read_lists(const json_t *routes, const json_t *services, struct routing *out,
-		      struct error *err)
+/* Reads both lists into the arrays of the routing, which the caller has allocated. */
+static int read_lists(struct reading *rd, const json_t *routes, const json_t *services)
 {
+	struct routing *out = rd->out;
 	const json_t *item;
 	size_t index;
 
 	json_array_foreach(services, index, item)
 	{
-		if (read_service(item, &out->services[out->service_count++], err) != 0)
+		if (read_service(rd, item, &out->services[out->service_count++]) != 0)
 			return -1;
 	}
 	json_array_foreach(routes, index, item)
 	{
-		if (read_route(item, &out->routes[out->route_count++], err) != 0)
+		if (read_route(rd, item, &out->routes[out->route_count++]) != 0)
 			return -1;
 	}
 	return 0;
 }
 
+/* Allocates the memory for the lists and the texts of a routing object. */
+static int allocate(struct routing *out, const json_t *json)
+{
+	const json_t *routes = json_object_get(json, "routes");
+	const json_t *services = json_object_get(json, "services");
+
+	out->routes = calloc(json_array_size(routes) + 1, sizeof(*out->routes));
+	out->services = calloc(json_array_size(services) + 1, sizeof(*out->services));
+	out->parts = calloc(count_parts(routes) + 1, sizeof(*out->parts));
+	out->texts = malloc(text_bytes(json, 0) + 1);
+	return out->routes && out->services && out->parts && out->texts ? 0 : -1;
+}
+
 /* Returns true if a JSON value is a routing object, that is, has "routes". */
 bool routing_is_object(const json_t *json)
 {
@@ -106,21 +208,18 @@
 	const json_t *routes = json_object_get(json, "routes");
 	const json_t *services = json_object_get(json, "services");
 
+	struct reading rd = {.out = out, .err = err};
+
 	memset(out, 0, sizeof(*out));
 	if (!json_is_array(routes) || !json_is_array(services))
 		return error_set(err, ERROR_TYPE, "routes, services: both must be lists");
-	if (json_array_size(routes) > ROUTES_MAX)
-		return error_set(err, ERROR_RANGE, "routes: found %zu, allowed 0 to %d",
-				 json_array_size(routes), ROUTES_MAX);
 	if (json_read_u64(json, "number", 0, INT64_MAX, &out->number, err) != 0)
 		return -1;
-	out->routes = calloc(json_array_size(routes) + 1, sizeof(*out->routes));
-	out->services = calloc(json_array_size(services) + 1, sizeof(*out->services));
-	if (!out->routes || !out->services) {
+	if (allocate(out, json) != 0) {
 		routing_free(out);
 		return error_set(err, ERROR_MEMORY, "no memory for routes");
 	}
-	if (read_lists(routes, services, out, err) != 0 || routing_finish(out, rng, err) != 0) {
+	if (read_lists(&rd, routes, services) != 0 || routing_finish(out, rng, err) != 0) {
 		routing_free(out);
 		return -1;
 	}
--- a/src/fescuemilld/entry_classify.c
+++ b/src/fescuemilld/entry_classify.c
@@ -6,6 +6,7 @@
 
 #include "fescuemill/base/clock.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* Looks up the class named in `out` in the configuration of its service. */
@@ -48,9 +49,9 @@
 	if (!route)
 		return REASON_UNKNOWN_SERVICE;
 	part = route_pick_part(route);
-	memcpy(out->service, part->service, sizeof(out->service));
+	snprintf(out->service, sizeof(out->service), "%s", part->service);
 	memcpy(out->name, part->class_name, sizeof(out->name));
-	memcpy(out->route, route->name, sizeof(out->route));
+	snprintf(out->route, sizeof(out->route), "%s", route->name);
 	out->idempotent = route->idempotent;
 	out->servers_max = route->attempts_max;
 	if (out->time_left_us > route->timeout_ms * USEC_PER_MSEC)
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -16,7 +16,8 @@
 
 #include <h2o/linklist.h>
 
-#define ENTRY_CALLS_MAX 16384 /* sequence % ENTRY_CALLS_MAX is the call's slot */
+#define ENTRY_ROUTE_BYTES 64
+#define ENTRY_CALLS_MAX	  16384 /* sequence % ENTRY_CALLS_MAX is the call's slot */
 
 struct entry_call;
 struct gate_link;
@@ -76,7 +77,8 @@
 	uint32_t slot;	      /* index in the entry's calls */
 	uint8_t class_index;  /* index in the service's configuration */
 	char class_name[CLASS_NAME_BYTES];
-	char route[ROUTE_NAME_BYTES]; /* empty when the request names its service */
+	char route[ENTRY_ROUTE_BYTES]; /* name for the log; empty when the request names its service
+					*/
 	bool idempotent;
 };
 
@@ -84,7 +86,7 @@
 struct call_class {
 	char service[SERVICE_NAME_BYTES];
 	char name[CLASS_NAME_BYTES];
-	char route[ROUTE_NAME_BYTES];
+	char route[ENTRY_ROUTE_BYTES];
 	uint8_t index; /* class index in the service's configuration */
 	bool idempotent;
 	uint32_t servers_max;  /* backend servers that the call may be sent to; 0: no limit */
--- a/src/fescuemilld/gate_probe.c
+++ b/src/fescuemilld/gate_probe.c
@@ -99,7 +99,7 @@
 	uint64_t now_us = clock_monotonic_us();
 	struct error err;
 
-	if (shell->probe || shell->health_path[0] == '\0' ||
+	if (shell->probe || !shell->health_path ||
 	    now_us < shell->last_discovery_us + DISCOVERY_PERIOD_US)
 		return;
 	shell->last_discovery_us = now_us;
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate_shell.c
@@ -440,8 +440,11 @@
  * none. */
 void gate_shell_set_health_path(struct gate_shell *shell, const char *path)
 {
-	memcpy(shell->health_path, path, strlen(path) + 1);
-	shell->admission.slowdown.is_enabled = path[0] != '\0';
+	if (strcmp(path, shell->health_path ? shell->health_path : "") != 0) {
+		free(shell->health_path);
+		shell->health_path = path[0] ? strdup(path) : NULL;
+	}
+	shell->admission.slowdown.is_enabled = shell->health_path != NULL;
 }
 
 /* Returns the admission state. */
@@ -555,6 +558,7 @@
 
 	gate_key_free_all(shell);
 	attempt_gate_destroy(shell->table);
+	free(shell->health_path);
 	free(shell);
 }
 
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate_shell_defs.h
@@ -57,8 +57,8 @@
 	struct server_notice notice;	/* latest word of the backend server, for entries to keep */
 	bool has_heard_server;		/* this start of it has answered a call of this process */
 	bool has_logged_bad_rate;
-	char health_path[HEALTH_PATH_BYTES]; /* empty: the backend server cannot be probed */
-	uint64_t saturation_logged_us;	     /* time of the latest verdict that was logged */
+	char *health_path;	       /* NULL: the backend server cannot be probed */
+	uint64_t saturation_logged_us; /* time of the latest verdict that was logged */
 	bool is_draining;
 };
 
--- a/test/unit/decide/route_test.cc
+++ b/test/unit/decide/route_test.cc
@@ -153,6 +153,64 @@
 		  routing_find_service(&routes.table, "a")->config.class_count);
 }
 
+// Guards against a whole configuration that is refused for one text or list that is longer than
+// usual: the operators' store has accepted it, and the one before would stay in force.
+TEST(Route, TextsAndListsOfAnyLengthAreInForce)
+{
+	const std::string host(300, 'h');
+	const std::string prefix = "/" + std::string(4000, 'p') + "/";
+	const std::string name(700, 'n');
+	const std::string health = "/" + std::string(500, 'c');
+	const std::string service(SERVICE_NAME_BYTES - 1, 's');
+	std::string parts;
+
+	for (int i = 0; i < 40; i++)
+		parts += std::string(i ? "," : "") + R"({"service":")" + (i % 2 ? service : "a") +
+			 R"(","weight":1})";
+	Routes routes("[" + route_json(name, host, prefix, "[" + parts + "]") + "," +
+			      route_json("other", "x", "/") + "]",
+		      R"([{"name":"a","health_path":")" + health + R"("},{"name":")" + service +
+			      R"("}])");
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	EXPECT_EQ(name, routes.name(host, prefix + "x"));
+	EXPECT_EQ("other", routes.name("x", prefix));
+	EXPECT_EQ(40u, routes.find(host, prefix)->part_count);
+	EXPECT_EQ(service, routes.find(host, prefix)->parts[39].service);
+	EXPECT_EQ(health, routing_find_service(&routes.table, "a")->health_path);
+	EXPECT_STREQ("", routing_find_service(&routes.table, service.c_str())->health_path);
+}
+
+// As above, for numbers.
+TEST(Route, NumbersOutOfRangeAreReplacedByTheNearestUsableOnes)
+{
+	Routes routes(
+		R"([{"name":"r","host":"x","prefix":"/","idempotent":true,"timeout_ms":3600000,)"
+		R"("latency_ms":0,"rank":1000,"attempts":0,"services":[{"service":"a","weight":1}]},)" +
+		route_json("other", "x", "/o/") + "]");
+
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	EXPECT_EQ(600000u, routes.find("x", "/")->timeout_ms);
+	EXPECT_EQ(1u, routes.find("x", "/")->latency_ms);
+	EXPECT_EQ(255u, routes.find("x", "/")->rank);
+	EXPECT_EQ(1u, routes.find("x", "/")->attempts_max);
+	EXPECT_EQ(4u, routes.table.adjusted_count);
+}
+
+TEST(Route, SplitByFractionsHasTheirShares)
+{
+	Routes routes(
+		"[" +
+		route_json("split", "x", "/",
+			   R"([{"service":"a","weight":0.75},{"service":"b","weight":0.25}])") +
+		"]");
+	std::map<std::string, int> seen;
+
+	ASSERT_EQ(0, routes.status) << routes.err.detail;
+	for (int i = 1; i <= 400; i++)
+		seen[route_pick_part(routes.find("x", "/"))->service]++;
+	EXPECT_NEAR(seen["b"], 100, 3);
+}
+
 TEST(Route, InvalidRoutingIsRejectedWithTheErrorKind)
 {
 	const std::string good = route_json("one", "x", "/1/");
--- a/test/unit/platform/store_dialect_test.cc
+++ b/test/unit/platform/store_dialect_test.cc
@@ -220,6 +220,43 @@
 	config_close(store);
 }
 
+// Guards against a configuration that the platform has accepted and that is refused whole for one
+// of its values: a long name or prefix, a fraction, a number beyond what a node uses, no name at
+// all.
+TEST(PlatformStore, ConfigurationWithUnusualValuesIsInForce)
+{
+	const std::string prefix = "/" + std::string(300, 'p') + "/";
+	const std::string service(100, 's');
+	ReadAnswer list(
+		PLATFORM_LIST, 200,
+		R"({"items":[{"metadata":{"name":"main","revision":6},"spec":{"version":"0000000c",)"
+		R"("services":[{"name":")" +
+			service + R"(","health_path":")" + prefix +
+			R"("}],"virtual_hosts":[{"host":")" + std::string(200, 'h') +
+			R"(","paths":[{"name":"r","path_prefix":")" + prefix +
+			R"(","kind":"idempotent","timeout_ms":1e12,"slo_latency_ms":0.5,"priority":300,)"
+			R"("max_attempts":1000,"traffic_split":[{"service":")" +
+			service + R"(","weight":0.5},{"service":")" + service +
+			R"(","weight":0.5}]},{"path_prefix":"/q/","kind":"upload","timeout_ms":800,)"
+			R"("priority":1,"max_attempts":1,"service":")" +
+			service + R"("}]}]}}],"has_more":false,"at":6})");
+	config_store *store = nullptr;
+	error err = {};
+
+	ASSERT_EQ(0, config_open(&store, 1, &err));
+	ASSERT_EQ(0, config_apply_batch(store, 0, list.body().data(), list.body().size(), &err))
+		<< err.detail;
+	routing *routes = config_routing(store);
+	ASSERT_TRUE(routes);
+	EXPECT_EQ(2u, routes->route_count);
+	route *first = routing_find_route(routes, std::string(200, 'h').c_str(), 200,
+					  (prefix + "x").c_str(), prefix.size() + 1);
+	ASSERT_TRUE(first);
+	EXPECT_EQ(600000u, first->timeout_ms);
+	EXPECT_EQ(service, route_pick_part(first)->service);
+	config_close(store);
+}
+
 TEST(PlatformStore, OlderConfigurationNeverReplacesNewer)
 {
 	auto batch = [](int number, int version) {
