--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -166,6 +166,7 @@
 	return gate->state == BACKEND_READY;
 }
 
+/* Returns true if the backend server, or this node, is about to end. */
 static bool is_draining(const struct gate *gate)
 {
 	return gate->state == BACKEND_DRAINING || gate->state == BACKEND_LEAVING;
--- a/src/fescuemill/fleet/routing_json.c
+++ b/src/fescuemill/fleet/routing_json.c
@@ -207,7 +207,6 @@
 {
 	const json_t *routes = json_object_get(json, "routes");
 	const json_t *services = json_object_get(json, "services");
-
 	struct reading rd = {.out = out, .err = err};
 
 	memset(out, 0, sizeof(*out));
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry_defs.h
@@ -77,8 +77,7 @@
 	uint32_t slot;	      /* index in the entry's calls */
 	uint8_t class_index;  /* index in the service's configuration */
 	char class_name[CLASS_NAME_BYTES];
-	char route[ENTRY_ROUTE_BYTES]; /* name for the log; empty when the request names its service
-					*/
+	char route[ENTRY_ROUTE_BYTES]; /* for the log; empty when the request names its service */
 	bool idempotent;
 };
 
