Watches that notice a silent connection in time (CONFIG)

Callers saw, in the users' record of an earlier landing: after a confirmed change, all nodes at once refused requests on added routes (404, unknown-service) later than the 2 s allowed.

Reproduced on this code: connections to the platform go silent behind a proxy that goes on acknowledging TCP probes, and a change is written at the platform. No node has it 4 s later, 2 of 2 runs: a watch may wait 25 s, and only TCP keepalive would have ended it, which a proxy, or the kernel of a store that hangs, answers. New connections work all the while.

Whether this is what the users' machines did can't be told from the record; see the postmortem.

More calls to the platform; calls over the budget of bytes wait, as before.

--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -160,7 +160,9 @@
 	{"platform_timeout_ms", RULE(VALUE_UINT32, platform_timeout_ms, 50, MINUTE_MS, "ms"),
 	 "2000", "timeout of a platform call; for a watch it is added to platform_watch_ms"},
 	{"platform_watch_ms", RULE(VALUE_UINT32, platform_watch_ms, 100, 5ULL * MINUTE_MS, "ms"),
-	 "25000", "how long the platform may delay its answer to a watch"},
+	 "1500",
+	 "how long the platform may delay its answer to a watch; a connection that has gone silent "
+	 "is noticed platform_timeout_ms after it, and changes until then come late"},
 	{"platform_backoff_ms", RULE(VALUE_UINT32, platform_backoff_ms, 100, MINUTE_MS, "ms"),
 	 "10000", "longest wait between two retries while platform calls fail"},
 	{"admin_keys", RULE(VALUE_ADMIN_KEYS, admin_keys, 0, ADMIN_KEYS_MAX, "entries"), "[]",
