--- a/src/fescuemilld/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -2,18 +2,18 @@
  * Shell of the entry role. What happens to a call is decided by decide/attempt_entry.c; which gate
  * it is sent to, by decide/choice.c.
  */
-#include "fescuemilld/entry.h"
+#include "fescuemilld/entry/entry.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/retry_after.h"
-#include "fescuemilld/entry_classify.h"
-#include "fescuemilld/entry_defs.h"
-#include "fescuemilld/entry_link.h"
-#include "fescuemilld/entry_log.h"
-#include "fescuemilld/entry_service.h"
+#include "fescuemilld/entry/entry_classify.h"
+#include "fescuemilld/entry/entry_defs.h"
+#include "fescuemilld/entry/entry_link.h"
+#include "fescuemilld/entry/entry_log.h"
+#include "fescuemilld/entry/entry_service.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/fescuemilld/entry.h
+++ b/src/fescuemilld/entry/entry.h
@@ -2,8 +2,8 @@
  * Shell of the entry role: receives callers' requests, carries out the decisions of the pure
  * modules in decide/ about each call, and sends the answers.
  */
-#ifndef FESCUEMILLD_ENTRY_H
-#define FESCUEMILLD_ENTRY_H
+#ifndef FESCUEMILLD_ENTRY_ENTRY_H
+#define FESCUEMILLD_ENTRY_ENTRY_H
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/burn.h"
@@ -12,7 +12,7 @@
 #include "fescuemill/http/caller.h"
 #include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/wire/channel.h"
-#include "fescuemilld/key_members.h"
+#include "fescuemilld/node/key_members.h"
 
 #include <uv.h>
 
--- a/src/fescuemilld/entry_classify.c
+++ b/src/fescuemilld/entry/entry_classify.c
@@ -2,7 +2,7 @@
  * Classifies requests. A request either names its service and class itself, or is matched to a
  * configured route by its host and path.
  */
-#include "fescuemilld/entry_classify.h"
+#include "fescuemilld/entry/entry_classify.h"
 
 #include "fescuemill/base/clock.h"
 
--- a/src/fescuemilld/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -1,8 +1,8 @@
 /*
  * Types shared by the entry's source files: calls, links to gates, services.
  */
-#ifndef FESCUEMILLD_ENTRY_DEFS_H
-#define FESCUEMILLD_ENTRY_DEFS_H
+#ifndef FESCUEMILLD_ENTRY_ENTRY_DEFS_H
+#define FESCUEMILLD_ENTRY_ENTRY_DEFS_H
 
 #include "fescuemill/base/random.h"
 #include "fescuemill/decide/attempt_entry.h"
@@ -12,7 +12,7 @@
 #include "fescuemill/decide/peer.h"
 #include "fescuemill/decide/route.h"
 #include "fescuemill/decide/slot_map.h"
-#include "fescuemilld/entry.h"
+#include "fescuemilld/entry/entry.h"
 
 #include <h2o/linklist.h>
 
--- a/src/fescuemilld/entry_link.c
+++ b/src/fescuemilld/entry/entry_link.c
@@ -2,7 +2,7 @@
  * Links from the entry to gates. When a connection is pinged or replaced is decided by
  * decide/peer.c.
  */
-#include "fescuemilld/entry_link.h"
+#include "fescuemilld/entry/entry_link.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
--- a/src/fescuemilld/entry_link.h
+++ b/src/fescuemilld/entry/entry_link.h
@@ -2,10 +2,10 @@
  * Links from the entry to gates, found by the gate's node id. A link has one connection for calls
  * and one for large bodies, each with its own epochs and heartbeats.
  */
-#ifndef FESCUEMILLD_ENTRY_LINK_H
-#define FESCUEMILLD_ENTRY_LINK_H
+#ifndef FESCUEMILLD_ENTRY_ENTRY_LINK_H
+#define FESCUEMILLD_ENTRY_ENTRY_LINK_H
 
-#include "fescuemilld/entry_defs.h"
+#include "fescuemilld/entry/entry_defs.h"
 
 struct gate_link *entry_link_get(struct entry *entry, const struct node_incarnation *gate,
 				 struct error *err);
--- a/src/fescuemilld/entry_log.c
+++ b/src/fescuemilld/entry/entry_log.c
@@ -2,7 +2,7 @@
  * Log lines of the entry, by which a call can be traced from the client's request id to its
  * outcome.
  */
-#include "fescuemilld/entry_log.h"
+#include "fescuemilld/entry/entry_log.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
--- a/src/fescuemilld/entry_log.h
+++ b/src/fescuemilld/entry/entry_log.h
@@ -2,10 +2,10 @@
  * Log lines of the entry: one for each call and attempt, so that a call can be traced by the
  * client's request id.
  */
-#ifndef FESCUEMILLD_ENTRY_LOG_H
-#define FESCUEMILLD_ENTRY_LOG_H
+#ifndef FESCUEMILLD_ENTRY_ENTRY_LOG_H
+#define FESCUEMILLD_ENTRY_ENTRY_LOG_H
 
-#include "fescuemilld/entry_defs.h"
+#include "fescuemilld/entry/entry_defs.h"
 
 /* Logs a call that was refused before its first attempt. */
 void entry_log_refused(const struct call_request *req, enum call_reason reason,
--- a/src/fescuemilld/entry_service.c
+++ b/src/fescuemilld/entry/entry_service.c
@@ -1,11 +1,11 @@
 /*
  * State that the entry keeps for each service in use: choice of a gate, retry budget, key owners.
  */
-#include "fescuemilld/entry_service.h"
+#include "fescuemilld/entry/entry_service.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/entry_link.h"
+#include "fescuemilld/entry/entry_link.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/fescuemilld/entry_service.h
+++ b/src/fescuemilld/entry/entry_service.h
@@ -1,10 +1,10 @@
 /*
  * State that the entry keeps for each service in use: choice of a gate, retry budget, key owners.
  */
-#ifndef FESCUEMILLD_ENTRY_SERVICE_H
-#define FESCUEMILLD_ENTRY_SERVICE_H
+#ifndef FESCUEMILLD_ENTRY_ENTRY_SERVICE_H
+#define FESCUEMILLD_ENTRY_ENTRY_SERVICE_H
 
-#include "fescuemilld/entry_defs.h"
+#include "fescuemilld/entry/entry_defs.h"
 
 void entry_service_settings(const struct settings *settings, uint64_t own_id,
 			    struct choice_settings *out);
--- a/src/fescuemilld/demand_shell.c
+++ b/src/fescuemilld/gate/demand_shell.c
@@ -3,7 +3,7 @@
  * classes. While any gate of the service has demand, it also requests the reports that it lacks
  * from one random gate.
  */
-#include "fescuemilld/demand_shell.h"
+#include "fescuemilld/gate/demand_shell.h"
 
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
--- a/src/fescuemilld/demand_shell.h
+++ b/src/fescuemilld/gate/demand_shell.h
@@ -2,8 +2,8 @@
  * Shell of demand: sets this gate's share of the fleet-wide calls_per_s of each class. The shares
  * follow the demand at each gate, which the gates of a service report to each other by gossip.
  */
-#ifndef FESCUEMILLD_DEMAND_SHELL_H
-#define FESCUEMILLD_DEMAND_SHELL_H
+#ifndef FESCUEMILLD_GATE_DEMAND_SHELL_H
+#define FESCUEMILLD_GATE_DEMAND_SHELL_H
 
 #include "fescuemill/decide/gate.h"
 #include "fescuemill/fleet/config.h"
--- a/src/fescuemilld/gate_admission.c
+++ b/src/fescuemilld/gate/gate_admission.c
@@ -1,14 +1,14 @@
 /*
  * Passes attempts to the admission module (decide/gate.c) and carries out its verdicts.
  */
-#include "fescuemilld/gate_admission.h"
+#include "fescuemilld/gate/gate_admission.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/gate_attempt.h"
-#include "fescuemilld/gate_key.h"
-#include "fescuemilld/gate_probe.h"
+#include "fescuemilld/gate/gate_attempt.h"
+#include "fescuemilld/gate/gate_key.h"
+#include "fescuemilld/gate/gate_probe.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/fescuemilld/gate_admission.h
+++ b/src/fescuemilld/gate/gate_admission.h
@@ -4,10 +4,10 @@
  * Carrying out one verdict may produce another: a run that cannot be started frees its slot. So
  * verdicts are queued, and only the outermost gate_admission_apply_verdicts() carries them out.
  */
-#ifndef FESCUEMILLD_GATE_ADMISSION_H
-#define FESCUEMILLD_GATE_ADMISSION_H
+#ifndef FESCUEMILLD_GATE_GATE_ADMISSION_H
+#define FESCUEMILLD_GATE_GATE_ADMISSION_H
 
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 void gate_admission_init(struct gate_shell *shell);
 
--- a/src/fescuemilld/gate_attempt.c
+++ b/src/fescuemilld/gate/gate_attempt.c
@@ -1,7 +1,7 @@
 /*
  * Memory of one attempt at the gate.
  */
-#include "fescuemilld/gate_attempt.h"
+#include "fescuemilld/gate/gate_attempt.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/fescuemilld/gate_attempt.h
+++ b/src/fescuemilld/gate/gate_attempt.h
@@ -2,10 +2,10 @@
  * Memory of one attempt at the gate: its request until the run ends, its answer until the entry has
  * received it.
  */
-#ifndef FESCUEMILLD_GATE_ATTEMPT_H
-#define FESCUEMILLD_GATE_ATTEMPT_H
+#ifndef FESCUEMILLD_GATE_GATE_ATTEMPT_H
+#define FESCUEMILLD_GATE_GATE_ATTEMPT_H
 
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 uint64_t gate_attempt_request_bytes(const struct message_call *call);
 struct gate_attempt *gate_attempt_new(struct gate_shell *shell, const struct origin *origin);
--- a/src/fescuemilld/gate_key.c
+++ b/src/fescuemilld/gate/gate_key.c
@@ -1,10 +1,10 @@
 /*
  * Keyed calls at the gate that owns their key. Which of them may run is decided by decide/key.c.
  */
-#include "fescuemilld/gate_key.h"
+#include "fescuemilld/gate/gate_key.h"
 
 #include "fescuemill/base/clock.h"
-#include "fescuemilld/gate_attempt.h"
+#include "fescuemilld/gate/gate_attempt.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/fescuemilld/gate_key.h
+++ b/src/fescuemilld/gate/gate_key.h
@@ -2,10 +2,10 @@
  * Keyed calls at the gate that owns their key: a call runs once for each key, and repeats get the
  * stored answer.
  */
-#ifndef FESCUEMILLD_GATE_KEY_H
-#define FESCUEMILLD_GATE_KEY_H
+#ifndef FESCUEMILLD_GATE_GATE_KEY_H
+#define FESCUEMILLD_GATE_GATE_KEY_H
 
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 /* What to do with a new attempt. */
 enum gate_key_action {
--- a/src/fescuemilld/gate_notice.c
+++ b/src/fescuemilld/gate/gate_notice.c
@@ -1,12 +1,12 @@
 /*
  * Notices of the backend server.
  */
-#include "fescuemilld/gate_notice.h"
+#include "fescuemilld/gate/gate_notice.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/gate_admission.h"
+#include "fescuemilld/gate/gate_admission.h"
 
 #include <string.h>
 
--- a/src/fescuemilld/gate_notice.h
+++ b/src/fescuemilld/gate/gate_notice.h
@@ -2,10 +2,10 @@
  * Notices of the backend server: takes the limit on its calls and its leaving from its answers,
  * and, after a restart of this node, from entries that have heard of them.
  */
-#ifndef FESCUEMILLD_GATE_NOTICE_H
-#define FESCUEMILLD_GATE_NOTICE_H
+#ifndef FESCUEMILLD_GATE_GATE_NOTICE_H
+#define FESCUEMILLD_GATE_GATE_NOTICE_H
 
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 /* Applies what an answer to a call states. */
 void gate_notice_record(struct gate_shell *shell, const struct backend_answer *answer);
--- a/src/fescuemilld/gate_probe.c
+++ b/src/fescuemilld/gate/gate_probe.c
@@ -1,13 +1,13 @@
 /*
  * Probes: requests to the health path of the backend server, which reports load and slowdown there.
  */
-#include "fescuemilld/gate_probe.h"
+#include "fescuemilld/gate/gate_probe.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/gate_admission.h"
-#include "fescuemilld/gate_notice.h"
+#include "fescuemilld/gate/gate_admission.h"
+#include "fescuemilld/gate/gate_notice.h"
 
 #include <string.h>
 
--- a/src/fescuemilld/gate_probe.h
+++ b/src/fescuemilld/gate/gate_probe.h
@@ -1,10 +1,10 @@
 /*
  * Probes: requests to the health path of the backend server, which reports load and slowdown there.
  */
-#ifndef FESCUEMILLD_GATE_PROBE_H
-#define FESCUEMILLD_GATE_PROBE_H
+#ifndef FESCUEMILLD_GATE_GATE_PROBE_H
+#define FESCUEMILLD_GATE_GATE_PROBE_H
 
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 /* Sends a probe if admission needs one. To be called after every operation on admission. */
 void gate_probe_check(struct gate_shell *shell);
--- a/src/fescuemilld/gate_reply.c
+++ b/src/fescuemilld/gate/gate_reply.c
@@ -2,7 +2,7 @@
  * Messages that the gate sends to entries. A reply that cannot be sent is not repeated by the gate:
  * the entry asks again over a new connection.
  */
-#include "fescuemilld/gate_reply.h"
+#include "fescuemilld/gate/gate_reply.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
--- a/src/fescuemilld/gate_reply.h
+++ b/src/fescuemilld/gate/gate_reply.h
@@ -1,10 +1,10 @@
 /*
  * Messages that the gate sends to entries.
  */
-#ifndef FESCUEMILLD_GATE_REPLY_H
-#define FESCUEMILLD_GATE_REPLY_H
+#ifndef FESCUEMILLD_GATE_GATE_REPLY_H
+#define FESCUEMILLD_GATE_GATE_REPLY_H
 
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 void gate_reply_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
 		       const struct origin *origin);
--- a/src/fescuemilld/gate_shell.c
+++ b/src/fescuemilld/gate/gate_shell.c
@@ -1,19 +1,19 @@
 /*
  * Shell of the gate role: carries out the decisions of the attempt table and of admission.
  */
-#include "fescuemilld/gate_shell.h"
+#include "fescuemilld/gate/gate_shell.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/gate_admission.h"
-#include "fescuemilld/gate_attempt.h"
-#include "fescuemilld/gate_key.h"
-#include "fescuemilld/gate_notice.h"
-#include "fescuemilld/gate_probe.h"
-#include "fescuemilld/gate_reply.h"
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_admission.h"
+#include "fescuemilld/gate/gate_attempt.h"
+#include "fescuemilld/gate/gate_key.h"
+#include "fescuemilld/gate/gate_notice.h"
+#include "fescuemilld/gate/gate_probe.h"
+#include "fescuemilld/gate/gate_reply.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/fescuemilld/gate_shell.h
+++ b/src/fescuemilld/gate/gate_shell.h
@@ -2,14 +2,14 @@
  * Shell of the gate role: handles messages from entries, carries out the decisions of the attempt
  * table and of admission, runs calls on the backend server and sends their answers.
  */
-#ifndef FESCUEMILLD_GATE_SHELL_H
-#define FESCUEMILLD_GATE_SHELL_H
+#ifndef FESCUEMILLD_GATE_GATE_SHELL_H
+#define FESCUEMILLD_GATE_GATE_SHELL_H
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/gate_defs.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/wire/channel.h"
-#include "fescuemilld/key_members.h"
+#include "fescuemilld/node/key_members.h"
 
 #include <uv.h>
 
--- a/src/fescuemilld/gate_shell_defs.h
+++ b/src/fescuemilld/gate/gate_shell_defs.h
@@ -1,8 +1,8 @@
 /*
  * Types shared by the gate's source files: attempts, the shell, the origin of a message.
  */
-#ifndef FESCUEMILLD_GATE_SHELL_DEFS_H
-#define FESCUEMILLD_GATE_SHELL_DEFS_H
+#ifndef FESCUEMILLD_GATE_GATE_SHELL_DEFS_H
+#define FESCUEMILLD_GATE_GATE_SHELL_DEFS_H
 
 #include "fescuemill/decide/attempt_gate.h"
 #include "fescuemill/decide/gate.h"
@@ -10,7 +10,7 @@
 #include "fescuemill/decide/notice_defs.h"
 #include "fescuemill/decide/route.h"
 #include "fescuemill/http/backend.h"
-#include "fescuemilld/gate_shell.h"
+#include "fescuemilld/gate/gate_shell.h"
 
 #include <h2o/linklist.h>
 #include <h2o/memory.h>
--- a/src/fescuemilld/main.c
+++ b/src/fescuemilld/main.c
@@ -3,7 +3,7 @@
  */
 #include "fescuemill/base/log.h"
 #include "fescuemill/settings/settings.h"
-#include "fescuemilld/node.h"
+#include "fescuemilld/node/node.h"
 
 #include <argtable2.h>
 #include <stdio.h>
--- a/src/fescuemilld/admin_shell.c
+++ b/src/fescuemilld/node/admin_shell.c
@@ -1,7 +1,7 @@
 /*
  * Shell of the administration API: answers its requests from the parts of the node.
  */
-#include "fescuemilld/admin_shell.h"
+#include "fescuemilld/node/admin_shell.h"
 
 #include "fescuemill/admin/burn_view.h"
 #include "fescuemill/base/clock.h"
--- a/src/fescuemilld/admin_shell.h
+++ b/src/fescuemilld/node/admin_shell.h
@@ -1,13 +1,13 @@
 /*
  * Shell of the administration API: answers its requests from the parts of the node.
  */
-#ifndef FESCUEMILLD_ADMIN_SHELL_H
-#define FESCUEMILLD_ADMIN_SHELL_H
+#ifndef FESCUEMILLD_NODE_ADMIN_SHELL_H
+#define FESCUEMILLD_NODE_ADMIN_SHELL_H
 
 #include "fescuemill/fleet/gossip.h"
 #include "fescuemill/http/admin.h"
-#include "fescuemilld/entry.h"
-#include "fescuemilld/gate_shell.h"
+#include "fescuemilld/entry/entry.h"
+#include "fescuemilld/gate/gate_shell.h"
 
 /* All pointers must outlive the shell, which may still send answers after admin_shell_close(). */
 struct admin_shell_options {
--- a/src/fescuemilld/config_pull.c
+++ b/src/fescuemilld/node/config_pull.c
@@ -2,7 +2,7 @@
  * Config pull: fetches configuration from peers. Each request has its own connection, so that a
  * connection on which the peer no longer answers cannot block later requests.
  */
-#include "fescuemilld/config_pull.h"
+#include "fescuemilld/node/config_pull.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
--- a/src/fescuemilld/config_pull.h
+++ b/src/fescuemilld/node/config_pull.h
@@ -2,8 +2,8 @@
  * Config pull: fetches configuration from peers, one request at a time, while this node's version
  * is outdated or its configuration is not ready.
  */
-#ifndef FESCUEMILLD_CONFIG_PULL_H
-#define FESCUEMILLD_CONFIG_PULL_H
+#ifndef FESCUEMILLD_NODE_CONFIG_PULL_H
+#define FESCUEMILLD_NODE_CONFIG_PULL_H
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/fleet/config.h"
--- a/src/fescuemilld/config_reply.c
+++ b/src/fescuemilld/node/config_reply.c
@@ -1,7 +1,7 @@
 /*
  * Config reply: answers to the configuration pulls of peers.
  */
-#include "fescuemilld/config_reply.h"
+#include "fescuemilld/node/config_reply.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
--- a/src/fescuemilld/config_reply.h
+++ b/src/fescuemilld/node/config_reply.h
@@ -2,8 +2,8 @@
  * Config reply: answers to the configuration pulls of peers. The latest answer is kept, since a
  * change makes many peers ask for the same.
  */
-#ifndef FESCUEMILLD_CONFIG_REPLY_H
-#define FESCUEMILLD_CONFIG_REPLY_H
+#ifndef FESCUEMILLD_NODE_CONFIG_REPLY_H
+#define FESCUEMILLD_NODE_CONFIG_REPLY_H
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/fleet/config.h"
--- a/src/fescuemilld/gossip_shell.c
+++ b/src/fescuemilld/node/gossip_shell.c
@@ -2,7 +2,7 @@
  * Shell of gossip: the UDP socket and the timer with which membership, configuration versions and
  * demands are exchanged.
  */
-#include "fescuemilld/gossip_shell.h"
+#include "fescuemilld/node/gossip_shell.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
--- a/src/fescuemilld/gossip_shell.h
+++ b/src/fescuemilld/node/gossip_shell.h
@@ -2,8 +2,8 @@
  * Shell of gossip: the UDP socket and the timer with which membership, configuration versions and
  * demands are exchanged.
  */
-#ifndef FESCUEMILLD_GOSSIP_SHELL_H
-#define FESCUEMILLD_GOSSIP_SHELL_H
+#ifndef FESCUEMILLD_NODE_GOSSIP_SHELL_H
+#define FESCUEMILLD_NODE_GOSSIP_SHELL_H
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/fleet/gossip.h"
--- a/src/fescuemilld/key_members.c
+++ b/src/fescuemilld/node/key_members.c
@@ -3,7 +3,7 @@
  * seen leaving has given up its keys itself; this still holds when the same incarnation is dead
  * later.
  */
-#include "fescuemilld/key_members.h"
+#include "fescuemilld/node/key_members.h"
 
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/slot_map.h"
--- a/src/fescuemilld/key_members.h
+++ b/src/fescuemilld/node/key_members.h
@@ -2,8 +2,8 @@
  * Key members: the members of a service from which the owners of keys are chosen. Members that
  * announced that they leave are distinguished from members that died.
  */
-#ifndef FESCUEMILLD_KEY_MEMBERS_H
-#define FESCUEMILLD_KEY_MEMBERS_H
+#ifndef FESCUEMILLD_NODE_KEY_MEMBERS_H
+#define FESCUEMILLD_NODE_KEY_MEMBERS_H
 
 #include "fescuemill/decide/key.h"
 #include "fescuemill/fleet/member.h"
--- a/src/fescuemilld/node.c
+++ b/src/fescuemilld/node/node.c
@@ -1,15 +1,15 @@
 /*
  * Node: connects the parts of fescuemilld. charts/node.json defines its states and transitions.
  */
-#include "fescuemilld/node.h"
+#include "fescuemilld/node/node.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/node_defs.h"
-#include "fescuemilld/node_events.h"
-#include "fescuemilld/node_parts.h"
-#include "fescuemilld/node_reload.h"
-#include "fescuemilld/node_stop.h"
+#include "fescuemilld/node/node_defs.h"
+#include "fescuemilld/node/node_events.h"
+#include "fescuemilld/node/node_parts.h"
+#include "fescuemilld/node/node_reload.h"
+#include "fescuemilld/node/node_stop.h"
 
 #include <signal.h>
 #include <stdio.h>
--- a/src/fescuemilld/node.h
+++ b/src/fescuemilld/node/node.h
@@ -1,8 +1,8 @@
 /*
  * Node: connects the parts of fescuemilld, runs them in one event loop, and stops them gracefully.
  */
-#ifndef FESCUEMILLD_NODE_H
-#define FESCUEMILLD_NODE_H
+#ifndef FESCUEMILLD_NODE_NODE_H
+#define FESCUEMILLD_NODE_NODE_H
 
 #include "fescuemill/base/error.h"
 #include "fescuemill/http/dialect.h"
--- a/src/fescuemilld/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -1,8 +1,8 @@
 /*
  * The node's state, shared by the source files of the node.
  */
-#ifndef FESCUEMILLD_NODE_DEFS_H
-#define FESCUEMILLD_NODE_DEFS_H
+#ifndef FESCUEMILLD_NODE_NODE_DEFS_H
+#define FESCUEMILLD_NODE_NODE_DEFS_H
 
 #include "fescuemill/chart/chart_defs.h"
 #include "fescuemill/decide/stop.h"
@@ -11,17 +11,17 @@
 #include "fescuemill/http/announce.h"
 #include "fescuemill/http/caller.h"
 #include "fescuemill/store/list_watch.h"
-#include "fescuemilld/admin_shell.h"
-#include "fescuemilld/config_pull.h"
-#include "fescuemilld/config_reply.h"
-#include "fescuemilld/demand_shell.h"
-#include "fescuemilld/entry.h"
-#include "fescuemilld/gate_shell.h"
-#include "fescuemilld/gossip_shell.h"
-#include "fescuemilld/key_members.h"
-#include "fescuemilld/ready.h"
+#include "fescuemilld/entry/entry.h"
+#include "fescuemilld/gate/demand_shell.h"
+#include "fescuemilld/gate/gate_shell.h"
+#include "fescuemilld/node/admin_shell.h"
+#include "fescuemilld/node/config_pull.h"
+#include "fescuemilld/node/config_reply.h"
+#include "fescuemilld/node/gossip_shell.h"
+#include "fescuemilld/node/key_members.h"
+#include "fescuemilld/node/ready.h"
 
-#include "fescuemilld/node.h"
+#include "fescuemilld/node/node.h"
 
 #include <uv.h>
 
--- a/src/fescuemilld/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -1,7 +1,7 @@
 /*
  * Node events: changes of the node's state, and the callbacks that the parts of a node call.
  */
-#include "fescuemilld/node_events.h"
+#include "fescuemilld/node/node_events.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
--- a/src/fescuemilld/node_events.h
+++ b/src/fescuemilld/node/node_events.h
@@ -2,10 +2,10 @@
  * Node events: changes of the node's state, and the callbacks that the parts of a node call. `user`
  * is the node.
  */
-#ifndef FESCUEMILLD_NODE_EVENTS_H
-#define FESCUEMILLD_NODE_EVENTS_H
+#ifndef FESCUEMILLD_NODE_NODE_EVENTS_H
+#define FESCUEMILLD_NODE_NODE_EVENTS_H
 
-#include "fescuemilld/node_defs.h"
+#include "fescuemilld/node/node_defs.h"
 
 void node_apply_input(struct node *node, enum node_input input);
 void node_detect_stall(struct node *node, uint64_t now_us);
--- a/src/fescuemilld/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -1,13 +1,13 @@
 /*
  * Node parts: opens and closes the parts of a node.
  */
-#include "fescuemilld/node_parts.h"
+#include "fescuemilld/node/node_parts.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/chart/chart.h"
 #include "fescuemill/store/client.h"
-#include "fescuemilld/node_events.h"
-#include "fescuemilld/node_stop.h"
+#include "fescuemilld/node/node_events.h"
+#include "fescuemilld/node/node_stop.h"
 
 #include <string.h>
 
--- a/src/fescuemilld/node_parts.h
+++ b/src/fescuemilld/node/node_parts.h
@@ -1,10 +1,10 @@
 /*
  * Node parts: opens and closes the parts of a node.
  */
-#ifndef FESCUEMILLD_NODE_PARTS_H
-#define FESCUEMILLD_NODE_PARTS_H
+#ifndef FESCUEMILLD_NODE_NODE_PARTS_H
+#define FESCUEMILLD_NODE_NODE_PARTS_H
 
-#include "fescuemilld/node_defs.h"
+#include "fescuemilld/node/node_defs.h"
 
 /* Returns -1 on error; the parts that are open then stay open. */
 int node_open_parts(struct node *node, struct error *err);
--- a/src/fescuemilld/node_reload.c
+++ b/src/fescuemilld/node/node_reload.c
@@ -3,7 +3,7 @@
  * apply_settings() change; others, such as those that bind addresses or size tables, take effect at
  * the next start. A file that is not valid changes nothing.
  */
-#include "fescuemilld/node_reload.h"
+#include "fescuemilld/node/node_reload.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
--- a/src/fescuemilld/node_reload.h
+++ b/src/fescuemilld/node/node_reload.h
@@ -1,10 +1,10 @@
 /*
  * Node reload: applies changes of the settings file while the node runs.
  */
-#ifndef FESCUEMILLD_NODE_RELOAD_H
-#define FESCUEMILLD_NODE_RELOAD_H
+#ifndef FESCUEMILLD_NODE_NODE_RELOAD_H
+#define FESCUEMILLD_NODE_NODE_RELOAD_H
 
-#include "fescuemilld/node_defs.h"
+#include "fescuemilld/node/node_defs.h"
 
 /* Sets the settings file, which is checked for changes from now on. */
 void node_reload_watch(struct node *node, const char *path);
--- a/src/fescuemilld/node_stop.c
+++ b/src/fescuemilld/node/node_stop.c
@@ -1,11 +1,11 @@
 /*
  * Node stop: carries out a graceful stop, whose phases decide/stop.h defines.
  */
-#include "fescuemilld/node_stop.h"
+#include "fescuemilld/node/node_stop.h"
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/node_events.h"
+#include "fescuemilld/node/node_events.h"
 
 /* Records that this node was removed from the roster, or that the removal failed. */
 static void on_roster_left(void *user)
--- a/src/fescuemilld/node_stop.h
+++ b/src/fescuemilld/node/node_stop.h
@@ -1,10 +1,10 @@
 /*
  * Node stop: carries out a graceful stop, whose phases decide/stop.h defines.
  */
-#ifndef FESCUEMILLD_NODE_STOP_H
-#define FESCUEMILLD_NODE_STOP_H
+#ifndef FESCUEMILLD_NODE_NODE_STOP_H
+#define FESCUEMILLD_NODE_NODE_STOP_H
 
-#include "fescuemilld/node_defs.h"
+#include "fescuemilld/node/node_defs.h"
 
 /* Carries out the steps of the stop that are due; to be called periodically. */
 void node_stop_advance(struct node *node, uint64_t now_us);
--- a/src/fescuemilld/ready.c
+++ b/src/fescuemilld/node/ready.c
@@ -2,7 +2,7 @@
  * Ready: answers requests for /ready with 200 while callers should send new calls, and with 503
  * otherwise.
  */
-#include "fescuemilld/ready.h"
+#include "fescuemilld/node/ready.h"
 
 #include "fescuemill/http/server.h"
 
--- a/src/fescuemilld/ready.h
+++ b/src/fescuemilld/node/ready.h
@@ -1,8 +1,8 @@
 /*
  * Ready: the HTTP listener that reports whether callers should send new calls to this node.
  */
-#ifndef FESCUEMILLD_READY_H
-#define FESCUEMILLD_READY_H
+#ifndef FESCUEMILLD_NODE_READY_H
+#define FESCUEMILLD_NODE_READY_H
 
 #include "fescuemill/base/error.h"
 #include "fescuemill/settings/settings_defs.h"
--- a/test/unit/fescuemilld/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate/gate_shell_test.cc
@@ -14,7 +14,7 @@
 extern "C" {
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
-#include "fescuemilld/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_shell_defs.h"
 }
 
 namespace
