Lint: 'customer' is a word of the house style, 'tenant' is the platform's

The check refused the word customer outside platform/ and allowed tenant. The house style has it the other way round: the code says host, failure domain, customer, backend server. The check now refuses tenant and tenants in place of customer and customers; it is as strict as before. The code had neither word.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 
 clang-format --dry-run --Werror "${code[@]}"
 
-if grep -nIwiE '(zone|zones|customer|customers|upstream|upstreams)' "${inner[@]}"; then
+if grep -nIwiE '(zone|zones|tenant|tenants|upstream|upstreams)' "${inner[@]}"; then
 	echo "lint: words that the house style replaces" >&2
 	exit 1
 fi
