Interfaces of placement and customers: configuration, messages, reasons

What the next parts share, before they are built: allowed regions of routes and customers (decide/region_set.c), customers with keys, rank and allotment (decide/customer.c), the rate that a cold backend server bears, the limits of callers, reasons of refusals, and the trailing fields of calls and loads that carry them. A call without a customer and regions, and a load of a server that isn't cold, is encoded as before.

--- a/src/fescuemill/decide/call.c
+++ b/src/fescuemill/decide/call.c
@@ -25,6 +25,12 @@
 	[REASON_KEY_RUNNING] = "key-running",
 	[REASON_KEY_HISTORY] = "key-history",
 	[REASON_NOT_READY] = "not-ready",
+	[REASON_REGION] = "region",
+	[REASON_EVACUATED] = "evacuated",
+	[REASON_COLD] = "cold",
+	[REASON_UNKNOWN_KEY] = "unknown-key",
+	[REASON_KEYS_STALE] = "keys-stale",
+	[REASON_ALLOTMENT] = "allotment",
 };
 
 /* Returns the name of an outcome as used in the outcome header; "invalid" if out of range. */
--- a/src/fescuemill/decide/call_defs.h
+++ b/src/fescuemill/decide/call_defs.h
@@ -61,6 +61,12 @@
 	REASON_KEY_RUNNING,	/* another call with the same idempotency key is running */
 	REASON_KEY_HISTORY,	/* earlier calls with the same key are no longer known */
 	REASON_NOT_READY,	/* the node has not accepted a configuration yet */
+	REASON_REGION,		/* no region that the call may be served in has a server */
+	REASON_EVACUATED,	/* the backend server's failure domain is being evacuated */
+	REASON_COLD,		/* the cold backend server bears no further call now */
+	REASON_UNKNOWN_KEY,	/* the request's key is missing or belongs to no customer */
+	REASON_KEYS_STALE,	/* the node cannot show that its customers' keys are current */
+	REASON_ALLOTMENT,	/* the customer's allotment is used up */
 	REASON_COUNT,
 };
 
--- a/src/fescuemill/decide/load_defs.h
+++ b/src/fescuemill/decide/load_defs.h
@@ -4,6 +4,7 @@
 #ifndef FESCUEMILL_DECIDE_LOAD_DEFS_H
 #define FESCUEMILL_DECIDE_LOAD_DEFS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* State of a gate when the answer or pong was sent. */
@@ -17,6 +18,8 @@
 	uint32_t slowdown_percent; /* service time on the host now, in percent of normal; 0: unknown
 				    */
 	uint32_t rate_limit_milli; /* calls per 1000 s that its backend server allows; 0: any */
+	bool has_cold_room;	   /* the backend server is cold */
+	uint16_t cold_room;	   /* calls that it takes now, if it is cold */
 };
 
 #endif
--- a/src/fescuemill/decide/retry_after.c
+++ b/src/fescuemill/decide/retry_after.c
@@ -29,9 +29,13 @@
 			wait_ms = EXPECTED_WAIT_MS_MAX;
 		return wait_ms > QUEUE_FULL_MS ? wait_ms : QUEUE_FULL_MS;
 	case REASON_NO_BACKEND:
+	case REASON_REGION:
+	case REASON_KEYS_STALE:
 	case REASON_NOT_READY:
 		return NODE_STARTING_MS;
 	case REASON_DRAINING:
+	case REASON_EVACUATED:
+	case REASON_COLD:
 	case REASON_INCARNATION:
 	case REASON_STALE_EPOCH:
 	case REASON_CONNECTION_LOST:
--- a/src/fescuemill/decide/route.c
+++ b/src/fescuemill/decide/route.c
@@ -121,6 +121,7 @@
 		memcpy(service->config.service, service->name, sizeof(service->name));
 		service->config.class_count = 0;
 	}
+	customer_table_finish(&routing->customers);
 	if (routing->route_count > 1)
 		qsort(routing->routes, routing->route_count, sizeof(*routing->routes),
 		      compare_routes);
@@ -145,6 +146,7 @@
 	free(routing->services);
 	free(routing->parts);
 	free(routing->texts);
+	customer_table_free(&routing->customers);
 	memset(routing, 0, sizeof(*routing));
 }
 
--- a/src/fescuemill/decide/route.h
+++ b/src/fescuemill/decide/route.h
@@ -8,6 +8,7 @@
 #include "fescuemill/base/error.h"
 #include "fescuemill/base/random.h"
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/customer.h"
 
 #include <stddef.h>
 
@@ -28,6 +29,8 @@
 	uint32_t latency_ms;   /* latency objective */
 	uint32_t rank;	       /* urgency; 0 is the most urgent */
 	uint32_t attempts_max; /* maximum number of backend servers tried for one request */
+	bool customer_exempt;  /* calls need no key, and none is checked */
+	struct region_set regions;
 	uint32_t part_count;
 	struct route_part *parts;
 	double split_position; /* in [0,1); selects the next part, see route_pick_part() */
@@ -37,9 +40,19 @@
 struct route_service {
 	char name[SERVICE_NAME_BYTES];
 	const char *health_path;      /* empty if not configured */
+	uint32_t cold_rate_milli;     /* calls per 1000 s that a cold server bears; 0: any */
+	uint32_t cold_start_ms;	      /* how long a server stays cold after its start; 0: unknown */
 	struct service_config config; /* classes derived from rank and objective of its routes */
 };
 
+/* What callers may send, and how long they may take for it or stay idle; 0: not configured. */
+struct caller_limits {
+	uint32_t header_bytes_max;
+	uint64_t body_bytes_max;
+	uint32_t header_timeout_ms;
+	uint32_t idle_timeout_ms;
+};
+
 /* All routes of one configuration version, sorted by host, longer prefixes first. The texts and the
  * lists of the operators are kept whole, whatever their length. */
 struct routing {
@@ -48,9 +61,11 @@
 	struct route *routes;
 	uint32_t service_count;
 	struct route_service *services;
-	struct route_part *parts; /* of all routes */
-	char *texts;		  /* names, hosts, prefixes and health paths of all routes */
-	uint32_t adjusted_count;  /* numbers that were replaced by the nearest usable ones */
+	struct route_part *parts;	 /* of all routes */
+	struct customer_table customers; /* empty: calls need no key */
+	struct caller_limits limits;
+	char *texts;		 /* names, hosts, prefixes and health paths of all routes */
+	uint32_t adjusted_count; /* numbers that were replaced by the nearest usable ones */
 };
 
 int routing_finish(struct routing *routing, struct random *rng, struct error *err);
--- a/src/fescuemill/fleet/routing_json.c
+++ b/src/fescuemill/fleet/routing_json.c
@@ -1,9 +1,12 @@
 /*
- * Routing objects, in this format ("health_path" is optional):
+ * Routing objects, in this format (members with ? are optional):
  *   {"number": N,
  *    "routes": [{"name", "host", "prefix", "idempotent", "timeout_ms", "latency_ms", "rank",
- *                "attempts", "services": [{"service", "weight"}]}],
- *    "services": [{"name", "health_path"}]}
+ *                "attempts", "services": [{"service", "weight"}], "regions"?: [REGION],
+ *                "customer_exempt"?}],
+ *    "services": [{"name", "health_path"?, "cold_per_s"?, "cold_start_s"?}],
+ *    "customers"?: [{"name", "keys": [KEY], "rank"?, "calls_per_s"?, "burst"?, "regions"?}],
+ *    "limits"?: {"header_bytes_max"?, "body_bytes_max"?, "header_timeout_ms"?, "idle_timeout_ms"?}}
  */
 #include "fescuemill/fleet/routing_json.h"
 
@@ -108,6 +111,47 @@
 	return 0;
 }
 
+/* Reads an optional number that is not negative as thousandths. */
+static int read_optional_milli(struct reading *rd, const json_t *object, const char *key,
+			       uint32_t *out)
+{
+	const json_t *value = json_object_get(object, key);
+	double milli = json_number_value(value) * 1000;
+
+	*out = 0;
+	if (!value)
+		return 0;
+	if (!json_is_number(value))
+		return error_set(rd->err, ERROR_TYPE, "%s: must be a number", key);
+	if (milli < 0)
+		return error_set(rd->err, ERROR_RANGE, "%s: must not be negative", key);
+	*out = milli > UINT32_MAX ? UINT32_MAX : (uint32_t)milli;
+	return 0;
+}
+
+/* Reads the optional list of the regions in which calls may be served. An empty list allows every
+ * region. */
+static int read_regions(struct reading *rd, const json_t *object, struct region_set *out)
+{
+	const json_t *list = json_object_get(object, "regions");
+	const json_t *item;
+	size_t index;
+
+	if (!list)
+		return 0;
+	if (!json_is_array(list))
+		return error_set(rd->err, ERROR_TYPE, "regions: must be a list");
+	json_array_foreach(list, index, item)
+	{
+		if (!json_is_string(item))
+			return error_set(rd->err, ERROR_TYPE, "regions: must be names");
+		if (!region_set_add(out, region_id_of(json_string_value(item))))
+			return error_set(rd->err, ERROR_RANGE, "regions: allowed are %d",
+					 REGION_SET_MAX);
+	}
+	return 0;
+}
+
 /* Reads the services of a route and their weights. At least one weight must be above 0. */
 static int read_parts(struct reading *rd, const json_t *json, struct route *out)
 {
@@ -149,6 +193,9 @@
 	if (!json_is_boolean(idempotent))
 		return error_set(rd->err, ERROR_TYPE, "idempotent: must be true or false");
 	out->idempotent = json_is_true(idempotent);
+	out->customer_exempt = json_is_true(json_object_get(json, "customer_exempt"));
+	if (read_regions(rd, json, &out->regions) != 0)
+		return -1;
 	return read_parts(rd, json, out);
 }
 
@@ -157,11 +204,106 @@
 	out->health_path = "";
 	if (json_read_text(json, "name", out->name, sizeof(out->name), rd->err) != 0)
 		return -1;
+	if (read_optional_milli(rd, json, "cold_per_s", &out->cold_rate_milli) != 0 ||
+	    read_optional_milli(rd, json, "cold_start_s", &out->cold_start_ms) != 0)
+		return -1;
 	if (!json_object_get(json, "health_path"))
 		return 0;
 	return read_text(rd, json, "health_path", &out->health_path);
 }
 
+/* Reads the keys of the customer that was added last. */
+static int read_keys(struct reading *rd, const json_t *keys)
+{
+	struct customer_table *table = &rd->out->customers;
+	const json_t *item;
+	size_t index;
+
+	if (!json_is_array(keys))
+		return error_set(rd->err, ERROR_TYPE, "keys: must be a list");
+	json_array_foreach(keys, index, item)
+	{
+		struct customer_key *key = &table->keys[table->key_count];
+		size_t size = json_string_length(item) + 1;
+
+		if (!json_is_string(item) || size == 1)
+			return error_set(rd->err, ERROR_TYPE, "keys: must be texts");
+		key->text = memcpy(rd->out->texts + rd->text_size, json_string_value(item), size);
+		key->customer = table->count - 1;
+		rd->text_size += size;
+		table->key_count++;
+	}
+	return 0;
+}
+
+static int read_customer(struct reading *rd, const json_t *json)
+{
+	struct customer_table *table = &rd->out->customers;
+	struct customer *out = &table->list[table->count++];
+
+	if (read_text(rd, json, "name", &out->name) != 0 ||
+	    read_optional_milli(rd, json, "calls_per_s", &out->rate_milli) != 0 ||
+	    read_regions(rd, json, &out->regions) != 0)
+		return -1;
+	if (json_object_get(json, "rank") &&
+	    read_number(rd, json, "rank", 0, UINT8_MAX, &out->rank) != 0)
+		return -1;
+	if (json_object_get(json, "burst") &&
+	    read_number(rd, json, "burst", 0, INT32_MAX, &out->burst) != 0)
+		return -1;
+	return read_keys(rd, json_object_get(json, "keys"));
+}
+
+/* Reads the customers into tables of the size that is needed. */
+static int read_customers(struct reading *rd, const json_t *customers)
+{
+	struct customer_table *table = &rd->out->customers;
+	size_t key_count = 0;
+	const json_t *item;
+	size_t index;
+
+	if (!customers)
+		return 0;
+	if (!json_is_array(customers))
+		return error_set(rd->err, ERROR_TYPE, "customers: must be a list");
+	json_array_foreach(customers, index, item)
+	{
+		key_count += json_array_size(json_object_get(item, "keys"));
+	}
+	table->list = calloc(json_array_size(customers) + 1, sizeof(*table->list));
+	table->keys = calloc(key_count + 1, sizeof(*table->keys));
+	if (!table->list || !table->keys)
+		return error_set(rd->err, ERROR_MEMORY, "no memory for customers");
+	json_array_foreach(customers, index, item)
+	{
+		if (read_customer(rd, item) != 0)
+			return -1;
+	}
+	return 0;
+}
+
+/* Reads an optional limit. One out of range is replaced by the nearest number in range. */
+static int read_limit(struct reading *rd, const json_t *limits, const char *key, uint32_t *out)
+{
+	if (!json_object_get(limits, key))
+		return 0;
+	return read_number(rd, limits, key, 1, UINT32_MAX, out);
+}
+
+static int read_limits(struct reading *rd, const json_t *limits)
+{
+	struct caller_limits *out = &rd->out->limits;
+	uint32_t body_bytes_max = 0;
+
+	if (read_limit(rd, limits, "header_bytes_max", &out->header_bytes_max) != 0 ||
+	    read_limit(rd, limits, "body_bytes_max", &body_bytes_max) != 0 ||
+	    read_limit(rd, limits, "header_timeout_ms", &out->header_timeout_ms) != 0 ||
+	    read_limit(rd, limits, "idle_timeout_ms", &out->idle_timeout_ms) != 0)
+		return -1;
+	out->body_bytes_max = body_bytes_max;
+	return 0;
+}
+
 /* Reads both lists into the arrays of the routing, which the caller has allocated. */
 static int read_lists(struct reading *rd, const json_t *routes, const json_t *services)
 {
@@ -218,7 +360,10 @@
 		routing_free(out);
 		return error_set(err, ERROR_MEMORY, "no memory for routes");
 	}
-	if (read_lists(&rd, routes, services) != 0 || routing_finish(out, rng, err) != 0) {
+	if (read_lists(&rd, routes, services) != 0 ||
+	    read_customers(&rd, json_object_get(json, "customers")) != 0 ||
+	    read_limits(&rd, json_object_get(json, "limits")) != 0 ||
+	    routing_finish(out, rng, err) != 0) {
 		routing_free(out);
 		return -1;
 	}
--- a/src/fescuemill/http/call_request.h
+++ b/src/fescuemill/http/call_request.h
@@ -30,6 +30,8 @@
 	bool retry_budget_stated; /* the request states a retry budget */
 	uint32_t retry_budget;	  /* retries allowed, 0 to CALL_RETRY_BUDGET_MAX */
 	bool idempotent;
+	struct wire_bytes
+		credential;    /* the customer's key; size 0: none. Never forwarded or logged */
 	struct wire_bytes key; /* idempotency key; size 0: none */
 	struct wire_bytes method;
 	struct wire_bytes path;
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -45,7 +45,7 @@
 
 static void pack_load(msgpack_packer *pk, const struct gate_load *load)
 {
-	msgpack_pack_array(pk, 8);
+	msgpack_pack_array(pk, load->has_cold_room ? 9 : 8);
 	msgpack_pack_uint32(pk, load->in_use);
 	msgpack_pack_uint32(pk, load->limit);
 	msgpack_pack_uint32(pk, load->queued);
@@ -54,6 +54,8 @@
 	msgpack_pack_uint8(pk, load->state);
 	msgpack_pack_uint32(pk, load->slowdown_percent);
 	msgpack_pack_uint32(pk, load->rate_limit_milli);
+	if (load->has_cold_room)
+		msgpack_pack_uint16(pk, load->cold_room);
 }
 
 static void pack_notice(msgpack_packer *pk, const struct server_notice *notice)
@@ -66,9 +68,21 @@
 	msgpack_pack_uint32(pk, notice->rate_limit_milli);
 }
 
+/* Packs the customer of a call and the regions in which it may be served. */
+static void pack_placement(msgpack_packer *pk, const struct message_call *call)
+{
+	msgpack_pack_array(pk, 2 + (size_t)call->regions.count);
+	msgpack_pack_uint64(pk, call->customer);
+	msgpack_pack_uint8(pk, call->regions.is_limited);
+	for (uint8_t i = 0; i < call->regions.count; i++)
+		msgpack_pack_uint32(pk, call->regions.regions[i]);
+}
+
 static void pack_call(msgpack_packer *pk, const struct message_call *call)
 {
-	msgpack_pack_array(pk, 16);
+	bool has_placement = call->customer || call->regions.is_limited;
+
+	msgpack_pack_array(pk, has_placement ? 17 : 16);
 	msgpack_pack_uint64(pk, call->gate_incarnation);
 	pack_name(pk, call->service);
 	pack_name(pk, call->class_name);
@@ -85,6 +99,8 @@
 	msgpack_pack_uint32(pk, call->wait_max_us);
 	msgpack_pack_uint32(pk, call->repeat_permille);
 	pack_notice(pk, &call->notice);
+	if (has_placement)
+		pack_placement(pk, call);
 }
 
 static void pack_answer(msgpack_packer *pk, const struct message_answer *answer)
@@ -235,6 +251,10 @@
 		load->slowdown_percent = (uint32_t)reader_uint(&inner, UINT32_MAX);
 	if (reader_has_more(&inner))
 		load->rate_limit_milli = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	if (reader_has_more(&inner)) {
+		load->has_cold_room = true;
+		load->cold_room = (uint16_t)reader_uint(&inner, UINT16_MAX);
+	}
 	rd->failed = rd->failed || inner.failed;
 }
 
@@ -255,6 +275,26 @@
 	rd->failed = rd->failed || inner.failed;
 }
 
+/* Reads the customer of a call and the regions in which it may be served. A sender of an earlier
+ * version omits them, and so does one whose call has neither. */
+static void read_placement(struct reader *rd, struct message_call *call)
+{
+	struct reader inner;
+
+	if (!reader_has_more(rd))
+		return;
+	inner = reader_array(rd);
+	call->customer = reader_uint(&inner, UINT64_MAX);
+	call->regions.is_limited = reader_uint(&inner, 1) != 0;
+	while (!inner.failed && reader_has_more(&inner)) {
+		if (!region_set_add(&call->regions, (uint32_t)reader_uint(&inner, UINT32_MAX))) {
+			reader_fail(rd, ERROR_RANGE, "call has too many regions");
+			return;
+		}
+	}
+	rd->failed = rd->failed || inner.failed;
+}
+
 /* Reads the fields of a call. A sender of an earlier version omits the last ones. */
 static void read_call(struct reader *rd, struct message_call *call)
 {
@@ -277,6 +317,7 @@
 	if (reader_has_more(rd))
 		call->repeat_permille = (uint32_t)reader_uint(rd, RETRY_REPEAT_PERMILLE);
 	read_notice(rd, &call->notice);
+	read_placement(rd, call);
 }
 
 static void read_answer(struct reader *rd, struct message_answer *answer)
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -7,6 +7,7 @@
 #include "fescuemill/decide/call_defs.h"
 #include "fescuemill/decide/load_defs.h"
 #include "fescuemill/decide/notice_defs.h"
+#include "fescuemill/decide/region_set.h"
 
 #define WIRE_VERSION		1
 #define WIRE_HEADERS_MAX	32
@@ -56,6 +57,8 @@
 	uint32_t wait_max_us;	  /* from this wait on another gate is better; 0: do not queue it */
 	uint32_t repeat_permille; /* chance that it repeats work that reached a backend server */
 	struct server_notice notice; /* what the entry last heard through this gate */
+	uint64_t customer;	     /* id of the customer; 0: none */
+	struct region_set regions;   /* in which the call may be served */
 	struct wire_bytes key;	     /* idempotency key; size 0: none */
 	struct wire_bytes method;
 	struct wire_bytes path;
--- a/test/property/choice_loop.h
+++ b/test/property/choice_loop.h
@@ -265,6 +265,8 @@
 			      0,
 			      2,
 			      0,
+			      0,
+			      false,
 			      0};
 		event.kind = BACK;
 		event.at_us = now + (uint64_t)ONE_WAY_US;
--- a/test/property/choice_near_test.cc
+++ b/test/property/choice_near_test.cc
@@ -24,8 +24,13 @@
 	RC_ASSERT(choice_set_members(choice, members, 2, &err) == 0);
 	random_seed(&rng, *rc::gen::arbitrary<uint64_t>());
 	for (int i = 0; i < 100; i++) {
-		choice_result result = {
-			CHOICE_RESULT_ANSWERED, 0, true, {0, 6, 0, 0, 0, 2, 0, 0}, 0, 0, 0};
+		choice_result result = {CHOICE_RESULT_ANSWERED,
+					0,
+					true,
+					{0, 6, 0, 0, 0, 2, 0, 0, false, 0},
+					0,
+					0,
+					0};
 		choice_selection picked;
 
 		RC_ASSERT(choice_pick(choice, &query, &rng, now_us, &picked));
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -92,6 +92,8 @@
 			       random_below(&rng, 90000),
 			       2,
 			       0,
+			       0,
+			       false,
 			       0};
 		result.elapsed_us = random_below(&rng, 200000);
 		result.server_us = random_below(&rng, 100000);
@@ -143,8 +145,8 @@
 RC_GTEST_PROP(Choice, AGateThatSaysItDrainsGetsNothingUntilItsWordIsOld, ())
 {
 	World world(choice_policy(*rc::gen::inRange<int>(0, CHOICE_POLICY_COUNT)));
-	gate_load draining = {0, 6, 0, 5000, 0, uint8_t(*rc::gen::element(3, 4)), 0, 0};
-	gate_load ready = {0, 6, 0, 5000, 0, 2, 0, 0};
+	gate_load draining = {0, 6, 0, 5000, 0, uint8_t(*rc::gen::element(3, 4)), 0, 0, false, 0};
+	gate_load ready = {0, 6, 0, 5000, 0, 2, 0, 0, false, 0};
 	choice_result result = {CHOICE_RESULT_REFUSED, 0, true, draining, 500, 0, 0};
 	node_incarnation identity;
 
@@ -189,7 +191,7 @@
 
 	world.set_random_members(*rc::gen::inRange(1, 60), true);
 	for (const auto &member : world.members) {
-		gate_load busy = {6, 6, random_below(&world.rng, 10), 5000, 0, 2, 0, 0};
+		gate_load busy = {6, 6, random_below(&world.rng, 10), 5000, 0, 2, 0, 0, false, 0};
 
 		if (member.distance != DISTANCE_OTHER_REGION)
 			choice_update_load(world.made, member.identity.node_id, &busy, world.now);
--- a/test/property/decision_cost_test.cc
+++ b/test/property/decision_cost_test.cc
@@ -57,7 +57,7 @@
 		choice_pick(made, &query, &rng, now, &picked);
 		choice_record_sent(made, picked.gate.node_id, now);
 		result.has_load = true;
-		result.load = {3, 6, 1, 5000, 0, 2, 0, 0};
+		result.load = {3, 6, 1, 5000, 0, 2, 0, 0, false, 0};
 		result.elapsed_us = 6000;
 		result.server_us = 5000;
 		choice_record_result(made, picked.gate.node_id, &result, now);
--- a/test/unit/decide/choice_test.cc
+++ b/test/unit/decide/choice_test.cc
@@ -74,8 +74,8 @@
 
 		result.kind = kind;
 		result.has_load = true;
-		result.load = {in_use, SLOTS,	      queued,		SERVICE_US,
-			       0,      BACKEND_READY, slowdown_percent, 0};
+		result.load = {in_use,		 SLOTS, queued, SERVICE_US, 0, BACKEND_READY,
+			       slowdown_percent, 0,	false,	0};
 		result.server_us = kind == CHOICE_RESULT_ANSWERED ? SERVICE_US : 0;
 		result.elapsed_us = result.server_us + (node_id == NEAR ? 300 : 17000);
 		choice_record_sent(choice, node_id, now_us);
@@ -89,7 +89,7 @@
 
 		result.kind = CHOICE_RESULT_ANSWERED;
 		result.has_load = true;
-		result.load = {0, SLOTS, 0, SERVICE_US, 0, BACKEND_READY, 100, 0};
+		result.load = {0, SLOTS, 0, SERVICE_US, 0, BACKEND_READY, 100, 0, false, 0};
 		result.server_us = SERVICE_US;
 		result.elapsed_us = SERVICE_US + delay_us;
 		choice_record_sent(choice, node_id, now_us);
