Placement: calls go only to gates in the regions that their route allows

A route's list of regions was read and carried, but nothing obeyed it. The entry now takes the regions of a call from the configuration in force before each attempt, passes them to the choice of a gate and to the owner of its key, and refuses at once with the reason 'region' when no allowed region has a server in service. The gate decides again by its own region and refuses a new call that may not run there. decide/placement.c is the one decision; the choice of a gate, key owners and the gate use it.

The gates that an entry tracks are spread over all failure domains when there are more of them than the list holds: the nearest ones filled it, and a call limited to a far region found no gate.

Tests: unit-placement, unit-region_set, unit-entry_placement (new) and the choice, attempt, codec, gate shell, cost and path tests pass.

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -27,6 +27,8 @@
 	  "limit that the backend server states on its calls; 0: none, or none taken")             \
 	X(GATE_CANCELLED, "gate_cancelled", "attempts", "attempts cancelled")                      \
 	X(GATE_DUPLICATES, "gate_duplicates", "messages", "repeats of a known attempt")            \
+	X(GATE_MISPLACED, "gate_misplaced", "attempts",                                            \
+	  "attempts refused because they may not run in the gate's region or failure domain")      \
 	X(GATE_STALE_EPOCH, "gate_stale_epoch", "messages", "messages of an older epoch")          \
 	X(GATE_WRONG_INCARNATION, "gate_wrong_incarnation", "messages",                            \
 	  "messages meant for an earlier incarnation")                                             \
--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -173,6 +173,9 @@
 	case REASON_STALE_EPOCH:
 	case REASON_CONNECTION_LOST:
 	case REASON_NOT_READY:
+	case REASON_REGION:
+	case REASON_EVACUATED:
+	case REASON_COLD:
 		return true;
 	default:
 		return false;
@@ -180,12 +183,19 @@
 }
 
 /* Returns the bucket to charge for a retry after a refusal; NULL: the retry is not charged. A gate
- * that stops or that has lost its backend server refuses all calls on their way to it at once,
- * which would empty the bucket. The bucket need not bound them, as the choice of gates bounds the
- * calls on their way to one gate, and a call asks each gate once. */
+ * that stops, is evacuated or has lost its backend server refuses all calls on their way to it at
+ * once, which would empty the bucket. The bucket need not bound them, as the choice of gates bounds
+ * the calls on their way to one gate, and a call asks each gate once. */
 static struct retry_bucket *entry_bucket_for(struct retry_bucket *bucket, enum call_reason reason)
 {
-	return reason == REASON_DRAINING || reason == REASON_NO_BACKEND ? NULL : bucket;
+	switch (reason) {
+	case REASON_DRAINING:
+	case REASON_NO_BACKEND:
+	case REASON_EVACUATED:
+		return NULL;
+	default:
+		return bucket;
+	}
 }
 
 /* Returns true if the backend server itself refused the call, and not its gate. */
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -85,13 +85,15 @@
 	free(choice);
 }
 
-/* Returns true if a gate can be selected for a query: usable, not excluded by the query, and not
- * reported as draining. */
+/* Returns true if a gate can be selected for a query: usable, not excluded by the query, not
+ * reported as draining, and where the call may be placed. */
 bool choice_is_eligible(const struct choice_gate *gate, const struct choice_query *query,
 			uint64_t now_us)
 {
 	if (!gate->member.usable || now_us < gate->excluded_until_us)
 		return false;
+	if (choice_place(gate, query->regions) != REASON_NONE)
+		return false;
 	for (uint32_t i = 0; i < query->excluded_count; i++) {
 		if (query->excluded[i] == gate->member.identity.node_id)
 			return false;
--- a/src/fescuemill/decide/choice.h
+++ b/src/fescuemill/decide/choice.h
@@ -16,6 +16,8 @@
 		       struct error *err);
 bool choice_pick(struct choice *choice, const struct choice_query *query, struct random *rng,
 		 uint64_t now_us, struct choice_selection *picked);
+enum call_reason choice_placement_reason(const struct choice *choice,
+					 const struct region_set *regions, uint64_t now_us);
 void choice_record_sent(struct choice *choice, uint64_t node_id, uint64_t now_us);
 void choice_record_result(struct choice *choice, uint64_t node_id,
 			  const struct choice_result *result, uint64_t now_us);
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -6,6 +6,7 @@
 
 #include "fescuemill/base/random.h"
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/region_set.h"
 #include "fescuemill/wire/message_defs.h"
 
 enum choice_policy {
@@ -56,6 +57,8 @@
 	uint32_t slots;	  /* initial limit, until the gate reports its own; 0 counts as 1 */
 	uint8_t distance; /* enum choice_distance */
 	bool usable;	  /* alive, not suspect, leaving or dead, and its backend server is ready */
+	uint32_t region;  /* region_id_of() its region */
+	bool is_evacuated; /* its failure domain is being evacuated */
 };
 
 struct choice_query {
@@ -63,6 +66,7 @@
 	uint32_t excluded_count;
 	uint8_t class_index; /* index of the call's class in the service's class list */
 	uint32_t body_bytes; /* size of the request body */
+	const struct region_set *regions; /* in which the call may be served; NULL: any */
 };
 
 /* The selected gate. */
--- a/src/fescuemill/decide/choice_member.c
+++ b/src/fescuemill/decide/choice_member.c
@@ -77,11 +77,33 @@
 		choice->draw_order[i] = (uint16_t)i;
 }
 
-/* Keeps the first gates_per_domain gates of each failure domain of a sorted list, up to
- * CHOICE_GATES_MAX in all. */
+/* Returns true if a member of a sorted list is the first of its failure domain. */
+static bool starts_domain(const struct ranked_member *list, uint32_t i)
+{
+	return i == 0 || list[i].member->domain != list[i - 1].member->domain ||
+	       list[i].member->distance != list[i - 1].member->distance;
+}
+
+/* Returns how many gates of each failure domain are tracked: gates_per_domain, or fewer if there
+ * are so many domains that the farthest ones would be left out. A call may be limited to these. */
+static uint32_t gates_per_domain(const struct choice *choice, const struct ranked_member *list,
+				 uint32_t count)
+{
+	uint32_t wanted = choice->settings.gates_per_domain;
+	uint32_t domains = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		domains += starts_domain(list, i);
+	if (count <= CHOICE_GATES_MAX || domains * wanted <= CHOICE_GATES_MAX)
+		return wanted;
+	return domains < CHOICE_GATES_MAX ? CHOICE_GATES_MAX / domains : 1;
+}
+
+/* Keeps the first gates of each failure domain of a sorted list, up to CHOICE_GATES_MAX in all. */
 static void select_gates(struct choice *choice, const struct ranked_member *list, uint32_t count,
 			 const struct choice_gate *before, uint32_t before_count)
 {
+	uint32_t per_domain = gates_per_domain(choice, list, count);
 	uint32_t in_domain = 0;
 
 	choice->count = 0;
@@ -89,10 +111,9 @@
 	for (uint32_t i = 0; i < count && choice->count < CHOICE_GATES_MAX; i++) {
 		const struct choice_member *member = list[i].member;
 
-		if (i == 0 || member->domain != list[i - 1].member->domain ||
-		    member->distance != list[i - 1].member->distance)
+		if (starts_domain(list, i))
 			in_domain = 0;
-		if (in_domain++ >= choice->settings.gates_per_domain)
+		if (in_domain++ >= per_domain)
 			continue;
 		init_gate(choice, &choice->gates[choice->count++], member,
 			  find_gate_state(before, before_count, &member->identity));
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -45,6 +45,7 @@
 	struct choice_gate gates[CHOICE_GATES_MAX];  /* sorted by distance, then domain */
 };
 
+enum call_reason choice_place(const struct choice_gate *gate, const struct region_set *regions);
 bool choice_is_eligible(const struct choice_gate *gate, const struct choice_query *query,
 			uint64_t now_us);
 int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -13,6 +13,7 @@
 #include "fescuemilld/entry/entry_defs.h"
 #include "fescuemilld/entry/entry_link.h"
 #include "fescuemilld/entry/entry_log.h"
+#include "fescuemilld/entry/entry_placement.h"
 #include "fescuemilld/entry/entry_service.h"
 
 #include <stdlib.h>
@@ -171,89 +172,46 @@
 	return ++call->entry->sequence_count * ENTRY_CALLS_MAX + call->slot;
 }
 
-/* Finds the gate that owns the key of a call. Returns false when no live gate owns it. */
-static bool find_key_owner(const struct entry_call *call, struct node_incarnation *gate)
-{
-	const struct call_request *request = call->request;
-	uint64_t now_ms = clock_wall_us() / USEC_PER_MSEC;
-	const struct member *member;
-	struct key_hash hash;
-	uint64_t node_id;
-	bool is_alive;
-
-	key_hash_of(call->service->name, request->key.data, request->key.size, &hash);
-	if (!key_owner(call->service->keys, &hash, now_ms, &node_id, &is_alive) || !is_alive)
-		return false;
-	member = member_find(call->entry->options.members, node_id);
-	if (!member)
-		return false;
-	*gate = member->identity;
-	return true;
-}
-
-/* Selects a gate by the service's choice, or the owner of the call's key. Returns false when there
- * is none, and also when the best gate has already refused this call for lack of a free slot. */
-static bool select_gate(struct entry_call *call, struct node_incarnation *gate)
-{
-	uint64_t excluded[ENTRY_EXCLUDED_MAX];
-	struct choice_query query = {excluded, attempt_entry_excluded(&call->state, excluded),
-				     call->class_index, call->request->body.size};
-	struct choice_selection pick;
-
-	entry_service_refresh(call->entry, call->service);
-	if (call->state.keyed) {
-		entry_service_preconnect(call->entry, call->service);
-		return find_key_owner(call, gate);
-	}
-	if (!choice_pick(call->service->choice, &query, &call->entry->rng, clock_monotonic_us(),
-			 &pick))
-		return false;
-	*gate = pick.gate;
-	call->wait_max_us = pick.wait_max_us;
-	return !attempt_entry_gate_was_full(&call->state, gate->node_id);
-}
-
-/* Selects a gate and prepares the connection to it. Returns false when no gate can be used. */
-static bool prepare_target(struct entry_call *call, struct attempt_target *target)
+/* Selects a gate and prepares the connection to it. Returns REASON_NONE, or why no gate can be
+ * used. */
+static enum call_reason prepare_target(struct entry_call *call, struct attempt_target *target)
 {
 	struct entry *entry = call->entry;
+	enum call_reason reason = entry_placement_select(call, &target->gate);
 	struct gate_link *link;
 	struct gate_conn *conn;
 	struct error err;
 
-	if (!select_gate(call, &target->gate))
-		return false;
+	if (reason != REASON_NONE)
+		return reason;
 	link = entry_link_get(entry, &target->gate, &err);
 	if (!link)
-		return false;
+		return entry_placement_last_reason(call);
 	conn = &link->conns[link_kind_for(call->request)];
 	if (entry_link_prepare(conn, &err) != 0) {
 		log_failure(LOG_WARNING, LOG_PART_ENTRY,
 			    "A connection to a gate could not be opened.", &err);
-		return false;
+		return entry_placement_last_reason(call);
 	}
 	target->epoch = conn->peer.epoch;
 	target->id.entry = entry->options.identity;
 	target->id.sequence = next_sequence(call);
 	call->link = link;
-	return true;
+	return REASON_NONE;
 }
 
 /* Chooses a gate for the next attempt and passes the result to the call. */
 static void choose_gate(struct entry_call *call)
 {
 	struct attempt_entry_event event;
+	enum call_reason reason;
 
 	memset(&event, 0, sizeof(event));
 	settle_attempt(call, NULL, CHOICE_RESULT_LOST);
-	if (prepare_target(call, &event.chosen)) {
-		event.type = ENTRY_EVENT_CHOSEN;
-	} else {
-		event.type = ENTRY_EVENT_NO_GATE;
-		event.no_gate.reason = call->state.attempts > 0
-					       ? (enum call_reason)call->state.last_reason
-					       : REASON_NO_BACKEND;
-	}
+	reason = prepare_target(call, &event.chosen);
+	event.type = reason == REASON_NONE ? ENTRY_EVENT_CHOSEN : ENTRY_EVENT_NO_GATE;
+	if (reason != REASON_NONE)
+		event.no_gate.reason = reason;
 	entry_call_step(call, &event, &no_input);
 }
 
@@ -273,6 +231,7 @@
 	msg->call.depth = request->depth;
 	msg->call.retries_left = action->retries_passed;
 	msg->call.idempotent = call->idempotent;
+	msg->call.regions = call->placement.regions;
 	msg->call.has_wait_limit = action->has_wait_limit;
 	msg->call.wait_max_us = call->wait_max_us;
 	msg->call.repeat_permille = action->repeat_permille;
@@ -439,6 +398,7 @@
 	call->idempotent = class->idempotent;
 	memcpy(call->class_name, class->name, sizeof(call->class_name));
 	memcpy(call->route, class->route, sizeof(call->route));
+	entry_placement_start(call, class->regions, NULL);
 	attempt_entry_init(&call->state, &settings);
 	call->slot = entry->free_slots[--entry->free_count];
 	entry->calls[call->slot] = call;
--- a/src/fescuemilld/entry/entry_classify.c
+++ b/src/fescuemilld/entry/entry_classify.c
@@ -54,6 +54,7 @@
 	snprintf(out->route, sizeof(out->route), "%s", route->name);
 	out->idempotent = route->idempotent;
 	out->servers_max = route->attempts_max;
+	out->regions = &route->regions;
 	if (out->time_left_us > route->timeout_ms * USEC_PER_MSEC)
 		out->time_left_us = route->timeout_ms * USEC_PER_MSEC;
 	return find_class(entry, out);
--- a/src/fescuemilld/entry/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -61,6 +61,13 @@
 	uint64_t refreshed_us;	   /* when the members were last updated */
 };
 
+/* Where a call may be served, as of the configuration that was last applied to it. */
+struct entry_placement {
+	struct region_set regions;
+	uint64_t config_revision; /* config_revision() that was applied last */
+	uint64_t customer_id;	  /* of the call's customer; 0: none */
+};
+
 /* One call of a caller, allocated in the caller call's arena. */
 struct entry_call {
 	struct attempt_entry state;
@@ -79,6 +86,7 @@
 	char class_name[CLASS_NAME_BYTES];
 	char route[ENTRY_ROUTE_BYTES]; /* for the log; empty when the request names its service */
 	bool idempotent;
+	struct entry_placement placement;
 };
 
 /* Service, class and limits that apply to a request. */
@@ -90,6 +98,8 @@
 	bool idempotent;
 	uint32_t servers_max;  /* backend servers that the call may be sent to; 0: no limit */
 	uint64_t time_left_us; /* from the request, at most the route's timeout */
+	/* Regions of the route; NULL: any. Valid until the configuration changes. */
+	const struct region_set *regions;
 };
 
 struct entry {
--- a/src/fescuemilld/entry/entry_service.c
+++ b/src/fescuemilld/entry/entry_service.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 #include "fescuemilld/entry/entry_link.h"
+#include "fescuemilld/entry/entry_placement.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -82,29 +83,6 @@
 	return service;
 }
 
-/* Returns the distance of a member from this node. */
-static enum choice_distance distance_of(const struct settings *settings,
-					const struct member *member)
-{
-	if (strcmp(member->region, settings->region) != 0)
-		return DISTANCE_OTHER_REGION;
-	if (strcmp(member->domain, settings->failure_domain) != 0)
-		return DISTANCE_SAME_REGION;
-	return DISTANCE_SAME_DOMAIN;
-}
-
-/* Fills in what the choice needs to know of a member. */
-static void fill_member(const struct entry_options *options, const struct member *member,
-			struct choice_member *out)
-{
-	out->identity = member->identity;
-	out->domain = (uint32_t)member_id_of(member->domain);
-	out->slots = member->slots;
-	out->distance = (uint8_t)distance_of(options->settings, member);
-	out->usable = member_is_serving(member) &&
-		      options->region_is_usable(options->user, member->region);
-}
-
 /* Updates the members and the retry budget of a service when the member table has changed, and
  * every REFRESH_PERIOD_US. */
 void entry_service_refresh(struct entry *entry, struct entry_service *service)
@@ -134,7 +112,7 @@
 		return;
 	while (count < capacity &&
 	       (member = member_next_of_service(table, service->name, member)) != NULL)
-		fill_member(&entry->options, member, &list[count++]);
+		entry_placement_fill_member(&entry->options, member, &list[count++]);
 	if (choice_set_members(service->choice, list, count, &err) == 0)
 		service->members_revision = revision;
 	else
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -5,6 +5,7 @@
 #define FESCUEMILLD_NODE_NODE_DEFS_H
 
 #include "fescuemill/chart/chart_defs.h"
+#include "fescuemill/decide/placement.h"
 #include "fescuemill/decide/stop.h"
 #include "fescuemill/fleet/config.h"
 #include "fescuemill/fleet/registration.h"
@@ -75,6 +76,7 @@
 	uint64_t keys_applied_us; /* when the owners of keys were last updated */
 	struct entry *entry;
 	struct gate_shell *gate;
+	struct placement_gate place; /* of this node's gate */
 	struct demand_shell *demand;
 	struct admin_shell *admin;
 };
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
+#include "fescuemilld/gate/gate_placement.h"
 
 #include <string.h>
 
@@ -267,10 +268,13 @@
 			const struct message *msg)
 {
 	enum call_reason reason = node_refusal_reason(node);
+	enum call_reason misplaced = gate_placement_refusal(&node->place, msg);
 	struct message call = *msg;
 
 	if (reason == REASON_NOT_READY && !config_routing(node->config))
 		gate_shell_refuse_new_call(node->gate, from, msg, reason);
+	else if (misplaced != REASON_NONE)
+		gate_shell_refuse_new_call(node->gate, from, msg, misplaced);
 	else if (clock_monotonic_us() > node->stall_end_us + STALL_READ_US)
 		gate_shell_handle_message(node->gate, from, msg);
 	else if (msg->call.time_left_us <= node->stall_us)
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -25,6 +25,7 @@
 	memcpy(self->name, settings->name, sizeof(self->name));
 	memcpy(self->region, settings->region, sizeof(self->region));
 	memcpy(self->domain, settings->failure_domain, sizeof(self->domain));
+	node->place.region = region_id_of(settings->region);
 	self->identity.node_id = member_id_of(settings->name);
 	/* Never reused: the wall clock does not return to the exact time of an earlier start. */
 	self->identity.incarnation = clock_wall_us();
--- a/test/property/choice_loop.h
+++ b/test/property/choice_loop.h
@@ -141,7 +141,8 @@
 		error err;
 
 		for (uint32_t s = 0; s < setup.servers; s++)
-			members.push_back({{s + 1000, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true});
+			members.push_back(
+				{{s + 1000, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true, 0, false});
 		EXPECT_EQ(0, choice_set_members(made, members.data(), setup.servers, &err));
 	}
 
@@ -188,7 +189,7 @@
 	void arrive()
 	{
 		uint32_t entry = random_below(&rng, setup.entries);
-		choice_query query = {nullptr, 0, 0, 0};
+		choice_query query = {nullptr, 0, 0, 0, nullptr};
 		choice_selection picked;
 
 		push({now + 1 + (uint64_t)exponential(1e6 / setup.calls_per_s),
--- a/test/property/choice_near_test.cc
+++ b/test/property/choice_near_test.cc
@@ -8,8 +8,8 @@
 
 RC_GTEST_PROP(ChoiceNear, OneCallAtATimeLeavesASlowServer, ())
 {
-	const choice_member members[] = {{{1, 1}, 0, 6, DISTANCE_SAME_DOMAIN, true},
-					 {{2, 1}, 1, 6, DISTANCE_SAME_REGION, true}};
+	const choice_member members[] = {{{1, 1}, 0, 6, DISTANCE_SAME_DOMAIN, true, 0, false},
+					 {{2, 1}, 1, 6, DISTANCE_SAME_REGION, true, 0, false}};
 	const choice_query query = {};
 	uint32_t slow_us = uint32_t(*rc::gen::inRange(40000, 400000));
 	uint32_t to_slow = 0;
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -52,7 +52,13 @@
 			member.slots = uint32_t(*rc::gen::inRange(0, 10));
 			member.usable = *rc::gen::inRange(0, 4) != 0;
 			if (i == 0 && first_is_near)
-				member = {member.identity, 0, 6, DISTANCE_SAME_DOMAIN, true};
+				member = {member.identity,
+					  0,
+					  6,
+					  DISTANCE_SAME_DOMAIN,
+					  true,
+					  0,
+					  false};
 			members.push_back(member);
 		}
 		set_members();
@@ -69,7 +75,7 @@
 	bool pick(const std::vector<uint64_t> &excluded, node_incarnation *identity)
 	{
 		choice_query query = {excluded.data(), uint32_t(excluded.size()),
-				      uint8_t(random_below(&rng, 20)), 0};
+				      uint8_t(random_below(&rng, 20)), 0, nullptr};
 
 		struct choice_selection picked = {};
 		bool is_picked = choice_pick(made, &query, &rng, now, &picked);
--- a/test/property/decision_cost_test.cc
+++ b/test/property/decision_cost_test.cc
@@ -44,12 +44,12 @@
 				   : domain < 4 ? DISTANCE_SAME_REGION
 						: DISTANCE_OTHER_REGION;
 
-		members.push_back({{i + 1, 1}, domain, 6, distance, true});
+		members.push_back({{i + 1, 1}, domain, 6, distance, true, 0, false});
 	}
 	EXPECT_EQ(0, choice_set_members(made, members.data(), gates, &err));
 	random_seed(&rng, 7);
 	double ns = ns_each(200000, [&](int) {
-		choice_query query = {nullptr, 0, 0, 0};
+		choice_query query = {nullptr, 0, 0, 0, nullptr};
 		choice_result result = {};
 		choice_selection picked = {};
 
--- a/test/unit/decide/choice_test.cc
+++ b/test/unit/decide/choice_test.cc
@@ -42,10 +42,11 @@
 	void set_gates(bool has_far)
 	{
 		std::vector<choice_member> members = {
-			{{NEAR, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true}};
+			{{NEAR, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true, 0, false}};
 
 		if (has_far)
-			members.push_back({{FAR, 1}, 9, SLOTS, DISTANCE_OTHER_REGION, true});
+			members.push_back(
+				{{FAR, 1}, 9, SLOTS, DISTANCE_OTHER_REGION, true, 0, false});
 		ASSERT_EQ(choice_set_members(choice, members.data(), (uint32_t)members.size(),
 					     nullptr),
 			  0);
@@ -179,11 +180,12 @@
 // other region, the connections alone would cost more than the calls.
 TEST_F(Choice, FewGatesOfAnotherRegionAreTriedWhileTheNearOnesServe)
 {
-	std::vector<choice_member> members = {{{NEAR, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true}};
+	std::vector<choice_member> members = {
+		{{NEAR, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true, 0, false}};
 	int far = 0;
 
 	for (uint64_t id = FAR; id < FAR + 8; id++)
-		members.push_back({{id, 1}, 9, SLOTS, DISTANCE_OTHER_REGION, true});
+		members.push_back({{id, 1}, 9, SLOTS, DISTANCE_OTHER_REGION, true, 0, false});
 	ASSERT_EQ(choice_set_members(choice, members.data(), (uint32_t)members.size(), nullptr), 0);
 	for (int i = 0; i < 200; i++) {
 		uint64_t picked = pick();
@@ -199,8 +201,8 @@
 TEST_F(Choice, CallMayNotWaitWhileAnEquallyNearGateIsExpectedToBeFree)
 {
 	std::vector<choice_member> members = {
-		{{NEAR, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true},
-		{{NEAR + 9, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true}};
+		{{NEAR, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true, 0, false},
+		{{NEAR + 9, 1}, 0, SLOTS, DISTANCE_SAME_DOMAIN, true, 0, false}};
 
 	ASSERT_EQ(choice_set_members(choice, members.data(), 2, nullptr), 0);
 	for (int i = 0; i < 50; i++) {
