Customers: keys are judged at the entry and never forwarded

Cause: calls of deployments with customers had no customer: no key was read, and a caller could state any customer's name to a backend server.

Change: both dialects read the key of "Authorization: Bearer KEY" (one header, else there is no key). Where customers are configured, the entry finds the customer by the key (401, not run, without a usable one), drops Authorization and every header of the customer's name that the caller sent, and adds the customer's name, for all attempts. Exempt routes judge no key and forward none: which keys exist can't be told from the configuration in force here. Classes are derived for the ranks of the customers in place of the rank of the routes that need a key; a key of two customers belongs to the first. The customer is found by id in log(n). Log lines show the customer, or six digits of the hash of a key that is not known. Without customers, requests are forwarded as before.

unit-platform_http_dialect allowed no status 401 of a call that did not run; now it is allowed for an unknown key, and for nothing else.

--- a/src/fescuemill/decide/customer.h
+++ b/src/fescuemill/decide/customer.h
@@ -5,6 +5,7 @@
 #ifndef FESCUEMILL_DECIDE_CUSTOMER_H
 #define FESCUEMILL_DECIDE_CUSTOMER_H
 
+#include "fescuemill/base/error.h"
 #include "fescuemill/decide/region_set.h"
 
 #include <stddef.h>
@@ -28,13 +29,18 @@
 struct customer_table {
 	uint32_t count;
 	struct customer *list;
+	uint32_t *by_id; /* indexes into `list`, sorted by id */
 	uint32_t key_count;
 	struct customer_key *keys;
 };
 
 uint64_t customer_id_of(const char *name);
-/* Sorts the keys and sets the ids; called once after all are filled in. */
-void customer_table_finish(struct customer_table *table);
+/* Returns a few digits of a key's hash, by which lines of the log can be matched to a key without
+ * showing it. */
+uint32_t customer_key_fingerprint(const void *key, size_t size);
+/* Sorts the keys and sets the ids; called once after all are filled in. A key that is listed more
+ * than once belongs to the first customer that has it. Errors: ERROR_MEMORY. */
+int customer_table_finish(struct customer_table *table, struct error *err);
 void customer_table_free(struct customer_table *table);
 /* Returns the customer that holds a key, or NULL. */
 const struct customer *customer_find_by_key(const struct customer_table *table, const void *key,
--- a/src/fescuemill/decide/route.c
+++ b/src/fescuemill/decide/route.c
@@ -54,48 +54,89 @@
 	return find_service(routing, name);
 }
 
-/* Returns how much a class differs from the rank and objective of a route. A difference in rank
- * outweighs any difference in the objective. */
-static uint64_t class_distance(const struct class_target *class, const struct route *route)
+/* Returns how much a class differs from a rank and an objective. A difference in rank outweighs any
+ * difference in the objective. */
+static uint64_t class_distance(const struct class_target *class, uint32_t rank, uint32_t latency_ms)
 {
-	uint64_t target_us = route->latency_ms * 1000ULL;
+	uint64_t target_us = latency_ms * 1000ULL;
 	uint64_t difference_us = class->latency_us > target_us ? class->latency_us - target_us
 							       : target_us - class->latency_us;
-	uint64_t ranks =
-		class->rank > route->rank ? class->rank - route->rank : route->rank - class->rank;
+	uint64_t ranks = class->rank > rank ? class->rank - rank : rank - class->rank;
 
 	return (ranks << 40) + difference_us;
 }
 
-/* Returns the class that matches the rank and objective of a route, and adds it if needed. If the
- * service already has CLASSES_PER_SERVICE_MAX classes, returns the nearest one. */
-static const struct class_target *find_or_add_class(struct service_config *config,
-						    const struct route *route)
+/* Returns the class nearest to a rank and an objective, or NULL if the service has none. */
+const struct class_target *route_nearest_class(const struct service_config *config, uint32_t rank,
+					       uint32_t latency_ms)
 {
-	struct class_target *nearest = NULL;
+	const struct class_target *nearest = NULL;
 
 	for (uint32_t i = 0; i < config->class_count; i++) {
-		struct class_target *class = &config->classes[i];
+		const struct class_target *class = &config->classes[i];
 
-		if (!nearest || class_distance(class, route) < class_distance(nearest, route))
+		if (!nearest || class_distance(class, rank, latency_ms) <
+					class_distance(nearest, rank, latency_ms))
 			nearest = class;
 	}
-	if (nearest &&
-	    (class_distance(nearest, route) == 0 || config->class_count == CLASSES_PER_SERVICE_MAX))
-		return nearest;
-	nearest = &config->classes[config->class_count++];
-	snprintf(nearest->name, sizeof(nearest->name), "rank%u-%ums", route->rank,
-		 route->latency_ms);
-	nearest->rank = route->rank;
-	nearest->latency_us = route->latency_ms * 1000U;
-	nearest->percentile_x10 = CLASS_PERCENTILE_UNSET_X10;
-	nearest->calls_per_s = CLASS_CALLS_PER_S_UNSET;
 	return nearest;
 }
 
+/* Returns the class that matches a rank and an objective, and adds it if needed. If the service
+ * already has CLASSES_PER_SERVICE_MAX classes, returns the nearest one. */
+static const struct class_target *find_or_add_class(struct service_config *config, uint32_t rank,
+						    uint32_t latency_ms)
+{
+	const struct class_target *nearest = route_nearest_class(config, rank, latency_ms);
+	struct class_target *added;
+
+	if (nearest && (class_distance(nearest, rank, latency_ms) == 0 ||
+			config->class_count == CLASSES_PER_SERVICE_MAX))
+		return nearest;
+	added = &config->classes[config->class_count++];
+	snprintf(added->name, sizeof(added->name), "rank%u-%ums", rank, latency_ms);
+	added->rank = rank;
+	added->latency_us = latency_ms * 1000U;
+	added->percentile_x10 = CLASS_PERCENTILE_UNSET_X10;
+	added->calls_per_s = CLASS_CALLS_PER_S_UNSET;
+	return added;
+}
+
+/* Ranks that calls of customers can have. */
+struct rank_set {
+	bool has[UINT8_MAX + 1];
+};
+
+/* Collects the ranks of all customers. */
+static void collect_ranks(const struct customer_table *customers, struct rank_set *out)
+{
+	memset(out, 0, sizeof(*out));
+	for (uint32_t i = 0; i < customers->count; i++)
+		out->has[customers->list[i].rank & UINT8_MAX] = true;
+}
+
+/* Adds the classes of a route's calls to a service, and returns the one for the route's own rank.
+ * Calls that need a key have the ranks of the customers in place of the route's. All ranks of a
+ * route are added before the next route's: if there is no room for all classes, the ranks are kept
+ * apart rather than the objectives. */
+static const struct class_target *add_route_classes(const struct routing *routing,
+						    const struct route *route,
+						    const struct rank_set *ranks,
+						    struct service_config *config)
+{
+	if (routing->customers.count == 0 || route->customer_exempt)
+		return find_or_add_class(config, route->rank, route->latency_ms);
+	for (uint32_t rank = 0; rank <= UINT8_MAX; rank++) {
+		if (ranks->has[rank])
+			find_or_add_class(config, rank, route->latency_ms);
+	}
+	return route_nearest_class(config, route->rank, route->latency_ms);
+}
+
 /* Sets the class of each part of a route. Returns -1 with ERROR_RANGE if a service is not listed.
  */
-static int assign_classes(struct routing *routing, struct route *route, struct error *err)
+static int assign_classes(struct routing *routing, struct route *route,
+			  const struct rank_set *ranks, struct error *err)
 {
 	for (uint32_t i = 0; i < route->part_count; i++) {
 		struct route_part *part = &route->parts[i];
@@ -104,7 +145,8 @@
 		if (!service)
 			return error_set(err, ERROR_RANGE, "route %s: service %s is not listed",
 					 route->name, part->service);
-		memcpy(part->class_name, find_or_add_class(&service->config, route)->name,
+		memcpy(part->class_name,
+		       add_route_classes(routing, route, ranks, &service->config)->name,
 		       sizeof(part->class_name));
 	}
 	return 0;
@@ -112,16 +154,20 @@
 
 /* Sorts the routes and derives the classes of each service; called once after all are filled in. A
  * random draw sets the start of each traffic split. Returns -1 with ERROR_RANGE if two routes have
- * the same host and prefix, or if a route names a service that is not listed. */
+ * the same host and prefix, or if a route names a service that is not listed; ERROR_MEMORY. */
 int routing_finish(struct routing *routing, struct random *rng, struct error *err)
 {
+	struct rank_set ranks;
+
 	for (uint32_t i = 0; i < routing->service_count; i++) {
 		struct route_service *service = &routing->services[i];
 
 		memcpy(service->config.service, service->name, sizeof(service->name));
 		service->config.class_count = 0;
 	}
-	customer_table_finish(&routing->customers);
+	if (customer_table_finish(&routing->customers, err) != 0)
+		return -1;
+	collect_ranks(&routing->customers, &ranks);
 	if (routing->route_count > 1)
 		qsort(routing->routes, routing->route_count, sizeof(*routing->routes),
 		      compare_routes);
@@ -132,7 +178,7 @@
 			return error_set(err, ERROR_RANGE,
 					 "host %s has two routes with the prefix %s", route->host,
 					 route->prefix);
-		if (assign_classes(routing, route, err) != 0)
+		if (assign_classes(routing, route, &ranks, err) != 0)
 			return -1;
 		route->split_position = random_unit(rng);
 	}
--- a/src/fescuemill/decide/route.h
+++ b/src/fescuemill/decide/route.h
@@ -39,10 +39,12 @@
 /* A service that is the destination of routes. */
 struct route_service {
 	char name[SERVICE_NAME_BYTES];
-	const char *health_path;      /* empty if not configured */
-	uint32_t cold_rate_milli;     /* calls per 1000 s that a cold server bears; 0: any */
-	uint32_t cold_start_ms;	      /* how long a server stays cold after its start; 0: unknown */
-	struct service_config config; /* classes derived from rank and objective of its routes */
+	const char *health_path;  /* empty if not configured */
+	uint32_t cold_rate_milli; /* calls per 1000 s that a cold server bears; 0: any */
+	uint32_t cold_start_ms;	  /* how long a server stays cold after its start; 0: unknown */
+	/* Classes derived from rank and objective of its routes; where calls need a key, from the
+	 * customers' ranks. */
+	struct service_config config;
 };
 
 /* What callers may send, and how long they may take for it or stay idle; 0: not configured. */
@@ -74,5 +76,9 @@
 				 const char *path, size_t path_size);
 const struct route_service *routing_find_service(const struct routing *routing, const char *name);
 const struct route_part *route_pick_part(struct route *route);
+/* Returns the class of a service for calls of a rank on a route with this objective; NULL if the
+ * service has no class. */
+const struct class_target *route_nearest_class(const struct service_config *config, uint32_t rank,
+					       uint32_t latency_ms);
 
 #endif
--- a/src/fescuemill/http/call_request.c
+++ b/src/fescuemill/http/call_request.c
@@ -4,6 +4,7 @@
 #include "fescuemill/http/call_request.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/http/credential.h"
 
 #include <ctype.h>
 #include <string.h>
@@ -342,6 +343,7 @@
 		return REASON_BAD_REQUEST;
 	if (read_path(head->path, out, err) != 0)
 		return REASON_BAD_REQUEST;
+	out->credential = credential_read(head);
 	reason = read_headers(head, out, err);
 	if (reason != REASON_NONE)
 		return reason;
@@ -366,6 +368,8 @@
 		return 404;
 	case REASON_TOO_LARGE:
 		return 413;
+	case REASON_UNKNOWN_KEY:
+		return 401;
 	case REASON_RETRY_BUDGET:
 		return 429;
 	default:
--- a/src/fescuemill/http/dialect.h
+++ b/src/fescuemill/http/dialect.h
@@ -79,6 +79,8 @@
 	/* True if an answer's body may be close-delimited: a truncated one is then detected only if
 	 * the connection was reset. */
 	bool allows_close_delimited_body;
+	/* Header, in lower case, that tells the backend server the name of the customer. */
+	const char *customer_header;
 };
 
 extern const struct http_dialect native_dialect;
--- a/src/fescuemill/http/native_dialect.c
+++ b/src/fescuemill/http/native_dialect.c
@@ -21,6 +21,7 @@
 #define CALL_ID_BYTES	  64
 #define HEADER_RATE_LIMIT "x-fescue-rate-limit" /* calls per second */
 #define HEADER_LEAVING	  "x-fescue-leaving"	/* "1" */
+#define HEADER_CUSTOMER	  "fescuemill-customer" /* name of the customer */
 
 static const struct {
 	const char *name;
@@ -78,6 +79,8 @@
 	answer_lines_add(out, "x-fescue-outcome", "%s", call_outcome_name(answer->outcome));
 	answer_lines_add(out, "x-fescue-reason", "%s", call_reason_name(answer->reason));
 	answer_lines_add(out, "x-fescue-attempts", "%u", answer->attempts);
+	if (answer->reason == REASON_UNKNOWN_KEY)
+		answer_lines_add(out, "www-authenticate", "Bearer");
 	if (answer->outcome == OUTCOME_ANSWERED)
 		answer_lines_add(out, "x-fescue-server-us", "%u", answer->server_us);
 }
@@ -235,4 +238,5 @@
 	.read_announcement = read_announcement,
 	.write_announcement_reply = write_announcement_reply,
 	.allows_close_delimited_body = false,
+	.customer_header = HEADER_CUSTOMER,
 };
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -9,7 +9,9 @@
 #include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/retry_after.h"
+#include "fescuemilld/entry/entry_burn.h"
 #include "fescuemilld/entry/entry_classify.h"
+#include "fescuemilld/entry/entry_customer.h"
 #include "fescuemilld/entry/entry_defs.h"
 #include "fescuemilld/entry/entry_link.h"
 #include "fescuemilld/entry/entry_log.h"
@@ -93,37 +95,17 @@
 	entry->free_slots[entry->free_count++] = call->slot;
 }
 
-/* Counts a finished call that arrived at `received_us` against its class's latency target. */
-static void record_burn(const struct entry_options *options, const char *service,
-			const char *class_name, const struct caller_answer *answer,
-			uint64_t received_us)
-{
-	const struct service_config *config = config_find(options->config, service);
-	const struct class_target *target = config ? config_find_class(config, class_name) : NULL;
-	uint64_t now_us = clock_monotonic_us();
-	struct burn_call ended = {
-		.service = service,
-		.class_name = class_name,
-		.outcome = answer->outcome,
-		.reason = answer->reason,
-		.failed = answer->status >= HTTP_ERROR_MIN,
-		.latency_us = now_us - received_us,
-		.target_us = target ? target->latency_us : 0,
-	};
-
-	if (target)
-		burn_record(options->burn, &ended, now_us);
-}
-
 /* Answers a call that is refused before its first attempt. */
 static void refuse_request(struct entry *entry, struct caller_call *caller,
-			   const struct call_request *req, enum call_reason reason)
+			   const struct call_request *req, const struct call_class *class,
+			   enum call_reason reason)
 {
 	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
 
 	answer.retry_after_ms = retry_after_ms(reason, 0, random_unit(&entry->rng));
-	record_burn(&entry->options, req->service, req->class_name, &answer, clock_monotonic_us());
-	entry_log_refused(req, reason, answer.retry_after_ms);
+	entry_record_burn(&entry->options, req->service, req->class_name, &answer,
+			  clock_monotonic_us());
+	entry_log_refused(req, class, reason, answer.retry_after_ms);
 	caller_answer(caller, &answer);
 }
 
@@ -149,8 +131,8 @@
 		answer.retry_after_ms = retry_after_ms(action->reason, call->wait_us,
 						       random_unit(&call->entry->rng));
 	}
-	record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
-		    call->received_us);
+	entry_record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
+			  call->received_us);
 	latency_record(LATENCY_CALL, clock_monotonic_us() - call->received_us);
 	entry_log_finished(call, &answer);
 	release_slot(call);
@@ -279,6 +261,7 @@
 	notice = notice_table_find(&call->entry->notices, action->target.gate.node_id);
 	if (notice)
 		msg->call.notice = *notice;
+	msg->call.customer = call->customer;
 	msg->call.key = request->key;
 	msg->call.method = request->method;
 	msg->call.path = request->path;
@@ -437,6 +420,8 @@
 	call->received_us = clock_monotonic_us();
 	call->class_index = class->index;
 	call->idempotent = class->idempotent;
+	call->customer = class->customer ? class->customer->id : 0;
+	call->customer_name = class->customer_name;
 	memcpy(call->class_name, class->name, sizeof(call->class_name));
 	memcpy(call->route, class->route, sizeof(call->route));
 	attempt_entry_init(&call->state, &settings);
@@ -457,15 +442,17 @@
 	struct entry_service *service;
 	struct error err = {0};
 
+	if (reason == REASON_NONE)
+		reason = entry_customer_prepare(entry, caller, &class, &req);
 	if (reason != REASON_NONE) {
-		refuse_request(entry, caller, req, reason);
+		refuse_request(entry, caller, req, &class, reason);
 		return;
 	}
 	service = entry_service_get(entry, class.service, &err);
 	if (!service) {
 		log_failure(LOG_WARNING, LOG_PART_ENTRY,
 			    "The state of a service could not be created.", &err);
-		refuse_request(entry, caller, req, REASON_OVERLOAD);
+		refuse_request(entry, caller, req, &class, REASON_OVERLOAD);
 		return;
 	}
 	if (!uv_is_active((uv_handle_t *)&entry->timer))
--- a/src/fescuemilld/entry/entry.h
+++ b/src/fescuemilld/entry/entry.h
@@ -27,6 +27,7 @@
 	struct burn *burn;     /* counts finished calls against the latency targets */
 	struct budget *budget; /* charged for heartbeats */
 	const struct key_members *key_members;
+	const char *customer_header; /* the dialect's */
 	/* Returns why the node refuses calls now, or REASON_NONE. */
 	enum call_reason (*refusal)(void *user);
 	/* Returns false if the node ends before a call with this time left has ended. */
--- a/src/fescuemilld/entry/entry_classify.c
+++ b/src/fescuemilld/entry/entry_classify.c
@@ -5,6 +5,7 @@
 #include "fescuemilld/entry/entry_classify.h"
 
 #include "fescuemill/base/clock.h"
+#include "fescuemilld/entry/entry_customer.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -28,10 +29,13 @@
 static enum call_reason classify_by_service(const struct entry *entry,
 					    const struct call_request *req, struct call_class *out)
 {
+	enum call_reason reason;
+
 	memcpy(out->service, req->service, sizeof(out->service));
 	memcpy(out->name, req->class_name, sizeof(out->name));
 	out->idempotent = req->idempotent;
-	return find_class(entry, out);
+	reason = entry_customer_find(entry, req, NULL, out);
+	return reason == REASON_NONE ? find_class(entry, out) : reason;
 }
 
 /* Classifies a request by the configured routes. */
@@ -41,6 +45,7 @@
 	struct routing *routing = config_routing(entry->options.config);
 	struct route *route;
 	const struct route_part *part;
+	enum call_reason reason;
 
 	if (!routing)
 		return REASON_NOT_READY;
@@ -48,10 +53,14 @@
 				   (const char *)req->path.data, req->path.size);
 	if (!route)
 		return REASON_UNKNOWN_SERVICE;
+	snprintf(out->route, sizeof(out->route), "%s", route->name);
+	reason = entry_customer_find(entry, req, route, out);
+	if (reason != REASON_NONE)
+		return reason;
 	part = route_pick_part(route);
 	snprintf(out->service, sizeof(out->service), "%s", part->service);
 	memcpy(out->name, part->class_name, sizeof(out->name));
-	snprintf(out->route, sizeof(out->route), "%s", route->name);
+	entry_customer_set_class(entry, route, out);
 	out->idempotent = route->idempotent;
 	out->servers_max = route->attempts_max;
 	if (out->time_left_us > route->timeout_ms * USEC_PER_MSEC)
--- a/src/fescuemilld/entry/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -78,6 +78,8 @@
 	uint8_t class_index;  /* index in the service's configuration */
 	char class_name[CLASS_NAME_BYTES];
 	char route[ENTRY_ROUTE_BYTES]; /* for the log; empty when the request names its service */
+	uint64_t customer;	       /* id of the customer; 0: none */
+	const char *customer_name;     /* NULL: none */
 	bool idempotent;
 };
 
@@ -90,6 +92,10 @@
 	bool idempotent;
 	uint32_t servers_max;  /* backend servers that the call may be sent to; 0: no limit */
 	uint64_t time_left_us; /* from the request, at most the route's timeout */
+	/* Of the request's key; NULL: none. Valid until the configuration changes. */
+	const struct customer *customer;
+	const char *customer_name; /* copy for the call's lifetime; NULL: none */
+	bool hides_keys;	   /* customers are configured: keys are not forwarded */
 };
 
 struct entry {
--- a/src/fescuemilld/entry/entry_log.h
+++ b/src/fescuemilld/entry/entry_log.h
@@ -8,8 +8,8 @@
 #include "fescuemilld/entry/entry_defs.h"
 
 /* Logs a call that was refused before its first attempt. */
-void entry_log_refused(const struct call_request *req, enum call_reason reason,
-		       uint32_t retry_after_ms);
+void entry_log_refused(const struct call_request *req, const struct call_class *class,
+		       enum call_reason reason, uint32_t retry_after_ms);
 /* Logs the outcome of a call. */
 void entry_log_finished(const struct entry_call *call, const struct caller_answer *answer);
 /* Logs an attempt that is sent to a gate, and the answer that the gate gave to it. */
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -79,6 +79,7 @@
 		.burn = node->burn.calls,
 		.budget = &node->budget,
 		.key_members = node->key_members,
+		.customer_header = node->dialects.dialect->customer_header,
 		.refusal = node_refusal_reason,
 		.has_time_for = node_has_time_for,
 		.repeat_permille = node_repeat_permille,
--- a/test/standin/backend/main.c
+++ b/test/standin/backend/main.c
@@ -79,6 +79,7 @@
 	uint64_t silenced_wall_us; /* connections opened before this time are silent; 0: none */
 	uint64_t term_us;	   /* monotonic time of SIGTERM or SIGINT; 0: none */
 	uint64_t requests;
+	json_t *last_head;  /* headers of the last call */
 	struct call *calls; /* oldest first */
 } self;
 
@@ -252,6 +253,21 @@
 	return (uint64_t)at->tv_sec * USEC_PER_SEC + (uint64_t)at->tv_usec < self.silenced_wall_us;
 }
 
+/* Keeps the headers of a call, as "name: value", for GET /last-head. */
+static void keep_head(const h2o_req_t *req)
+{
+	json_decref(self.last_head);
+	self.last_head = json_array();
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *header = &req->headers.entries[i];
+
+		json_array_append_new(self.last_head,
+				      json_sprintf("%.*s: %.*s", (int)header->name->len,
+						   header->name->base, (int)header->value.len,
+						   header->value.base));
+	}
+}
+
 /* Accepts a call: runs it if a slot is free, else queues it. */
 static int handle_call(h2o_req_t *req)
 {
@@ -263,6 +279,7 @@
 	uint64_t answer_bytes = server_header_u64(req, "x-standin-size", ANSWER_BYTES_DEFAULT);
 
 	self.requests++;
+	keep_head(req);
 	if (self.ignore_deadlines)
 		deadline_ms = CALL_DEADLINE_MS_DEFAULT;
 	if (self.shed)
@@ -399,6 +416,9 @@
 		return handle_stats(req);
 	if (server_path_is(req, "/executions"))
 		return server_send_json(req, 200, ledger_json());
+	if (server_path_is(req, "/last-head"))
+		return server_send_json(req, 200,
+					json_incref(self.last_head ? self.last_head : json_null()));
 	if (server_path_is(req, "/health"))
 		return handle_health(req);
 	if (req->path_normalized.len > skip &&
--- a/test/unit/decide/route_test.cc
+++ b/test/unit/decide/route_test.cc
@@ -229,4 +229,70 @@
 	EXPECT_EQ(ERROR_TYPE, Routes("{}").err.kind);
 }
 
+// Returns a routing object with customers of these ranks.
+json_t *with_customers(const std::string &routes, const std::vector<int> &ranks)
+{
+	std::string text = R"({"number":7,"routes":)" + routes + R"(,"services":[{"name":"a"}],)" +
+			   R"("customers":[)";
+
+	for (size_t i = 0; i < ranks.size(); i++)
+		text += std::string(i ? "," : "") + R"({"name":"c)" + std::to_string(i) +
+			R"(","keys":["k)" + std::to_string(i) + R"("],"rank":)" +
+			std::to_string(ranks[i]) + "}";
+	return json_loads((text + "]}").c_str(), 0, nullptr);
+}
+
+// Guards against calls of a customer that are queued by the rank of their route.
+TEST(Route, ClassesFollowTheRanksOfCustomersInPlaceOfTheRoutes)
+{
+	std::string exempt =
+		route_json("open", "x", "/open/", R"([{"service":"a","weight":1}])", 9);
+	exempt.insert(exempt.size() - 1, R"(,"customer_exempt":true)");
+	json_t *json = with_customers(
+		"[" + route_json("near", "x", "/n/", R"([{"service":"a","weight":1}])", 7, 100) +
+			"," +
+			route_json("far", "x", "/f/", R"([{"service":"a","weight":1}])", 7, 900) +
+			"," + exempt + "]",
+		{4, 0, 4});
+	routing table{};
+	struct random rng {
+	};
+
+	ASSERT_EQ(0, routing_read(json, &rng, &table, nullptr));
+	json_decref(json);
+	const service_config &config = routing_find_service(&table, "a")->config;
+	// Two ranks with two objectives, and the exempt route with its own rank.
+	EXPECT_EQ(5u, config.class_count);
+	EXPECT_STREQ("rank4-900ms", route_nearest_class(&config, 4, 900)->name);
+	EXPECT_STREQ("rank0-100ms", route_nearest_class(&config, 0, 100)->name);
+	EXPECT_STREQ("rank9-500ms",
+		     routing_find_route(&table, "x", 1, "/open/", 6)->parts[0].class_name);
+	routing_free(&table);
+}
+
+// Guards against ranks that share a class because one route has many objectives.
+TEST(Route, RanksOfCustomersStayApartWhereClassesAreShort)
+{
+	std::string routes;
+
+	for (int i = 0; i < 20; i++)
+		routes += (i ? "," : "") +
+			  route_json("r" + std::to_string(i), "x", "/" + std::to_string(i) + "/",
+				     R"([{"service":"a","weight":1}])", 0, 100 + 10 * i);
+	json_t *json = with_customers("[" + routes + "]", {1, 2, 3});
+	routing table{};
+	struct random rng {
+	};
+
+	ASSERT_EQ(0, routing_read(json, &rng, &table, nullptr));
+	json_decref(json);
+	const service_config &config = routing_find_service(&table, "a")->config;
+	EXPECT_EQ((uint32_t)CLASSES_PER_SERVICE_MAX, config.class_count);
+	for (uint32_t rank = 1; rank <= 3; rank++) {
+		for (uint32_t i = 0; i < 20; i++)
+			EXPECT_EQ(rank, route_nearest_class(&config, rank, 100 + 10 * i)->rank);
+	}
+	routing_free(&table);
+}
+
 } // namespace
--- a/test/unit/platform/http_dialect_test.cc
+++ b/test/unit/platform/http_dialect_test.cc
@@ -139,8 +139,9 @@
 		int not_run = write_outcome(OUTCOME_NOT_RUN, (call_reason)reason).status;
 		EXPECT_TRUE(unknown == 502 || unknown == 504) << reason;
 		EXPECT_TRUE(not_run == 503 || not_run == 429 || not_run == 400 || not_run == 404 ||
-			    not_run == 413)
+			    not_run == 413 || not_run == 401)
 			<< reason;
+		EXPECT_EQ(reason == REASON_UNKNOWN_KEY, not_run == 401) << reason;
 	}
 	EXPECT_EQ(404, write_outcome(OUTCOME_NOT_RUN, REASON_UNKNOWN_SERVICE).status);
 	EXPECT_EQ(503, write_outcome(OUTCOME_NOT_RUN, REASON_NOT_READY).status);
