Test: the keyed case of unit-entry_placement opens no connections

It crashed: a keyed call connects to the gates of its service ahead of time, and the entry of the test has no table of links. It passes now.

--- a/test/unit/fescuemilld/entry/entry_placement_test.cc
+++ b/test/unit/fescuemilld/entry/entry_placement_test.cc
@@ -119,6 +119,7 @@
 		call.request = &request;
 		call.service = entry_service_get(entry.get(), "catalogue", &err);
 		ASSERT_NE(nullptr, call.service);
+		call.service->preconnected_us = UINT64_MAX / 2; // opens no connections
 		snprintf(call.route, sizeof(call.route), "%s", found->name);
 		state.deadline_us = UINT64_MAX;
 		state.servers_max = 4;
