Customers: within a customer's rank, calls are ordered by the route's rank

The customer's rank goes first, and among customers of one rank the route's rank decides. Ranks are numbered by their position among those in use, as classes have 16.

--- a/src/fescuemill/decide/call_defs.h
+++ b/src/fescuemill/decide/call_defs.h
@@ -16,6 +16,7 @@
 #define KEY_BYTES	   128
 
 #define CLASSES_PER_SERVICE_MAX 16
+#define CLASS_RANK_MAX		15 /* the least urgent */
 #define CALL_DEPTH_MAX		20
 #define CALL_BODY_BYTES_MAX	(8U << 20)
 #define CALL_DEADLINE_US_MAX	(600ULL * 1000 * 1000)
--- a/src/fescuemill/decide/route.c
+++ b/src/fescuemill/decide/route.c
@@ -102,41 +102,76 @@
 	return added;
 }
 
-/* Ranks that calls of customers can have. */
-struct rank_set {
-	bool has[UINT8_MAX + 1];
-};
+/* Replaces the marks of the ranks in use by their positions among them, and returns their number.
+ */
+static uint32_t set_positions(uint8_t *marks)
+{
+	uint32_t count = 0;
 
-/* Collects the ranks of all customers. */
-static void collect_ranks(const struct customer_table *customers, struct rank_set *out)
+	for (uint32_t rank = 0; rank <= UINT8_MAX; rank++) {
+		if (marks[rank])
+			marks[rank] = (uint8_t)count++;
+	}
+	return count;
+}
+
+/* Collects the ranks of all customers and routes, in order. */
+static void order_ranks(struct routing *routing)
 {
-	memset(out, 0, sizeof(*out));
-	for (uint32_t i = 0; i < customers->count; i++)
-		out->has[customers->list[i].rank & UINT8_MAX] = true;
+	struct rank_order *order = &routing->rank_order;
+
+	memset(order, 0, sizeof(*order));
+	for (uint32_t i = 0; i < routing->customers.count; i++)
+		order->customer_positions[routing->customers.list[i].rank & UINT8_MAX] = 1;
+	for (uint32_t i = 0; i < routing->route_count; i++)
+		order->route_positions[routing->routes[i].rank & UINT8_MAX] = 1;
+	order->customer_ranks = set_positions(order->customer_positions);
+	order->route_ranks = set_positions(order->route_positions);
 }
 
-/* Adds the classes of a route's calls to a service, and returns the one for the route's own rank.
- * Calls that need a key have the ranks of the customers in place of the route's. All ranks of a
- * route are added before the next route's: if there is no room for all classes, the ranks are kept
- * apart rather than the objectives. */
+/* Returns the rank of the class for calls of a customer on a route: by the customer's rank, and
+ * among customers of the same rank by the route's. Positions among the ranks in use keep them apart
+ * within the few ranks that classes have. */
+uint32_t routing_class_rank(const struct routing *routing, uint32_t customer_rank,
+			    uint32_t route_rank)
+{
+	const struct rank_order *order = &routing->rank_order;
+	uint32_t rank = order->customer_positions[customer_rank & UINT8_MAX] * order->route_ranks +
+			order->route_positions[route_rank & UINT8_MAX];
+
+	return rank < CLASS_RANK_MAX ? rank : CLASS_RANK_MAX;
+}
+
+/* Adds the classes of a route's calls to a service, and returns the one for calls without a
+ * customer. These are as urgent as those of the most urgent customers: backend servers make them
+ * while they run other calls. All ranks of a route are added before the next route's: if there is
+ * no room for all classes, the ranks are kept apart rather than the objectives. */
 static const struct class_target *add_route_classes(const struct routing *routing,
 						    const struct route *route,
-						    const struct rank_set *ranks,
 						    struct service_config *config)
 {
-	if (routing->customers.count == 0 || route->customer_exempt)
+	const struct rank_order *order = &routing->rank_order;
+	uint32_t position = order->route_positions[route->rank & UINT8_MAX];
+	const struct class_target *first = NULL;
+
+	if (routing->customers.count == 0)
 		return find_or_add_class(config, route->rank, route->latency_ms);
-	for (uint32_t rank = 0; rank <= UINT8_MAX; rank++) {
-		if (ranks->has[rank])
-			find_or_add_class(config, rank, route->latency_ms);
+	for (uint32_t i = 0; i < order->customer_ranks; i++) {
+		uint32_t rank = i * order->route_ranks + position;
+		const struct class_target *added = find_or_add_class(
+			config, rank < CLASS_RANK_MAX ? rank : CLASS_RANK_MAX, route->latency_ms);
+
+		if (i == 0)
+			first = added;
+		if (route->customer_exempt)
+			break;
 	}
-	return route_nearest_class(config, route->rank, route->latency_ms);
+	return first;
 }
 
 /* Sets the class of each part of a route. Returns -1 with ERROR_RANGE if a service is not listed.
  */
-static int assign_classes(struct routing *routing, struct route *route,
-			  const struct rank_set *ranks, struct error *err)
+static int assign_classes(struct routing *routing, struct route *route, struct error *err)
 {
 	for (uint32_t i = 0; i < route->part_count; i++) {
 		struct route_part *part = &route->parts[i];
@@ -145,8 +180,7 @@
 		if (!service)
 			return error_set(err, ERROR_RANGE, "route %s: service %s is not listed",
 					 route->name, part->service);
-		memcpy(part->class_name,
-		       add_route_classes(routing, route, ranks, &service->config)->name,
+		memcpy(part->class_name, add_route_classes(routing, route, &service->config)->name,
 		       sizeof(part->class_name));
 	}
 	return 0;
@@ -157,8 +191,6 @@
  * the same host and prefix, or if a route names a service that is not listed; ERROR_MEMORY. */
 int routing_finish(struct routing *routing, struct random *rng, struct error *err)
 {
-	struct rank_set ranks;
-
 	for (uint32_t i = 0; i < routing->service_count; i++) {
 		struct route_service *service = &routing->services[i];
 
@@ -167,7 +199,7 @@
 	}
 	if (customer_table_finish(&routing->customers, err) != 0)
 		return -1;
-	collect_ranks(&routing->customers, &ranks);
+	order_ranks(routing);
 	if (routing->route_count > 1)
 		qsort(routing->routes, routing->route_count, sizeof(*routing->routes),
 		      compare_routes);
@@ -178,7 +210,7 @@
 			return error_set(err, ERROR_RANGE,
 					 "host %s has two routes with the prefix %s", route->host,
 					 route->prefix);
-		if (assign_classes(routing, route, &ranks, err) != 0)
+		if (assign_classes(routing, route, err) != 0)
 			return -1;
 		route->split_position = random_unit(rng);
 	}
--- a/src/fescuemill/decide/route.h
+++ b/src/fescuemill/decide/route.h
@@ -43,7 +43,7 @@
 	uint32_t cold_rate_milli; /* calls per 1000 s that a cold server bears; 0: any */
 	uint32_t cold_start_ms;	  /* how long a server stays cold after its start; 0: unknown */
 	/* Classes derived from rank and objective of its routes; where calls need a key, from the
-	 * customers' ranks. */
+	 * customers' ranks, too. */
 	struct service_config config;
 };
 
@@ -55,6 +55,14 @@
 	uint32_t idle_timeout_ms;
 };
 
+/* The ranks in use: the position of each among them. */
+struct rank_order {
+	uint32_t customer_ranks; /* number of different ranks of customers */
+	uint32_t route_ranks;
+	uint8_t customer_positions[UINT8_MAX + 1];
+	uint8_t route_positions[UINT8_MAX + 1];
+};
+
 /* All routes of one configuration version, sorted by host, longer prefixes first. The texts and the
  * lists of the operators are kept whole, whatever their length. */
 struct routing {
@@ -66,8 +74,9 @@
 	struct route_part *parts;	 /* of all routes */
 	struct customer_table customers; /* empty: calls need no key */
 	struct caller_limits limits;
-	char *texts;		 /* names, hosts, prefixes and health paths of all routes */
-	uint32_t adjusted_count; /* numbers that were replaced by the nearest usable ones */
+	struct rank_order rank_order; /* set by routing_finish() */
+	char *texts;		      /* names, hosts, prefixes and health paths of all routes */
+	uint32_t adjusted_count;      /* numbers that were replaced by the nearest usable ones */
 };
 
 int routing_finish(struct routing *routing, struct random *rng, struct error *err);
@@ -76,6 +85,9 @@
 				 const char *path, size_t path_size);
 const struct route_service *routing_find_service(const struct routing *routing, const char *name);
 const struct route_part *route_pick_part(struct route *route);
+/* Returns the rank of the class for calls of a customer of a rank on a route of a rank. */
+uint32_t routing_class_rank(const struct routing *routing, uint32_t customer_rank,
+			    uint32_t route_rank);
 /* Returns the class of a service for calls of a rank on a route with this objective; NULL if the
  * service has no class. */
 const struct class_target *route_nearest_class(const struct service_config *config, uint32_t rank,
--- a/src/fescuemilld/entry/entry_customer.c
+++ b/src/fescuemilld/entry/entry_customer.c
@@ -34,16 +34,19 @@
 	return out->customer ? REASON_NONE : REASON_UNKNOWN_KEY;
 }
 
-/* Sets the class for the customer's rank and the route's objective. */
+/* Sets the class for the ranks of the customer and the route and the route's objective. */
 void entry_customer_set_class(const struct entry *entry, const struct route *route,
 			      struct call_class *out)
 {
 	const struct service_config *config = config_find(entry->options.config, out->service);
+	const struct routing *routing = config_routing(entry->options.config);
 	const struct class_target *target;
+	uint32_t rank;
 
-	if (!out->customer || !config)
+	if (!out->customer || !config || !routing)
 		return;
-	target = route_nearest_class(config, out->customer->rank, route->latency_ms);
+	rank = routing_class_rank(routing, out->customer->rank, route->rank);
+	target = route_nearest_class(config, rank, route->latency_ms);
 	if (target)
 		memcpy(out->name, target->name, sizeof(out->name));
 }
