--- a/src/fescuectl/command.c
+++ b/src/fescuectl/command.c
@@ -350,6 +350,42 @@
 	return 0;
 }
 
+/* Shows for each node which evacuations it knows. */
+static int show_evacuations(struct node_client *client, struct error *err)
+{
+	static const char *const columns[] = {"name",  "failure_domain", "evacuated",
+					      "known", "evacuations",	 NULL};
+
+	return query_each_node(client, "/v1/evacuations", columns, err);
+}
+
+/* Orders the evacuation of a failure domain, withdraws it, or shows what the nodes know. */
+static int evacuate(struct node_client *client, const char *const *words, struct error *err)
+{
+	struct node_request request = {.method = client->options->cancel ? "DELETE" : "PUT"};
+	char path[PATH_BYTES];
+	json_t *json;
+
+	if (client->options->word_count == 1 && client->options->cancel)
+		return error_set(err, ERROR_USAGE, "--cancel: which failure domain?");
+	if (client->options->word_count == 1)
+		return show_evacuations(client, err);
+	if (snprintf(path, sizeof(path), "/v1/evacuations/%s", words[0]) >= PATH_BYTES ||
+	    strpbrk(words[0], " /\r\n?#%"))
+		return error_set(err, ERROR_USAGE, "\"%.40s\" is not a name", words[0]);
+	request.path = path;
+	if (node_client_request_any(client, &request, &json, err))
+		return -1;
+	if (client->options->json)
+		print_json(json);
+	else
+		printf("%s %s version %lld\n", words[0],
+		       client->options->cancel ? "withdrawn" : "ordered",
+		       (long long)json_integer_value(json_object_get(json, "version")));
+	json_decref(json);
+	return 0;
+}
+
 static int watch(struct node_client *client, const char *const *words, struct error *err)
 {
 	char *end;
@@ -382,6 +418,7 @@
 	{{"members", NULL}, 0, 0, "", show_members},
 	{{"counters", NULL}, 0, 0, "", show_counters},
 	{{"drain", NULL}, 0, 0, "", drain},
+	{{"evacuate", NULL}, 0, 1, "[DOMAIN]", evacuate},
 	{{"watch", NULL}, 2, 2, "SERVICE VERSION", watch},
 };
 
--- a/src/fescuectl/main.c
+++ b/src/fescuectl/main.c
@@ -1,5 +1,6 @@
 /*
- * fescuectl: the operators' command for classes, services, status, members, counters and drains.
+ * fescuectl: the operators' command for classes, services, status, members, counters, drains and
+ * evacuations.
  *
  * Exit codes: 0 on success, or that of error_exit_code for the kind of error (2: invalid command
  * line; 13: conflict; 14: not found; 15: denied; 16: over a limit; 17: unreachable; 18: no answer
@@ -26,6 +27,7 @@
 	struct arg_dbl *latency;
 	struct arg_dbl *percentile;
 	struct arg_int *calls;
+	struct arg_lit *cancel;
 	struct arg_lit *help;
 	struct arg_lit *version;
 	struct arg_str *words;
@@ -46,6 +48,8 @@
 	"  members                      lists the members that a node knows\n"
 	"  counters                     lists a node's counters\n"
 	"  drain                        starts a graceful stop of the one named node\n"
+	"  evacuate DOMAIN [--cancel]   sends nothing more to a failure domain, until withdrawn\n"
+	"  evacuate                     shows the evacuations that every named node knows\n"
 	"  watch SERVICE VERSION        follows a change until every member is known to have it\n"
 	"Environment (outranks options, which outrank the file): FESCUECTL_NODES, FESCUECTL_KEY,\n"
 	"  FESCUECTL_BY, FESCUECTL_TIMEOUT_MS; FESCUECTL_SETTINGS names the file.\n"
@@ -72,6 +76,7 @@
 		.latency = arg_dbl0(NULL, "latency-ms", "MS", "how fast"),
 		.percentile = arg_dbl0(NULL, "percentile", "P", "for this share of calls"),
 		.calls = arg_int0(NULL, "calls-per-s", "N", "how much, over the whole fleet"),
+		.cancel = arg_lit0(NULL, "cancel", "withdraw an evacuation"),
 		.help = arg_lit0("h", "help", "print this and exit"),
 		.version = arg_lit0(NULL, "version", "print the version and exit"),
 		.words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "see below"),
@@ -158,6 +163,7 @@
 	}
 	options->json = line->json->count > 0;
 	options->watch_change = line->watch_change->count > 0;
+	options->cancel = line->cancel->count > 0;
 	read_target(line, &options->target);
 	options->word_count = line->words->count;
 	for (int i = 0; i < line->words->count; i++)
--- a/src/fescuectl/options.h
+++ b/src/fescuectl/options.h
@@ -37,6 +37,7 @@
 	bool has_if_version;
 	uint64_t if_version; /* version that a change is based on */
 	bool watch_change;   /* watch an accepted change until it is in force */
+	bool cancel;	     /* withdraw an evacuation */
 	struct target_options target;
 	int word_count;		      /* length of words */
 	const char *words[WORDS_MAX]; /* the command and its arguments */
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -52,6 +52,9 @@
 	  "requests to peers for configuration that ended without an answer")                      \
 	X(CONFIG_RECEIVED, "config_received", "bytes", "configuration received from peers")        \
 	X(CONFIG_SENT, "config_sent", "bytes", "configuration sent to peers")                      \
+	X(EVACUATIONS, "evacuations", "domains", "failure domains that are being evacuated")       \
+	X(EVACUATIONS_REJECTED, "evacuations_rejected", "objects",                                 \
+	  "objects and messages that are no order to evacuate a failure domain")                   \
 	X(CONFIG_READY, "config_ready", "flag", "1 when the accepted configuration is known")      \
 	X(PLATFORM_CALLS, "platform_calls", "calls", "calls sent to the platform")                 \
 	X(PLATFORM_FAILURES, "platform_calls_failed", "calls", "platform calls that failed")       \
--- a/src/fescuemill/decide/retry_after.c
+++ b/src/fescuemill/decide/retry_after.c
@@ -5,6 +5,7 @@
 
 #define OTHER_SERVER_MS	     50	  /* another node or backend server may accept the call at once */
 #define NODE_STARTING_MS     150  /* a starting node has its configuration after about this time */
+#define EVACUATION_MS	     1000 /* a withdrawal of the order takes about this time to spread */
 #define QUEUE_FULL_MS	     200  /* a full queue has room again after a few service times */
 #define EXPECTED_WAIT_MS_MAX 2000 /* retrying is better than relying on a longer prediction */
 #define SPREAD_FACTOR	     1.0  /* the longest delay exceeds the shortest by this fraction */
@@ -33,8 +34,9 @@
 	case REASON_KEYS_STALE:
 	case REASON_NOT_READY:
 		return NODE_STARTING_MS;
-	case REASON_DRAINING:
 	case REASON_EVACUATED:
+		return EVACUATION_MS;
+	case REASON_DRAINING:
 	case REASON_COLD:
 	case REASON_INCARNATION:
 	case REASON_STALE_EPOCH:
--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -219,7 +219,8 @@
 	for (int i = 0; i < GOSSIP_UPDATE_FANOUT; i++) {
 		const struct member *member;
 
-		if (rumor_is_empty(&gsp->rumors) && gsp->config_sends_left == 0)
+		if (rumor_is_empty(&gsp->rumors) && gsp->config_sends_left == 0 &&
+		    gsp->evacuation_sends_left == 0)
 			return;
 		if (budget_is_low(gsp->budget, now_us))
 			return;
@@ -228,6 +229,8 @@
 			return;
 		if (gsp->config_sends_left)
 			gsp->config_sends_left--;
+		if (gsp->evacuation_sends_left)
+			gsp->evacuation_sends_left--;
 	}
 }
 
@@ -349,7 +352,7 @@
 		add_regions(gsp, now_us);
 		start_probes(gsp, now_us);
 	}
-	if (now_us >= gsp->push_us + GOSSIP_UPDATE_PERIOD_US) {
+	if (gossip_evacuations_changed(gsp) || now_us >= gsp->push_us + GOSSIP_UPDATE_PERIOD_US) {
 		gsp->push_us = now_us;
 		push_updates(gsp, now_us);
 	}
--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -46,6 +46,9 @@
 void gossip_set_leaving(struct gossip *gsp);
 /* Announces this node as dead to the other members. */
 void gossip_leave(struct gossip *gsp, uint64_t now_us);
+/* Sets the table of evacuations, which belongs to the caller: it is told to other nodes, and what
+ * they tell is applied to it. Without it, packets carry none. */
+void gossip_set_evacuations(struct gossip *gsp, struct evacuation_table *table);
 void gossip_set_config_version(struct gossip *gsp, uint64_t version);
 /* Returns the version of the configuration that this incarnation of a member last reported, or NULL
  * if it has not reported one. */
--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -1,8 +1,8 @@
 /*
  * Gossip packet codec. A packet is the array [version, kind, seq, sender id, sender incarnation,
- * config version, table hash, body, [updates...], fingerprints]. A compact update has 6 items, a
- * full one 16. The fingerprints are omitted when there are none; a node that does not know them
- * ignores the item.
+ * config version, table hash, body, [updates...], fingerprints, [evacuations...]]. A compact update
+ * has 6 items, a full one 16, an evacuation is [domain, version, ordered]. Items at the end that
+ * are empty are omitted; a node that does not know them ignores them.
  */
 #include "fescuemill/fleet/gossip_codec.h"
 
@@ -15,7 +15,10 @@
 #define ENVELOPE_ITEMS		 9
 #define COMPACT_ITEMS		 6
 #define FULL_ITEMS		 16
-#define ENVELOPE_BYTES		 64 /* upper bound without ids, buckets, updates, fingerprints */
+#define ENVELOPE_BYTES		 64 /* upper bound without the items of variable size */
+#define EVACUATION_ITEMS	 3
+#define EVACUATION_BASE_BYTES	 13 /* upper bound of an evacuation without its name */
+#define EVACUATION_LIST_BYTES	 3  /* upper bound of the list without its items */
 #define COMPACT_UPDATE_BYTES_MAX 31 /* upper bound of a compact update */
 #define FULL_UPDATE_BASE_BYTES	 60 /* upper bound of a full update without its four names */
 
@@ -68,6 +71,27 @@
 	msgpack_pack_bin_with_body(pk, bytes, count * sizeof(bytes[0]));
 }
 
+static void pack_evacuations(msgpack_packer *pk, const struct gossip_packet *packet)
+{
+	msgpack_pack_array(pk, packet->evacuation_count);
+	for (uint32_t i = 0; i < packet->evacuation_count; i++) {
+		const struct evacuation *told = &packet->evacuations[i];
+
+		msgpack_pack_array(pk, EVACUATION_ITEMS);
+		pack_name(pk, told->domain);
+		msgpack_pack_uint64(pk, told->version);
+		msgpack_pack_uint8(pk, told->is_ordered);
+	}
+}
+
+/* Returns the number of items of a packet. */
+static size_t count_items(const struct gossip_packet *packet)
+{
+	if (packet->evacuation_count)
+		return ENVELOPE_ITEMS + 2;
+	return packet->fingerprint_count ? ENVELOPE_ITEMS + 1 : ENVELOPE_ITEMS;
+}
+
 /* Packs the body, which depends on the packet's kind. */
 static void pack_body(msgpack_packer *pk, const struct gossip_packet *packet)
 {
@@ -100,7 +124,7 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, ENVELOPE_ITEMS + (packet->fingerprint_count > 0));
+	msgpack_pack_array(&pk, count_items(packet));
 	msgpack_pack_uint8(&pk, GOSSIP_VERSION);
 	msgpack_pack_uint8(&pk, (uint8_t)packet->kind);
 	msgpack_pack_uint32(&pk, packet->seq);
@@ -112,8 +136,10 @@
 	msgpack_pack_array(&pk, packet->update_count);
 	for (uint32_t i = 0; i < packet->update_count; i++)
 		pack_update(&pk, &packet->updates[i]);
-	if (packet->fingerprint_count)
+	if (packet->fingerprint_count || packet->evacuation_count)
 		pack_fingerprints(&pk, packet);
+	if (packet->evacuation_count)
+		pack_evacuations(&pk, packet);
 	*size = buffer.size;
 	if (!buffer.data)
 		result = error_set(err, ERROR_MEMORY, "no memory for a gossip packet");
@@ -224,6 +250,27 @@
 	}
 }
 
+/* Reads the evacuations, which are optional. */
+static void read_evacuations(struct reader *rd, struct gossip_packet *packet)
+{
+	struct reader list;
+
+	if (!reader_has_more(rd))
+		return;
+	list = reader_array(rd);
+	while (reader_has_more(&list) && packet->evacuation_count < EVACUATIONS_TOLD) {
+		struct evacuation *told = &packet->evacuations[packet->evacuation_count++];
+		struct reader item = reader_array(&list);
+
+		memset(told, 0, sizeof(*told));
+		reader_name(&item, told->domain, sizeof(told->domain));
+		told->version = reader_uint(&item, INT64_MAX);
+		told->is_ordered = reader_uint(&item, 1) != 0;
+		list.failed = list.failed || item.failed;
+	}
+	rd->failed = rd->failed || list.failed;
+}
+
 /* Reads the envelope, the body and the updates. */
 static int read_packet(const msgpack_object *root, struct gossip_packet *packet, struct error *err)
 {
@@ -245,6 +292,7 @@
 	read_body(&rd, packet);
 	read_update_list(&rd, packet);
 	read_fingerprints(&rd, packet);
+	read_evacuations(&rd, packet);
 	return rd.failed ? -1 : 0;
 }
 
@@ -277,7 +325,13 @@
 }
 
 /* Returns the bytes left for updates in a packet without requested ids or buckets. */
-size_t gossip_update_room(void)
+size_t gossip_update_room(const struct gossip_packet *packet)
 {
-	return GOSSIP_PACKET_BYTES - ENVELOPE_BYTES;
+	size_t room = GOSSIP_PACKET_BYTES - ENVELOPE_BYTES;
+
+	if (packet->evacuation_count)
+		room -= EVACUATION_LIST_BYTES;
+	for (uint32_t i = 0; i < packet->evacuation_count; i++)
+		room -= EVACUATION_BASE_BYTES + strlen(packet->evacuations[i].domain);
+	return room;
 }
--- a/src/fescuemill/fleet/gossip_codec.h
+++ b/src/fescuemill/fleet/gossip_codec.h
@@ -19,6 +19,6 @@
 /* Returns an upper bound of the encoded size of one update, in bytes. */
 size_t gossip_update_bytes(const struct gossip_update *update);
 /* Returns the bytes left for updates in a packet without requested ids or buckets. */
-size_t gossip_update_room(void);
+size_t gossip_update_room(const struct gossip_packet *packet);
 
 #endif
--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -5,6 +5,7 @@
 #define FESCUEMILL_FLEET_GOSSIP_DEFS_H
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/fleet/member_defs.h"
 #include "fescuemill/wire/message_defs.h"
 
@@ -74,8 +75,10 @@
 	uint64_t buckets[GOSSIP_BUCKETS];	  /* bucket hashes; in GOSSIP_DIGEST */
 	uint32_t update_count;
 	uint32_t fingerprint_count;
+	uint32_t evacuation_count;
 	struct gossip_update updates[GOSSIP_UPDATES_MAX];
-	uint32_t fingerprints[GOSSIP_FINGERPRINTS_MAX]; /* updates sent as hashes of states */
+	uint32_t fingerprints[GOSSIP_FINGERPRINTS_MAX];	 /* updates sent as hashes of states */
+	struct evacuation evacuations[EVACUATIONS_TOLD]; /* orders and recent withdrawals */
 };
 
 #endif
--- a/src/fescuemill/fleet/gossip_packet.c
+++ b/src/fescuemill/fleet/gossip_packet.c
@@ -37,6 +37,7 @@
 	packet->sender = gsp->self.identity;
 	packet->config_version = gsp->config_version;
 	packet->table_hash = gsp->digest.total;
+	gossip_fill_evacuations(gsp);
 }
 
 /* Encodes the packet and returns its size, or 0 on failure. A packet that does not fit is a bug in
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -236,7 +236,7 @@
 	if (bytes > *room || gsp->packet.update_count == GOSSIP_UPDATES_MAX) {
 		gossip_packet_send_charged(gsp, to->ip, to->port, to->crosses_link, now_us);
 		gossip_packet_start(gsp, gsp->packet.kind, 0);
-		*room = gossip_update_room();
+		*room = gossip_update_room(&gsp->packet);
 	}
 	gsp->packet.updates[gsp->packet.update_count++] = update;
 	*room -= bytes;
@@ -321,11 +321,12 @@
 static void answer_digest(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
 	uint64_t mask = differing_buckets(gsp);
-	size_t room = gossip_update_room();
+	size_t room;
 
 	if (!mask || !budget_take(gsp->budget, 0, from->crosses_link, now_us))
 		return;
 	gossip_packet_start(gsp, GOSSIP_BUCKET_RECORDS, 0);
+	room = gossip_update_room(&gsp->packet);
 	for (size_t i = 0; i < member_count(gsp->members); i++) {
 		const struct member *member = member_at(gsp->members, i);
 		uint32_t bucket = digest_bucket_of(member->identity.node_id);
@@ -340,9 +341,10 @@
 /* Sends back the records of this node that are newer than the updates received. */
 static void send_newer_records(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
-	size_t room = gossip_update_room();
+	size_t room;
 
 	gossip_packet_start(gsp, GOSSIP_UPDATES, 0);
+	room = gossip_update_room(&gsp->packet);
 	for (uint32_t i = 0; i < gsp->received.update_count; i++) {
 		const struct member *update = &gsp->received.updates[i].member;
 		const struct member *known = member_find(gsp->members, update->identity.node_id);
@@ -357,9 +359,10 @@
 /* Sends the full records that another node requested. */
 static void answer_record_request(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
-	size_t room = gossip_update_room();
+	size_t room;
 
 	gossip_packet_start(gsp, GOSSIP_UPDATES, 0);
+	room = gossip_update_room(&gsp->packet);
 	for (uint32_t i = 0; i < gsp->received.requested_count; i++) {
 		const struct member *known = member_find(gsp->members, gsp->received.requested[i]);
 
@@ -455,6 +458,7 @@
 		region_record_packet(&gsp->regions, from.member->region, now_us);
 	gsp->received_bytes = (uint32_t)size + BUDGET_PACKET_HEADER_BYTES;
 	budget_charge(gsp->budget, gsp->received_bytes, from.crosses_link, now_us);
+	gossip_apply_evacuations(gsp, now_us);
 	apply_updates(gsp, &from, now_us);
 	apply_fingerprints(gsp, now_us);
 	from = source_of(gsp, ip, port);
--- a/src/fescuemill/fleet/gossip_state.h
+++ b/src/fescuemill/fleet/gossip_state.h
@@ -35,7 +35,10 @@
 	struct region_list regions;
 	struct version_report_table version_reports;
 	uint64_t config_version;
-	uint32_t config_sends_left; /* packets that still announce config_version */
+	uint32_t config_sends_left;	      /* packets that still announce config_version */
+	struct evacuation_table *evacuations; /* NULL: not told and not taken */
+	uint64_t evacuations_pushed;	      /* revision of the table that was pushed last */
+	uint32_t evacuation_sends_left;	      /* packets that still push it */
 	uint64_t differing_peer; /* node id of the last peer whose table hash differed; 0: none */
 	uint64_t ring_target;	 /* node id of the ring successor that was probed last */
 	uint64_t tick_us;	 /* time of the last tick */
@@ -53,6 +56,12 @@
 	uint32_t received_bytes;       /* size of `received` with the packet headers */
 };
 
+/* Adds the orders and recent withdrawals to gsp->packet, and applies those of gsp->received. */
+void gossip_fill_evacuations(struct gossip *gsp);
+void gossip_apply_evacuations(struct gossip *gsp, uint64_t now_us);
+/* Returns true once after each change of what is in force, and starts to push it. */
+bool gossip_evacuations_changed(struct gossip *gsp);
+
 const struct member *gossip_pick(struct gossip *gsp, enum pick pick);
 
 /* Clears gsp->packet and fills in the envelope, which every kind has. */
--- a/src/fescuemill/fleet/rumor.c
+++ b/src/fescuemill/fleet/rumor.c
@@ -120,7 +120,7 @@
 		struct gossip_packet *packet)
 {
 	bool has_backlog = rumor_has_backlog(list);
-	size_t room = gossip_update_room();
+	size_t room = gossip_update_room(packet);
 	bool fits = true;
 
 	limit_full_backlog(list);
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -8,6 +8,7 @@
 #include "fescuemill/admin/auth.h"
 #include "fescuemill/admin/change_task.h"
 #include "fescuemill/admin/edit.h"
+#include "fescuemill/admin/evacuation_task.h"
 #include "fescuemill/admin/version_view.h"
 #include "fescuemill/admin/view.h"
 #include "fescuemill/base/clock.h"
@@ -343,6 +344,63 @@
 		respond_error(request->req, &err);
 }
 
+/* Returns false, after an answer, if this deployment has no evacuations. */
+static bool has_evacuations(struct admin *admin, struct admin_request *request)
+{
+	struct error err;
+
+	if (admin->node.evacuations)
+		return true;
+	error_set(&err, ERROR_NOT_FOUND, "the setting evacuation_ms is not set");
+	respond_error(request->req, &err);
+	return false;
+}
+
+static void get_evacuations(struct admin *admin, struct admin_request *request)
+{
+	if (has_evacuations(admin, request))
+		respond(request->req, 200,
+			evacuation_view(admin->node.evacuations, admin->node.settings->name,
+					admin->node.settings->failure_domain));
+}
+
+/* Returns true if a member's node is in a failure domain. */
+static bool is_domain_of_fleet(const struct admin *admin, const char *domain)
+{
+	for (size_t i = 0; i < member_count(admin->node.members); i++) {
+		if (strcmp(member_at(admin->node.members, i)->domain, domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Orders (PUT) or withdraws (DELETE) the evacuation of a failure domain. It concerns all services,
+ * so a team must have the right to all of them. */
+static void change_evacuation(struct admin *admin, struct admin_request *request)
+{
+	struct evacuation_task_options options = {.platform = admin->node.platform,
+						  .table = admin->node.evacuations,
+						  .running = &admin->changes,
+						  .respond = respond,
+						  .respond_error = respond_error};
+	const char *domain = request->parts[2];
+	bool is_ordered = is_method(request, "PUT");
+	struct error err = {0};
+
+	if (!has_evacuations(admin, request))
+		return;
+	if (admin->closing)
+		error_set(&err, ERROR_STATE, "this node is stopping");
+	else if (!auth_may_operate(&admin->auth, request->team, "*"))
+		error_set(&err, ERROR_DENIED, "team %s has no right to \"*\"", request->team);
+	else if (is_ordered && !is_domain_of_fleet(admin, domain))
+		error_set(&err, ERROR_NOT_FOUND, "no node is in a failure domain %s", domain);
+	else if (evacuation_task_start(&options, request->team, domain, is_ordered, request->req,
+				       &err) == 0)
+		return;
+	respond_error(request->req, &err);
+}
+
 struct admin_route {
 	const char *method;
 	const char *parts[PATH_PARTS_MAX + 1];
@@ -364,6 +422,9 @@
 	{"GET", {"v1", "counters", NULL}, get_counters},
 	{"GET", {"v1", "report", NULL}, get_report},
 	{"POST", {"v1", "drain", NULL}, post_drain},
+	{"GET", {"v1", "evacuations", NULL}, get_evacuations},
+	{"PUT", {"v1", "evacuations", "*", NULL}, change_evacuation},
+	{"DELETE", {"v1", "evacuations", "*", NULL}, change_evacuation},
 };
 
 static const struct admin_route *find_route(const struct admin_request *request)
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -5,6 +5,7 @@
 #define FESCUEMILL_HTTP_ADMIN_H
 
 #include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/settings/settings_defs.h"
 #include "fescuemill/store/platform.h"
 
@@ -34,6 +35,7 @@
 	struct config_store *config;
 	struct member_table *members;
 	struct platform *platform;
+	struct evacuation_table *evacuations; /* NULL: this deployment has none */
 	void *user;
 	void (*status)(void *user, struct admin_status *out);
 	void (*drain)(void *user); /* starts a graceful stop */
--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -159,6 +159,10 @@
 	 "nodes of a failure domain that watch the platform; the others get changes from them"},
 	{"platform_timeout_ms", RULE(VALUE_UINT32, platform_timeout_ms, 50, MINUTE_MS, "ms"),
 	 "2000", "timeout of a platform call; for a watch it is added to platform_watch_ms"},
+	{"evacuation_ms", RULE(VALUE_UINT32, evacuation_ms, 0, MINUTE_MS, "ms"), "0",
+	 "time within which an order to evacuate a failure domain must be in force everywhere; 0: "
+	 "the "
+	 "platform is not asked for such orders"},
 	{"platform_watch_ms", RULE(VALUE_UINT32, platform_watch_ms, 100, 5ULL * MINUTE_MS, "ms"),
 	 "1500",
 	 "how long the platform may delay its answer to a watch; a connection that has gone silent "
--- a/src/fescuemill/store/list_watch.c
+++ b/src/fescuemill/store/list_watch.c
@@ -23,6 +23,7 @@
 	void *user;
 	struct list_watch_call *current; /* the call whose answer is used; NULL: none */
 	uint32_t call_count;		 /* running calls, abandoned ones included */
+	bool lists_next;		 /* the call after the current one is to be a list */
 	bool failing; /* the latest call failed; only the first failure is logged */
 	bool closed;
 	bool timer_closed;
@@ -116,6 +117,8 @@
 		handle_failure(list_watch, &result->err);
 	else
 		handle_answer(list_watch, after, result);
+	list_watch->session.list_needed |= list_watch->lists_next;
+	list_watch->lists_next = false;
 }
 
 static void start_call(struct list_watch *list_watch, const struct session_action *action)
@@ -213,6 +216,14 @@
 	uv_timer_start(&list_watch->timer, on_timer, 0, 0);
 }
 
+void list_watch_list_again(struct list_watch *list_watch)
+{
+	if (!list_watch->current)
+		list_watch->session.list_needed = true;
+	else
+		list_watch->lists_next = true;
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct list_watch *list_watch = handle->data;
--- a/src/fescuemill/store/list_watch.h
+++ b/src/fescuemill/store/list_watch.h
@@ -25,6 +25,8 @@
 /* Requests all new changes at once, for instance after the process was paused. The answer of a
  * running call is dropped. */
 void list_watch_refresh(struct list_watch *list_watch);
+/* Makes the next call a list in place of a watch: it finds what the watches missed. */
+void list_watch_list_again(struct list_watch *list_watch);
 void list_watch_close(struct list_watch *list_watch);
 
 #endif
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -152,10 +152,12 @@
 		msgpack_pack_uint8(pk, msg->config_pull.takes_compressed);
 		break;
 	case MESSAGE_CONFIG_BODY:
-		msgpack_pack_array(pk, 3);
+		msgpack_pack_array(pk, msg->config_body.evacuations.size ? 4 : 3);
 		msgpack_pack_uint64(pk, msg->config_body.ticket);
 		pack_bytes(pk, &msg->config_body.json);
 		msgpack_pack_uint32(pk, msg->config_body.text_size);
+		if (msg->config_body.evacuations.size)
+			pack_bytes(pk, &msg->config_body.evacuations);
 		break;
 	default:
 		msgpack_pack_array(pk, 0);
@@ -376,6 +378,8 @@
 		msg->config_body.json = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 		if (reader_has_more(rd))
 			msg->config_body.text_size = (uint32_t)reader_uint(rd, CALL_BODY_BYTES_MAX);
+		if (reader_has_more(rd))
+			msg->config_body.evacuations = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 		break;
 	default:
 		break;
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -106,6 +106,8 @@
 	uint64_t ticket;	/* from the CONFIG_PULL that this answers */
 	struct wire_bytes json; /* batch written by config_write_batch() */
 	uint32_t text_size;	/* of the batch, if json is compressed; 0: it is not */
+	/* All evacuations that the sender knows, as JSON; size 0: it does not know them. */
+	struct wire_bytes evacuations;
 };
 
 struct message {
--- a/src/fescuemilld/entry/entry.h
+++ b/src/fescuemilld/entry/entry.h
@@ -8,6 +8,7 @@
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/burn.h"
 #include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/fleet/member.h"
 #include "fescuemill/http/caller.h"
 #include "fescuemill/settings/settings_defs.h"
@@ -27,6 +28,7 @@
 	struct burn *burn;     /* counts finished calls against the latency targets */
 	struct budget *budget; /* charged for heartbeats */
 	const struct key_members *key_members;
+	const struct evacuation_table *evacuations; /* orders in force */
 	/* Returns why the node refuses calls now, or REASON_NONE. */
 	enum call_reason (*refusal)(void *user);
 	/* Returns false if the node ends before a call with this time left has ended. */
--- a/src/fescuemilld/entry/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -56,7 +56,7 @@
 	struct choice *choice;
 	struct retry_bucket bucket;
 	struct key_table *keys;	   /* only finds the gates that own keys; records no calls */
-	uint64_t members_revision; /* member_table_revision() that was applied last */
+	uint64_t members_revision; /* entry_placement_revision() that was applied last */
 	uint64_t preconnected_us;  /* when the links to key owners were last checked */
 	uint64_t refreshed_us;	   /* when the members were last updated */
 };
--- a/src/fescuemilld/entry/entry_placement.c
+++ b/src/fescuemilld/entry/entry_placement.c
@@ -111,7 +111,11 @@
 /* Returns whether a call may go to a member's gate. */
 static enum call_reason place_at(const struct entry_call *call, const struct member *member)
 {
-	struct placement_gate place = {.region = region_id_of(member->region)};
+	struct placement_gate place = {
+		.region = region_id_of(member->region),
+		.is_evacuated =
+			evacuation_is_ordered(call->entry->options.evacuations, member->domain),
+	};
 
 	return placement_decide(limited_regions(call), &place);
 }
@@ -184,6 +188,11 @@
 	return DISTANCE_SAME_DOMAIN;
 }
 
+uint64_t entry_placement_revision(const struct entry_options *options)
+{
+	return member_table_revision(options->members) + options->evacuations->revision;
+}
+
 void entry_placement_fill_member(const struct entry_options *options, const struct member *member,
 				 struct choice_member *out)
 {
@@ -194,4 +203,5 @@
 	out->usable = member_is_serving(member) &&
 		      options->region_is_usable(options->user, member->region);
 	out->region = region_id_of(member->region);
+	out->is_evacuated = evacuation_is_ordered(options->evacuations, member->domain);
 }
--- a/src/fescuemilld/entry/entry_service.c
+++ b/src/fescuemilld/entry/entry_service.c
@@ -88,7 +88,7 @@
 void entry_service_refresh(struct entry *entry, struct entry_service *service)
 {
 	const struct member_table *table = entry->options.members;
-	uint64_t revision = member_table_revision(table);
+	uint64_t revision = entry_placement_revision(&entry->options);
 	uint64_t now_us = clock_monotonic_us();
 	size_t capacity = member_count_service(table, service->name);
 	const struct member *member = NULL;
--- a/src/fescuemilld/gate/gate_admission.c
+++ b/src/fescuemilld/gate/gate_admission.c
@@ -9,6 +9,7 @@
 #include "fescuemilld/gate/gate_attempt.h"
 #include "fescuemilld/gate/gate_key.h"
 #include "fescuemilld/gate/gate_probe.h"
+#include "fescuemilld/gate/gate_state.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -110,7 +111,7 @@
 		break;
 	case GATE_REFUSE:
 		event = gate_shell_event(GATE_EVENT_REFUSED, &attempt->id);
-		event.refused.reason = attempt->verdict.reason;
+		event.refused.reason = gate_state_refusal(attempt->shell, attempt->verdict.reason);
 		gate_shell_step(attempt->shell, &event, &no_origin);
 		gate_key_finished(attempt, OUTCOME_NOT_RUN, 0);
 		gate_attempt_release_request(attempt);
--- a/src/fescuemilld/gate/gate_shell.c
+++ b/src/fescuemilld/gate/gate_shell.c
@@ -403,34 +403,6 @@
 	schedule_timer(shell);
 }
 
-/* Passes the backend server's state to admission, as draining if the node itself drains. */
-static void apply_backend_state(struct gate_shell *shell)
-{
-	enum backend_state state = shell->backend.state;
-
-	backend_client_set_draining(shell->client,
-				    state == BACKEND_DRAINING || state == BACKEND_LEAVING);
-	if (shell->is_draining && state != BACKEND_NONE)
-		state = BACKEND_DRAINING;
-	gate_admission_set_backend(shell, state);
-}
-
-/* Applies the latest announcement of the backend server. */
-void gate_shell_set_backend(struct gate_shell *shell, const struct announcement *now)
-{
-	struct endpoint to = {now->ip, now->port};
-
-	if (shell->options.backend_server.port != 0)
-		to = shell->options.backend_server;
-	shell->backend = *now;
-	gate_notice_check_start(shell, now);
-	/* The backend server's lease can expire while it still runs calls: an announcement without
-	 * a port leaves the address as it is. */
-	if (to.port != 0)
-		backend_client_set_address(shell->client, &to);
-	apply_backend_state(shell);
-}
-
 /* Sets the classes of the service, if they have changed. */
 void gate_shell_set_config(struct gate_shell *shell, const struct service_config *config)
 {
@@ -470,13 +442,6 @@
 		gate_probe_discover(shell);
 }
 
-/* Refuses new attempts from now on, and those that wait. */
-void gate_shell_drain(struct gate_shell *shell)
-{
-	shell->is_draining = true;
-	apply_backend_state(shell);
-}
-
 /* Accepts attempts addressed to a later incarnation from now on. */
 void gate_shell_set_incarnation(struct gate_shell *shell, uint64_t incarnation)
 {
--- a/src/fescuemilld/gate/gate_shell.h
+++ b/src/fescuemilld/gate/gate_shell.h
@@ -74,6 +74,8 @@
 void gate_shell_set_members(struct gate_shell *shell, const struct key_members *members);
 /* Refuses new attempts from now on, and those that wait. */
 void gate_shell_drain(struct gate_shell *shell);
+/* Refuses new attempts and those that wait while the failure domain is evacuated. */
+void gate_shell_set_evacuated(struct gate_shell *shell, bool is_evacuated);
 /* Accepts attempts addressed to a later incarnation from now on. */
 void gate_shell_set_incarnation(struct gate_shell *shell, uint64_t incarnation);
 
--- a/src/fescuemilld/gate/gate_shell_defs.h
+++ b/src/fescuemilld/gate/gate_shell_defs.h
@@ -60,6 +60,7 @@
 	char *health_path;	       /* NULL: the backend server cannot be probed */
 	uint64_t saturation_logged_us; /* time of the latest verdict that was logged */
 	bool is_draining;
+	bool is_evacuated; /* the failure domain is being evacuated */
 };
 
 /* The message being handled and the connection it arrived on; both NULL when there is none. */
--- a/src/fescuemilld/node/config_pull.c
+++ b/src/fescuemilld/node/config_pull.c
@@ -75,15 +75,36 @@
 	return result;
 }
 
+/* Applies the evacuations that a peer knows. If this answers a request of after the start or the
+ * last pause of the process, this node knows them all. */
+static void apply_evacuations(struct config_pull *pull, const struct message_config_body *body,
+			      bool is_current)
+{
+	struct evacuation_table *table = pull->options.evacuations;
+	uint64_t now_us = clock_monotonic_us();
+	struct error err = {0};
+
+	if (!table || body->evacuations.size == 0)
+		return;
+	if (evacuation_apply_text(table, (const char *)body->evacuations.data,
+				  body->evacuations.size, now_us, &err) != 0)
+		log_failure(LOG_WARNING, LOG_PART_CONFIG, "Evacuations from a peer were rejected.",
+			    &err);
+	else if (is_current)
+		evacuation_set_current(table, now_us);
+}
+
 /* Applies the configuration in a peer's answer and ends the request. */
 static void on_message(void *user, const struct message *msg)
 {
 	struct config_pull *pull = user;
 	const struct message_config_body *body = &msg->config_body;
+	bool is_current = body->ticket == config_ticket(pull->options.config);
 	struct error err = {0};
 
 	if (msg->type != MESSAGE_CONFIG_BODY)
 		return;
+	apply_evacuations(pull, body, is_current);
 	counter_add(COUNTER_CONFIG_RECEIVED, body->json.size);
 	log_write(LOG_INFO, LOG_PART_CONFIG, "A peer sent configuration.",
 		  "bytes=%u after_us=%" PRIu64 " known_version=%" PRIu64, body->json.size,
@@ -181,10 +202,11 @@
 }
 
 /* Ends a request that got no answer in time. Then sends the next one to a random peer while the
- * configuration is outdated or not ready. */
+ * configuration is outdated or not ready, or the evacuations in force are not known. */
 void config_pull_tick(struct config_pull *pull, uint64_t now_us)
 {
 	const struct config_store *config = pull->options.config;
+	const struct evacuation_table *evacuations = pull->options.evacuations;
 	const struct member *member;
 
 	if (pull->link && now_us < pull->requested_us + TIMEOUT_US)
@@ -192,7 +214,8 @@
 	if (pull->link)
 		record_unanswered(pull, now_us);
 	end_request(pull);
-	if (config_is_ready(config) && !config_is_behind(config))
+	if (config_is_ready(config) && !config_is_behind(config) &&
+	    (!evacuations || evacuations->is_current))
 		return;
 	if (now_us < pull->requested_us + PERIOD_US)
 		return;
--- a/src/fescuemilld/node/config_pull.h
+++ b/src/fescuemilld/node/config_pull.h
@@ -7,6 +7,7 @@
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/fleet/member.h"
 #include "fescuemill/wire/channel.h"
 
@@ -15,6 +16,7 @@
 struct config_pull_options {
 	struct channel *channel;
 	struct config_store *config;
+	struct evacuation_table *evacuations; /* learned from peers, too; NULL: they are not */
 	const struct member_table *members;
 	struct budget *budget; /* charged for requests and answers */
 	uint64_t self_id;      /* node id of this node */
--- a/src/fescuemilld/node/config_reply.c
+++ b/src/fescuemilld/node/config_reply.c
@@ -9,6 +9,7 @@
 #include "fescuemill/wire/compress.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Smaller texts are sent as they are: compressing them saves no packet. */
 #define COMPRESSED_BYTES_MIN 1400
@@ -63,6 +64,7 @@
 		       const struct message *pull)
 {
 	struct message msg = {.type = MESSAGE_CONFIG_BODY, .epoch = pull->epoch};
+	char *evacuations = NULL;
 	struct error err = {0};
 
 	if (!config_is_ready(reply->config))
@@ -79,10 +81,17 @@
 	msg.config_body.json.data = reply->data;
 	msg.config_body.json.size = (uint32_t)reply->size;
 	msg.config_body.text_size = reply->text_size;
+	if (reply->evacuations && reply->evacuations->is_current)
+		evacuations = evacuation_write_text(reply->evacuations);
+	if (evacuations) {
+		msg.config_body.evacuations.data = (const uint8_t *)evacuations;
+		msg.config_body.evacuations.size = (uint32_t)strlen(evacuations);
+	}
 	counter_add(COUNTER_CONFIG_SENT, reply->size);
 	if (channel_reply(reply->channel, to, &msg, &err) != 0)
 		log_failure(LOG_DEBUG, LOG_PART_CONFIG,
 			    "Configuration could not be sent to a peer.", &err);
+	free(evacuations);
 }
 
 /* Frees the latest answer. */
--- a/src/fescuemilld/node/config_reply.h
+++ b/src/fescuemilld/node/config_reply.h
@@ -7,13 +7,15 @@
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/wire/channel.h"
 
 struct config_reply {
 	/* Set by the owner. */
 	struct channel *channel;
 	struct config_store *config;
-	struct budget *budget; /* charged for answers */
+	const struct evacuation_table *evacuations; /* told to peers; NULL: they are not */
+	struct budget *budget;			    /* charged for answers */
 	/* The latest answer, and what it depends on. */
 	struct message_config_pull request;
 	uint64_t revision;
--- a/src/fescuemilld/node/key_members.c
+++ b/src/fescuemilld/node/key_members.c
@@ -1,7 +1,8 @@
 /*
  * Key members: the members of a service from which the owners of keys are chosen. A member that was
  * seen leaving has given up its keys itself; this still holds when the same incarnation is dead
- * later.
+ * later. So has a member of an evacuated failure domain once it announces that its backend server
+ * drains: before, it may not know the order yet and may still run calls with its keys.
  */
 #include "fescuemilld/node/key_members.h"
 
@@ -12,20 +13,23 @@
 
 struct key_members {
 	const struct member_table *table;
-	uint64_t revision;   /* of the member table when it was last read */
+	const struct evacuation_table *evacuations;
+	uint64_t revision;   /* of the member table and the evacuations when they were last read */
 	struct slot_map map; /* finds the slot of a node id in `left` */
 	/* Latest incarnation of each node that was seen leaving. */
 	struct node_incarnation left[FLEET_MEMBERS_MAX];
 };
 
 /* Creates an empty list of leaving members. Errors: ERROR_MEMORY. */
-int key_members_open(struct key_members **out, const struct member_table *table, struct error *err)
+int key_members_open(struct key_members **out, const struct member_table *table,
+		     const struct evacuation_table *evacuations, struct error *err)
 {
 	struct key_members *km = calloc(1, sizeof(*km));
 
 	if (!km)
 		return error_set(err, ERROR_MEMORY, "no memory for the owners of keys");
 	km->table = table;
+	km->evacuations = evacuations;
 	km->revision = UINT64_MAX;
 	if (slot_map_init(&km->map, FLEET_MEMBERS_MAX, err) != 0) {
 		free(km);
@@ -65,10 +69,26 @@
 		km->left[slot] = *identity;
 }
 
+/* Forgets that a member had given up its keys: it serves again after an evacuation. */
+static void record_serving(struct key_members *km, const struct node_incarnation *identity)
+{
+	uint32_t slot = find_left(km, identity->node_id);
+
+	if (slot != SLOT_NONE && km->left[slot].incarnation == identity->incarnation)
+		km->left[slot].incarnation = 0;
+}
+
+/* Returns true if a live member has given up its keys because of an evacuation. */
+static bool is_evacuated(const struct key_members *km, const struct member *member)
+{
+	return member->state != MEMBER_DEAD && member->backend == BACKEND_DRAINING &&
+	       evacuation_is_ordered(km->evacuations, member->domain);
+}
+
 /* Records the members that are leaving, if the member table has changed. */
 void key_members_record_leaving(struct key_members *km)
 {
-	uint64_t revision = member_table_revision(km->table);
+	uint64_t revision = member_table_revision(km->table) + km->evacuations->revision;
 
 	if (revision == km->revision)
 		return;
@@ -76,8 +96,10 @@
 	for (size_t i = 0; i < member_count(km->table); i++) {
 		const struct member *member = member_at(km->table, i);
 
-		if (member->state == MEMBER_LEAVING)
+		if (member->state == MEMBER_LEAVING || is_evacuated(km, member))
 			record_leaving(km, &member->identity);
+		else if (member_is_serving(member))
+			record_serving(km, &member->identity);
 	}
 }
 
@@ -86,7 +108,7 @@
 {
 	uint32_t slot;
 
-	if (member->state == MEMBER_LEAVING)
+	if (member->state == MEMBER_LEAVING || is_evacuated(km, member))
 		return KEY_MEMBER_LEFT;
 	if (member->state != MEMBER_DEAD)
 		return KEY_MEMBER_ALIVE;
--- a/src/fescuemilld/node/node.c
+++ b/src/fescuemilld/node/node.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 #include "fescuemilld/node/node_defs.h"
+#include "fescuemilld/node/node_evacuation.h"
 #include "fescuemilld/node/node_events.h"
 #include "fescuemilld/node/node_parts.h"
 #include "fescuemilld/node/node_reload.h"
@@ -114,18 +115,22 @@
 }
 
 /* Keeps the configuration up to date: a few nodes of each failure domain watch the platform, the
- * others fetch changes from their peers. A node whose configuration is not ready does both. */
+ * others fetch changes from their peers. A node whose configuration is not ready does both. The
+ * node catches up with the evacuations, too. */
 static void sync_config(struct node *node, uint64_t now_us)
 {
 	bool is_ready = config_is_ready(node->config);
 
 	list_watch_set_enabled(node->list_watch, !is_ready || is_watcher(node));
+	node_evacuation_tick(node, is_watcher(node), now_us);
 	config_pull_tick(node->pull, now_us);
 	if (!is_ready) {
 		node->config_ready_us = 0;
 		return;
 	}
 	gossip_set_config_version(node->gossip, config_version(node->config));
+	if (!node_evacuation_is_known(node))
+		return;
 	if (gossip_is_joined(node->gossip) || has_waited_for_peers(node, now_us))
 		node_apply_input(node, NODE_INPUT_CAUGHT_UP);
 }
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -76,7 +76,12 @@
 	uint64_t keys_applied_us; /* when the owners of keys were last updated */
 	struct entry *entry;
 	struct gate_shell *gate;
-	struct placement_gate place; /* of this node's gate */
+	struct placement_gate place;	     /* of this node's gate */
+	enum backend_state announced_state;  /* of the backend server, latest */
+	struct evacuation_table evacuations; /* orders in force, as far as known */
+	uint64_t evacuations_revision;	     /* revision that was applied last */
+	uint64_t evacuations_listed_us;	     /* when the latest list of them was asked for */
+	struct list_watch *evacuation_watch; /* NULL: the setting evacuation_ms is not set */
 	struct demand_shell *demand;
 	struct admin_shell *admin;
 };
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -6,7 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
-#include "fescuemilld/gate/gate_placement.h"
+#include "fescuemilld/node/node_evacuation.h"
 
 #include <string.h>
 
@@ -46,6 +46,7 @@
 		  (unsigned long long)elapsed_us);
 	config_mark_stale(node->config);
 	list_watch_refresh(node->list_watch);
+	node_evacuation_paused(node, now_us);
 	node_apply_input(node, NODE_INPUT_TIME_SKIPPED);
 }
 
@@ -200,7 +201,9 @@
 	log_write(LOG_INFO, LOG_PART_GATE, "The backend server's announcement has changed.",
 		  "service=%s port=%u slots=%u state=%s", now->service, now->port, now->slots,
 		  backend_state_name(now->state));
-	gossip_set_backend(node->gossip, now->service, now->state, now->slots);
+	node->announced_state = now->state;
+	gossip_set_backend(node->gossip, now->service, node_evacuation_backend_state(node),
+			   now->slots);
 	registration_set_self(node->registration, gossip_self(node->gossip));
 	node_apply_config(node);
 	gate_shell_set_backend(node->gate, now);
@@ -261,14 +264,14 @@
 }
 
 /* Passes a call from another node to the gate. The gate refuses a new call while this node is not
- * ready and has no routes yet. A call read within STALL_READ_US after a stall may have waited for
- * the whole stall, and its entry may have given it up. The stall is therefore subtracted from its
- * remaining time. */
+ * ready and has no routes yet, and a call that may not run here. A call read within STALL_READ_US
+ * after a stall may have waited for the whole stall, and its entry may have given it up. The stall
+ * is therefore subtracted from its remaining time. */
 static void handle_call(struct node *node, const struct channel_route *from,
 			const struct message *msg)
 {
 	enum call_reason reason = node_refusal_reason(node);
-	enum call_reason misplaced = gate_placement_refusal(&node->place, msg);
+	enum call_reason misplaced = node_evacuation_refusal(node, msg);
 	struct message call = *msg;
 
 	if (reason == REASON_NOT_READY && !config_routing(node->config))
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/chart/chart.h"
 #include "fescuemill/store/client.h"
+#include "fescuemilld/node/node_evacuation.h"
 #include "fescuemilld/node/node_events.h"
 #include "fescuemilld/node/node_stop.h"
 
@@ -80,6 +81,7 @@
 		.burn = node->burn.calls,
 		.budget = &node->budget,
 		.key_members = node->key_members,
+		.evacuations = &node->evacuations,
 		.refusal = node_refusal_reason,
 		.has_time_for = node_has_time_for,
 		.repeat_permille = node_repeat_permille,
@@ -137,6 +139,8 @@
 	if (list_watch_open(&node->list_watch, &node->loop, node->store, CONFIG_KIND, &limits, seed,
 			    node_on_config_batch, node, err) != 0)
 		return -1;
+	if (node_evacuation_open(node, &limits, seed + 4, err) != 0)
+		return -1;
 	return registration_open(&node->registration, &node->loop, node->store, node->members,
 				 &limits, seed + 1, err);
 }
@@ -162,6 +166,7 @@
 		.members = node->members,
 		.budget = &node->budget,
 		.self_id = node->self.identity.node_id,
+		.evacuations = settings->evacuation_ms ? &node->evacuations : NULL,
 		.region = settings->region,
 		.seed = seed + 2,
 	};
@@ -170,6 +175,7 @@
 		    clock_monotonic_us());
 	node->config_reply.channel = node->channel;
 	node->config_reply.config = node->config;
+	node->config_reply.evacuations = pull.evacuations;
 	node->config_reply.budget = &node->budget;
 	if (config_pull_open(&node->pull, &pull, err) != 0)
 		return -1;
@@ -205,6 +211,7 @@
 		.members = node->members,
 		.burn = &node->burn,
 		.platform = node->store,
+		.evacuations = node->settings.evacuation_ms ? &node->evacuations : NULL,
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
@@ -237,7 +244,7 @@
 		return -1;
 	if (member_table_open(&node->members, err) != 0 || open_burn(node, err) != 0)
 		return -1;
-	if (key_members_open(&node->key_members, node->members, err) != 0)
+	if (key_members_open(&node->key_members, node->members, &node->evacuations, err) != 0)
 		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0 ||
 	    open_demand(node, err) != 0)
@@ -263,6 +270,7 @@
 	demand_shell_close(node->demand);
 	registration_close(node->registration);
 	list_watch_close(node->list_watch);
+	list_watch_close(node->evacuation_watch);
 	platform_close(node->store);
 	entry_close(node->entry);
 	gate_shell_close(node->gate);
--- a/test/functional/docs_test.cc
+++ b/test/functional/docs_test.cc
@@ -66,6 +66,9 @@
 	{
 		support::FleetOptions options = support::FleetOptions::small(2);
 
+		options.change_settings = [](const std::string &, json_t *settings) {
+			json_object_set_new(settings, "evacuation_ms", json_integer(5000));
+		};
 		rangitoto = start(options);
 		options.deployment = "amet";
 		options.regions = {"harju"};
--- a/test/unit/decide/placement_test.cc
+++ b/test/unit/decide/placement_test.cc
@@ -7,6 +7,7 @@
 extern "C" {
 #include "fescuemill/decide/choice.h"
 #include "fescuemill/decide/placement.h"
+#include "fescuemill/decide/retry_after.h"
 }
 
 namespace
@@ -71,6 +72,15 @@
 	EXPECT_EQ(0, out.count);
 }
 
+// Every refusal tells the caller when to come again. Where all servers are evacuated, callers that
+// came back within milliseconds would only load the entries.
+TEST(Placement, EachReasonHasARetryAfter)
+{
+	EXPECT_GE(retry_after_ms(REASON_REGION, 0, 0), 100u);
+	EXPECT_GE(retry_after_ms(REASON_EVACUATED, 0, 0), 1000u);
+	EXPECT_GT(retry_after_ms(REASON_COLD, 0, 0), 0u);
+}
+
 // The gates of one service at an entry in HERE.
 class PlacedChoice : public testing::Test
 {
--- a/test/unit/fescuemilld/entry/entry_placement_test.cc
+++ b/test/unit/fescuemilld/entry/entry_placement_test.cc
@@ -61,8 +61,10 @@
 		entry->options.region_is_usable = [](void *, const char *) { return true; };
 		ASSERT_EQ(0, config_open(&entry->options.config, 1, &err));
 		ASSERT_EQ(0, member_table_open(&entry->options.members, &err));
-		ASSERT_EQ(0, key_members_open(&key_owners, entry->options.members, &err));
+		ASSERT_EQ(0, key_members_open(&key_owners, entry->options.members, &evacuations,
+					      &err));
 		entry->options.key_members = key_owners;
+		entry->options.evacuations = &evacuations;
 		entry_service_settings(own.get(), 1, &entry->choice_settings);
 		random_seed(&entry->rng, 1);
 	}
@@ -144,7 +146,18 @@
 		return reason;
 	}
 
+	void order(const char *domain, uint64_t at_version, bool is_ordered)
+	{
+		evacuation heard{};
+
+		strcpy(heard.domain, domain);
+		heard.version = at_version;
+		heard.is_ordered = is_ordered;
+		EXPECT_EQ(EVACUATION_CHANGED, evacuation_apply(&evacuations, &heard, "test", 1));
+	}
+
 	struct key_members *key_owners = nullptr;
+	evacuation_table evacuations{};
 };
 
 // A queue that waits when its route's regions narrow: the call that a full gate refused goes only
@@ -215,6 +228,59 @@
 	EXPECT_EQ(REASON_REGION, select(&node_id));
 }
 
+// A call that waits between two attempts while the domain of the near gates is evacuated.
+TEST_F(EntryPlacement, NextAttemptAvoidsADomainThatIsEvacuatedMeanwhile)
+{
+	uint64_t near = add_gate("g1", "here", "here-1");
+	uint64_t other = add_gate("g2", "here", "here-2");
+	uint64_t node_id;
+
+	add_gate("g3", "here", "here-1");
+	configure({{"r", "/", ""}});
+	begin();
+	ASSERT_EQ(REASON_NONE, select(&node_id));
+	EXPECT_NE(other, node_id);
+	refuse(near);
+	order("here-1", 7, true);
+	ASSERT_EQ(REASON_NONE, select(&node_id));
+	EXPECT_EQ(other, node_id);
+	order("here-2", 8, true);
+	EXPECT_EQ(REASON_EVACUATED, select(&node_id));
+	order("here-1", 9, false);
+	ASSERT_EQ(REASON_NONE, select(&node_id));
+	EXPECT_NE(other, node_id);
+}
+
+// The owner of a key is evacuated. Until its node announces that it has given up its keys it may
+// still run calls with them, so no other gate may.
+TEST_F(EntryPlacement, KeyOfAnEvacuatedOwnerMovesOnlyOnceTheOwnerHasGivenItUp)
+{
+	uint64_t owner = 0;
+	uint64_t node_id;
+	uint64_t gates[] = {add_gate("g1", "here", "here-1"), add_gate("g2", "here", "here-2")};
+
+	configure({{"r", "/", ""}});
+	begin();
+	call.state.keyed = true;
+	request.key = {(const uint8_t *)"k", 1};
+	ASSERT_EQ(REASON_NONE, select(&owner));
+	member known = *member_find(entry->options.members, owner);
+	order(known.domain, 7, true);
+	EXPECT_EQ(REASON_EVACUATED, select(&node_id));
+	known.revision++;
+	known.backend = BACKEND_DRAINING;
+	ASSERT_EQ(MEMBER_UPDATED, member_upsert(entry->options.members, &known));
+	key_members_record_leaving(key_owners);
+	ASSERT_EQ(REASON_NONE, select(&node_id));
+	EXPECT_EQ(owner == gates[0] ? gates[1] : gates[0], node_id);
+	// The hosts of the domain are switched off: their keys stay where they are.
+	known.revision++;
+	known.state = MEMBER_DEAD;
+	ASSERT_EQ(MEMBER_UPDATED, member_upsert(entry->options.members, &known));
+	ASSERT_EQ(REASON_NONE, select(&node_id));
+	EXPECT_NE(owner, node_id);
+}
+
 TEST_F(EntryPlacement, UnlimitedRouteUsesTheNearGateAndSendsNoRegions)
 {
 	uint64_t near = add_gate("g1", "here", "here-1");
--- a/test/unit/fescuemilld/gate/gate_shell_test.cc
+++ b/test/unit/fescuemilld/gate/gate_shell_test.cc
@@ -436,4 +436,28 @@
 	EXPECT_LT(accept(listener, nullptr, nullptr), 0) << "the call reached the backend server";
 }
 
+// The failure domain is evacuated under load: what waits goes back to its entries as not run, the
+// running call ends, and after the withdrawal calls run again.
+TEST_F(GateShell, EvacuationGivesTheQueueBackAndLetsTheRunningCallEnd)
+{
+	std::string text = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+	fill_queue(5);
+	gate_shell_set_evacuated(shell, true);
+	ASSERT_TRUE(run_until([&] { return answers.size() == 5; }));
+	for (uint64_t id = 2; id <= 6; id++) {
+		EXPECT_EQ(answers[id].first, OUTCOME_NOT_RUN);
+		EXPECT_EQ(answers[id].second, REASON_EVACUATED);
+	}
+	EXPECT_EQ(answers.count(1), 0u);
+	send_call(0);
+	ASSERT_TRUE(run_until([&] { return answers.count(sequence) == 1; }));
+	EXPECT_EQ(answers[sequence].second, REASON_EVACUATED);
+	ASSERT_EQ(send(running_fd, text.data(), text.size(), MSG_NOSIGNAL), (ssize_t)text.size());
+	ASSERT_TRUE(run_until([&] { return answers.count(1) == 1; }));
+	EXPECT_EQ(answers[1].first, OUTCOME_ANSWERED);
+	gate_shell_set_evacuated(shell, false);
+	run_call("");
+}
+
 } // namespace
--- a/test/unit/platform/store_dialect_test.cc
+++ b/test/unit/platform/store_dialect_test.cc
@@ -6,6 +6,7 @@
 extern "C" {
 #include "adapter.h"
 #include "fescuemill/fleet/config.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/fleet/roster.h"
 }
 
@@ -58,6 +59,9 @@
 	watch.wait_ms = 10000;
 	EXPECT_EQ("GET /objects/config?watch=530&wait_ms=10000", WrittenRequest(watch).line());
 	EXPECT_EQ("GET /objects/fescuemill-roster", WrittenRequest(list).line());
+	list.kind = EVACUATION_KIND;
+	EXPECT_EQ("GET /objects/evacuations", WrittenRequest(list).line());
+	list.kind = ROSTER_KIND;
 	list.after_name = "zone-a";
 	EXPECT_EQ("GET /objects/fescuemill-roster?after=zone-a", WrittenRequest(list).line());
 	EXPECT_EQ("GET /objects/fescuemill-roster/z",
--- a/test/unit/platform/template_test.cc
+++ b/test/unit/platform/template_test.cc
@@ -15,10 +15,25 @@
 namespace
 {
 
-std::string render_template()
+std::string read_template()
 {
 	std::ifstream file(FESCUEMILL_SOURCE_DIR "/deploy/node.json");
-	std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+
+	return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// Renders the section of a bound: its content if the bound is present, otherwise nothing.
+std::string render_section(const std::string &text, const std::string &bound, bool is_present)
+{
+	std::regex section("\\{\\{#bounds\\." + bound + "\\}\\}([^]*?)\\{\\{/bounds\\." + bound +
+			   "\\}\\}");
+
+	return std::regex_replace(text, section, is_present ? "$1" : "");
+}
+
+std::string render_template(bool has_evacuation = false)
+{
+	std::string text = render_section(read_template(), "evac_ms", has_evacuation);
 
 	text = std::regex_replace(text, std::regex(R"(\{\{internal_ports\.[01]\}\})"), "7620");
 	text = std::regex_replace(
@@ -56,6 +71,26 @@
 	EXPECT_TRUE(set.fleet_is_new);
 }
 
+// An installation whose bounds have no evac_ms asks the platform for nothing more than before.
+TEST_F(Template, EvacuationsAreAskedForOnlyWhereTheBoundIsPresent)
+{
+	std::string with = render_template(true);
+	std::string without = render_template(false);
+	std::string line = ",\n\t\"evacuation_ms\": 62";
+	settings asked{};
+	error err{};
+
+	EXPECT_EQ(0u, set.evacuation_ms);
+	ASSERT_EQ(0, settings_parse(with.data(), with.size(), "node.json", &asked, &err))
+		<< err.detail;
+	EXPECT_EQ(62u, asked.evacuation_ms);
+	size_t at = with.find(line);
+	ASSERT_NE(std::string::npos, at);
+	with.erase(at, line.size());
+	EXPECT_EQ(without, with);
+	EXPECT_EQ(std::string::npos, without.find("evac"));
+}
+
 TEST_F(Template, StopEndsBeforeThePlatformKillsTheNode)
 {
 	EXPECT_LT(set.stop_serve_ms, set.stop_limit_ms);
