Cold backend servers: their gate holds their calls to what they bear

A backend server that has started, or became cold again, bears a part of its usual calls and crashes well above it.

The gate keeps a belief (decide/cold.c) from heartbeats and from the answers of the health path, whose first to say so makes the server cold, and a token bucket of half a second of the configured cold_per_s. It runs while the server is warm too: the calls of the last moments are a debt. A call that would wait too long is refused at once as "cold", not run, and so are waiting calls when the server turns cold. Load reports carry the room; an entry uses it and then leaves the gate out for a while. Floors do not take slots ahead of urgent work of a cold server. Without cold_per_s everything is as before.

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -25,6 +25,11 @@
 	X(GATE_RATE, "gate_rate", "calls/1000s", "the gate's part of its classes' calls_per_s")    \
 	X(GATE_RATE_LIMIT, "gate_rate_limit", "calls/1000s",                                       \
 	  "limit that the backend server states on its calls; 0: none, or none taken")             \
+	X(GATE_COLD, "gate_cold", "flag", "1 while calls are limited as the server is cold")       \
+	X(GATE_COLD_STARTED, "gate_cold_started", "attempts",                                      \
+	  "attempts started on the backend server while it counted as cold")                       \
+	X(GATE_REFUSED_COLD, "gate_refused_cold", "attempts",                                      \
+	  "attempts refused as the backend server is cold")                                        \
 	X(GATE_CANCELLED, "gate_cancelled", "attempts", "attempts cancelled")                      \
 	X(GATE_DUPLICATES, "gate_duplicates", "messages", "repeats of a known attempt")            \
 	X(GATE_STALE_EPOCH, "gate_stale_epoch", "messages", "messages of an older epoch")          \
--- a/src/fescuemill/decide/attempt_entry.c
+++ b/src/fescuemill/decide/attempt_entry.c
@@ -166,6 +166,7 @@
 	case REASON_EXPIRED:
 		return entry_may_be_in_time_elsewhere(call);
 	case REASON_OVERLOAD:
+	case REASON_COLD:
 	case REASON_DRAINING:
 	case REASON_NO_BACKEND:
 	case REASON_SHED:
@@ -180,12 +181,15 @@
 }
 
 /* Returns the bucket to charge for a retry after a refusal; NULL: the retry is not charged. A gate
- * that stops or that has lost its backend server refuses all calls on their way to it at once,
- * which would empty the bucket. The bucket need not bound them, as the choice of gates bounds the
- * calls on their way to one gate, and a call asks each gate once. */
+ * that stops, that has lost its backend server or whose server is cold refuses all calls on their
+ * way to it at once, which would empty the bucket. The bucket need not bound them, as the choice of
+ * gates bounds the calls on their way to one gate, and a call asks each gate once. */
 static struct retry_bucket *entry_bucket_for(struct retry_bucket *bucket, enum call_reason reason)
 {
-	return reason == REASON_DRAINING || reason == REASON_NO_BACKEND ? NULL : bucket;
+	bool is_uncharged =
+		reason == REASON_DRAINING || reason == REASON_NO_BACKEND || reason == REASON_COLD;
+
+	return is_uncharged ? NULL : bucket;
 }
 
 /* Returns true if the backend server itself refused the call, and not its gate. */
@@ -246,7 +250,7 @@
 		return entry_finish(call, OUTCOME_NOT_RUN, reason, out, err);
 	if (reason == REASON_SHED)
 		entry_exclude_permanently(call);
-	else if (reason == REASON_OVERLOAD)
+	else if (reason == REASON_OVERLOAD || reason == REASON_COLD)
 		entry_exclude_full(call);
 	else if (reason != REASON_INCARNATION)
 		entry_exclude(call);
--- a/src/fescuemill/decide/call.c
+++ b/src/fescuemill/decide/call.c
@@ -45,6 +45,13 @@
 	return (unsigned int)reason < REASON_COUNT ? reason_names[reason] : "invalid";
 }
 
+/* Returns true if a gate refuses a call for this reason because it has no room, which is no error
+ * of the gate. */
+bool call_reason_is_lack_of_room(enum call_reason reason)
+{
+	return reason == REASON_OVERLOAD || reason == REASON_EXPIRED || reason == REASON_COLD;
+}
+
 /* Returns true if both identities name the same attempt. */
 bool attempt_id_equal(const struct attempt_id *a, const struct attempt_id *b)
 {
--- a/src/fescuemill/decide/call_defs.h
+++ b/src/fescuemill/decide/call_defs.h
@@ -94,6 +94,7 @@
 
 const char *call_outcome_name(enum call_outcome outcome);
 const char *call_reason_name(enum call_reason reason);
+bool call_reason_is_lack_of_room(enum call_reason reason);
 bool attempt_id_equal(const struct attempt_id *a, const struct attempt_id *b);
 
 #endif
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -5,6 +5,7 @@
  */
 #include "fescuemill/decide/choice.h"
 
+#include "fescuemill/decide/choice_cold.h"
 #include "fescuemill/decide/choice_table.h"
 #include "fescuemill/decide/slowdown.h"
 #include "fescuemill/fleet/member_defs.h"
@@ -265,8 +266,9 @@
 
 /* What an attempt sent to a gate now is expected to take, in microseconds. */
 struct expectation {
-	float wait_us;	/* part of total_us: the wait for a slot or for its rate */
-	float total_us; /* completion, with the cost of an error and of the distance */
+	float wait_us;	 /* part of total_us: the wait for a slot or for its rate */
+	float total_us;	 /* completion, with the cost of an error and of the distance */
+	bool is_used_up; /* its cold backend server takes no call now */
 };
 
 /* Returns what an attempt sent to a gate now is expected to take. */
@@ -283,14 +285,15 @@
 	float excess = expected_occupancy(choice, gate, now_us) + 1 - limit;
 	float errors = is_due_for_trial(choice, gate, now_us) ? 0 : error_excess(choice, gate);
 	float slot_wait = excess > 0 ? slowness * choice->typical_us * excess / limit : 0;
-	float wait = fmaxf(slot_wait, rate_wait_us(gate, now_us));
+	float wait = fmaxf(slot_wait, gate->has_cold_room ? choice_cold_wait_us(gate, now_us)
+							  : rate_wait_us(gate, now_us));
 	float total = expected_round_trip_us(choice, gate, now_us) + wait + service +
 		      host_slowdown_us(gate, service, now_us) +
 		      errors * (float)choice->settings.error_penalty_us +
 		      (float)choice->settings.distance_cost_us[distance] +
 		      body_kib * (float)choice->settings.distance_cost_us_per_kib[distance];
 
-	return (struct expectation){wait, total};
+	return (struct expectation){wait, total, choice_cold_is_used_up(gate, now_us)};
 }
 
 /* The gates compared so far in one pick. */
@@ -300,10 +303,19 @@
 	float second_us; /* total_us of the second best; INFINITY if there is none */
 };
 
+/* Returns true if a gate is better than another: one with room is better than a cold one without.
+ */
+static bool is_better(const struct expectation *a, const struct expectation *b)
+{
+	if (a->is_used_up != b->is_used_up)
+		return b->is_used_up;
+	return a->total_us < b->total_us;
+}
+
 /* Adds a gate to a comparison. */
 static void compare_gate(struct comparison *cmp, int number, struct expectation expected)
 {
-	if (cmp->best >= 0 && expected.total_us >= cmp->best_expected.total_us) {
+	if (cmp->best >= 0 && !is_better(&expected, &cmp->best_expected)) {
 		cmp->second_us = fminf(cmp->second_us, expected.total_us);
 		return;
 	}
@@ -339,8 +351,8 @@
  * completed it, had it been sent there instead. */
 static uint32_t wait_limit_us(const struct comparison *cmp)
 {
-	float limit_us =
-		cmp->second_us - (cmp->best_expected.total_us - cmp->best_expected.wait_us);
+	float limit_us = fmaxf(
+		0, cmp->second_us - (cmp->best_expected.total_us - cmp->best_expected.wait_us));
 
 	return limit_us < (float)WAIT_LIMIT_US_MAX ? (uint32_t)limit_us : UINT32_MAX;
 }
@@ -436,6 +448,7 @@
 	gate->load_observed_us = now_us;
 	gate->occupancy = load->in_use + load->queued;
 	gate->slowdown_percent = load->slowdown_percent;
+	choice_cold_record(gate, load);
 	gate->sent_since_load = 0;
 	update_gate_state(gate, load->state, now_us);
 	gate->rate_limit_milli = load->rate_limit_milli;
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -21,6 +21,9 @@
 	uint32_t limit;		    /* most slots that it allows in use, as last reported */
 	uint32_t rate_limit_milli;  /* calls per 1000 s that it may start; 0: any number */
 	uint32_t wait_us;	    /* wait of a call that arrived when the load was reported */
+	bool has_cold_room;	    /* its backend server is cold, as last reported */
+	uint32_t cold_room;	    /* calls that it takes then */
+	uint32_t cold_hold_us;	    /* how long a report that it takes no more holds */
 	bool has_slowness;	    /* slowness was measured by at least one answer */
 	float slowness;		    /* service time divided by the typical one of the same class */
 	float round_trip_us;	    /* moving average; network time only */
--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -8,6 +8,8 @@
 #include "fescuemill/decide/gate_class.h"
 #include "fescuemill/decide/gate_order.h"
 #include "fescuemill/decide/gate_queue.h"
+#include "fescuemill/decide/gate_rate.h"
+#include "fescuemill/decide/gate_refuse.h"
 #include "fescuemill/decide/gate_slots.h"
 #include "fescuemill/decide/gate_tally.h"
 #include "fescuemill/decide/headroom.h"
@@ -42,16 +44,6 @@
 	return now_us;
 }
 
-/* Adds an action. There is room: an operation decides each waiting ticket at most once. */
-static void actions_add(struct gate_actions *actions, struct gate_ticket *ticket,
-			struct gate_verdict verdict)
-{
-	struct gate_action *action = &actions->list[actions->count++];
-
-	action->ticket = ticket;
-	action->verdict = verdict;
-}
-
 /* Returns true if the class that a ticket was offered for has not been removed since. */
 static bool class_is_current(const struct gate *gate, const struct gate_ticket *ticket)
 {
@@ -62,7 +54,7 @@
 static void start_ticket(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us)
 {
 	gate->in_use++;
-	rate_limit_take(&gate->rate, now_us);
+	gate_rate_take(gate, now_us);
 	retry_runs_started(&gate->runs, ticket->repeat_permille);
 	gate->classes[ticket->class_index].running++;
 	ticket->state = TICKET_RUNNING;
@@ -85,32 +77,6 @@
 	ticket->state = TICKET_IDLE;
 }
 
-/* Removes a waiting ticket without running it and puts its profile token back for other calls. */
-static void remove_waiting(struct gate *gate, struct gate_ticket *ticket)
-{
-	gate_queue_remove(gate, ticket);
-	if (ticket->in_profile)
-		profile_refund(&gate->classes[ticket->class_index].profile);
-}
-
-/* Refuses a waiting ticket and adds an action for it. */
-static void refuse_waiting(struct gate *gate, struct gate_ticket *ticket, enum call_reason reason,
-			   struct gate_actions *actions)
-{
-	remove_waiting(gate, ticket);
-	gate_tally_refused(gate, ticket, reason);
-	actions_add(actions, ticket, verdict_refuse(reason));
-}
-
-/* Returns true if a ticket that starts after wait_us is expected to meet its deadline. */
-static bool can_make_deadline(const struct gate *gate, const struct gate_ticket *ticket,
-			      uint64_t wait_us, uint64_t now_us)
-{
-	const struct gate_class *class = &gate->classes[ticket->class_index];
-
-	return now_us + wait_us + class->service.recent_mean_us < ticket->deadline_us;
-}
-
 /* Returns false if an attempt of the class that starts now is expected to be cut off by the end of
  * this node. */
 static bool can_end_before_stop(const struct gate *gate, const struct gate_class *class,
@@ -119,47 +85,6 @@
 	return gate->end_us == 0 || now_us + class->service.recent_mean_us <= gate->end_us;
 }
 
-/* Refuses the tickets of a list that can no longer meet their deadlines. */
-static void refuse_expired_list(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
-				struct gate_actions *actions)
-{
-	while (ticket) {
-		struct gate_ticket *next = ticket->next;
-
-		if (!can_make_deadline(gate, ticket, 0, now_us))
-			refuse_waiting(gate, ticket, REASON_EXPIRED, actions);
-		ticket = next;
-	}
-}
-
-/* Refuses all waiting tickets that can no longer meet their deadlines. */
-static void refuse_expired(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
-{
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		struct gate_class *class = &gate->classes[i];
-
-		refuse_expired_list(gate, class->in_profile.head, now_us, actions);
-		refuse_expired_list(gate, class->out_of_profile.head, now_us, actions);
-	}
-}
-
-/* Refuses all waiting tickets of a class. */
-static void refuse_class(struct gate *gate, struct gate_class *class, enum call_reason reason,
-			 struct gate_actions *actions)
-{
-	while (class->in_profile.head)
-		refuse_waiting(gate, class->in_profile.head, reason, actions);
-	while (class->out_of_profile.head)
-		refuse_waiting(gate, class->out_of_profile.head, reason, actions);
-}
-
-/* Refuses all waiting tickets. */
-static void refuse_all(struct gate *gate, enum call_reason reason, struct gate_actions *actions)
-{
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++)
-		refuse_class(gate, &gate->classes[i], reason, actions);
-}
-
 /* Returns true if waiting tickets may start. */
 static bool may_start(const struct gate *gate)
 {
@@ -187,35 +112,6 @@
 			       expected_service_us(&gate->classes[ticket->class_index]), now_us);
 }
 
-/* Returns true if a ticket that is expected to wait this long is to be refused, as it is expected
- * to be served sooner by another gate. */
-static bool exceeds_wait_limit(const struct gate_ticket *ticket, uint64_t wait_us)
-{
-	return ticket->has_wait_limit && wait_us > ticket->wait_max_us;
-}
-
-/* Refuses the tickets of a list that must not wait for the end of a slowdown of the host. */
-static void refuse_wait_limited_list(struct gate *gate, struct gate_ticket *ticket,
-				     struct gate_actions *actions)
-{
-	while (ticket) {
-		struct gate_ticket *next = ticket->next;
-
-		if (exceeds_wait_limit(ticket, SLOWDOWN_EXPECTED_US))
-			refuse_waiting(gate, ticket, REASON_OVERLOAD, actions);
-		ticket = next;
-	}
-}
-
-/* Refuses all waiting tickets that must not wait for the end of a slowdown of the host. */
-static void refuse_wait_limited(struct gate *gate, struct gate_actions *actions)
-{
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		refuse_wait_limited_list(gate, gate->classes[i].in_profile.head, actions);
-		refuse_wait_limited_list(gate, gate->classes[i].out_of_profile.head, actions);
-	}
-}
-
 /* Returns true if a waiting short call may take a slot beyond the limit. */
 static bool may_start_short(const struct gate *gate)
 {
@@ -234,33 +130,34 @@
 /* Starts waiting tickets in free slots, as far as deadlines and the slowdown of the host allow. */
 static void dispatch(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
-	while (may_start(gate) && gate->queued && rate_limit_allows(&gate->rate, now_us)) {
+	gate_refuse_if_turned_cold(gate, now_us, actions);
+	while (may_start(gate) && gate->queued && gate_rate_allows(gate, now_us)) {
 		struct gate_ticket *ticket = next_to_start(gate);
 		enum slowdown_advice advice;
 
 		if (!ticket)
 			return;
-		if (!can_make_deadline(gate, ticket, 0, now_us)) {
-			refuse_waiting(gate, ticket, REASON_EXPIRED, actions);
+		if (!gate_can_make_deadline(gate, ticket, 0, now_us)) {
+			gate_refuse_waiting(gate, ticket, REASON_EXPIRED, actions);
 			continue;
 		}
 		if (!can_end_before_stop(gate, &gate->classes[ticket->class_index], now_us)) {
-			refuse_waiting(gate, ticket, REASON_DRAINING, actions);
+			gate_refuse_waiting(gate, ticket, REASON_DRAINING, actions);
 			continue;
 		}
 		advice = advise(gate, ticket, now_us);
 		if (advice == SLOWDOWN_REDIRECT &&
-		    exceeds_wait_limit(ticket, SLOWDOWN_REDIRECT_COST_US)) {
-			refuse_waiting(gate, ticket, REASON_OVERLOAD, actions);
+		    gate_exceeds_wait_limit(ticket, SLOWDOWN_REDIRECT_COST_US)) {
+			gate_refuse_waiting(gate, ticket, REASON_OVERLOAD, actions);
 			continue;
 		}
 		if (advice == SLOWDOWN_WAIT)
-			refuse_wait_limited(gate, actions);
+			gate_refuse_wait_limited(gate, actions);
 		if (advice == SLOWDOWN_WAIT || advice == SLOWDOWN_PROBE)
 			return;
 		gate_queue_remove(gate, ticket);
 		start_ticket(gate, ticket, now_us);
-		actions_add(actions, ticket, verdict_start);
+		gate_actions_add(actions, ticket, verdict_start);
 	}
 }
 
@@ -270,6 +167,7 @@
 	memset(gate, 0, sizeof(*gate));
 	gate->accounted_until_us = now_us;
 	gate->penalty_decayed_us = now_us;
+	cold_init(&gate->cold, now_us);
 }
 
 /* Removes a class. Waiting tickets are refused, running ones finish without being accounted for. */
@@ -277,7 +175,7 @@
 {
 	uint8_t generation = class->generation;
 
-	refuse_class(gate, class, REASON_UNKNOWN_CLASS, actions);
+	gate_refuse_class(gate, class, REASON_UNKNOWN_CLASS, actions);
 	memset(class, 0, sizeof(*class));
 	class->generation = (uint8_t)(generation + 1);
 }
@@ -326,23 +224,6 @@
 	dispatch(gate, now_us, actions);
 }
 
-/*
- * Sets this gate's part of each class's calls_per_s, in thousandths of a call per second, indexed
- * by class.
- */
-void gate_set_rates(struct gate *gate, const uint64_t rates_milli[CLASSES_PER_SERVICE_MAX],
-		    uint64_t now_us)
-{
-	now_us = clamp_to_last_operation(gate, now_us);
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		struct gate_class *class = &gate->classes[i];
-
-		if (class->active)
-			profile_set_rate(&class->profile, rates_milli[i], now_us);
-	}
-	gate_account_update_floors(gate);
-}
-
 /* Sets the time at which running attempts are cut off by the end of this node. Attempts that are
  * not expected to end before it are refused from now on. */
 void gate_set_end(struct gate *gate, uint64_t end_us)
@@ -350,12 +231,6 @@
 	gate->end_us = end_us;
 }
 
-/* Holds the calls that start to the rate that the backend server states. */
-void gate_set_rate_limit(struct gate *gate, uint32_t rate_milli, uint64_t now_us)
-{
-	rate_limit_set(&gate->rate, rate_milli, clamp_to_last_operation(gate, now_us));
-}
-
 /* Removes the limit of the rate, and starts what waited for it. */
 void gate_clear_rate_limit(struct gate *gate, uint64_t now_us, struct gate_actions *actions)
 {
@@ -398,9 +273,9 @@
 	gate->state = state;
 	set_slots(gate, was_serving, slots, now_us);
 	if (is_draining(gate))
-		refuse_all(gate, REASON_DRAINING, actions);
+		gate_refuse_all(gate, REASON_DRAINING, actions);
 	else if (!may_start(gate))
-		refuse_all(gate, REASON_NO_BACKEND, actions);
+		gate_refuse_all(gate, REASON_NO_BACKEND, actions);
 	dispatch(gate, now_us, actions);
 }
 
@@ -444,14 +319,14 @@
 static enum call_reason enqueue(struct gate *gate, struct gate_ticket *ticket, uint64_t now_us,
 				struct gate_actions *actions)
 {
-	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
+	if (!gate_can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
 		return REASON_EXPIRED;
 	if (gate_queue_is_full(gate, &gate->classes[ticket->class_index])) {
 		struct gate_ticket *victim = gate_queue_find_victim(gate, ticket);
 
 		if (!victim)
 			return REASON_OVERLOAD;
-		refuse_waiting(gate, victim, REASON_OVERLOAD, actions);
+		gate_refuse_waiting(gate, victim, REASON_OVERLOAD, actions);
 	}
 	gate_queue_add(gate, ticket);
 	return REASON_NONE;
@@ -465,7 +340,7 @@
 static uint64_t expected_wait_us(const struct gate *gate, const struct gate_ticket *ticket,
 				 bool can_start, enum slowdown_advice advice, uint64_t now_us)
 {
-	uint64_t wait_us = rate_limit_wait_us(&gate->rate, gate->queued, now_us);
+	uint64_t wait_us = gate_rate_wait_us(gate, gate->queued, now_us);
 
 	if (wait_us > 0 || !gate_slots_has_room(gate, ticket->class_index))
 		wait_us = gate_order_wait_us(gate, ticket, now_us) + 1;
@@ -509,16 +384,16 @@
 	advice = advise(gate, ticket, now_us);
 	can_start = advice == SLOWDOWN_START ||
 		    (advice == SLOWDOWN_REDIRECT &&
-		     !exceeds_wait_limit(ticket, SLOWDOWN_REDIRECT_COST_US));
+		     !gate_exceeds_wait_limit(ticket, SLOWDOWN_REDIRECT_COST_US));
 	if (gate->queued == 0 && gate_slots_has_free(gate, class_index) && can_start &&
-	    rate_limit_allows(&gate->rate, now_us)) {
+	    gate_rate_allows(gate, now_us)) {
 		start_ticket(gate, ticket, now_us);
 		return verdict_start;
 	}
-	if (!can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
+	if (!gate_can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
 		reason = REASON_EXPIRED;
-	else if (exceeds_wait_limit(ticket,
-				    expected_wait_us(gate, ticket, can_start, advice, now_us)))
+	else if (gate_exceeds_wait_limit(ticket,
+					 expected_wait_us(gate, ticket, can_start, advice, now_us)))
 		reason = REASON_OVERLOAD;
 	else
 		reason = enqueue(gate, ticket, now_us, actions);
@@ -526,6 +401,7 @@
 		dispatch(gate, now_us, actions);
 		return extract_verdict(actions, ticket);
 	}
+	reason = gate_rate_refusal(gate, ticket, reason, now_us);
 	if (ticket->in_profile)
 		profile_refund(&gate->classes[class_index].profile);
 	gate_tally_refused(gate, ticket, reason);
@@ -557,7 +433,7 @@
 	case TICKET_IDLE:
 		return;
 	case TICKET_WAITING:
-		remove_waiting(gate, ticket);
+		gate_remove_waiting(gate, ticket);
 		break;
 	case TICKET_RUNNING:
 		release_slot(gate, ticket);
@@ -574,7 +450,7 @@
 	headroom_update(gate);
 	saturation_tick(&gate->saturation, now_us);
 	limit_use_all(&gate->limit, gate->saturation.uses_all);
-	refuse_expired(gate, now_us, actions);
+	gate_refuse_expired(gate, now_us, actions);
 	dispatch(gate, now_us, actions);
 }
 
@@ -603,8 +479,7 @@
 {
 	bool has_slot = gate->in_use < gate->limit.current || may_start_short(gate);
 
-	if (gate->queued == 0 || !has_slot || !may_start(gate) ||
-	    !rate_limit_allows(&gate->rate, now_us))
+	if (gate->queued == 0 || !has_slot || !may_start(gate) || !gate_rate_allows(gate, now_us))
 		return false;
 	return slowdown_start_probe(&gate->slowdown, now_us);
 }
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -7,6 +7,7 @@
 
 #include "fescuemill/decide/burn.h"
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/cold.h"
 #include "fescuemill/decide/floor.h"
 #include "fescuemill/decide/limit.h"
 #include "fescuemill/decide/load_defs.h"
@@ -123,7 +124,9 @@
 	enum backend_state state;
 	uint64_t end_us; /* running attempts are cut off then, as the node stops; 0: not known */
 	struct limit limit;
-	struct rate_limit rate;	      /* that the backend server states */
+	struct rate_limit rate; /* that the backend server states */
+	struct cold cold;	/* what a cold backend server bears */
+	bool was_cold;		/* its calls were limited as it is cold, when last looked at */
 	struct saturation saturation; /* lifts a fixed limit where that slows nothing down */
 	struct slowdown slowdown;
 	struct retry_runs runs;	     /* the running attempts, for the calls that they make */
--- a/src/fescuemill/decide/gate_order.c
+++ b/src/fescuemill/decide/gate_order.c
@@ -10,6 +10,7 @@
 #include "fescuemill/decide/gate_order.h"
 
 #include "fescuemill/decide/gate_queue.h"
+#include "fescuemill/decide/gate_rate.h"
 #include "fescuemill/decide/headroom.h"
 
 #include <stddef.h>
@@ -112,6 +113,15 @@
 	       gate->classes[ticket->class_index].target.rank > urgent->target.rank;
 }
 
+/* Returns true if a class may be served for its floor ahead of more urgent work. Floors are slot
+ * time, which a cold server cannot give: all classes would lag, and urgent calls would get no more
+ * than the others. */
+static bool may_bypass_urgent(const struct gate *gate)
+{
+	return gate->bypass_in_use < floor_bypass_slots_max(gate->limit.current) &&
+	       !cold_is_limiting(&gate->cold, gate->accounted_until_us);
+}
+
 /* Returns the waiting ticket that gets the next free slot, or NULL if none may take it. */
 struct gate_ticket *gate_order_next(struct gate *gate)
 {
@@ -123,8 +133,7 @@
 		struct gate_ticket *ticket = gate_queue_next(behind, gate->accounted_until_us);
 
 		ticket->bypassed_urgent = bypasses_urgent(gate, ticket, urgent);
-		if (!ticket->bypassed_urgent ||
-		    gate->bypass_in_use < floor_bypass_slots_max(gate->limit.current))
+		if (!ticket->bypassed_urgent || may_bypass_urgent(gate))
 			return ticket;
 		ticket->bypassed_urgent = false;
 	}
@@ -182,6 +191,6 @@
 		before_us += class->in_profile.count * class->service.recent_mean_us;
 	}
 	slot_us = before_us / limit;
-	rate_us = rate_limit_wait_us(&gate->rate, before, now_us);
+	rate_us = gate_rate_wait_us(gate, before, now_us);
 	return rate_us > slot_us ? rate_us : slot_us;
 }
--- a/src/fescuemill/decide/retry_after.c
+++ b/src/fescuemill/decide/retry_after.c
@@ -28,6 +28,12 @@
 		if (wait_ms > EXPECTED_WAIT_MS_MAX)
 			wait_ms = EXPECTED_WAIT_MS_MAX;
 		return wait_ms > QUEUE_FULL_MS ? wait_ms : QUEUE_FULL_MS;
+	case REASON_COLD:
+		/* All servers that were asked are cold, and the last one has room after this time.
+		 */
+		if (wait_ms > EXPECTED_WAIT_MS_MAX)
+			wait_ms = EXPECTED_WAIT_MS_MAX;
+		return wait_ms > OTHER_SERVER_MS ? wait_ms : OTHER_SERVER_MS;
 	case REASON_NO_BACKEND:
 	case REASON_REGION:
 	case REASON_KEYS_STALE:
@@ -35,7 +41,6 @@
 		return NODE_STARTING_MS;
 	case REASON_DRAINING:
 	case REASON_EVACUATED:
-	case REASON_COLD:
 	case REASON_INCARNATION:
 	case REASON_STALE_EPOCH:
 	case REASON_CONNECTION_LOST:
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -115,8 +115,11 @@
 static int apply_in_order(struct announce *ann, struct announcement *update, struct error *err)
 {
 	static const struct announcement none;
+	enum announcement_order order = announcement_compare(&ann->latest, update);
 
-	switch (announcement_compare(&ann->latest, update)) {
+	if (order != ANNOUNCEMENT_STALE && ann->options.on_heartbeat)
+		ann->options.on_heartbeat(ann->options.user, update);
+	switch (order) {
 	case ANNOUNCEMENT_STALE:
 		log_write(LOG_INFO, LOG_PART_HTTP,
 			  "A stale announcement of the backend server was ignored.",
--- a/src/fescuemill/http/announce.h
+++ b/src/fescuemill/http/announce.h
@@ -23,6 +23,8 @@
 	const struct http_dialect *dialect;
 	/* Called when an announcement differs from the one before, and when the lease expires. */
 	void (*on_change)(void *user, const struct announcement *now);
+	/* Called with each announcement that is not stale, before on_change. May be NULL. */
+	void (*on_heartbeat)(void *user, const struct announcement *heard);
 	/* Returns the number of attempts that the backend server is running. */
 	uint32_t (*in_use)(void *user);
 	void *user;
--- a/src/fescuemill/http/announcement.h
+++ b/src/fescuemill/http/announcement.h
@@ -16,7 +16,8 @@
 	uint32_t ip;			    /* 0: the loopback address */
 	uint16_t port;
 	uint32_t slots;	     /* calls that the backend server can run at once */
-	uint32_t warm_up_ms; /* remaining time of the instance's slow phase after its start */
+	bool states_cold;    /* cold_ms is stated */
+	uint32_t cold_ms;    /* how long the instance remains cold; 0: it is warm */
 	uint64_t started_ms; /* wall time when the instance started, by its clock; 0: not stated */
 	uint64_t sequence;   /* rises with each announcement of an instance; 0: not stated */
 	enum backend_state state;
--- a/src/fescuemill/http/dialect.h
+++ b/src/fescuemill/http/dialect.h
@@ -69,6 +69,9 @@
 	bool (*read_load)(const struct wire_headers *headers, struct backend_load *out);
 	/* Reads the limit and the leaving that the backend server states in an answer. */
 	void (*read_notice)(const struct wire_headers *headers, struct backend_notice *out);
+	/* Reads from the answer to a health check how long the backend server remains cold, in
+	 * milliseconds; returns false if it does not state it. */
+	bool (*read_cold)(const struct wire_headers *headers, uint32_t *left_ms);
 	/* Parses an announcement of this node's own backend server. Errors: ERROR_NOT_FOUND if the
 	 * request is not an announcement, others if it is malformed. */
 	int (*read_announcement)(const struct call_head *head, struct wire_bytes body,
--- a/src/fescuemill/http/native_dialect.c
+++ b/src/fescuemill/http/native_dialect.c
@@ -21,6 +21,7 @@
 #define CALL_ID_BYTES	  64
 #define HEADER_RATE_LIMIT "x-fescue-rate-limit" /* calls per second */
 #define HEADER_LEAVING	  "x-fescue-leaving"	/* "1" */
+#define HEADER_COLD	  "fescuemill-cold-ms"	/* how long the server remains cold */
 
 static const struct {
 	const char *name;
@@ -179,6 +180,11 @@
 	out->port = (uint16_t)port;
 	if (json_read_u32(object, "slots", 1, ANNOUNCE_SLOTS_MAX, &out->slots, err) != 0)
 		return -1;
+	if (json_object_get(object, "cold_ms")) {
+		if (json_read_u32(object, "cold_ms", 0, UINT32_MAX, &out->cold_ms, err) != 0)
+			return -1;
+		out->states_cold = true;
+	}
 	return read_state(object, out, err);
 }
 
@@ -225,6 +231,14 @@
 			    headers_find(headers, HEADER_LEAVING), out);
 }
 
+/* Reads how long the backend server remains cold. */
+static bool read_cold(const struct wire_headers *headers, uint32_t *left_ms)
+{
+	struct wire_bytes text = headers_find(headers, HEADER_COLD);
+
+	return text.data && wire_bytes_parse_number(text, left_ms) == 0;
+}
+
 const struct http_dialect native_dialect = {
 	.read_call = call_request_parse,
 	.write_outcome = write_outcome,
@@ -232,6 +246,7 @@
 	.judge_answer = judge_answer,
 	.read_load = read_load,
 	.read_notice = read_notice,
+	.read_cold = read_cold,
 	.read_announcement = read_announcement,
 	.write_announcement_reply = write_announcement_reply,
 	.allows_close_delimited_body = false,
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -50,9 +50,8 @@
 	case OUTCOME_NOT_RUN:
 		if (answer->reason == REASON_NO_BACKEND)
 			return CHOICE_RESULT_NO_BACKEND;
-		return answer->reason == REASON_OVERLOAD || answer->reason == REASON_EXPIRED
-			       ? CHOICE_RESULT_NO_FREE_SLOT
-			       : CHOICE_RESULT_REFUSED;
+		return call_reason_is_lack_of_room(answer->reason) ? CHOICE_RESULT_NO_FREE_SLOT
+								   : CHOICE_RESULT_REFUSED;
 	default:
 		return CHOICE_RESULT_LOST;
 	}
--- a/src/fescuemilld/gate/gate_admission.c
+++ b/src/fescuemilld/gate/gate_admission.c
@@ -5,12 +5,11 @@
 
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
-#include "fescuemill/base/log.h"
 #include "fescuemilld/gate/gate_attempt.h"
 #include "fescuemilld/gate/gate_key.h"
+#include "fescuemilld/gate/gate_log.h"
 #include "fescuemilld/gate/gate_probe.h"
 
-#include <inttypes.h>
 #include <string.h>
 
 static const struct origin no_origin = {NULL, NULL};
@@ -171,28 +170,13 @@
 	queue_verdicts(&actions);
 }
 
-/* Logs a new verdict on whether the backend server slows down with all slots in use. */
-static void log_saturation(struct gate_shell *shell)
-{
-	const struct saturation *saturation = &shell->admission.saturation;
-
-	if (saturation->verdict == SATURATION_UNKNOWN ||
-	    saturation->judged_us == shell->saturation_logged_us)
-		return;
-	shell->saturation_logged_us = saturation->judged_us;
-	log_write(LOG_INFO, LOG_PART_GATE, "The backend server was measured with all slots in use.",
-		  "verdict=%s service_percent=%" PRIu64 " slots=%u used=%u",
-		  saturation_verdict_name(saturation->verdict), saturation->judged_percent,
-		  shell->admission.limit.slots, shell->admission.limit.current);
-}
-
 /* Lets admission act on the passage of time. */
 void gate_admission_tick(struct gate_shell *shell)
 {
 	struct gate_actions actions;
 
 	gate_tick(&shell->admission, clock_monotonic_us(), &actions);
-	log_saturation(shell);
+	gate_log_changes(shell);
 	queue_verdicts(&actions);
 	gate_admission_apply_verdicts(shell);
 }
--- a/src/fescuemilld/gate/gate_probe.c
+++ b/src/fescuemilld/gate/gate_probe.c
@@ -7,6 +7,7 @@
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
 #include "fescuemilld/gate/gate_admission.h"
+#include "fescuemilld/gate/gate_cold.h"
 #include "fescuemilld/gate/gate_notice.h"
 
 #include <string.h>
@@ -48,13 +49,7 @@
 	struct gate_shell *shell = user;
 
 	shell->probe = NULL;
-	if (answer->end == BACKEND_END_ANSWERED && answer->has_load) {
-		gate_probe_record_load(shell, answer);
-	} else {
-		log_write(LOG_INFO, LOG_PART_GATE, "A probe of the backend server failed.",
-			  "end=%s status=%u", backend_end_name(answer->end), answer->status);
-		gate_admission_slowdown_unknown(shell);
-	}
+	gate_cold_record_probe(shell, answer);
 	report_found(shell, answer);
 	gate_notice_record_probe(shell, answer);
 	gate_admission_apply_verdicts(shell);
@@ -75,6 +70,7 @@
 	call.headers.list[0] = (struct wire_header){wire_string("host"), wire_string("health")};
 	shell->probe_call = call;
 	req.call = &shell->probe_call;
+	shell->probe_sent_us = clock_monotonic_us();
 	counter_add(COUNTER_BACKEND_PROBES, 1);
 	return backend_call_start(shell->client, &req, on_probe_done, shell, &shell->probe, err);
 }
--- a/src/fescuemilld/gate/gate_reply.c
+++ b/src/fescuemilld/gate/gate_reply.c
@@ -83,6 +83,8 @@
 
 	if (action->outcome == OUTCOME_NOT_RUN && !action->duplicate)
 		counter_add(COUNTER_GATE_REFUSED, 1);
+	if (action->reason == REASON_COLD && !action->duplicate)
+		counter_add(COUNTER_GATE_REFUSED_COLD, 1);
 	fill_answer(shell, action, &msg);
 	send_reply(shell, action, origin, &msg);
 }
--- a/src/fescuemilld/gate/gate_shell.c
+++ b/src/fescuemilld/gate/gate_shell.c
@@ -9,6 +9,7 @@
 #include "fescuemill/base/log.h"
 #include "fescuemilld/gate/gate_admission.h"
 #include "fescuemilld/gate/gate_attempt.h"
+#include "fescuemilld/gate/gate_cold.h"
 #include "fescuemilld/gate/gate_key.h"
 #include "fescuemilld/gate/gate_notice.h"
 #include "fescuemilld/gate/gate_probe.h"
@@ -422,8 +423,7 @@
 
 	if (shell->options.backend_server.port != 0)
 		to = shell->options.backend_server;
-	shell->backend = *now;
-	gate_notice_check_start(shell, now);
+	gate_cold_set_backend(shell, now);
 	/* The backend server's lease can expire while it still runs calls: an announcement without
 	 * a port leaves the address as it is. */
 	if (to.port != 0)
--- a/src/fescuemilld/gate/gate_shell.h
+++ b/src/fescuemilld/gate/gate_shell.h
@@ -66,6 +66,11 @@
 /* Sets the path at which the backend server reports its load and slowdown; empty if it reports
  * none. */
 void gate_shell_set_health_path(struct gate_shell *shell, const char *path);
+/* Sets the rate that the backend server bears while it is cold, in calls per 1000 s (0: any), and
+ * how long it is cold after its start (0: unknown). */
+void gate_shell_set_cold(struct gate_shell *shell, uint32_t rate_milli, uint32_t start_ms);
+/* Records what a heartbeat says of how long the backend server remains cold. */
+void gate_shell_hear_heartbeat(struct gate_shell *shell, const struct announcement *heard);
 /* Probes for the backend server while it has not announced itself. */
 void gate_shell_discover_backend(struct gate_shell *shell);
 /* Returns the admission state, for setting the rates of classes. */
--- a/src/fescuemilld/gate/gate_shell_defs.h
+++ b/src/fescuemilld/gate/gate_shell_defs.h
@@ -53,12 +53,14 @@
 	struct announcement backend;
 	struct backend_call *probe;	/* NULL unless one is in progress */
 	struct message_call probe_call; /* request of the probe in progress */
+	uint64_t probe_sent_us;		/* when the latest probe was sent */
 	uint64_t last_discovery_us;	/* when an unannounced backend server was last probed for */
 	struct server_notice notice;	/* latest word of the backend server, for entries to keep */
 	bool has_heard_server;		/* this start of it has answered a call of this process */
 	bool has_logged_bad_rate;
 	char *health_path;	       /* NULL: the backend server cannot be probed */
 	uint64_t saturation_logged_us; /* time of the latest verdict that was logged */
+	bool has_logged_cold;	       /* the latest line about it says that the server is cold */
 	bool is_draining;
 };
 
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -173,8 +173,8 @@
 	demand_shell_receive(node->demand, node_id, data, size, clock_monotonic_us());
 }
 
-/* Sets the classes and the health path of this node's service at the gate, and its share of their
- * rates. */
+/* Sets the classes, the health path and the cold rate of this node's service at the gate, and its
+ * share of their rates. */
 void node_apply_config(struct node *node)
 {
 	const struct member *self = gossip_self(node->gossip);
@@ -188,6 +188,8 @@
 	if (config)
 		gate_shell_set_config(node->gate, config);
 	gate_shell_set_health_path(node->gate, routed ? routed->health_path : "");
+	gate_shell_set_cold(node->gate, routed ? routed->cold_rate_milli : 0,
+			    routed ? routed->cold_start_ms : 0);
 	demand_shell_refresh(node->demand, clock_monotonic_us());
 }
 
@@ -205,6 +207,14 @@
 	gate_shell_set_backend(node->gate, now);
 }
 
+/* Passes on what each announcement of the backend server says, whether or not it has changed. */
+void node_on_heartbeat(void *user, const struct announcement *heard)
+{
+	struct node *node = user;
+
+	gate_shell_hear_heartbeat(node->gate, heard);
+}
+
 /* Uses the backend server from the settings after a probe found it, so that a restarted node does
  * not wait for its next announcement. */
 void node_on_backend_found(void *user, const struct backend_load *load)
--- a/src/fescuemilld/node/node_events.h
+++ b/src/fescuemilld/node/node_events.h
@@ -22,6 +22,7 @@
 void node_on_newer_config(void *user, uint64_t node_id, uint64_t version);
 void node_on_demand(void *user, uint64_t node_id, const uint8_t *data, size_t size);
 void node_on_announcement(void *user, const struct announcement *now);
+void node_on_heartbeat(void *user, const struct announcement *heard);
 void node_on_backend_found(void *user, const struct backend_load *load);
 void node_on_backend_refused(void *user);
 void node_on_backend_unreachable(void *user);
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -55,6 +55,7 @@
 		.lease_ms = settings->backend_lease_ms,
 		.dialect = node->dialects.dialect,
 		.on_change = node_on_announcement,
+		.on_heartbeat = node_on_heartbeat,
 		.in_use = node_slots_in_use,
 		.user = node,
 	};
--- a/test/functional/support/fleet.cc
+++ b/test/functional/support/fleet.cc
@@ -260,12 +260,21 @@
 
 void Fleet::start_backend(Host &host)
 {
-	host.backend = Process::start_server({program("standin-backend"), "--service", host.service,
-					      "--slots", std::to_string(options_.slots),
-					      "--service-ms", std::to_string(options_.service_ms),
-					      "--spread", options_.spread, "--announce",
-					      loopback(host.node->port("backend_port"))},
-					     folder_ + "/" + host.name + ".backend.log");
+	std::vector<std::string> command = {program("standin-backend"),
+					    "--service",
+					    host.service,
+					    "--slots",
+					    std::to_string(options_.slots),
+					    "--service-ms",
+					    std::to_string(options_.service_ms),
+					    "--spread",
+					    options_.spread,
+					    "--announce",
+					    loopback(host.node->port("backend_port"))};
+
+	command.insert(command.end(), options_.backend_options.begin(),
+		       options_.backend_options.end());
+	host.backend = Process::start_server(command, folder_ + "/" + host.name + ".backend.log");
 }
 
 void Fleet::start()
--- a/test/functional/support/fleet.h
+++ b/test/functional/support/fleet.h
@@ -28,6 +28,7 @@
 	double service_ms = 5; // service time of a call
 	// Distribution of the service times: "none", "exponential" or "lognormal".
 	std::string spread = "lognormal";
+	std::vector<std::string> backend_options = {}; // further options of the backend servers
 	bool has_link = true;	    // link between the regions; without it, nodes connect directly
 	int link_delay_ms = 8;	    // one way
 	double link_rate_mbit = 30; // Mbit/s in each direction
--- a/test/standin/backend/main.c
+++ b/test/standin/backend/main.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/random.h"
 #include "standin/backend/announce.h"
+#include "standin/backend/cold.h"
 #include "standin/backend/ledger.h"
 #include "standin/common/server.h"
 
@@ -263,6 +264,7 @@
 	uint64_t answer_bytes = server_header_u64(req, "x-standin-size", ANSWER_BYTES_DEFAULT);
 
 	self.requests++;
+	cold_count_call();
 	if (self.ignore_deadlines)
 		deadline_ms = CALL_DEADLINE_MS_DEFAULT;
 	if (self.shed)
@@ -313,6 +315,11 @@
 {
 	double load = self.false_load >= 0 ? self.false_load : (double)self.running / self.slots;
 
+	char left_ms[24];
+
+	snprintf(left_ms, sizeof(left_ms), "%lld", (long long)cold_left_stated_ms());
+	if (left_ms[0] != '-')
+		server_add_header(req, "fescuemill-cold-ms", left_ms);
 	return server_send_json(req, 200, json_pack("{s:s,s:f}", "status", "ok", "load", load));
 }
 
@@ -321,8 +328,12 @@
 {
 	const char *state = self.is_leaving ? "leaving" : self.is_draining ? "draining" : "ready";
 
-	snprintf(text, bytes, "{\"service\":\"%s\",\"port\":%u,\"slots\":%u,\"state\":\"%s\"}",
-		 self.service, server_port(), self.slots, state);
+	char cold[40] = "";
+
+	if (cold_left_stated_ms() >= 0)
+		snprintf(cold, sizeof(cold), ",\"cold_ms\":%lld", (long long)cold_left_stated_ms());
+	snprintf(text, bytes, "{\"service\":\"%s\",\"port\":%u,\"slots\":%u,\"state\":\"%s\"%s}",
+		 self.service, server_port(), self.slots, state, cold);
 }
 
 /* Makes all open connections go silent: runs that complete on them are not answered. */
@@ -368,6 +379,7 @@
 		self.cold_ms = (uint64_t)json_integer_value(value);
 		self.cold_since_us = clock_monotonic_us();
 	}
+	cold_control(body);
 	if (json_is_true(json_object_get(body, "freeze")))
 		silence_connections();
 	json_decref(body);
@@ -383,9 +395,11 @@
 	for (struct call *call = self.calls; call; call = call->next)
 		queued += call->state == CALL_QUEUED;
 	return server_send_json(req, 200,
-				json_pack("{s:I,s:I,s:I,s:I}", "running", (json_int_t)self.running,
-					  "queued", queued, "requests", (json_int_t)self.requests,
-					  "node_in_use", (json_int_t)announce_in_use()));
+				json_pack("{s:I,s:I,s:I,s:I,s:I}", "running",
+					  (json_int_t)self.running, "queued", queued, "requests",
+					  (json_int_t)self.requests, "node_in_use",
+					  (json_int_t)announce_in_use(), "worst_cold_second",
+					  (json_int_t)cold_worst_second()));
 }
 
 /* Dispatches a request by its path. Unknown paths are calls. */
@@ -457,10 +471,13 @@
 		arg_str0(NULL, "spread", "none|exponential|lognormal", "spread of service times");
 	struct arg_str *announce = arg_str0(NULL, "announce", "IP:PORT", "the node's address");
 	struct arg_int *cold = arg_int0(NULL, "cold-ms", "MS", "length of the cold start");
+	struct arg_int *states_cold =
+		arg_int0(NULL, "states-cold-ms", "MS", "how long it is cold and says so");
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the service times");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {port, service, slots, service_ms, spread, announce, cold, seed, help, end};
+	void *table[] = {port, service,	    slots, service_ms, spread, announce,
+			 cold, states_cold, seed,  help,       end};
 
 	port->ival[0] = 0;
 	service->sval[0] = "ledger";
@@ -486,6 +503,8 @@
 	self.false_load = -1;
 	self.cold_ms = (uint64_t)cold->ival[0];
 	self.cold_since_us = clock_monotonic_us();
+	if (states_cold->count > 0)
+		cold_begin((uint64_t)states_cold->ival[0]);
 	random_seed(&self.rng, (uint64_t)seed->ival[0]);
 	self.loop = server_start((uint16_t)port->ival[0], handle_request, handle_terminate);
 	if (!self.loop)
--- a/test/unit/platform/announcement_test.cc
+++ b/test/unit/platform/announcement_test.cc
@@ -47,7 +47,8 @@
 	EXPECT_EQ(0x0a010009u, announced.ip);
 	EXPECT_EQ(8080, announced.port);
 	EXPECT_EQ(9u, announced.slots);
-	EXPECT_EQ(250u, announced.warm_up_ms);
+	EXPECT_TRUE(announced.states_cold);
+	EXPECT_EQ(250u, announced.cold_ms);
 	EXPECT_EQ(4u, announced.sequence);
 	EXPECT_EQ(1700000000000u, announced.started_ms);
 	EXPECT_EQ(BACKEND_READY, announced.state);
--- a/test/unit/platform/http_dialect_test.cc
+++ b/test/unit/platform/http_dialect_test.cc
@@ -212,6 +212,24 @@
 		EXPECT_FALSE(reads(bad)) << bad;
 }
 
+// Guards against a value that is no number taken for the end of being cold.
+TEST(PlatformHttp, ColdIsANumberOfMilliseconds)
+{
+	uint32_t left_ms = 77;
+	auto reads = [&left_ms](const char *name, const char *text) {
+		wire_headers headers = Head({{name, text}}).wire();
+		return dialect().read_cold(&headers, &left_ms);
+	};
+
+	EXPECT_TRUE(reads(HEADER_COLD, "1250"));
+	EXPECT_EQ(1250u, left_ms);
+	EXPECT_TRUE(reads("X-Fescuemill-Cold-Ms", "0"));
+	EXPECT_EQ(0u, left_ms);
+	for (const char *bad : {"", "-1", "1.5", "soon", "99999999999999"})
+		EXPECT_FALSE(reads(HEADER_COLD, bad)) << bad;
+	EXPECT_FALSE(reads("x-other", "5"));
+}
+
 // A value that is not a rate must be told from no value: a limit ends only where it is not stated.
 TEST(PlatformHttp, LimitIsADecimalNumberAndLeavingIsOne)
 {
--- a/test/unit/platform/leaving_test.cc
+++ b/test/unit/platform/leaving_test.cc
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <unistd.h>
+#include <vector>
 
 extern "C" {
 #include "adapter.h"
@@ -23,6 +24,7 @@
 	};
 	int fd = -1;
 	int sequence = 0;
+	std::vector<uint32_t> heard_cold_ms; // of each heartbeat that is passed on
 
 	void SetUp() override
 	{
@@ -36,6 +38,9 @@
 		options.on_change = [](void *user, const struct announcement *update) {
 			static_cast<Leaving *>(user)->now = *update;
 		};
+		options.on_heartbeat = [](void *user, const struct announcement *heard) {
+			static_cast<Leaving *>(user)->heard_cold_ms.push_back(heard->cold_ms);
+		};
 		options.in_use = [](void *) -> uint32_t { return 0; };
 		ASSERT_EQ(announce_open(&announce, &loop, &options, nullptr), 0);
 		fd = support::connect_to(announce_port(announce));
@@ -56,12 +61,13 @@
 	}
 
 	// Sends a heartbeat that says ready.
-	void beat(const std::string &instance, int born_ms)
+	void beat(const std::string &instance, int born_ms, int cold_ms = 0)
 	{
 		std::string body =
 			R"({"service":"ledger","address":"127.0.0.1:81","zone":"z","version":"v1",)"
-			R"("slots":6,"state":"ready","cold_left_ms":0,"sequence":)" +
-			std::to_string(++sequence) + R"(,"born":)" + std::to_string(born_ms) + "}";
+			R"("slots":6,"state":"ready","cold_left_ms":)" +
+			std::to_string(cold_ms) + R"(,"sequence":)" + std::to_string(++sequence) +
+			R"(,"born":)" + std::to_string(born_ms) + "}";
 		std::string text =
 			"POST /Instances.Heartbeat/" + instance +
 			" HTTP/1.1\r\nhost: n\r\ncontent-length: " + std::to_string(body.size()) +
@@ -132,3 +138,18 @@
 	beat("i-1", 200);
 	EXPECT_EQ(now.state, BACKEND_READY);
 }
+
+// Guards against a server that becomes cold while its announcements are otherwise the same, and
+// against a late heartbeat that says it is not.
+TEST_F(Leaving, EachHeartbeatIsPassedOnUnlessItIsLate)
+{
+	beat("i-1", 100);
+	beat("i-1", 100, 5000);
+	EXPECT_EQ(heard_cold_ms, (std::vector<uint32_t>{0, 5000}));
+	sequence -= 2; // both arrive again, late
+	beat("i-1", 100);
+	beat("i-0", 99);
+	EXPECT_EQ(heard_cold_ms, (std::vector<uint32_t>{0, 5000}));
+	beat("i-2", 101, 7000);
+	EXPECT_EQ(heard_cold_ms, (std::vector<uint32_t>{0, 5000, 7000}));
+}
