--- a/src/fescuemill/decide/route.c
+++ b/src/fescuemill/decide/route.c
@@ -115,6 +115,21 @@
 	return count;
 }
 
+/* Returns the rank that most customers have. */
+static uint32_t usual_rank(const struct customer_table *customers)
+{
+	uint32_t counts[UINT8_MAX + 1] = {0};
+	uint32_t usual = 0;
+
+	for (uint32_t i = 0; i < customers->count; i++)
+		counts[customers->list[i].rank & UINT8_MAX]++;
+	for (uint32_t rank = 1; rank <= UINT8_MAX; rank++) {
+		if (counts[rank] > counts[usual])
+			usual = rank;
+	}
+	return usual;
+}
+
 /* Collects the ranks of all customers and routes, in order. */
 static void order_ranks(struct routing *routing)
 {
@@ -122,11 +137,14 @@
 
 	memset(order, 0, sizeof(*order));
 	for (uint32_t i = 0; i < routing->customers.count; i++)
-		order->customer_positions[routing->customers.list[i].rank & UINT8_MAX] = 1;
+		order->has_customers[routing->customers.list[i].rank & UINT8_MAX] = true;
+	for (uint32_t rank = 0; rank <= UINT8_MAX; rank++)
+		order->customer_positions[rank] = order->has_customers[rank];
 	for (uint32_t i = 0; i < routing->route_count; i++)
 		order->route_positions[routing->routes[i].rank & UINT8_MAX] = 1;
-	order->customer_ranks = set_positions(order->customer_positions);
+	set_positions(order->customer_positions);
 	order->route_ranks = set_positions(order->route_positions);
+	order->usual_customer_rank = usual_rank(&routing->customers);
 }
 
 /* Returns the rank of the class for calls of a customer on a route: by the customer's rank, and
@@ -143,30 +161,25 @@
 }
 
 /* Adds the classes of a route's calls to a service, and returns the one for calls without a
- * customer. These are as urgent as those of the most urgent customers: backend servers make them
- * while they run other calls. All ranks of a route are added before the next route's: if there is
- * no room for all classes, the ranks are kept apart rather than the objectives. */
+ * customer. These have the rank that most customers have, so that the route's rank decides beside
+ * them. All ranks of a route are added before the next route's: if there is no room for all
+ * classes, the ranks are kept apart rather than the objectives. */
 static const struct class_target *add_route_classes(const struct routing *routing,
 						    const struct route *route,
 						    struct service_config *config)
 {
 	const struct rank_order *order = &routing->rank_order;
-	uint32_t position = order->route_positions[route->rank & UINT8_MAX];
-	const struct class_target *first = NULL;
+	uint32_t usual;
 
 	if (routing->customers.count == 0)
 		return find_or_add_class(config, route->rank, route->latency_ms);
-	for (uint32_t i = 0; i < order->customer_ranks; i++) {
-		uint32_t rank = i * order->route_ranks + position;
-		const struct class_target *added = find_or_add_class(
-			config, rank < CLASS_RANK_MAX ? rank : CLASS_RANK_MAX, route->latency_ms);
-
-		if (i == 0)
-			first = added;
-		if (route->customer_exempt)
-			break;
+	for (uint32_t rank = 0; rank <= UINT8_MAX && !route->customer_exempt; rank++) {
+		if (order->has_customers[rank])
+			find_or_add_class(config, routing_class_rank(routing, rank, route->rank),
+					  route->latency_ms);
 	}
-	return first;
+	usual = routing_class_rank(routing, order->usual_customer_rank, route->rank);
+	return find_or_add_class(config, usual, route->latency_ms);
 }
 
 /* Sets the class of each part of a route. Returns -1 with ERROR_RANGE if a service is not listed.
--- a/src/fescuemill/decide/route.h
+++ b/src/fescuemill/decide/route.h
@@ -57,8 +57,9 @@
 
 /* The ranks in use: the position of each among them. */
 struct rank_order {
-	uint32_t customer_ranks; /* number of different ranks of customers */
-	uint32_t route_ranks;
+	uint32_t usual_customer_rank; /* that most customers have */
+	uint32_t route_ranks;	      /* number of different ranks of routes */
+	bool has_customers[UINT8_MAX + 1];
 	uint8_t customer_positions[UINT8_MAX + 1];
 	uint8_t route_positions[UINT8_MAX + 1];
 };
--- a/src/fescuemilld/gate/gate_shell.c
+++ b/src/fescuemilld/gate/gate_shell.c
@@ -9,6 +9,7 @@
 #include "fescuemill/base/log.h"
 #include "fescuemilld/gate/gate_admission.h"
 #include "fescuemilld/gate/gate_attempt.h"
+#include "fescuemilld/gate/gate_cold.h"
 #include "fescuemilld/gate/gate_key.h"
 #include "fescuemilld/gate/gate_notice.h"
 #include "fescuemilld/gate/gate_probe.h"
