Customers: withdrawn keys stop working within revoke_ms on every node

Cause: a node that is cut off, paused or fed by an older peer served a key for ever after its removal, since nothing told it that its configuration had become old.

Change: with the setting revoke_ms and configured customers, keys are served only while the node has a proof of how recent its configuration is (decide/key_proof.c): the boot time at which a question was sent, and the version that the store had then. Proofs travel with their age on answers, pongs and gossip acks, as optional trailing items, and are counted from the receiver's own question. A node whose proof is old pings more members and at last asks the store, spread over the nodes of its domain. Without a proof, calls with a key get 503, keys-stale, not run. Log lines, counters, GET /v1/customers and fescuectl customers show its age. Without the setting nothing is sent, asked or counted.

--- a/src/fescuectl/command.c
+++ b/src/fescuectl/command.c
@@ -303,6 +303,35 @@
 	return 0;
 }
 
+/* Prints the customers that are in force at one node, and how current their keys are there. */
+static int show_customers(struct node_client *client, const char *const *words, struct error *err)
+{
+	static const char *const columns[] = {"name", "rank",	 "calls_per_s", "burst",
+					      "keys", "regions", NULL};
+	json_t *json;
+	json_t *age;
+
+	(void)words;
+	if (get_json(client, "/v1/customers", &json, err))
+		return -1;
+	age = json_object_get(json, "proof_age_ms");
+	if (client->options->json) {
+		print_json(json);
+	} else {
+		table_print(columns, json_object_get(json, "customers"));
+		printf("node %s, configuration %lld, bound %lld ms, ",
+		       json_string_value(json_object_get(json, "node")),
+		       (long long)json_integer_value(json_object_get(json, "config_version")),
+		       (long long)json_integer_value(json_object_get(json, "revoke_ms")));
+		if (json_is_integer(age))
+			printf("proof %lld ms old\n", (long long)json_integer_value(age));
+		else
+			puts("no proof");
+	}
+	json_decref(json);
+	return 0;
+}
+
 /* Prints the counters of one node as a table. */
 static int show_counters(struct node_client *client, const char *const *words, struct error *err)
 {
@@ -381,6 +410,7 @@
 	{{"status", NULL}, 0, 0, "", show_status},
 	{{"members", NULL}, 0, 0, "", show_members},
 	{{"counters", NULL}, 0, 0, "", show_counters},
+	{{"customers", NULL}, 0, 0, "", show_customers},
 	{{"drain", NULL}, 0, 0, "", drain},
 	{{"watch", NULL}, 2, 2, "SERVICE VERSION", watch},
 };
--- a/src/fescuemill/base/clock.c
+++ b/src/fescuemill/base/clock.c
@@ -24,3 +24,10 @@
 {
 	return read_us(CLOCK_REALTIME);
 }
+
+/* Returns the time since the host's start, suspension included, in microseconds. It does not jump.
+ */
+uint64_t clock_boottime_us(void)
+{
+	return read_us(CLOCK_BOOTTIME);
+}
--- a/src/fescuemill/base/clock.h
+++ b/src/fescuemill/base/clock.h
@@ -12,5 +12,7 @@
 
 uint64_t clock_monotonic_us(void);
 uint64_t clock_wall_us(void);
+/* Counts the time during which the host was suspended, too. */
+uint64_t clock_boottime_us(void);
 
 #endif
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -51,6 +51,14 @@
 	X(CONFIG_RECEIVED, "config_received", "bytes", "configuration received from peers")        \
 	X(CONFIG_SENT, "config_sent", "bytes", "configuration sent to peers")                      \
 	X(CONFIG_READY, "config_ready", "flag", "1 when the accepted configuration is known")      \
+	X(KEY_PROOF_AGE, "key_proof_age", "ms",                                                    \
+	  "since a question to the store that shows the customers' keys here current")             \
+	X(KEY_PROOF_LOST, "key_proof_lost", "times", "the proof for the keys ran out")             \
+	X(KEY_PROOF_READS, "key_proof_reads", "calls", "calls of the store for the proof")         \
+	X(CALLS_UNKNOWN_KEY, "entry_calls_unknown_key", "calls",                                   \
+	  "calls refused for a key that is missing or unknown")                                    \
+	X(CALLS_KEYS_STALE, "entry_calls_keys_stale", "calls",                                     \
+	  "calls refused because the keys are not proven current")                                 \
 	X(PLATFORM_CALLS, "platform_calls", "calls", "calls sent to the platform")                 \
 	X(PLATFORM_FAILURES, "platform_calls_failed", "calls", "platform calls that failed")       \
 	X(PLATFORM_WATCHES_SILENT, "platform_watches_silent", "calls",                             \
--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -545,6 +545,12 @@
 	return store->complete_version;
 }
 
+/* Returns the version of the store up to which this node has all changes of the configuration. */
+uint64_t config_applied_through(const struct config_store *store)
+{
+	return store->applied_through;
+}
+
 /* Records the version that a peer announced. */
 void config_record_peer_version(struct config_store *store, uint64_t version)
 {
--- a/src/fescuemill/fleet/config.h
+++ b/src/fescuemill/fleet/config.h
@@ -62,6 +62,9 @@
 /* Returns the version of the newest change up to which this node has all changes. Gossip announces
  * it, so that peers see whether they are behind. */
 uint64_t config_version(const struct config_store *store);
+/* Returns the version of the store up to which this node has all changes of the configuration. It
+ * grows with other objects of the store, too, and differs between nodes. */
+uint64_t config_applied_through(const struct config_store *store);
 /* Records the configuration version that a peer announced. A node that is behind it should pull. */
 void config_record_peer_version(struct config_store *store, uint64_t version);
 bool config_is_behind(const struct config_store *store);
--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -102,6 +102,8 @@
 
 	if (!seq)
 		return probe_is_pending(&gsp->probes, target);
+	if (gsp->io.proof_time)
+		probe_find(&gsp->probes, seq)->asked_us = gsp->io.proof_time(gsp->io.user);
 	if (gossip_send_kind(gsp, member, GOSSIP_PING, seq, now_us))
 		return true;
 	probe_end(&gsp->probes, seq, &unused);
@@ -448,6 +450,18 @@
 		probe_member(gsp, member, now_us);
 }
 
+/* Pings random members. One that does not answer is suspected, as after a regular probe. */
+void gossip_ask_members(struct gossip *gsp, uint32_t count, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const struct member *member =
+			pick_mostly_own_region(gsp, PROBE_OTHER_REGION_PERCENT);
+
+		if (!member || !probe_member(gsp, member, now_us))
+			return;
+	}
+}
+
 /* Returns true once the table has matched that of another node. */
 bool gossip_is_joined(const struct gossip *gsp)
 {
--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -27,6 +27,12 @@
 	 * process at the same address started while the clock was ahead. Returns false if it may
 	 * not yet, and is then called again later. May be NULL: always allowed. */
 	bool (*allow_new_incarnation)(void *user, uint64_t incarnation);
+	/* How current this node's configuration is. All may be NULL. Returns the time by the clock
+	 * of key proofs; fills in what this node tells; takes what a member told in its ack to a
+	 * ping that was sent at asked_us. */
+	uint64_t (*proof_time)(void *user);
+	void (*proof_tell)(void *user, struct key_proof_item *out);
+	void (*proof_hear)(void *user, const struct key_proof_item *proof, uint64_t asked_us);
 };
 
 /* Opens the gossip of a node and stores its own record in the table. The table and the budget
@@ -43,6 +49,8 @@
  * them. */
 void gossip_set_backend(struct gossip *gsp, const char *service, enum backend_state backend,
 			uint32_t slots);
+/* Pings some random members of the own region, besides the regular probes. */
+void gossip_ask_members(struct gossip *gsp, uint32_t count, uint64_t now_us);
 void gossip_set_leaving(struct gossip *gsp);
 /* Announces this node as dead to the other members. */
 void gossip_leave(struct gossip *gsp, uint64_t now_us);
--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -1,8 +1,8 @@
 /*
  * Gossip packet codec. A packet is the array [version, kind, seq, sender id, sender incarnation,
- * config version, table hash, body, [updates...], fingerprints]. A compact update has 6 items, a
- * full one 16. The fingerprints are omitted when there are none; a node that does not know them
- * ignores the item.
+ * config version, table hash, body, [updates...], fingerprints, evacuations, configuration proof].
+ * A compact update has 6 items, a full one 16. The last three are omitted when there are none; one
+ * that is followed by another is sent empty. A node that does not know them ignores them.
  */
 #include "fescuemill/fleet/gossip_codec.h"
 
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define ENVELOPE_ITEMS		 9
+#define PROOF_ITEM		 3 /* position of the proof after the envelope */
 #define COMPACT_ITEMS		 6
 #define FULL_ITEMS		 16
 #define ENVELOPE_BYTES		 64 /* upper bound without ids, buckets, updates, fingerprints */
@@ -68,6 +69,13 @@
 	msgpack_pack_bin_with_body(pk, bytes, count * sizeof(bytes[0]));
 }
 
+static void pack_proof(msgpack_packer *pk, const struct key_proof_item *proof)
+{
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_uint64(pk, proof->version);
+	msgpack_pack_uint32(pk, proof->age_ms);
+}
+
 /* Packs the body, which depends on the packet's kind. */
 static void pack_body(msgpack_packer *pk, const struct gossip_packet *packet)
 {
@@ -100,7 +108,9 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&pk, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, ENVELOPE_ITEMS + (packet->fingerprint_count > 0));
+	msgpack_pack_array(&pk, packet->proof.is_set
+					? ENVELOPE_ITEMS + PROOF_ITEM
+					: ENVELOPE_ITEMS + (packet->fingerprint_count > 0));
 	msgpack_pack_uint8(&pk, GOSSIP_VERSION);
 	msgpack_pack_uint8(&pk, (uint8_t)packet->kind);
 	msgpack_pack_uint32(&pk, packet->seq);
@@ -112,8 +122,12 @@
 	msgpack_pack_array(&pk, packet->update_count);
 	for (uint32_t i = 0; i < packet->update_count; i++)
 		pack_update(&pk, &packet->updates[i]);
-	if (packet->fingerprint_count)
+	if (packet->fingerprint_count || packet->proof.is_set)
 		pack_fingerprints(&pk, packet);
+	if (packet->proof.is_set) {
+		msgpack_pack_array(&pk, 0); /* no evacuations */
+		pack_proof(&pk, &packet->proof);
+	}
 	*size = buffer.size;
 	if (!buffer.data)
 		result = error_set(err, ERROR_MEMORY, "no memory for a gossip packet");
@@ -224,6 +238,23 @@
 	}
 }
 
+/* Reads the configuration proof, which is optional and follows the evacuations. */
+static void read_proof(struct reader *rd, struct gossip_packet *packet)
+{
+	struct reader inner;
+
+	if (!reader_has_more(rd))
+		return;
+	rd->next++; /* the evacuations */
+	if (!reader_has_more(rd))
+		return;
+	inner = reader_array(rd);
+	packet->proof.version = reader_uint(&inner, UINT64_MAX);
+	packet->proof.age_ms = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	packet->proof.is_set = !inner.failed;
+	rd->failed = rd->failed || inner.failed;
+}
+
 /* Reads the envelope, the body and the updates. */
 static int read_packet(const msgpack_object *root, struct gossip_packet *packet, struct error *err)
 {
@@ -245,6 +276,7 @@
 	read_body(&rd, packet);
 	read_update_list(&rd, packet);
 	read_fingerprints(&rd, packet);
+	read_proof(&rd, packet);
 	return rd.failed ? -1 : 0;
 }
 
--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -72,6 +72,7 @@
 	uint32_t requested_count;
 	uint64_t requested[GOSSIP_REQUESTED_MAX]; /* node ids; in GOSSIP_RECORD_REQUEST */
 	uint64_t buckets[GOSSIP_BUCKETS];	  /* bucket hashes; in GOSSIP_DIGEST */
+	struct key_proof_item proof;		  /* in GOSSIP_ACK */
 	uint32_t update_count;
 	uint32_t fingerprint_count;
 	struct gossip_update updates[GOSSIP_UPDATES_MAX];
--- a/src/fescuemill/fleet/gossip_packet.c
+++ b/src/fescuemill/fleet/gossip_packet.c
@@ -48,6 +48,11 @@
 
 	if (gossip_encode(&gsp->packet, data, &size, &err) == 0)
 		return size;
+	/* A packet full of updates has no room for the proof, which the next one can carry. */
+	if (gsp->packet.proof.is_set) {
+		gsp->packet.proof.is_set = false;
+		return encode(gsp, data);
+	}
 	log_failure(LOG_ERROR, LOG_PART_GOSSIP, "A gossip packet could not be encoded.", &err);
 	return 0;
 }
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -266,15 +266,27 @@
 		rumor_fill(&gsp->rumors, gsp->members, &gsp->packet);
 		rumor_record_sent(&gsp->rumors);
 	}
+	if (gsp->io.proof_tell)
+		gsp->io.proof_tell(gsp->io.user, &gsp->packet.proof);
 	gossip_packet_send_charged(gsp, from->ip, from->port, from->crosses_link, now_us);
 }
 
+/* Passes on what an ack tells of the configuration, if it answers a ping of this node. */
+static void hear_proof(struct gossip *gsp)
+{
+	const struct probe *probe = probe_find(&gsp->probes, gsp->received.seq);
+
+	if (probe && probe->asked_us && gsp->io.proof_hear)
+		gsp->io.proof_hear(gsp->io.user, &gsp->received.proof, probe->asked_us);
+}
+
 /* Ends the probe that an ack answers. If the ping was sent on behalf of another node, forwards the
  * ack to it. */
 static void handle_ack(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
 	struct relay relay;
 
+	hear_proof(gsp);
 	if (!probe_end(&gsp->probes, gsp->received.seq, &relay))
 		return;
 	gossip_packet_start(gsp, GOSSIP_ACK, relay.origin_seq);
--- a/src/fescuemill/fleet/probe.c
+++ b/src/fescuemill/fleet/probe.c
@@ -32,10 +32,21 @@
 	slot->seq = next_seq(list);
 	slot->target = target;
 	slot->sent_us = now_us;
+	slot->asked_us = 0;
 	slot->indirect_sent = false;
 	return slot->seq;
 }
 
+/* Returns the probe with a sequence number, or NULL. */
+struct probe *probe_find(struct probe_list *list, uint32_t seq)
+{
+	for (uint32_t i = 0; seq && i < PROBES_MAX; i++) {
+		if (list->probes[i].seq == seq)
+			return &list->probes[i];
+	}
+	return NULL;
+}
+
 /* Returns true if a probe of a target waits for its ack. */
 bool probe_is_pending(const struct probe_list *list, uint64_t target)
 {
--- a/src/fescuemill/fleet/probe.h
+++ b/src/fescuemill/fleet/probe.h
@@ -13,6 +13,7 @@
 	uint32_t seq;	 /* 0: free slot */
 	uint64_t target; /* node id */
 	uint64_t sent_us;
+	uint64_t asked_us;  /* the same by the clock of key proofs; 0: not needed */
 	bool indirect_sent; /* indirect probes were sent */
 };
 
@@ -42,6 +43,8 @@
 uint32_t probe_start(struct probe_list *list, uint64_t target, uint64_t now_us);
 uint32_t probe_start_relay(struct probe_list *list, uint32_t origin_seq, uint32_t origin_ip,
 			   uint16_t origin_port, uint64_t now_us);
+/* Returns the probe with a sequence number, or NULL. */
+struct probe *probe_find(struct probe_list *list, uint32_t seq);
 bool probe_is_pending(const struct probe_list *list, uint64_t target);
 /* Ends the probe or relay with a sequence number. Returns true and fills `relay` if the ping was
  * sent on behalf of another node. */
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -7,6 +7,7 @@
 
 #include "fescuemill/admin/auth.h"
 #include "fescuemill/admin/change_task.h"
+#include "fescuemill/admin/customer_view.h"
 #include "fescuemill/admin/edit.h"
 #include "fescuemill/admin/version_view.h"
 #include "fescuemill/admin/view.h"
@@ -161,6 +162,11 @@
 	respond(request->req, 200, view_services(&admin->node));
 }
 
+static void get_customers(struct admin *admin, struct admin_request *request)
+{
+	respond(request->req, 200, view_customers(&admin->node));
+}
+
 static void get_versions(struct admin *admin, struct admin_request *request)
 {
 	respond(request->req, 200, view_versions(&admin->node));
@@ -358,6 +364,7 @@
 	{"PUT", {"v1", "services", "*", "classes", "*", NULL}, change_service},
 	{"DELETE", {"v1", "services", "*", "classes", "*", NULL}, change_service},
 	{"GET", {"v1", "versions", NULL}, get_versions},
+	{"GET", {"v1", "customers", NULL}, get_customers},
 	{"GET", {"v1", "versions", "*", NULL}, get_version},
 	{"GET", {"v1", "status", NULL}, get_status},
 	{"GET", {"v1", "members", NULL}, get_members},
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -45,6 +45,8 @@
 	void (*query_version)(void *user, uint64_t version);
 	/* Returns the JSON of /v1/report, malloc'ed, or NULL if there is none. May be NULL. */
 	char *(*report)(void *user);
+	/* Returns the age of the proof for the customers' keys; UINT32_MAX: none. May be NULL. */
+	uint32_t (*key_proof_age_ms)(void *user);
 };
 
 struct admin;
--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -165,6 +165,10 @@
 	 "is noticed platform_timeout_ms after it, and changes until then come late"},
 	{"platform_backoff_ms", RULE(VALUE_UINT32, platform_backoff_ms, 100, MINUTE_MS, "ms"),
 	 "10000", "longest wait between two retries while platform calls fail"},
+	{"revoke_ms", RULE(VALUE_UINT32, revoke_ms, 0, MINUTE_MS, "ms"), "0",
+	 "a customer's key that was removed works no longer than this after the store acknowledged "
+	 "the removal: without proof that the configuration is that recent, calls with a key are "
+	 "refused; 0: no proof is needed"},
 	{"admin_keys", RULE(VALUE_ADMIN_KEYS, admin_keys, 0, ADMIN_KEYS_MAX, "entries"), "[]",
 	 "keys of the administration API: {\"team\",\"key\"}, key of 16 to 64 bytes"},
 	{"team_rights", RULE(VALUE_TEAM_RIGHTS, team_rights, 0, ADMIN_KEYS_MAX, "entries"), "[]",
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -82,6 +82,7 @@
 	uint32_t platform_timeout_ms;
 	uint32_t platform_watch_ms;
 	uint32_t platform_backoff_ms;
+	uint32_t revoke_ms;
 	uint32_t admin_key_count;
 	struct admin_key admin_keys[ADMIN_KEYS_MAX];
 	uint32_t team_rights_count;
--- a/src/fescuemill/store/list_watch.c
+++ b/src/fescuemill/store/list_watch.c
@@ -23,6 +23,7 @@
 	void *user;
 	struct list_watch_call *current; /* the call whose answer is used; NULL: none */
 	uint32_t call_count;		 /* running calls, abandoned ones included */
+	uint64_t asked_us;		 /* of the call whose answer is passed to the owner */
 	bool failing; /* the latest call failed; only the first failure is logged */
 	bool closed;
 	bool timer_closed;
@@ -31,6 +32,7 @@
 struct list_watch_call {
 	struct list_watch *list_watch;
 	uint64_t after; /* version that the answer continues from; 0: list */
+	uint64_t asked_us;
 };
 
 static void step(struct list_watch *list_watch);
@@ -99,6 +101,7 @@
 	struct list_watch *list_watch = call->list_watch;
 	bool is_current = list_watch->current == call && !list_watch->closed;
 	uint64_t after = call->after;
+	uint64_t asked_us = call->asked_us;
 
 	free(call);
 	list_watch->call_count--;
@@ -107,6 +110,7 @@
 		return;
 	}
 	list_watch->current = NULL;
+	list_watch->asked_us = asked_us;
 	/* The next call starts from the timer, so that an implementation that answers at once
 	 * cannot recurse. After a change there is a pause, so that changes in quick succession
 	 * arrive in one answer. */
@@ -136,6 +140,7 @@
 	}
 	call->list_watch = list_watch;
 	call->after = action->after;
+	call->asked_us = clock_boottime_us();
 	list_watch->current = call;
 	list_watch->call_count++;
 	platform_start(list_watch->platform, &request, on_done, call);
@@ -213,6 +218,12 @@
 	uv_timer_start(&list_watch->timer, on_timer, 0, 0);
 }
 
+/* Returns when the call was sent whose answer is being passed to the owner. */
+uint64_t list_watch_asked_us(const struct list_watch *list_watch)
+{
+	return list_watch->asked_us;
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct list_watch *list_watch = handle->data;
--- a/src/fescuemill/store/list_watch.h
+++ b/src/fescuemill/store/list_watch.h
@@ -25,6 +25,9 @@
 /* Requests all new changes at once, for instance after the process was paused. The answer of a
  * running call is dropped. */
 void list_watch_refresh(struct list_watch *list_watch);
+/* Returns when the call was sent whose answer is being passed to the owner, by clock_boottime_us().
+ */
+uint64_t list_watch_asked_us(const struct list_watch *list_watch);
 void list_watch_close(struct list_watch *list_watch);
 
 #endif
--- a/src/fescuemill/wire/codec.c
+++ b/src/fescuemill/wire/codec.c
@@ -103,9 +103,16 @@
 		pack_placement(pk, call);
 }
 
+static void pack_proof(msgpack_packer *pk, const struct key_proof_item *proof)
+{
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_uint64(pk, proof->version);
+	msgpack_pack_uint32(pk, proof->age_ms);
+}
+
 static void pack_answer(msgpack_packer *pk, const struct message_answer *answer)
 {
-	msgpack_pack_array(pk, 10);
+	msgpack_pack_array(pk, answer->proof.is_set ? 11 : 10);
 	msgpack_pack_uint8(pk, (uint8_t)answer->outcome);
 	msgpack_pack_uint8(pk, (uint8_t)answer->reason);
 	msgpack_pack_uint64(pk, answer->gate_incarnation);
@@ -116,6 +123,8 @@
 	pack_headers(pk, &answer->headers);
 	pack_bytes(pk, &answer->body);
 	pack_notice(pk, &answer->notice);
+	if (answer->proof.is_set)
+		pack_proof(pk, &answer->proof);
 }
 
 /* Packs the fields of the message's type. */
@@ -138,10 +147,12 @@
 		msgpack_pack_uint64(pk, msg->ask.gate_incarnation);
 		break;
 	case MESSAGE_PONG:
-		msgpack_pack_array(pk, 3);
+		msgpack_pack_array(pk, msg->pong.proof.is_set ? 4 : 3);
 		msgpack_pack_uint64(pk, msg->pong.gate_incarnation);
 		pack_load(pk, &msg->pong.load);
 		pack_notice(pk, &msg->pong.notice);
+		if (msg->pong.proof.is_set)
+			pack_proof(pk, &msg->pong.proof);
 		break;
 	case MESSAGE_CONFIG_PULL:
 		msgpack_pack_array(pk, 5);
@@ -275,6 +286,20 @@
 	rd->failed = rd->failed || inner.failed;
 }
 
+/* Reads how current the sender's configuration is. A sender that does not know omits it. */
+static void read_proof(struct reader *rd, struct key_proof_item *proof)
+{
+	struct reader inner;
+
+	if (!reader_has_more(rd))
+		return;
+	inner = reader_array(rd);
+	proof->version = reader_uint(&inner, UINT64_MAX);
+	proof->age_ms = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	proof->is_set = !inner.failed;
+	rd->failed = rd->failed || inner.failed;
+}
+
 /* Reads the customer of a call and the regions in which it may be served. A sender of an earlier
  * version omits them, and so does one whose call has neither. */
 static void read_placement(struct reader *rd, struct message_call *call)
@@ -332,6 +357,7 @@
 	read_headers(rd, &answer->headers);
 	answer->body = reader_bytes(rd, CALL_BODY_BYTES_MAX);
 	read_notice(rd, &answer->notice);
+	read_proof(rd, &answer->proof);
 }
 
 /* Reads the fields of a pull. A sender of an earlier version omits the last ones. */
@@ -367,6 +393,7 @@
 		msg->pong.gate_incarnation = reader_uint(rd, UINT64_MAX);
 		read_load(rd, &msg->pong.load);
 		read_notice(rd, &msg->pong.notice);
+		read_proof(rd, &msg->pong.proof);
 		break;
 	case MESSAGE_CONFIG_PULL:
 		read_config_pull(rd, &msg->config_pull);
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -5,6 +5,7 @@
 #define FESCUEMILL_WIRE_MESSAGE_DEFS_H
 
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/key_proof_defs.h"
 #include "fescuemill/decide/load_defs.h"
 #include "fescuemill/decide/notice_defs.h"
 #include "fescuemill/decide/region_set.h"
@@ -77,6 +78,7 @@
 	struct server_notice notice;
 	struct wire_headers headers;
 	struct wire_bytes body;
+	struct key_proof_item proof;
 };
 
 struct message_held {
@@ -92,6 +94,7 @@
 	uint64_t gate_incarnation;
 	struct gate_load load;
 	struct server_notice notice;
+	struct key_proof_item proof;
 };
 
 struct message_config_pull {
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -15,6 +15,7 @@
 #include "fescuemilld/entry/entry_defs.h"
 #include "fescuemilld/entry/entry_link.h"
 #include "fescuemilld/entry/entry_log.h"
+#include "fescuemilld/entry/entry_proof.h"
 #include "fescuemilld/entry/entry_service.h"
 
 #include <stdlib.h>
@@ -282,6 +283,7 @@
 	call->sent_us = clock_monotonic_us();
 	if (call->state.attempts > 1)
 		counter_add(COUNTER_RETRIES_SENT, 1);
+	entry_proof_call_sent(call);
 	entry_log_sent(call, action->time_left_us);
 	choice_record_sent(call->service->choice, conn->owner->identity.node_id, call->sent_us);
 	entry_link_add_call(conn, call);
--- a/src/fescuemilld/entry/entry.h
+++ b/src/fescuemilld/entry/entry.h
@@ -7,6 +7,7 @@
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/burn.h"
+#include "fescuemill/decide/key_proof.h"
 #include "fescuemill/fleet/config.h"
 #include "fescuemill/fleet/member.h"
 #include "fescuemill/http/caller.h"
@@ -28,6 +29,12 @@
 	struct budget *budget; /* charged for heartbeats */
 	const struct key_members *key_members;
 	const char *customer_header; /* the dialect's */
+	/* Returns true if the customers' keys may be used now. May be NULL: always. */
+	bool (*keys_are_fresh)(void *user);
+	/* Takes what a gate told of its configuration, in answer to a question that was sent at
+	 * asked_us. May be NULL. */
+	void (*on_proof)(void *user, const struct key_proof_item *proof,
+			 enum key_proof_source source, uint64_t asked_us);
 	/* Returns why the node refuses calls now, or REASON_NONE. */
 	enum call_reason (*refusal)(void *user);
 	/* Returns false if the node ends before a call with this time left has ended. */
--- a/src/fescuemilld/entry/entry_customer.c
+++ b/src/fescuemilld/entry/entry_customer.c
@@ -3,6 +3,7 @@
  */
 #include "fescuemilld/entry/entry_customer.h"
 
+#include "fescuemill/base/counter.h"
 #include "fescuemill/http/credential.h"
 
 #include <h2o.h>
@@ -17,6 +18,15 @@
 	return routing && routing->customers.count > 0 ? &routing->customers : NULL;
 }
 
+/* Counts a request that is refused for its key. */
+static enum call_reason refuse(enum call_reason reason)
+{
+	counter_add(reason == REASON_KEYS_STALE ? COUNTER_CALLS_KEYS_STALE
+						: COUNTER_CALLS_UNKNOWN_KEY,
+		    1);
+	return reason;
+}
+
 /* Finds the customer of a request. On an exempt route no key is judged, not even an unknown one. */
 enum call_reason entry_customer_find(const struct entry *entry, const struct call_request *req,
 				     const struct route *route, struct call_class *out)
@@ -29,9 +39,12 @@
 	if (route && route->customer_exempt)
 		return REASON_NONE;
 	if (req->credential.size == 0)
-		return REASON_UNKNOWN_KEY;
+		return refuse(REASON_UNKNOWN_KEY);
+	/* An unknown key is not judged either: it may have been added. */
+	if (entry->options.keys_are_fresh && !entry->options.keys_are_fresh(entry->options.user))
+		return refuse(REASON_KEYS_STALE);
 	out->customer = customer_find_by_key(customers, req->credential.data, req->credential.size);
-	return out->customer ? REASON_NONE : REASON_UNKNOWN_KEY;
+	return out->customer ? REASON_NONE : refuse(REASON_UNKNOWN_KEY);
 }
 
 /* Sets the class for the customer's rank and the route's objective. */
--- a/src/fescuemilld/entry/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -27,8 +27,9 @@
 	struct gate_link *owner;
 	struct peer peer;
 	struct channel_link *channel_link; /* NULL while closed */
-	bool reached_new_incarnation;	   /* a later incarnation of the gate answered on it */
-	h2o_linklist_t calls; /* of struct pending_answer: calls that await an answer */
+	uint64_t asked_us;	      /* boot time of the oldest ping without a pong; 0: none */
+	bool reached_new_incarnation; /* a later incarnation of the gate answered on it */
+	h2o_linklist_t calls;	      /* of struct pending_answer: calls that await an answer */
 };
 
 /* The connections to one incarnation of a gate. */
@@ -72,6 +73,7 @@
 	struct pending_answer pending_answers[LINK_KIND_COUNT];
 	uint64_t received_us; /* when the whole request had been received */
 	uint64_t sent_us;     /* when the current attempt was sent */
+	uint64_t asked_us;    /* the same as boot time; 0: not needed */
 	uint32_t wait_max_us; /* expected wait at the chosen gate at which another is better */
 	uint32_t wait_us;     /* expected queue wait that the last answering gate reported */
 	uint32_t slot;	      /* index in the entry's calls */
--- a/src/fescuemilld/entry/entry_link.c
+++ b/src/fescuemilld/entry/entry_link.c
@@ -7,6 +7,8 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/counter.h"
 #include "fescuemill/base/log.h"
+#include "fescuemilld/entry/entry_answer.h"
+#include "fescuemilld/entry/entry_proof.h"
 
 #define HTTP_ERROR_MIN 500
 
@@ -34,6 +36,7 @@
 		return;
 	channel_link_close(conn->channel_link);
 	conn->channel_link = NULL;
+	entry_proof_closed(conn);
 	peer_closed(&conn->peer);
 }
 
@@ -182,17 +185,6 @@
 		options->on_new_incarnation(options->user, &identity);
 }
 
-/* Returns the reason of an answer. If the class came from a route, REASON_UNKNOWN_CLASS becomes
- * REASON_NOT_READY: a gate with another version of the routes may not know the class yet, which is
- * not the client's fault. */
-static enum call_reason translate_reason(const struct entry_call *call,
-					 const struct message_answer *answer)
-{
-	if (answer->reason == REASON_UNKNOWN_CLASS && call->route[0])
-		return REASON_NOT_READY;
-	return answer->reason;
-}
-
 /* Passes a message to the call that it concerns. */
 static void dispatch_to_call(struct gate_conn *conn, const struct message *msg)
 {
@@ -208,6 +200,7 @@
 	}
 	event.about.id = msg->id;
 	if (msg->type == MESSAGE_ANSWER) {
+		entry_proof_answered(call, &msg->answer);
 		notice_table_record(&call->entry->notices, conn->owner->identity.node_id,
 				    &msg->answer.notice);
 		if (msg->answer.reason == REASON_INCARNATION)
@@ -215,7 +208,7 @@
 		event.type = ENTRY_EVENT_ANSWER;
 		event.answer.id = msg->id;
 		event.answer.outcome = msg->answer.outcome;
-		event.answer.reason = translate_reason(call, &msg->answer);
+		event.answer.reason = entry_answer_reason(call, &msg->answer);
 		event.answer.failed = msg->answer.status >= HTTP_ERROR_MIN;
 		input.answer = &msg->answer;
 	} else {
@@ -232,6 +225,7 @@
 	struct gate_link *link = conn->owner;
 	const struct pending_answer *awaited = (const struct pending_answer *)conn->calls.next;
 
+	entry_proof_ponged(conn, pong);
 	if (pong->gate_incarnation != link->identity.incarnation) {
 		report_new_incarnation(conn, pong->gate_incarnation);
 		notify_gate_gone(link);
@@ -357,6 +351,7 @@
 
 	budget_charge(link->entry->options.budget, BUDGET_HEARTBEAT_BYTES, link->crosses_regions,
 		      now_us);
+	entry_proof_ping_sent(conn);
 	entry_link_send(conn, &msg, NULL);
 }
 
--- a/src/fescuemilld/gate/gate_reply.c
+++ b/src/fescuemilld/gate/gate_reply.c
@@ -28,6 +28,13 @@
 			    &err);
 }
 
+/* Fills in how current this node's configuration is; nothing if the node does not know. */
+static void get_proof(const struct gate_shell *shell, struct key_proof_item *out)
+{
+	if (shell->options.get_proof)
+		shell->options.get_proof(shell->options.user, out);
+}
+
 /* Fills the fields that every answer message has. */
 static void fill_answer(struct gate_shell *shell, const struct attempt_gate_action *action,
 			struct message *msg)
@@ -40,6 +47,7 @@
 	msg->answer.gate_incarnation = shell->options.incarnation;
 	gate_get_load(&shell->admission, &msg->answer.load);
 	msg->answer.notice = shell->notice;
+	get_proof(shell, &msg->answer.proof);
 	if (!attempt)
 		return;
 	msg->answer.server_us = attempt->answer.server_us;
@@ -105,6 +113,7 @@
 	msg.pong.gate_incarnation = shell->options.incarnation;
 	gate_get_load(&shell->admission, &msg.pong.load);
 	msg.pong.notice = shell->notice;
+	get_proof(shell, &msg.pong.proof);
 	budget_charge(shell->options.budget, BUDGET_HEARTBEAT_BYTES, false, clock_monotonic_us());
 	if (channel_reply(shell->options.channel, origin->route, &msg, &err) != 0)
 		log_failure(LOG_DEBUG, LOG_PART_GATE, "A pong could not be sent to its entry.",
--- a/src/fescuemilld/gate/gate_shell.h
+++ b/src/fescuemilld/gate/gate_shell.h
@@ -7,6 +7,7 @@
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/gate_defs.h"
+#include "fescuemill/decide/key_proof_defs.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/wire/channel.h"
 #include "fescuemilld/node/key_members.h"
@@ -41,6 +42,8 @@
 	/* Called when the backend server, in its start at started_ms (0: not known), states that it
 	 * is leaving. May be NULL. */
 	void (*on_leaving)(void *user, uint64_t started_ms);
+	/* Fills in how current this node's configuration is. May be NULL. */
+	void (*get_proof)(void *user, struct key_proof_item *out);
 	void *user;
 };
 
--- a/src/fescuemilld/node/admin_shell.c
+++ b/src/fescuemilld/node/admin_shell.c
@@ -33,6 +33,14 @@
 	memcpy(out->service, self->service, sizeof(out->service));
 }
 
+/* Returns the age of the proof for the customers' keys; UINT32_MAX: none. */
+static uint32_t key_proof_age_ms(void *user)
+{
+	const struct admin_shell *shell = user;
+
+	return key_proof_shell_age_ms(shell->options.key_proof);
+}
+
 static void start_drain(void *user)
 {
 	const struct admin_shell *shell = user;
@@ -88,7 +96,8 @@
 				  .drain = start_drain,
 				  .get_version_report = get_reported_version,
 				  .query_version = request_versions,
-				  .report = build_report};
+				  .report = build_report,
+				  .key_proof_age_ms = options->key_proof ? key_proof_age_ms : NULL};
 
 	if (!shell)
 		return error_set(err, ERROR_MEMORY, "no memory for the administration API");
--- a/src/fescuemilld/node/admin_shell.h
+++ b/src/fescuemilld/node/admin_shell.h
@@ -8,6 +8,7 @@
 #include "fescuemill/http/admin.h"
 #include "fescuemilld/entry/entry.h"
 #include "fescuemilld/gate/gate_shell.h"
+#include "fescuemilld/node/key_proof_shell.h"
 
 /* All pointers must outlive the shell, which may still send answers after admin_shell_close(). */
 struct admin_shell_options {
@@ -19,7 +20,8 @@
 	const struct entry *entry;
 	const struct gate_shell *gate;
 	struct gossip *gossip;
-	const char *(*state)(void *user); /* returns the name of the node's state */
+	struct key_proof_shell *key_proof; /* may be NULL */
+	const char *(*state)(void *user);  /* returns the name of the node's state */
 	/* Returns the node's own member record, as gossip announces it. */
 	const struct member *(*self)(void *user);
 	void (*drain)(void *user); /* starts a graceful stop */
--- a/src/fescuemilld/node/gossip_shell.c
+++ b/src/fescuemilld/node/gossip_shell.c
@@ -58,6 +58,26 @@
 	return shell->options.allow_new_incarnation(shell->options.user, incarnation);
 }
 
+static uint64_t proof_time(void *user)
+{
+	(void)user;
+	return clock_boottime_us();
+}
+
+static void on_proof_tell(void *user, struct key_proof_item *out)
+{
+	struct gossip_shell *shell = user;
+
+	shell->options.proof_tell(shell->options.user, out);
+}
+
+static void on_proof_hear(void *user, const struct key_proof_item *proof, uint64_t asked_us)
+{
+	struct gossip_shell *shell = user;
+
+	shell->options.proof_hear(shell->options.user, proof, asked_us);
+}
+
 /* Hands libuv the only receive buffer: a packet is handled before the next one is read. */
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
@@ -169,7 +189,16 @@
 int gossip_shell_start(struct gossip_shell *shell, const struct member *self, uint64_t seed,
 		       struct error *err)
 {
-	struct gossip_io io = {send_packet, on_newer_config, shell, on_demand, on_new_incarnation};
+	struct gossip_io io = {
+		.send = send_packet,
+		.newer_config = on_newer_config,
+		.user = shell,
+		.demand = on_demand,
+		.allow_new_incarnation = on_new_incarnation,
+		.proof_time = proof_time,
+		.proof_tell = on_proof_tell,
+		.proof_hear = on_proof_hear,
+	};
 	int rc;
 
 	if (gossip_open(&shell->gossip, self, shell->options.members, shell->options.budget, &io,
--- a/src/fescuemilld/node/gossip_shell.h
+++ b/src/fescuemilld/node/gossip_shell.h
@@ -25,6 +25,9 @@
 	/* Called before this process changes to a later incarnation. Returns false if it may not
 	 * yet. */
 	bool (*allow_new_incarnation)(void *user, uint64_t incarnation);
+	/* Tell how current this node's configuration is, and take what a member told. */
+	void (*proof_tell)(void *user, struct key_proof_item *out);
+	void (*proof_hear)(void *user, const struct key_proof_item *proof, uint64_t asked_us);
 	void *user;
 };
 
--- a/src/fescuemilld/node/node.c
+++ b/src/fescuemilld/node/node.c
@@ -121,6 +121,8 @@
 
 	list_watch_set_enabled(node->list_watch, !is_ready || is_watcher(node));
 	config_pull_tick(node->pull, now_us);
+	key_proof_shell_tick(node->key_proof,
+			     key_proof_shell_is_active(node->key_proof) && is_watcher(node));
 	if (!is_ready) {
 		node->config_ready_us = 0;
 		return;
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -19,6 +19,7 @@
 #include "fescuemilld/node/config_reply.h"
 #include "fescuemilld/node/gossip_shell.h"
 #include "fescuemilld/node/key_members.h"
+#include "fescuemilld/node/key_proof_shell.h"
 #include "fescuemilld/node/ready.h"
 
 #include "fescuemilld/node/node.h"
@@ -70,6 +71,7 @@
 	struct gossip_shell *gossip_shell;
 	struct gossip *gossip;
 	struct config_pull *pull;
+	struct key_proof_shell *key_proof; /* NULL until the parts that it uses are open */
 	struct config_reply config_reply;
 	struct key_members *key_members;
 	uint64_t keys_applied_us; /* when the owners of keys were last updated */
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -311,6 +311,9 @@
 	if (config_apply_answer(node->config, from, root, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG,
 			    "Configuration from the platform was rejected.", &err);
+	else
+		key_proof_shell_answered(node->key_proof, from == 0,
+					 list_watch_asked_us(node->list_watch));
 	/* Run housekeeping in the next loop iteration, to apply the changes without waiting a
 	 * period. */
 	uv_timer_start(&node->housekeeping, node->housekeeping.timer_cb, 0, NODE_HOUSEKEEPING_MS);
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -7,6 +7,7 @@
 #include "fescuemill/chart/chart.h"
 #include "fescuemill/store/client.h"
 #include "fescuemilld/node/node_events.h"
+#include "fescuemilld/node/node_proof.h"
 #include "fescuemilld/node/node_stop.h"
 
 #include <string.h>
@@ -80,6 +81,8 @@
 		.budget = &node->budget,
 		.key_members = node->key_members,
 		.customer_header = node->dialects.dialect->customer_header,
+		.keys_are_fresh = node_keys_are_fresh,
+		.on_proof = settings->revoke_ms ? node_proof_hear : NULL,
 		.refusal = node_refusal_reason,
 		.has_time_for = node_has_time_for,
 		.repeat_permille = node_repeat_permille,
@@ -104,6 +107,7 @@
 		.on_backend_refused = node_on_backend_refused,
 		.on_unreachable = node_on_backend_unreachable,
 		.on_leaving = node_on_backend_leaving,
+		.get_proof = node_proof_tell,
 		.user = node,
 	};
 
@@ -154,6 +158,8 @@
 		.on_newer_config = node_on_newer_config,
 		.on_demand = node_on_demand,
 		.allow_new_incarnation = node_on_new_own_incarnation,
+		.proof_tell = node_proof_tell,
+		.proof_hear = node_proof_hear_gossip,
 		.user = node,
 	};
 	struct config_pull_options pull = {
@@ -208,6 +214,7 @@
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
+		.key_proof = node->key_proof,
 		.state = node_state_name,
 		.self = node_self,
 		.drain = node_on_drain,
@@ -242,7 +249,8 @@
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0 ||
 	    open_demand(node, err) != 0)
 		return -1;
-	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
+	if (open_platform(node, err) != 0 || node_proof_open(node, err) != 0 ||
+	    open_listeners(node, err) != 0)
 		return -1;
 	if (open_admin(node, err) != 0)
 		return -1;
@@ -263,6 +271,7 @@
 	demand_shell_close(node->demand);
 	registration_close(node->registration);
 	list_watch_close(node->list_watch);
+	key_proof_shell_close(node->key_proof);
 	platform_close(node->store);
 	entry_close(node->entry);
 	gate_shell_close(node->gate);
--- a/test/unit/platform/template_test.cc
+++ b/test/unit/platform/template_test.cc
@@ -1,6 +1,7 @@
 // The settings that the platform renders from deploy/node.json are valid. Their byte budget admits
 // a watch even while many large configurations arrive: a watch that the budget delayed received new
 // versions seconds late.
+#include <cstring>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <iterator>
@@ -15,10 +16,30 @@
 namespace
 {
 
-std::string render_template()
+std::string read_template()
 {
 	std::ifstream file(FESCUEMILL_SOURCE_DIR "/deploy/node.json");
-	std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+
+	return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// Renders the sections {{#bounds.NAME}}...{{/bounds.NAME}} that are named, and drops the others.
+std::string render_sections(std::string text, const std::string &names)
+{
+	std::smatch found;
+	const std::regex section(R"(\{\{#bounds\.([a-z_]+)\}\}([^]*?)\{\{/bounds\.\1\}\})");
+
+	while (std::regex_search(text, found, section)) {
+		std::string body = names == found.str(1) ? found.str(2) : "";
+
+		text = found.prefix().str() + body + found.suffix().str();
+	}
+	return text;
+}
+
+std::string render_template(const std::string &sections = "")
+{
+	std::string text = render_sections(read_template(), sections);
 
 	text = std::regex_replace(text, std::regex(R"(\{\{internal_ports\.[01]\}\})"), "7620");
 	text = std::regex_replace(
@@ -56,6 +77,29 @@
 	EXPECT_TRUE(set.fleet_is_new);
 }
 
+// A deployment without the bound is rendered as before it existed, byte for byte.
+TEST_F(Template, HasNoProofOfKeysUnlessTheBoundIsStrict)
+{
+	const std::string text = read_template();
+	const size_t begin = text.find("{{#bounds.strict_revoke}}");
+
+	EXPECT_EQ(0u, set.revoke_ms);
+	ASSERT_NE(std::string::npos, begin);
+	EXPECT_EQ("\t\"platform_watchers\": 2,\n\t\"platform_calls_per_minute\": 100000\n}\n",
+		  render_sections(text, "").substr(begin - strlen("\t\"platform_watchers\": 2,")));
+}
+
+TEST_F(Template, RendersTheBoundOfWithdrawals)
+{
+	std::string text = render_template("strict_revoke");
+	settings strict{};
+	error err{};
+
+	ASSERT_EQ(0, settings_parse(text.data(), text.size(), "node.json", &strict, &err))
+		<< err.detail;
+	EXPECT_EQ(62u, strict.revoke_ms);
+}
+
 TEST_F(Template, StopEndsBeforeThePlatformKillsTheNode)
 {
 	EXPECT_LT(set.stop_serve_ms, set.stop_limit_ms);
--- a/test/unit/wire/codec_test.cc
+++ b/test/unit/wire/codec_test.cc
@@ -227,3 +227,71 @@
 	EXPECT_EQ(ERROR_TOO_LARGE, err.kind);
 	free(data);
 }
+
+namespace
+{
+struct message sample_answer(bool has_proof)
+{
+	static const std::string body = "lots";
+	struct message msg;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.type = MESSAGE_ANSWER;
+	msg.epoch = 3;
+	msg.id = {{11, 22}, 33};
+	msg.answer.status = 200;
+	msg.answer.notice = {71, 72, true, false, 2700};
+	msg.answer.body = bytes_of(body);
+	msg.answer.proof = {has_proof, 1234, 1ULL << 40};
+	return msg;
+}
+
+// Returns the number of fields in a message.
+uint32_t field_count(const std::vector<uint8_t> &data)
+{
+	msgpack_unpacked unpacked;
+	uint32_t count;
+
+	msgpack_unpacked_init(&unpacked);
+	msgpack_unpack_next(&unpacked, (const char *)data.data(), data.size(), nullptr);
+	count = unpacked.data.via.array.ptr[6].via.array.size;
+	msgpack_unpacked_destroy(&unpacked);
+	return count;
+}
+} // namespace
+
+TEST(Codec, ProofsOfAnswersAndPongsAreDecodedAsEncoded)
+{
+	std::vector<uint8_t> answer = encode(sample_answer(true));
+	struct message pong = {};
+	struct message out;
+
+	ASSERT_EQ(0, codec_decode(answer.data(), answer.size(), &out, nullptr));
+	EXPECT_TRUE(out.answer.proof.is_set);
+	EXPECT_EQ(1234u, out.answer.proof.age_ms);
+	EXPECT_EQ(1ULL << 40, out.answer.proof.version);
+	EXPECT_EQ("lots", text_of(out.answer.body));
+	EXPECT_EQ(2700u, out.answer.notice.rate_limit_milli);
+	pong.type = MESSAGE_PONG;
+	pong.pong.proof = {true, 7, 8};
+	std::vector<uint8_t> data = encode(pong);
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &out, nullptr));
+	EXPECT_TRUE(out.pong.proof.is_set);
+	EXPECT_EQ(7u, out.pong.proof.age_ms);
+	EXPECT_EQ(8u, out.pong.proof.version);
+}
+
+// Deployments without proofs send the bytes that they sent before there were any.
+TEST(Codec, WithoutAProofAnswersAndPongsHaveNoFieldForIt)
+{
+	struct message pong = {};
+	struct message out;
+
+	pong.type = MESSAGE_PONG;
+	EXPECT_EQ(10u, field_count(encode(sample_answer(false))));
+	EXPECT_EQ(11u, field_count(encode(sample_answer(true))));
+	EXPECT_EQ(3u, field_count(encode(pong)));
+	std::vector<uint8_t> data = encode(pong);
+	ASSERT_EQ(0, codec_decode(data.data(), data.size(), &out, nullptr));
+	EXPECT_FALSE(out.pong.proof.is_set);
+}
