--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -1,8 +1,9 @@
 /*
  * Gossip packet codec. A packet is the array [version, kind, seq, sender id, sender incarnation,
- * config version, table hash, body, [updates...], fingerprints, [evacuations...]]. A compact update
- * has 6 items, a full one 16, an evacuation is [domain, version, ordered]. Items at the end that
- * are empty are omitted; a node that does not know them ignores them.
+ * config version, table hash, body, [updates...], fingerprints, [evacuations...], configuration
+ * proof]. A compact update has 6 items, a full one 16, an evacuation is [domain, version, ordered].
+ * Items at the end that are empty are omitted, one that is followed by another is sent empty; a
+ * node that does not know them ignores them.
  */
 #include "fescuemill/fleet/gossip_codec.h"
 
@@ -13,6 +14,7 @@
 #include <string.h>
 
 #define ENVELOPE_ITEMS		 9
+#define PROOF_ITEM		 3 /* position of the proof after the envelope */
 #define COMPACT_ITEMS		 6
 #define FULL_ITEMS		 16
 #define ENVELOPE_BYTES		 64 /* upper bound without the items of variable size */
@@ -87,11 +89,20 @@
 /* Returns the number of items of a packet. */
 static size_t count_items(const struct gossip_packet *packet)
 {
+	if (packet->proof.is_set)
+		return ENVELOPE_ITEMS + PROOF_ITEM;
 	if (packet->evacuation_count)
 		return ENVELOPE_ITEMS + 2;
 	return packet->fingerprint_count ? ENVELOPE_ITEMS + 1 : ENVELOPE_ITEMS;
 }
 
+static void pack_proof(msgpack_packer *pk, const struct key_proof_item *proof)
+{
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_uint64(pk, proof->version);
+	msgpack_pack_uint32(pk, proof->age_ms);
+}
+
 /* Packs the body, which depends on the packet's kind. */
 static void pack_body(msgpack_packer *pk, const struct gossip_packet *packet)
 {
@@ -136,10 +147,12 @@
 	msgpack_pack_array(&pk, packet->update_count);
 	for (uint32_t i = 0; i < packet->update_count; i++)
 		pack_update(&pk, &packet->updates[i]);
-	if (packet->fingerprint_count || packet->evacuation_count)
+	if (packet->fingerprint_count || packet->evacuation_count || packet->proof.is_set)
 		pack_fingerprints(&pk, packet);
-	if (packet->evacuation_count)
+	if (packet->evacuation_count || packet->proof.is_set)
 		pack_evacuations(&pk, packet);
+	if (packet->proof.is_set)
+		pack_proof(&pk, &packet->proof);
 	*size = buffer.size;
 	if (!buffer.data)
 		result = error_set(err, ERROR_MEMORY, "no memory for a gossip packet");
@@ -271,6 +284,20 @@
 	rd->failed = rd->failed || list.failed;
 }
 
+/* Reads the configuration proof, which is optional. */
+static void read_proof(struct reader *rd, struct gossip_packet *packet)
+{
+	struct reader inner;
+
+	if (!reader_has_more(rd))
+		return;
+	inner = reader_array(rd);
+	packet->proof.version = reader_uint(&inner, UINT64_MAX);
+	packet->proof.age_ms = (uint32_t)reader_uint(&inner, UINT32_MAX);
+	packet->proof.is_set = !inner.failed;
+	rd->failed = rd->failed || inner.failed;
+}
+
 /* Reads the envelope, the body and the updates. */
 static int read_packet(const msgpack_object *root, struct gossip_packet *packet, struct error *err)
 {
@@ -293,6 +320,7 @@
 	read_update_list(&rd, packet);
 	read_fingerprints(&rd, packet);
 	read_evacuations(&rd, packet);
+	read_proof(&rd, packet);
 	return rd.failed ? -1 : 0;
 }
 
