--- a/src/fescuemilld/node/node.c
+++ b/src/fescuemilld/node/node.c
@@ -120,9 +120,10 @@
 static void sync_config(struct node *node, uint64_t now_us)
 {
 	bool is_ready = config_is_ready(node->config);
+	bool watches = is_watcher(node);
 
-	list_watch_set_enabled(node->list_watch, !is_ready || is_watcher(node));
-	node_evacuation_tick(node, is_watcher(node), now_us);
+	list_watch_set_enabled(node->list_watch, !is_ready || watches);
+	node_evacuation_tick(node, watches, now_us);
 	config_pull_tick(node->pull, now_us);
 	if (!is_ready) {
 		node->config_ready_us = 0;
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -80,6 +80,7 @@
 	enum backend_state announced_state;  /* of the backend server, latest */
 	struct evacuation_table evacuations; /* orders in force, as far as known */
 	uint64_t evacuations_revision;	     /* revision that was applied last */
+	bool evacuations_were_current;	     /* at the latest housekeeping */
 	uint64_t evacuations_listed_us;	     /* when the latest list of them was asked for */
 	struct list_watch *evacuation_watch; /* NULL: the setting evacuation_ms is not set */
 	struct demand_shell *demand;
--- a/src/fescuemilld/node/node_evacuation.c
+++ b/src/fescuemilld/node/node_evacuation.c
@@ -9,9 +9,9 @@
 #include "fescuemill/base/log.h"
 #include "fescuemilld/gate/gate_placement.h"
 
-/* A watcher lists all orders this often instead of watching for changes once. That finds an order
- * that all watches missed within half of the bound of 10 s for an unstable store. */
-#define LIST_PERIOD_US (5 * USEC_PER_SEC)
+/* A watcher lists all orders this often in place of a watch. That finds an order that all watches
+ * missed: the two watchers of each of three domains together list every 1.7 s on average. */
+#define LIST_PERIOD_US (10 * USEC_PER_SEC)
 
 /* A node that is no watcher asks the store if no peer has told it the orders by then. */
 #define PEER_WAIT_US (300 * USEC_PER_MSEC)
@@ -38,14 +38,18 @@
 			 struct error *err)
 {
 	uint64_t now_us = clock_monotonic_us();
+	struct session_limits own = *limits;
 
 	if (node->settings.evacuation_ms == 0)
 		return 0;
+	/* Orders are rare, and many watchers tell each other: a longer watch saves calls. */
+	if (own.watch_ms < node->settings.evacuation_ms)
+		own.watch_ms = node->settings.evacuation_ms;
 	evacuation_mark_stale(&node->evacuations, now_us);
 	node->evacuations_listed_us = now_us;
 	gossip_set_evacuations(node->gossip, &node->evacuations);
 	return list_watch_open(&node->evacuation_watch, &node->loop, node->store, EVACUATION_KIND,
-			       limits, seed, on_batch, node, err);
+			       &own, seed, on_batch, node, err);
 }
 
 /* Applies the orders in force to this node's gate, and announces the gate by gossip as draining
@@ -70,8 +74,10 @@
 
 	if (!node->evacuation_watch)
 		return;
-	if (table->revision != node->evacuations_revision)
+	if (table->revision != node->evacuations_revision ||
+	    (table->is_current && !node->evacuations_were_current))
 		apply(node);
+	node->evacuations_were_current = table->is_current;
 	list_watch_set_enabled(node->evacuation_watch,
 			       is_watcher || (!table->is_current &&
 					      now_us >= table->stale_since_us + PEER_WAIT_US));
@@ -108,5 +114,15 @@
 {
 	enum backend_state state = node->announced_state;
 
-	return state == BACKEND_READY && node->place.is_evacuated ? BACKEND_DRAINING : state;
+	if (node->place.is_evacuated || !node_evacuation_is_known(node))
+		return state == BACKEND_READY ? BACKEND_DRAINING : state;
+	return state;
+}
+
+struct member node_evacuation_roster_entry(const struct node *node)
+{
+	struct member self = *gossip_self(node->gossip);
+
+	self.backend = node->announced_state;
+	return self;
 }
--- a/src/fescuemilld/node/node_evacuation.h
+++ b/src/fescuemilld/node/node_evacuation.h
@@ -20,7 +20,11 @@
 bool node_evacuation_is_known(const struct node *node);
 /* Returns REASON_NONE if a new call may run at this node's gate, or why it is refused. */
 enum call_reason node_evacuation_refusal(struct node *node, const struct message *msg);
-/* Returns the state of the backend server to announce by gossip. */
+/* Returns the state of the backend server to announce by gossip: not ready before the orders are
+ * known, since the gate refuses calls until then. */
 enum backend_state node_evacuation_backend_state(const struct node *node);
+/* Returns this node's member record for the roster, with the state as announced: an evacuation of a
+ * domain costs no writes of its roster. */
+struct member node_evacuation_roster_entry(const struct node *node);
 
 #endif
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -145,7 +145,7 @@
 bool node_on_new_own_incarnation(void *user, uint64_t incarnation)
 {
 	struct node *node = user;
-	struct member self = *gossip_self(node->gossip);
+	struct member self = node_evacuation_roster_entry(node);
 
 	if (gate_shell_live_count(node->gate) + gate_shell_record_count(node->gate) > 0)
 		return false;
@@ -197,6 +197,7 @@
 void node_on_announcement(void *user, const struct announcement *now)
 {
 	struct node *node = user;
+	struct member self;
 
 	log_write(LOG_INFO, LOG_PART_GATE, "The backend server's announcement has changed.",
 		  "service=%s port=%u slots=%u state=%s", now->service, now->port, now->slots,
@@ -204,7 +205,8 @@
 	node->announced_state = now->state;
 	gossip_set_backend(node->gossip, now->service, node_evacuation_backend_state(node),
 			   now->slots);
-	registration_set_self(node->registration, gossip_self(node->gossip));
+	self = node_evacuation_roster_entry(node);
+	registration_set_self(node->registration, &self);
 	node_apply_config(node);
 	gate_shell_set_backend(node->gate, now);
 }
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -128,10 +128,14 @@
 {
 	const struct settings *settings = &node->settings;
 	uint64_t seed = node->self.identity.node_id ^ node->self.identity.incarnation;
-	struct session_limits limits =
-		session_limits_for(settings->platform_calls_per_minute, settings->platform_watchers,
-				   settings->platform_watch_ms);
+	uint32_t calls_per_minute = settings->platform_calls_per_minute;
+	struct session_limits limits;
 
+	/* The evacuations take one more session, within the same budget of calls. */
+	if (settings->evacuation_ms)
+		calls_per_minute = calls_per_minute / (SESSIONS_PER_NODE + 1) * SESSIONS_PER_NODE;
+	limits = session_limits_for(calls_per_minute, settings->platform_watchers,
+				    settings->platform_watch_ms);
 	limits.backoff_max_us = settings->platform_backoff_ms * USEC_PER_MSEC;
 	if (platform_client_open(&node->store, &node->loop, settings, node->dialects.store_dialect,
 				 &node->budget, err) != 0)
