Fair room: within a rank the customer that has had least slot time goes first

One customer's surge made the calls of all others late: the order at a gate was by rank and due time, whoever sent the calls, and the full queue refused whoever came last.

When the queue is full, or a call of a customer within its part would wait too long, the latest work of the customer furthest beyond its part is refused; late work beyond the part is refused early while others wait. While no waiting or running call has a customer the code and the order are as before; one customer alone fares as without customers, call by call (property).

--- a/src/fescuemill/decide/gate.c
+++ b/src/fescuemill/decide/gate.c
@@ -6,6 +6,7 @@
 
 #include "fescuemill/decide/gate_account.h"
 #include "fescuemill/decide/gate_class.h"
+#include "fescuemill/decide/gate_fair.h"
 #include "fescuemill/decide/gate_order.h"
 #include "fescuemill/decide/gate_queue.h"
 #include "fescuemill/decide/gate_rate.h"
@@ -60,6 +61,8 @@
 	ticket->state = TICKET_RUNNING;
 	ticket->start_us = now_us;
 	ticket->running_at_start = gate->in_use;
+	gate->customers.live += ticket->customer != 0;
+	gate_fair_started(gate, ticket, now_us);
 	gate_order_started(gate, ticket);
 	if (gate->in_use >= gate->limit.current)
 		limit_record_full(&gate->limit);
@@ -69,6 +72,8 @@
 static void release_slot(struct gate *gate, struct gate_ticket *ticket)
 {
 	gate->in_use--;
+	gate_fair_ended(gate, ticket, gate->accounted_until_us);
+	gate->customers.live -= ticket->customer != 0;
 	retry_runs_ended(&gate->runs, ticket->repeat_permille);
 	if (ticket->bypassed_urgent)
 		gate->bypass_in_use--;
@@ -322,8 +327,10 @@
 	if (!gate_can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
 		return REASON_EXPIRED;
 	if (gate_queue_is_full(gate, &gate->classes[ticket->class_index])) {
-		struct gate_ticket *victim = gate_queue_find_victim(gate, ticket);
+		struct gate_ticket *victim;
 
+		if (!gate_fair_find_victim(gate, ticket, now_us, &victim))
+			victim = gate_queue_find_victim(gate, ticket);
 		if (!victim)
 			return REASON_OVERLOAD;
 		gate_refuse_waiting(gate, victim, REASON_OVERLOAD, actions);
@@ -390,10 +397,12 @@
 		start_ticket(gate, ticket, now_us);
 		return verdict_start;
 	}
+	gate_fair_make_room(gate, ticket, now_us, actions);
 	if (!gate_can_make_deadline(gate, ticket, gate_order_wait_us(gate, ticket, now_us), now_us))
 		reason = REASON_EXPIRED;
-	else if (gate_exceeds_wait_limit(ticket,
-					 expected_wait_us(gate, ticket, can_start, advice, now_us)))
+	else if (gate_exceeds_wait_limit(
+			 ticket, expected_wait_us(gate, ticket, can_start, advice, now_us)) ||
+		 gate_fair_is_late_beyond_part(gate, ticket, now_us))
 		reason = REASON_OVERLOAD;
 	else
 		reason = enqueue(gate, ticket, now_us, actions);
--- a/src/fescuemill/decide/gate_defs.h
+++ b/src/fescuemill/decide/gate_defs.h
@@ -8,6 +8,7 @@
 #include "fescuemill/decide/burn.h"
 #include "fescuemill/decide/call_defs.h"
 #include "fescuemill/decide/cold.h"
+#include "fescuemill/decide/customer_share.h"
 #include "fescuemill/decide/floor.h"
 #include "fescuemill/decide/limit.h"
 #include "fescuemill/decide/load_defs.h"
@@ -35,8 +36,8 @@
 	TICKET_RUNNING,
 };
 
-/* One attempt at the gate. The owner sets owner, repeat_permille, has_wait_limit and wait_max_us;
- * the gate sets the rest. */
+/* One attempt at the gate. The owner sets owner, customer, repeat_permille, has_wait_limit and
+ * wait_max_us; the gate sets the rest. */
 struct gate_ticket {
 	void *owner;
 	struct gate_ticket *prev;
@@ -45,6 +46,8 @@
 	uint64_t deadline_us; /* the caller's deadline */
 	uint64_t due_us;      /* arrival time plus latency target, capped at the deadline */
 	uint64_t start_us;
+	uint64_t customer;	   /* id of the customer; 0: none */
+	uint32_t charged_us;	   /* slot time charged to the customer at the start */
 	uint32_t running_at_start; /* running attempts when this one started, itself included */
 	uint32_t repeat_permille;  /* chance that it repeats work of an earlier attempt */
 	uint32_t wait_max_us;	   /* longest expected wait that is accepted, if has_wait_limit */
@@ -142,7 +145,8 @@
 	uint64_t service_us;	     /* moving mean of the service times of answered attempts */
 	uint64_t penalty_us;	     /* mean cost of failures per attempt */
 	uint64_t penalty_decayed_us; /* time up to which the penalty's decay is applied */
-	struct burn_tables tally;    /* set by the owner; attempts are not counted without it */
+	struct customer_share customers; /* slot time that customers have had */
+	struct burn_tables tally;	 /* set by the owner; attempts are not counted without it */
 };
 
 #endif
--- a/src/fescuemill/decide/gate_order.c
+++ b/src/fescuemill/decide/gate_order.c
@@ -3,12 +3,14 @@
  *
  * 1. The class that lags furthest behind its floor, the slot time that is guaranteed to it. The
  *    number of slots that may be taken this way ahead of more urgent in-profile work is bounded.
- * 2. In-profile work by rank and due time.
+ * 2. In-profile work by rank, then by the slot time that its customer has had lately, the least
+ *    first, then by due time. Without customers, by rank and due time.
  * 3. Out-of-profile work (the surplus), independent of rank: fair queueing, weighted by the slots
  *    that the configured rate of each class needs.
  */
 #include "fescuemill/decide/gate_order.h"
 
+#include "fescuemill/decide/gate_fair.h"
 #include "fescuemill/decide/gate_queue.h"
 #include "fescuemill/decide/gate_rate.h"
 #include "fescuemill/decide/headroom.h"
@@ -39,6 +41,37 @@
 	return best;
 }
 
+/* Returns the in-profile ticket that a class serves next, or NULL. */
+static struct gate_ticket *next_in_class(const struct gate *gate, const struct gate_class *class)
+{
+	if (gate_fair_is_active(gate))
+		return gate_fair_next_in_profile(gate, 0, class, gate->accounted_until_us);
+	return gate_queue_next_in_profile(class, gate->accounted_until_us);
+}
+
+/* Returns the in-profile ticket that is served next, or NULL if it may not be started now. urgent
+ * is the most urgent class. Among classes of its rank the customer that has used least comes first.
+ */
+static struct gate_ticket *next_urgent(const struct gate *gate, const struct gate_class *urgent)
+{
+	struct gate_ticket *ticket;
+
+	if (!gate_fair_is_active(gate))
+		return headroom_blocks_class(gate, urgent) ? NULL : next_in_class(gate, urgent);
+	ticket = gate_fair_next_in_profile(gate, urgent->target.rank, NULL,
+					   gate->accounted_until_us);
+	return headroom_blocks_class(gate, &gate->classes[ticket->class_index]) ? NULL : ticket;
+}
+
+/* Returns the out-of-profile ticket that a class serves next, or NULL. */
+static struct gate_ticket *next_surplus_in_class(const struct gate *gate,
+						 const struct gate_class *class)
+{
+	if (gate_fair_is_active(gate))
+		return gate_fair_next_surplus(gate, class, gate->accounted_until_us);
+	return class->out_of_profile.tail;
+}
+
 /* Returns true if a class's calls are short enough to be allowed a slot beyond the limit. */
 bool gate_order_is_short(const struct gate *gate, const struct gate_class *class)
 {
@@ -58,7 +91,7 @@
 		    (!best || is_before(class, best, gate->accounted_until_us)))
 			best = class;
 	}
-	return best ? gate_queue_next_in_profile(best, gate->accounted_until_us) : NULL;
+	return best ? next_in_class(gate, best) : NULL;
 }
 
 /* Returns the class that lags furthest behind its floor, or NULL if none needs service for it. */
@@ -130,19 +163,19 @@
 	struct gate_class *surplus;
 
 	if (behind) {
-		struct gate_ticket *ticket = gate_queue_next(behind, gate->accounted_until_us);
+		struct gate_ticket *ticket = behind->in_profile.head
+						     ? next_in_class(gate, behind)
+						     : next_surplus_in_class(gate, behind);
 
 		ticket->bypassed_urgent = bypasses_urgent(gate, ticket, urgent);
 		if (!ticket->bypassed_urgent || may_bypass_urgent(gate))
 			return ticket;
 		ticket->bypassed_urgent = false;
 	}
-	if (urgent && headroom_blocks_class(gate, urgent))
-		return NULL;
 	if (urgent)
-		return gate_queue_next_in_profile(urgent, gate->accounted_until_us);
+		return next_urgent(gate, urgent);
 	surplus = find_next_surplus(gate);
-	return surplus ? surplus->out_of_profile.tail : NULL;
+	return surplus ? next_surplus_in_class(gate, surplus) : NULL;
 }
 
 /* Updates bypass slots and virtual times for a ticket that was started. */
@@ -168,6 +201,21 @@
 	       class->target.rank <= gate->classes[ticket->class_index].target.rank;
 }
 
+/* Counts the in-profile work that is served before a ticket that is queued now, by due time within
+ * each rank. */
+static void count_before(const struct gate *gate, const struct gate_ticket *ticket,
+			 uint32_t *before, uint64_t *before_us)
+{
+	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
+		const struct gate_class *class = &gate->classes[i];
+
+		if (!class->in_profile.count || !comes_before(gate, class, ticket))
+			continue;
+		*before += class->in_profile.count;
+		*before_us += class->in_profile.count * class->service.recent_mean_us;
+	}
+}
+
 /*
  * Returns the expected wait of a ticket if it were queued now, in microseconds. Counts in-profile
  * work that is served before it, and half a service time until the next slot becomes free, or the
@@ -182,14 +230,10 @@
 	uint64_t slot_us;
 	uint64_t rate_us;
 
-	for (uint32_t i = 0; i < CLASSES_PER_SERVICE_MAX; i++) {
-		const struct gate_class *class = &gate->classes[i];
-
-		if (!class->in_profile.count || !comes_before(gate, class, ticket))
-			continue;
-		before += class->in_profile.count;
-		before_us += class->in_profile.count * class->service.recent_mean_us;
-	}
+	if (gate_fair_is_active(gate))
+		gate_fair_count_before(gate, ticket, now_us, &before, &before_us);
+	else
+		count_before(gate, ticket, &before, &before_us);
 	slot_us = before_us / limit;
 	rate_us = gate_rate_wait_us(gate, before, now_us);
 	return rate_us > slot_us ? rate_us : slot_us;
--- a/src/fescuemill/decide/gate_queue.c
+++ b/src/fescuemill/decide/gate_queue.c
@@ -61,6 +61,7 @@
 		after = after->prev;
 	list_insert(list, after, ticket);
 	gate->queued++;
+	gate->customers.live += ticket->customer != 0;
 	ticket->state = TICKET_WAITING;
 }
 
@@ -69,6 +70,7 @@
 {
 	list_remove(ticket_list(gate, ticket), ticket);
 	gate->queued--;
+	gate->customers.live -= ticket->customer != 0;
 	ticket->state = TICKET_IDLE;
 }
 
@@ -86,21 +88,27 @@
 }
 
 /*
- * Returns the in-profile ticket that a class serves next, or NULL. This is the ticket with the
- * earliest due time, unless the class has fallen behind. Then it is the one with the latest due
- * time if that can still be met: serving in due order would answer every call of a standing queue
- * late. The skipped tickets wait until the class has caught up.
+ * Returns the first or the last of a class's tickets in due order; NULL if first is. It is the
+ * first one, unless the class has fallen behind. Then it is the last one if its due time can still
+ * be met: serving in due order would answer every call of a standing queue late. The skipped
+ * tickets wait until the class has caught up.
  */
-struct gate_ticket *gate_queue_next_in_profile(const struct gate_class *class, uint64_t now_us)
+struct gate_ticket *gate_queue_pick_by_due(const struct gate_class *class,
+					   struct gate_ticket *first, struct gate_ticket *last,
+					   uint64_t now_us)
 {
-	struct gate_ticket *first = class->in_profile.head;
-	struct gate_ticket *last = class->in_profile.tail;
-
 	if (!first || meets_due_time(class, first, GATE_DUE_MARGIN, now_us))
 		return first;
 	return meets_due_time(class, last, 1, now_us) ? last : first;
 }
 
+/* Returns the in-profile ticket that a class serves next, or NULL. */
+struct gate_ticket *gate_queue_next_in_profile(const struct gate_class *class, uint64_t now_us)
+{
+	return gate_queue_pick_by_due(class, class->in_profile.head, class->in_profile.tail,
+				      now_us);
+}
+
 /* Returns the ticket that a class serves next, or NULL. Out of profile, the newest comes first. */
 struct gate_ticket *gate_queue_next(const struct gate_class *class, uint64_t now_us)
 {
--- a/src/fescuemilld/gate/gate_admission.c
+++ b/src/fescuemilld/gate/gate_admission.c
@@ -66,6 +66,7 @@
 		class_index = gate_find_nearest_class(&shell->admission, attempt->call.class_name);
 	attempt->ticket.has_wait_limit = attempt->call.has_wait_limit;
 	attempt->ticket.wait_max_us = attempt->call.wait_max_us;
+	attempt->ticket.customer = attempt->call.customer;
 	attempt->ticket.repeat_permille = attempt->call.repeat_permille;
 	actions.count = 0;
 	if (strcmp(attempt->call.service, shell->backend.service) == 0)
