--- a/test/unit/decide/attempt_entry_test.cc
+++ b/test/unit/decide/attempt_entry_test.cc
@@ -137,6 +137,29 @@
 	expect_finished(OUTCOME_NOT_RUN, REASON_OVERLOAD);
 }
 
+// Guards against calls that are lost to the retry budget while a failure domain comes back cold.
+TEST_F(AttemptEntry, RefusalByGateOfAColdServerIsRetriedWithoutServiceBudget)
+{
+	bucket.own_milli = 0;
+	choose(7);
+	EXPECT_EQ(ENTRY_ACTION_CHOOSE, answer(1, OUTCOME_NOT_RUN, REASON_COLD));
+	choose(8);
+	answer(2, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+	expect_finished(OUTCOME_NOT_RUN, REASON_OVERLOAD);
+}
+
+// Guards against a call that may wait in the end but never at the gate of a cold server.
+TEST_F(AttemptEntry, GateOfAColdServerMayBeChosenAgain)
+{
+	uint64_t list[ENTRY_EXCLUDED_MAX];
+
+	begin(true, false, 2);
+	choose(5);
+	answer(1, OUTCOME_NOT_RUN, REASON_COLD);
+	EXPECT_EQ(0U, attempt_entry_excluded(&call, list));
+	EXPECT_TRUE(attempt_entry_gate_was_full(&call, 5));
+}
+
 TEST_F(AttemptEntry, NonIdempotentCallIsRetriedAfterRefusal)
 {
 	begin(false);
--- a/test/unit/decide/retry_after_test.cc
+++ b/test/unit/decide/retry_after_test.cc
@@ -18,6 +18,14 @@
 	EXPECT_EQ(700U, retry_after_ms(REASON_SHED, WAIT_US, NO_JITTER));
 }
 
+// Guards against callers that come back before cold servers have room, or long after it.
+TEST(RetryAfter, DelayForColdServersIsTheWaitForRoom)
+{
+	EXPECT_EQ(700U, retry_after_ms(REASON_COLD, WAIT_US, NO_JITTER));
+	EXPECT_EQ(retry_after_ms(REASON_DRAINING, 0, NO_JITTER),
+		  retry_after_ms(REASON_COLD, 0, NO_JITTER));
+}
+
 // All backend servers of a service may refuse a part of their calls although slots are free. The
 // next try may succeed at once, and a long delay would make the client miss its latency target.
 TEST(RetryAfter, DelayIsShortWhenServerRefusesWithFreeSlots)
