--- a/src/fescuemill/decide/key_proof.h
+++ b/src/fescuemill/decide/key_proof.h
@@ -9,6 +9,17 @@
 
 #include "fescuemill/decide/key_proof_defs.h"
 
+/* A watcher of the store asks it this often. Questions that are not answered don't hold up the next
+ * one, so that the first question after the store's return is answered. */
+#define KEY_PROOF_WATCHER_PERIOD_US 900000ULL
+/* From these parts of the bound on, a proof is too old to wait for the regular pings (2 s of 5 s),
+ * and to wait for peers (2.5 s): the rest covers a call of the store that is lost. */
+#define KEY_PROOF_ASK_PEERS_PERCENT 40
+#define KEY_PROOF_ASK_STORE_PERCENT 50
+/* Members that are pinged in one period while the proof is that old. */
+#define KEY_PROOF_PEERS_ASKED	  2
+#define KEY_PROOF_PEERS_PERIOD_US 200000ULL
+
 enum key_proof_source {
 	KEY_PROOF_NONE,
 	KEY_PROOF_STORE,  /* own question to the store */
--- a/src/fescuemilld/entry/entry_customer.c
+++ b/src/fescuemilld/entry/entry_customer.c
@@ -51,10 +51,13 @@
 void entry_customer_set_class(const struct entry *entry, const struct route *route,
 			      struct call_class *out)
 {
-	const struct service_config *config = config_find(entry->options.config, out->service);
+	const struct service_config *config;
 	const struct class_target *target;
 
-	if (!out->customer || !config)
+	if (!out->customer)
+		return;
+	config = config_find(entry->options.config, out->service);
+	if (!config)
 		return;
 	target = route_nearest_class(config, out->customer->rank, route->latency_ms);
 	if (target)
--- a/src/fescuemilld/node/key_proof_shell.c
+++ b/src/fescuemilld/node/key_proof_shell.c
@@ -24,22 +24,12 @@
 
 #define AFTER_LAST_NAME "~" /* sorts after every name of an object */
 
-/* A watcher asks this often. Questions that are not answered don't hold up the next one, so that
- * the first question after the store's return is answered. */
-#define WATCHER_PERIOD_US (900 * USEC_PER_MSEC)
-#define RUNNING_MAX	  4 /* questions to the store that are not answered yet */
+#define RUNNING_MAX 4 /* questions to the store that are not answered yet */
 /* Other nodes of a failure domain together ask the store at most about this often, as long as their
  * peers answer; a node whose peers are silent asks once in OWN_PERIOD_US. */
 #define DOMAIN_READS_PER_S 16
 #define OWN_PERIOD_US	   (1000 * USEC_PER_MSEC)
 #define PEERS_SILENT_US	   (1500 * USEC_PER_MSEC)
-/* From these parts of the bound on, a proof is too old to wait for the regular pings (2 s of 5 s),
- * and to wait for peers (2.5 s): the rest covers a call of the store that is lost. */
-#define ASK_PEERS_PERCENT 40
-#define ASK_STORE_PERCENT 50
-#define PEERS_PERIOD_US	  (200 * USEC_PER_MSEC)
-#define PEERS_ASKED	  2
-
 struct key_proof_shell {
 	struct key_proof_options options;
 	struct key_proof proof;
@@ -306,7 +296,7 @@
 {
 	if (now_us < shell->read_due_us)
 		return;
-	shell->read_due_us = now_us + WATCHER_PERIOD_US;
+	shell->read_due_us = now_us + KEY_PROOF_WATCHER_PERIOD_US;
 	ask_store(shell);
 }
 
@@ -342,13 +332,14 @@
 	key_proof_shell_is_fresh(shell);
 	age_us = key_proof_age_us(&shell->proof, now_us);
 	counter_set(COUNTER_KEY_PROOF_AGE, key_proof_shell_age_ms(shell));
-	if (age_us > bound_us * ASK_PEERS_PERCENT / 100 &&
-	    now_us >= shell->peers_asked_us + PEERS_PERIOD_US) {
+	if (age_us > bound_us * KEY_PROOF_ASK_PEERS_PERCENT / 100 &&
+	    now_us >= shell->peers_asked_us + KEY_PROOF_PEERS_PERIOD_US) {
 		shell->peers_asked_us = now_us;
-		gossip_ask_members(shell->options.gossip, PEERS_ASKED, clock_monotonic_us());
+		gossip_ask_members(shell->options.gossip, KEY_PROOF_PEERS_ASKED,
+				   clock_monotonic_us());
 	}
 	if (is_watcher)
 		tick_watcher(shell, now_us);
 	else
-		tick_other(shell, age_us > bound_us * ASK_STORE_PERCENT / 100, now_us);
+		tick_other(shell, age_us > bound_us * KEY_PROOF_ASK_STORE_PERCENT / 100, now_us);
 }
--- a/test/support/fake_fleet.h
+++ b/test/support/fake_fleet.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 extern "C" {
+#include "fescuemill/decide/key_proof.h"
 #include "fescuemill/fleet/gossip.h"
 }
 
@@ -35,6 +36,11 @@
 		// Result of allow_new_incarnation: may the process take a later incarnation than
 		// the one that it started with?
 		bool may_take_incarnation = true;
+		// With Options::revoke_ms: the proof of the keys, as node/key_proof_shell.c keeps
+		// it.
+		struct key_proof proof;
+		uint64_t store_asked_us = 0;
+		uint64_t peers_asked_us = 0;
 	};
 
 	struct Options {
@@ -43,7 +49,10 @@
 		double loss = 0;
 		uint64_t seed = 1;
 		uint64_t node_bytes_per_s = 7000;
-		uint32_t contacts = 1;	  // At the start all nodes know the first `contacts` nodes.
+		uint32_t contacts = 1; // At the start all nodes know the first `contacts` nodes.
+		// Nodes prove that the customers' keys are that recent; 0: they don't. Two nodes of
+		// each failure domain ask the store, as long as store_answers() is set.
+		uint32_t revoke_ms = 0;
 		bool full_tables = false; // All nodes know all others at the start.
 	};
 
@@ -144,6 +153,12 @@
 		split_domain_ = on;
 	}
 
+	// Makes the store answer or not.
+	void store_answers(bool on)
+	{
+		store_answers_ = on;
+	}
+
 	void kill_domain(uint32_t domain)
 	{
 		for (uint32_t i = domain; i < size(); i += domains)
@@ -261,8 +276,17 @@
 	void open_node(Node &node, uint64_t incarnation)
 	{
 		struct member self = member_of(node.index, incarnation);
-		struct gossip_io io = {send,	newer_config, &node,  nullptr, may_take_incarnation,
-				       nullptr, nullptr,      nullptr};
+		struct gossip_io io = {};
+		io.send = send;
+		io.newer_config = newer_config;
+		io.user = &node;
+		io.allow_new_incarnation = may_take_incarnation;
+		if (options_.revoke_ms > 0) {
+			io.proof_time = proof_time;
+			io.proof_tell = proof_tell;
+			io.proof_hear = proof_hear;
+		}
+		key_proof_init(&node.proof, options_.revoke_ms);
 		uint32_t known = options_.full_tables ? options_.nodes : options_.contacts;
 		struct error err;
 
@@ -286,6 +310,46 @@
 		member_table_close(node.table);
 	}
 
+	static uint64_t proof_time(void *user)
+	{
+		return ((Node *)user)->fleet->now_us_;
+	}
+
+	static void proof_tell(void *user, struct key_proof_item *out)
+	{
+		Node *node = (Node *)user;
+
+		key_proof_tell(&node->proof, node->fleet->now_us_, out);
+	}
+
+	static void proof_hear(void *user, const struct key_proof_item *item, uint64_t asked_us)
+	{
+		Node *node = (Node *)user;
+
+		key_proof_hear(&node->proof, item, KEY_PROOF_GOSSIP, asked_us, 1,
+			       node->fleet->now_us_);
+	}
+
+	// Asks the store, whose answer is here at the next tick, and peers.
+	void prove(Node &node)
+	{
+		uint64_t old_us = options_.revoke_ms * 10ULL * KEY_PROOF_ASK_PEERS_PERCENT;
+		bool is_watcher = node.index < 2 * domains;
+
+		if (is_watcher && now_us_ >= node.store_asked_us + KEY_PROOF_WATCHER_PERIOD_US) {
+			struct key_proof_claim claim = {KEY_PROOF_STORE, 1, now_us_};
+
+			node.store_asked_us = now_us_;
+			if (store_answers_)
+				key_proof_adopt(&node.proof, &claim, 1, now_us_);
+		}
+		if (key_proof_age_us(&node.proof, now_us_) > old_us &&
+		    now_us_ >= node.peers_asked_us + KEY_PROOF_PEERS_PERIOD_US) {
+			node.peers_asked_us = now_us_;
+			gossip_ask_members(node.gossip, KEY_PROOF_PEERS_ASKED, now_us_);
+		}
+	}
+
 	static bool may_take_incarnation(void *user, uint64_t)
 	{
 		return ((Node *)user)->may_take_incarnation;
@@ -342,6 +406,8 @@
 			return;
 		node.next_tick_us = now_us_ + GOSSIP_UPDATE_PERIOD_US;
 		gossip_tick(node.gossip, now_us_);
+		if (options_.revoke_ms > 0)
+			prove(node);
 	}
 
 	Options options_;
@@ -352,4 +418,5 @@
 	uint64_t order_ = 0;
 	bool split_ = false;
 	bool split_domain_ = false;
+	bool store_answers_ = true;
 };
--- a/test/unit/platform/customer_headers_test.cc
+++ b/test/unit/platform/customer_headers_test.cc
@@ -92,6 +92,9 @@
 		}
 		uv_run(&loop, UV_RUN_NOWAIT);
 		caller_free(caller);
+		for (int i = 0; i < 5; i++)
+			uv_run(&loop, UV_RUN_NOWAIT);
+		uv_loop_close(&loop);
 		config_close(config);
 	}
 
