--- a/src/fescuemilld/entry/entry_customer.c
+++ b/src/fescuemilld/entry/entry_customer.c
@@ -51,12 +51,15 @@
 void entry_customer_set_class(const struct entry *entry, const struct route *route,
 			      struct call_class *out)
 {
-	const struct service_config *config = config_find(entry->options.config, out->service);
 	const struct routing *routing = config_routing(entry->options.config);
+	const struct service_config *config;
 	const struct class_target *target;
 	uint32_t rank;
 
-	if (!out->customer || !config || !routing)
+	if (!out->customer || !routing)
+		return;
+	config = config_find(entry->options.config, out->service);
+	if (!config)
 		return;
 	rank = routing_class_rank(routing, out->customer->rank, route->rank);
 	target = route_nearest_class(config, rank, route->latency_ms);
