Tests: clients that hold memory and descriptors of a node

Clients on plain sockets send what the specification of untrusted clients lists, at every port of a small fleet with lowered limits. Only the life of the process, its peak memory, its open descriptors and one ordinary request are checked, against bounds that follow from the settings.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -66,6 +66,14 @@
 set_property(TEST functional-endless APPEND PROPERTY
 	ENVIRONMENT "ASAN_OPTIONS=quarantine_size_mb=4")
 
+# These tests bound the memory and the descriptors of a node, which other tests beside them would use
+# up. They keep the address sanitizer from holding freed memory, as functional-endless does.
+foreach(module clients_bodies clients_heads clients_largest clients_slow)
+	set_tests_properties(functional-${module} PROPERTIES RUN_SERIAL ON)
+	set_property(TEST functional-${module} APPEND PROPERTY
+		ENVIRONMENT "ASAN_OPTIONS=quarantine_size_mb=4")
+endforeach()
+
 # Runs a whole fleet for scripts/demo.sh.
 add_executable(demo-fleet test/functional/demo/main.cc)
 target_link_libraries(demo-fleet PRIVATE functional_support)
