Limits of the configuration in force on all HTTP listeners

routing->limits was parsed and not used. A guard walks the connections of all listeners of a node every 250 ms: a head over its size gets 431, a slow head or a stalled body 408, an idle connection or an answer that is not read is closed. The limits may change while the node runs; without configured limits the listeners' own times apply.

--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -13,6 +13,13 @@
 	X(CALLS_UNKNOWN, "entry_calls_unknown", "calls", "calls told unknown")                     \
 	X(CALLS_ABANDONED_UNREAD, "entry_calls_abandoned_unread", "calls",                         \
 	  "calls whose caller left before they were read")                                         \
+	X(CLIENTS_OPEN, "clients_open", "connections", "open connections of HTTP clients")         \
+	X(CLIENTS_CLOSED, "clients_closed", "connections",                                         \
+	  "connections closed after their idle time or without progress of their answer")          \
+	X(CLIENTS_TIMED_OUT, "clients_timed_out", "requests",                                      \
+	  "requests refused because their head or body came too slowly")                           \
+	X(CLIENTS_LARGE_HEADS, "clients_large_heads", "requests",                                  \
+	  "requests refused because their head is larger than allowed")                            \
 	X(RETRIES_SENT, "entry_retries", "attempts", "attempts after the first of a call")         \
 	X(REASKS_SENT, "entry_reasks", "messages", "attempts asked again on a new connection")     \
 	X(LATE_ANSWERS, "entry_late_answers", "messages", "answers that no call waits for")        \
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -424,6 +424,7 @@
 					      .body_bytes_max = RECEIVED_BODY_BYTES_MAX,
 					      .idle_ms = IDLE_MS,
 					      .on_request = on_request,
+					      .guard = node->guard,
 					      .user = admin};
 
 	if (!admin)
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -34,6 +34,7 @@
 	struct config_store *config;
 	struct member_table *members;
 	struct platform *platform;
+	struct client_guard *guard; /* judges the connections; NULL: none */
 	void *user;
 	void (*status)(void *user, struct admin_status *out);
 	void (*drain)(void *user); /* starts a graceful stop */
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -244,6 +244,7 @@
 		.body_bytes_max = BODY_BYTES_MAX,
 		.idle_ms = IDLE_MS,
 		.on_request = on_announce_request,
+		.guard = opt->guard,
 		.user = ann,
 	};
 
--- a/src/fescuemill/http/announce.h
+++ b/src/fescuemill/http/announce.h
@@ -15,11 +15,13 @@
 #define ANNOUNCE_SLOTS_MAX 4096
 
 struct announce;
+struct client_guard;
 
 struct announce_options {
-	uint32_t ip;	   /* host byte order */
-	uint16_t port;	   /* 0: any free port */
-	uint32_t lease_ms; /* how long an announcement stays valid without renewal */
+	uint32_t ip;		    /* host byte order */
+	uint16_t port;		    /* 0: any free port */
+	uint32_t lease_ms;	    /* how long an announcement stays valid without renewal */
+	struct client_guard *guard; /* judges the connections; NULL: none */
 	const struct http_dialect *dialect;
 	/* Called when an announcement differs from the one before, and when the lease expires. */
 	void (*on_change)(void *user, const struct announcement *now);
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -388,6 +388,7 @@
 		.idle_ms = IDLE_MS,
 		.on_request = handle_request,
 		.on_respond = add_headers_to_h2o_answer,
+		.guard = opt->guard,
 		.user = caller,
 	};
 	struct body_limit_options limit_options = {
@@ -415,6 +416,13 @@
 	return 0;
 }
 
+/* Sets the largest request body that is taken from now on. */
+void caller_set_body_bytes_max(struct caller *caller, uint32_t bytes)
+{
+	caller->options.body_bytes_max = bytes;
+	http_server_set_body_bytes_max(caller->server, bytes + BODY_EXCESS_BYTES_MAX);
+}
+
 /* Returns the port that the listener is bound to. */
 uint16_t caller_port(const struct caller *caller)
 {
--- a/src/fescuemill/http/caller.h
+++ b/src/fescuemill/http/caller.h
@@ -12,14 +12,16 @@
 
 /* The listener with all its connections. */
 struct caller;
+struct client_guard;
 
 /* One request of a caller. It stays valid until it is answered, even if the caller disconnects. */
 struct caller_call;
 
 struct caller_options {
-	uint32_t ip;		 /* host byte order */
-	uint16_t port;		 /* 0: any free port */
-	uint32_t body_bytes_max; /* larger request bodies are answered with 413 */
+	uint32_t ip;		    /* host byte order */
+	uint16_t port;		    /* 0: any free port */
+	uint32_t body_bytes_max;    /* larger request bodies are answered with 413 */
+	struct client_guard *guard; /* judges the connections; NULL: none */
 	const struct http_dialect *dialect;
 	uint64_t memory_bytes_max; /* limit on the total of all request and answer bodies */
 	/* Called with a request that passed the checks; req is valid until the call is answered. */
@@ -31,6 +33,8 @@
 
 int caller_open(struct caller **out, uv_loop_t *loop, const struct caller_options *opt,
 		struct error *err);
+/* Sets the largest request body that is taken from now on. */
+void caller_set_body_bytes_max(struct caller *caller, uint32_t bytes);
 uint16_t caller_port(const struct caller *caller);
 /* Closes each connection after its current answer. */
 void caller_drain(struct caller *caller);
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -5,6 +5,8 @@
 
 #include "fescuemill/http/head_scan.h"
 #include "fescuemill/http/lingering_close.h"
+#include "fescuemill/http/server_clients.h"
+#include "fescuemill/http/server_defs.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -14,7 +16,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LISTEN_BACKLOG 1024
+#define LISTEN_BACKLOG	   1024
+#define GUARDED_REQUEST_MS (24ULL * 3600 * 1000)
 
 #define TCP_FLAGS_OFFSET 13	     /* offset of the flags byte in a TCP header */
 #define ACCEPT_ALL	 0xffffffffU /* result of a socket filter: keep the whole packet */
@@ -29,31 +32,8 @@
 	struct http_server *server;
 };
 
-struct http_server {
-	uv_tcp_t listener;
-	h2o_globalconf_t config;
-	h2o_context_t context;
-	h2o_accept_ctx_t accept;
-	struct http_server_options options;
-	h2o_linklist_t connections; /* of struct connection */
-	uint32_t connection_count;
-	uint16_t port;
-	bool is_detached; /* the owner's callbacks must not be called any more */
-};
-
-/* An accepted connection; it stays allocated until libuv has closed its handle and its lingering
- * close, if any, has ended. */
-struct connection {
-	uv_tcp_t tcp;
-	h2o_linklist_t link;
-	struct http_server *server;
-	h2o_socket_t *sock; /* NULL after h2o has closed it */
-	size_t read_bytes;  /* bytes received when the last request was passed to the handler */
-	bool is_handled;    /* the current request was passed to the handler */
-	int lingering_fd;   /* duplicate descriptor that keeps the socket open; -1: none */
-};
-
-static struct connection *connection_of(const h2o_req_t *req)
+/* Returns the connection of a request. */
+struct connection *http_connection_of(const h2o_req_t *req)
 {
 	return req->conn->callbacks->get_socket(req->conn)->on_close.data;
 }
@@ -69,9 +49,12 @@
 static int handle_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct http_server *srv = ((struct request_handler *)self)->server;
-	struct connection *conn = connection_of(req);
+	struct connection *conn = http_connection_of(req);
 
 	conn->read_bytes = conn->sock->bytes_read;
+	conn->requests++;
+	if (http_refuse_request(conn, req))
+		return 0;
 	conn->is_handled = true;
 	if (srv->is_detached)
 		refuse_after_detach(req);
@@ -84,7 +67,7 @@
  * on_respond: the flag is reset after it. */
 bool http_answer_is_from_handler(const h2o_req_t *req)
 {
-	return connection_of(req)->is_handled;
+	return http_connection_of(req)->is_handled;
 }
 
 /* Sets the error of an ambiguous request. The connection is closed after the answer, since the
@@ -101,7 +84,7 @@
  * still starts with it. */
 bool http_request_is_ambiguous(h2o_req_t *req, struct error *err)
 {
-	const h2o_buffer_t *input = connection_of(req)->sock->input;
+	const h2o_buffer_t *input = http_connection_of(req)->sock->input;
 	struct head_scan scan = {0};
 
 	if (head_scan_read(&scan, input->bytes, input->size) != 0)
@@ -132,7 +115,7 @@
  * closed at once. */
 void http_server_use_lingering_close(h2o_req_t *req)
 {
-	struct connection *conn = connection_of(req);
+	struct connection *conn = http_connection_of(req);
 
 	if (conn->lingering_fd < 0)
 		conn->lingering_fd = fcntl(h2o_socket_get_fd(conn->sock), F_DUPFD_CLOEXEC, 0);
@@ -144,7 +127,7 @@
 static void setup_response(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
 {
 	struct http_server *srv = ((struct respond_filter *)self)->server;
-	struct connection *conn = connection_of(req);
+	struct connection *conn = http_connection_of(req);
 
 	if (!conn->is_handled && timerisset(&req->timestamps.request_body_begin_at))
 		http_server_use_lingering_close(req);
@@ -195,6 +178,7 @@
 		return;
 	conn->server = srv;
 	conn->lingering_fd = -1;
+	client_track_start(&conn->track, uv_now(listener->loop));
 	uv_tcp_init(listener->loop, &conn->tcp);
 	srv->connection_count++;
 	h2o_linklist_insert(&srv->connections, &conn->link);
@@ -207,6 +191,8 @@
 	conn->sock->on_close.cb = on_h2o_close;
 	conn->sock->on_close.data = conn;
 	h2o_accept(&srv->accept, conn->sock);
+	if (srv->options.guard)
+		client_guard_accepted(srv->options.guard);
 }
 
 /* Sets up h2o with one handler and one filter for every path. */
@@ -221,7 +207,10 @@
 	h2o_config_init(&srv->config);
 	srv->config.server_name = h2o_iovec_init(NULL, 0);
 	srv->config.max_request_entity_size = srv->options.body_bytes_max;
-	srv->config.http1.req_timeout = srv->options.idle_ms;
+	/* h2o's only time limit runs from the end of the last request to the end of the next one. A
+	 * guard has one for each phase instead. */
+	srv->config.http1.req_timeout =
+		srv->options.guard ? GUARDED_REQUEST_MS : srv->options.idle_ms;
 	srv->config.http1.upgrade_to_http2 = 0;
 	host = h2o_config_register_host(&srv->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
 	handler = (struct request_handler *)h2o_create_handler(&host->fallback_path,
@@ -275,10 +264,18 @@
 		http_server_free(srv);
 		return error_set_errno(err, -rc, "cannot listen on port %u", opt->port);
 	}
+	if (srv->options.guard)
+		client_guard_add(srv->options.guard, srv);
 	*out = srv;
 	return 0;
 }
 
+/* Sets the largest body that is taken from now on. */
+void http_server_set_body_bytes_max(struct http_server *srv, size_t bytes)
+{
+	srv->config.max_request_entity_size = bytes;
+}
+
 /* Returns the port that the listener is bound to. */
 uint16_t http_server_port(const struct http_server *srv)
 {
@@ -324,6 +321,8 @@
 void http_server_detach(struct http_server *srv)
 {
 	srv->is_detached = true;
+	if (srv->options.guard)
+		client_guard_remove(srv->options.guard, srv);
 	http_server_close(srv);
 }
 
--- a/src/fescuemill/http/server.h
+++ b/src/fescuemill/http/server.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 struct http_server;
+struct client_guard;
 
 /* Handles a request and answers it at once or later. The request stays valid until then. */
 typedef void (*http_request_fn)(void *user, h2o_req_t *req);
@@ -22,10 +23,11 @@
 typedef void (*http_respond_fn)(void *user, h2o_req_t *req);
 
 struct http_server_options {
-	uint32_t ip;	       /* host byte order */
-	uint16_t port;	       /* 0: any free port */
-	size_t body_bytes_max; /* larger bodies are answered with 413 */
-	uint64_t idle_ms;      /* a connection without a request for this long is closed */
+	uint32_t ip;		    /* host byte order */
+	uint16_t port;		    /* 0: any free port */
+	size_t body_bytes_max;	    /* larger bodies are answered with 413 */
+	uint64_t idle_ms;	    /* a connection without a request for this long is closed */
+	struct client_guard *guard; /* judges the connections; NULL: only idle_ms applies */
 	http_request_fn on_request;
 	http_respond_fn on_respond; /* may be NULL */
 	void *user;
@@ -33,6 +35,8 @@
 
 int http_server_open(struct http_server **out, uv_loop_t *loop,
 		     const struct http_server_options *opt, struct error *err);
+/* Sets the largest body that is taken from now on. */
+void http_server_set_body_bytes_max(struct http_server *srv, size_t bytes);
 uint16_t http_server_port(const struct http_server *srv);
 /* Closes each connection after its current answer. New connections are still accepted. */
 void http_server_drain(struct http_server *srv);
--- a/src/fescuemilld/node/admin_shell.h
+++ b/src/fescuemilld/node/admin_shell.h
@@ -16,6 +16,7 @@
 	struct member_table *members;
 	const struct burn_tables *burn;
 	struct platform *platform;
+	struct client_guard *guard; /* of the listener; NULL: none */
 	const struct entry *entry;
 	const struct gate_shell *gate;
 	struct gossip *gossip;
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -10,6 +10,7 @@
 #include "fescuemill/fleet/registration.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/http/caller.h"
+#include "fescuemill/http/client_guard.h"
 #include "fescuemill/store/list_watch.h"
 #include "fescuemilld/entry/entry.h"
 #include "fescuemilld/gate/demand_shell.h"
@@ -47,6 +48,9 @@
 				     configuration is not ready */
 	uint64_t config_revision; /* config_revision() that was applied last */
 	uint64_t members_revision; /* member_table_revision() that was applied last */
+	bool has_limits;	   /* the next two fields are in force */
+	struct client_rules rules; /* limits of the HTTP clients */
+	uint32_t body_bytes_max;   /* largest body of a caller */
 	bool was_signalled;	   /* SIGTERM or SIGINT was received */
 	/* The process ends with work in progress: the stop's time is up or a second signal came. */
 	bool stop_was_aborted;
@@ -60,6 +64,7 @@
 	struct member_table *members;
 	struct burn_tables burn;
 	struct channel *channel;
+	struct client_guard *guard;
 	struct caller *caller;
 	struct announce *announce;
 	struct platform *store;
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -6,6 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
+#include "fescuemilld/node/node_limits.h"
 
 #include <string.h>
 
@@ -189,6 +190,7 @@
 		gate_shell_set_config(node->gate, config);
 	gate_shell_set_health_path(node->gate, routed ? routed->health_path : "");
 	demand_shell_refresh(node->demand, clock_monotonic_us());
+	node_apply_limits(node);
 }
 
 /* Applies a changed announcement of the backend server, or the end of its lease. */
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -7,6 +7,7 @@
 #include "fescuemill/chart/chart.h"
 #include "fescuemill/store/client.h"
 #include "fescuemilld/node/node_events.h"
+#include "fescuemilld/node/node_limits.h"
 #include "fescuemilld/node/node_stop.h"
 
 #include <string.h>
@@ -44,6 +45,7 @@
 		.port = settings->caller_address.port,
 		.body_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
+		.guard = node->guard,
 		.dialect = node->dialects.dialect,
 		.on_call = entry_handle_request,
 		.on_disconnect = entry_caller_gone,
@@ -53,6 +55,7 @@
 		.ip = settings->backend_address.ip,
 		.port = settings->backend_address.port,
 		.lease_ms = settings->backend_lease_ms,
+		.guard = node->guard,
 		.dialect = node->dialects.dialect,
 		.on_change = node_on_announcement,
 		.in_use = node_slots_in_use,
@@ -63,8 +66,8 @@
 		return -1;
 	if (announce_open(&node->announce, &node->loop, &announce, err) != 0)
 		return -1;
-	return ready_open(&node->ready, &node->loop, &settings->ready_address, node_is_ready, node,
-			  err);
+	return ready_open(&node->ready, &node->loop, &settings->ready_address, node->guard,
+			  node_is_ready, node, err);
 }
 
 /* Opens the entry and the gate, and the channel to other nodes that both use. */
@@ -204,6 +207,7 @@
 		.members = node->members,
 		.burn = &node->burn,
 		.platform = node->store,
+		.guard = node->guard,
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
@@ -241,7 +245,8 @@
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0 ||
 	    open_demand(node, err) != 0)
 		return -1;
-	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
+	if (open_platform(node, err) != 0 || node_open_guard(node, err) != 0 ||
+	    open_listeners(node, err) != 0)
 		return -1;
 	if (open_admin(node, err) != 0)
 		return -1;
@@ -269,6 +274,7 @@
 	announce_close(node->announce);
 	ready_close(node->ready);
 	caller_close(node->caller);
+	client_guard_close(node->guard);
 	uv_close((uv_handle_t *)&node->housekeeping, NULL);
 	for (int i = 0; i < NODE_SIGNALS; i++)
 		uv_close((uv_handle_t *)&node->signals[i], NULL);
--- a/src/fescuemilld/node/ready.c
+++ b/src/fescuemilld/node/ready.c
@@ -31,7 +31,8 @@
 
 /* Opens the listener; *out is NULL if the port is 0. Errors: ERROR_SYSTEM, ERROR_MEMORY. */
 int ready_open(struct ready **out, uv_loop_t *loop, const struct endpoint *at,
-	       bool (*is_ready)(void *user), void *user, struct error *err)
+	       struct client_guard *guard, bool (*is_ready)(void *user), void *user,
+	       struct error *err)
 {
 	struct http_server_options options = {
 		.ip = at->ip,
@@ -39,6 +40,7 @@
 		.body_bytes_max = BODY_BYTES_MAX,
 		.idle_ms = IDLE_MS,
 		.on_request = handle_request,
+		.guard = guard,
 	};
 	struct ready *ready;
 
--- a/src/fescuemilld/node/ready.h
+++ b/src/fescuemilld/node/ready.h
@@ -10,12 +10,14 @@
 #include <stdbool.h>
 #include <uv.h>
 
+struct client_guard;
 struct ready;
 
-/* Opens the listener at `at`. Port 0 means none: *out is then NULL. Errors: ERROR_SYSTEM,
- * ERROR_MEMORY. */
+/* Opens the listener at `at`, whose connections the guard judges. Port 0 means none: *out is NULL.
+ * Errors: ERROR_SYSTEM, ERROR_MEMORY. */
 int ready_open(struct ready **out, uv_loop_t *loop, const struct endpoint *at,
-	       bool (*is_ready)(void *user), void *user, struct error *err);
+	       struct client_guard *guard, bool (*is_ready)(void *user), void *user,
+	       struct error *err);
 void ready_close(struct ready *ready);
 
 #endif
