Budget of a node for what its clients hold: memory and descriptors

Bodies one byte short of their end, unread answers and half heads held memory and descriptors without a bound over all listeners. The guard now sums what is allocated for all connections after each turn of the loop and ends those that decide/client_budget.c names: without progress first, by bytes held times time, then the body that began last; the only large holder never. At the limit of connections or descriptors, those without a whole request are closed first. New settings connections_max and descriptors_max (the template passes the host's limit). Receive buffers are 64 KiB, large blocks go back to the system, strangers at the port of the nodes are closed after 3 s.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -68,7 +68,7 @@
 
 # These tests bound the memory and the descriptors of a node, which other tests beside them would use
 # up. They keep the address sanitizer from holding freed memory, as functional-endless does.
-foreach(module clients_bodies clients_heads clients_largest clients_slow)
+foreach(module clients_bodies clients_heads clients_largest clients_nodes clients_slow)
 	set_tests_properties(functional-${module} PROPERTIES RUN_SERIAL ON)
 	set_property(TEST functional-${module} APPEND PROPERTY
 		ENVIRONMENT "ASAN_OPTIONS=quarantine_size_mb=4")
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -20,6 +20,12 @@
 	  "requests refused because their head or body came too slowly")                           \
 	X(CLIENTS_LARGE_HEADS, "clients_large_heads", "requests",                                  \
 	  "requests refused because their head is larger than allowed")                            \
+	X(CLIENTS_HELD, "clients_held", "bytes",                                                   \
+	  "memory held for the connections of HTTP clients")                                       \
+	X(CLIENTS_ENDED_FOR_MEMORY, "clients_ended_for_memory", "connections",                     \
+	  "connections refused or closed because memory ran short")                                \
+	X(CLIENTS_ENDED_FOR_DESCRIPTORS, "clients_ended_for_descriptors", "connections",           \
+	  "connections closed because descriptors ran short")                                      \
 	X(RETRIES_SENT, "entry_retries", "attempts", "attempts after the first of a call")         \
 	X(REASKS_SENT, "entry_reasks", "messages", "attempts asked again on a new connection")     \
 	X(LATE_ANSWERS, "entry_late_answers", "messages", "answers that no call waits for")        \
--- a/src/fescuemill/decide/client_budget.c
+++ b/src/fescuemill/decide/client_budget.c
@@ -10,6 +10,10 @@
 #define MARK_DIVISOR   64
 #define MARK_BYTES_MIN 4096
 
+#define STALLED_MS	    500	  /* pauses of ordinary clients within a body are shorter */
+#define SMALL_HELD_BYTES    32768 /* a connection that holds no more is not worth ending */
+#define LONE_HOLDER_DIVISOR 4	  /* a holder is alone while all others hold this part at most */
+
 static uint64_t distance(uint64_t a, uint64_t b)
 {
 	return a > b ? a - b : b - a;
@@ -71,3 +75,85 @@
 	}
 	return CLIENT_KEEP;
 }
+
+static bool is_stalled(const struct client_track *track, uint64_t now_ms)
+{
+	return now_ms - track->marked_ms >= STALLED_MS;
+}
+
+/* Returns true if a connection may be ended to get memory back. */
+bool client_may_release(const struct client_track *track, const struct client_totals *totals,
+			uint64_t now_ms)
+{
+	const struct client_sample *last = &track->last;
+
+	if (last->held_bytes <= SMALL_HELD_BYTES)
+		return false;
+	if (totals->held_bytes - last->held_bytes <= totals->held_bytes_max / LONE_HOLDER_DIVISOR)
+		return false;
+	switch (last->phase) {
+	case CLIENT_HEAD:
+	case CLIENT_BODY:
+		return true;
+	case CLIENT_ANSWER:
+		return is_stalled(track, now_ms);
+	case CLIENT_IDLE:
+	case CLIENT_RUNNING:
+		break;
+	}
+	return false;
+}
+
+/* Returns true if a is to be ended before b when memory is short: the one without progress; of two
+ * of them the one that has held more bytes for longer; of two that make progress the one that began
+ * last, so that work in progress gets done. */
+bool client_is_worse_holder(const struct client_track *a, const struct client_track *b,
+			    uint64_t now_ms)
+{
+	bool is_a_stalled = is_stalled(a, now_ms);
+
+	if (is_a_stalled != is_stalled(b, now_ms))
+		return is_a_stalled;
+	if (!is_a_stalled)
+		return a->since_ms > b->since_ms;
+	return a->last.held_bytes * (now_ms - a->marked_ms) >
+	       b->last.held_bytes * (now_ms - b->marked_ms);
+}
+
+/* Returns true if a connection may be ended to get its descriptor back. */
+bool client_may_disconnect(const struct client_track *track, uint64_t now_ms)
+{
+	switch (track->last.phase) {
+	case CLIENT_RUNNING:
+		return false;
+	case CLIENT_ANSWER:
+		return is_stalled(track, now_ms);
+	default:
+		return true;
+	}
+}
+
+/* Returns the place of a connection in the order in which descriptors are taken back: first those
+ * that have not sent a whole request. */
+static uint32_t disconnect_order(const struct client_track *track)
+{
+	switch (track->last.phase) {
+	case CLIENT_HEAD:
+		return 0;
+	case CLIENT_IDLE:
+		return track->last.requests == 0 ? 0 : 3;
+	case CLIENT_BODY:
+		return 1;
+	default:
+		return 2;
+	}
+}
+
+/* Returns true if a is to be ended before b when descriptors are short. */
+bool client_is_worse_connection(const struct client_track *a, const struct client_track *b)
+{
+	uint32_t order_a = disconnect_order(a);
+	uint32_t order_b = disconnect_order(b);
+
+	return order_a != order_b ? order_a < order_b : a->marked_ms < b->marked_ms;
+}
--- a/src/fescuemill/decide/client_budget.h
+++ b/src/fescuemill/decide/client_budget.h
@@ -48,10 +48,28 @@
 	CLIENT_HEAD_TOO_LARGE, /* 431 */
 };
 
+/* What is held by the clients of a process. */
+struct client_totals {
+	uint64_t held_bytes;
+	uint64_t held_bytes_max;
+};
+
 void client_track_start(struct client_track *track, uint64_t now_ms);
 void client_track_update(struct client_track *track, const struct client_sample *sample,
 			 uint64_t now_ms);
 enum client_verdict client_judge(const struct client_track *track, const struct client_rules *rules,
 				 uint64_t now_ms);
 
+/* Returns true if a connection may be ended to get memory back. The only large holder never is: a
+ * legal request sent alone is served. */
+bool client_may_release(const struct client_track *track, const struct client_totals *totals,
+			uint64_t now_ms);
+/* Returns true if a is to be ended before b when memory is short. Both may be released. */
+bool client_is_worse_holder(const struct client_track *a, const struct client_track *b,
+			    uint64_t now_ms);
+/* Returns true if a connection may be ended to get its descriptor back. */
+bool client_may_disconnect(const struct client_track *track, uint64_t now_ms);
+/* Returns true if a is to be ended before b when descriptors are short. */
+bool client_is_worse_connection(const struct client_track *a, const struct client_track *b);
+
 #endif
--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -425,6 +425,7 @@
 					      .idle_ms = IDLE_MS,
 					      .on_request = on_request,
 					      .guard = node->guard,
+					      .is_reserved = true,
 					      .user = admin};
 
 	if (!admin)
--- a/src/fescuemill/http/announce.c
+++ b/src/fescuemill/http/announce.c
@@ -245,6 +245,7 @@
 		.idle_ms = IDLE_MS,
 		.on_request = on_announce_request,
 		.guard = opt->guard,
+		.is_reserved = true,
 		.user = ann,
 	};
 
--- a/src/fescuemill/http/caller.c
+++ b/src/fescuemill/http/caller.c
@@ -21,6 +21,7 @@
 #define IDLE_MS		   60000
 #define POLL_CHUNK	   64 /* sockets per poll() */
 #define LOG_ID_BYTES_MAX   64
+#define REFUSED_RETRY_MS   1000 /* stalled bodies are ended by then */
 /* Bytes of a body that are read beyond body_bytes_max, so that the caller receives the 413. */
 #define BODY_EXCESS_BYTES_MAX (1024UL * 1024)
 
@@ -67,18 +68,21 @@
 	return lines.status;
 }
 
-/* Adds the outcome headers to answers that h2o generates itself (400, 413). Such a request never
- * reached the entry, so it was not run. */
+/* Adds the outcome headers to answers of h2o and of the server (400, 413, 503). Such a request
+ * never reached the entry, so it was not run. */
 static void add_headers_to_h2o_answer(void *user, h2o_req_t *req)
 {
 	const struct caller *caller = user;
-	struct caller_answer answer = {
-		.outcome = OUTCOME_NOT_RUN,
-		.reason = req->res.status == 413 ? REASON_TOO_LARGE : REASON_BAD_REQUEST,
-	};
+	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = REASON_BAD_REQUEST};
 
 	if (http_answer_is_from_handler(req))
 		return;
+	if (req->res.status == 413)
+		answer.reason = REASON_TOO_LARGE;
+	if (req->res.status == 503) {
+		answer.reason = REASON_OVERLOAD;
+		answer.retry_after_ms = REFUSED_RETRY_MS;
+	}
 	add_outcome_headers(caller, req, &answer, NULL);
 	counter_add(COUNTER_CALLS_RECEIVED, 1);
 	counter_add(COUNTER_CALLS_NOT_RUN, 1);
--- a/src/fescuemill/http/server.c
+++ b/src/fescuemill/http/server.c
@@ -15,9 +15,11 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
-#define LISTEN_BACKLOG	   1024
-#define GUARDED_REQUEST_MS (24ULL * 3600 * 1000)
+#define RECEIVE_BUFFER_BYTES 65536
+#define LISTEN_BACKLOG	     1024
+#define GUARDED_REQUEST_MS   (24ULL * 3600 * 1000)
 
 #define TCP_FLAGS_OFFSET 13	     /* offset of the flags byte in a TCP header */
 #define ACCEPT_ALL	 0xffffffffU /* result of a socket filter: keep the whole packet */
@@ -116,9 +118,15 @@
 void http_server_use_lingering_close(h2o_req_t *req)
 {
 	struct connection *conn = http_connection_of(req);
+	const struct client_guard *guard = conn->server->options.guard;
 
 	if (conn->lingering_fd < 0)
 		conn->lingering_fd = fcntl(h2o_socket_get_fd(conn->sock), F_DUPFD_CLOEXEC, 0);
+	if (conn->lingering_fd >= 0 && guard &&
+	    !client_guard_allows_lingering(guard, conn->lingering_fd)) {
+		close(conn->lingering_fd);
+		conn->lingering_fd = -1;
+	}
 }
 
 /* Lets the owner add headers to an answer, whether the owner or h2o itself generated it. h2o
@@ -191,8 +199,9 @@
 	conn->sock->on_close.cb = on_h2o_close;
 	conn->sock->on_close.data = conn;
 	h2o_accept(&srv->accept, conn->sock);
-	if (srv->options.guard)
-		client_guard_accepted(srv->options.guard);
+	if (srv->options.guard &&
+	    !client_guard_accepted(srv->options.guard, srv, h2o_socket_get_fd(conn->sock)))
+		http_client_close(conn);
 }
 
 /* Sets up h2o with one handler and one filter for every path. */
@@ -225,6 +234,17 @@
 	srv->accept.hosts = srv->config.hosts;
 }
 
+/* Limits what the kernel takes from a client before the loop reads it: one turn of the loop reads
+ * all of it from every connection, before the guard can see it. Accepted sockets inherit it. */
+static void limit_receive_buffer(const struct http_server *srv)
+{
+	int bytes = RECEIVE_BUFFER_BYTES;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&srv->listener, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 /* Binds and listens. Returns 0 or a libuv error code. */
 static int listen_on(struct http_server *srv, uv_loop_t *loop)
 {
@@ -237,6 +257,8 @@
 	uv_tcp_init(loop, &srv->listener);
 	srv->listener.data = srv;
 	rc = uv_tcp_bind(&srv->listener, (struct sockaddr *)&addr, 0);
+	if (rc == 0 && srv->options.guard)
+		limit_receive_buffer(srv);
 	if (rc == 0)
 		rc = uv_listen((uv_stream_t *)&srv->listener, LISTEN_BACKLOG, accept_connection);
 	if (rc == 0)
--- a/src/fescuemill/http/server.h
+++ b/src/fescuemill/http/server.h
@@ -28,6 +28,7 @@
 	size_t body_bytes_max;	    /* larger bodies are answered with 413 */
 	uint64_t idle_ms;	    /* a connection without a request for this long is closed */
 	struct client_guard *guard; /* judges the connections; NULL: only idle_ms applies */
+	bool is_reserved; /* part of the descriptors is reserved for this listener's clients */
 	http_request_fn on_request;
 	http_respond_fn on_respond; /* may be NULL */
 	void *user;
--- a/src/fescuemill/http/server_clients.c
+++ b/src/fescuemill/http/server_clients.c
@@ -16,6 +16,7 @@
 	void (*fn)(void *user, struct connection *conn, h2o_req_t *req);
 	void *user;
 	uint64_t now_ms;
+	bool counts_unread;
 };
 
 /* Returns the bytes of an answer that the client has not acknowledged. */
@@ -28,6 +29,17 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) + (uint64_t)queued;
 }
 
+/* Returns the bytes that the kernel holds of a connection that is not being read: of requests sent
+ * ahead. They count towards the memory of a process where it is limited. */
+static uint64_t unread_bytes(const struct connection *conn, enum client_phase phase)
+{
+	int bytes = 0;
+
+	if (phase != CLIENT_RUNNING && phase != CLIENT_ANSWER)
+		return 0;
+	return ioctl(h2o_socket_get_fd(conn->sock), FIONREAD, &bytes) == 0 ? (uint64_t)bytes : 0;
+}
+
 static enum client_phase phase_of(const struct connection *conn, const h2o_req_t *req)
 {
 	if (conn->is_handled)
@@ -49,7 +61,9 @@
 	if (!conn->sock)
 		return 0;
 	sample.phase = phase_of(conn, req);
-	sample.held_bytes = CONNECTION_BYTES + conn->sock->input->capacity;
+	if (walk->counts_unread)
+		conn->unread_bytes = unread_bytes(conn, sample.phase);
+	sample.held_bytes = CONNECTION_BYTES + conn->sock->input->capacity + conn->unread_bytes;
 	/* h2o's bytes_read is only the size of the latest read. */
 	sample.moved_bytes = conn->sock->input->size;
 	if (sample.phase == CLIENT_ANSWER) {
@@ -65,11 +79,11 @@
 }
 
 /* Samples every connection and calls fn with it. */
-void http_server_sample_clients(struct http_server *srv,
+void http_server_sample_clients(struct http_server *srv, bool counts_unread,
 				void (*fn)(void *user, struct connection *conn, h2o_req_t *req),
 				void *user)
 {
-	struct sampling walk = {fn, user, uv_now(srv->listener.loop)};
+	struct sampling walk = {fn, user, uv_now(srv->listener.loop), counts_unread};
 
 	http_server_foreach_request(srv, sample_one, &walk);
 }
@@ -154,6 +168,15 @@
 	h2o_process_request(req);
 }
 
+/* Returns true if bytes have arrived on a connection that is being read, but were not read yet. */
+bool http_client_has_unread(const struct connection *conn)
+{
+	int bytes = 0;
+
+	return conn->sock && conn->sock->_cb.read &&
+	       ioctl(h2o_socket_get_fd(conn->sock), FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 /* Resets a connection whose client does not read its answer: h2o's write fails, and it closes the
  * socket. */
 static void reset(struct connection *conn)
@@ -165,19 +188,21 @@
 	shutdown(fd, SHUT_RDWR);
 }
 
-/* Closes a connection without an answer. */
-void http_client_close(struct connection *conn)
+/* Closes a connection without an answer. HTTP allows that between requests only, so one that has
+ * carried a request is kept while bytes of it are unread. */
+bool http_client_close(struct connection *conn)
 {
-	int unread = 0;
-
 	if (!conn->sock)
-		return;
+		return false;
 	if (conn->track.last.phase == CLIENT_ANSWER) {
 		reset(conn);
-		return;
+		return true;
 	}
-	if (!conn->sock->_cb.read ||
-	    (ioctl(h2o_socket_get_fd(conn->sock), FIONREAD, &unread) == 0 && unread > 0))
-		return;
+	if (!conn->sock->_cb.read)
+		return false;
+	if (conn->track.last.phase == CLIENT_IDLE && conn->requests > 0 &&
+	    http_client_has_unread(conn))
+		return false;
 	end_reading(conn);
+	return true;
 }
--- a/src/fescuemill/http/server_defs.h
+++ b/src/fescuemill/http/server_defs.h
@@ -26,12 +26,13 @@
 	uv_tcp_t tcp;
 	h2o_linklist_t link;
 	struct http_server *server;
-	h2o_socket_t *sock; /* NULL after h2o has closed it */
-	size_t read_bytes;  /* bytes received when the last request was passed to the handler */
-	uint64_t requests;  /* requests passed to the handler so far */
-	bool is_handled;    /* the current request was passed to the handler */
-	int refusal;	    /* status that the current request is refused with; 0: it is not */
-	int lingering_fd;   /* duplicate descriptor that keeps the socket open; -1: none */
+	h2o_socket_t *sock;    /* NULL after h2o has closed it */
+	size_t read_bytes;     /* bytes received when the last request was passed to the handler */
+	uint64_t requests;     /* requests passed to the handler so far */
+	bool is_handled;       /* the current request was passed to the handler */
+	int refusal;	       /* status that the current request is refused with; 0: it is not */
+	int lingering_fd;      /* duplicate descriptor that keeps the socket open; -1: none */
+	uint64_t unread_bytes; /* bytes of requests sent ahead that the kernel holds */
 	struct client_track track; /* used where the server has a guard */
 };
 
--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -106,6 +106,12 @@
 	 "268435456",
 	 "memory for bodies, including incomplete ones, and stored answers; calls beyond it are "
 	 "refused"},
+	{"connections_max", RULE(VALUE_UINT32, connections_max, 0, 1000000, "connections"), "0",
+	 "open connections of HTTP clients over all addresses; further ones replace those that do "
+	 "least; 0: as the limit of descriptors allows"},
+	{"descriptors_max", RULE(VALUE_UINT32, descriptors_max, 0, 10000000, "descriptors"), "0",
+	 "descriptors that this process may open; HTTP clients leave 400 or a third of "
+	 "them free; 0: the system's limit"},
 	{"stop_limit_ms", RULE(VALUE_UINT32, stop_limit_ms, 1000, 60ULL * MINUTE_MS, "ms"), "30000",
 	 "longest duration of a graceful stop"},
 	{"stop_serve_ms", RULE(VALUE_UINT32, stop_serve_ms, 0, MINUTE_MS, "ms"), "0",
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -58,6 +58,8 @@
 	enum choice_policy choice_policy;
 	uint32_t body_limit_bytes;
 	uint64_t memory_limit_bytes;
+	uint32_t connections_max; /* 0: as the limit of descriptors allows */
+	uint32_t descriptors_max; /* 0: as the system's limit for the process */
 	uint32_t stop_limit_ms;
 	uint32_t stop_serve_ms;
 	uint32_t heartbeat_ms;
--- a/src/fescuemill/wire/channel.c
+++ b/src/fescuemill/wire/channel.c
@@ -18,6 +18,7 @@
 #define SOCKETS_MAX	      8192 /* one for each link, and one that listens */
 #define ROUTER_QUEUE_MESSAGES 256  /* per connection and direction */
 #define LINK_QUEUE_MESSAGES   64   /* per direction */
+#define HANDSHAKE_MS_MAX      3000 /* until a connection that does not greet is closed */
 #define READS_PER_DRAIN	      128  /* messages read before the loop serves other handles */
 
 /* One ZeroMQ socket watched by the loop. The handle is the first member, so that its callbacks can
@@ -362,6 +363,7 @@
 	if (!ch->router.socket)
 		return error_set_errno(err, errno, "cannot create the listening socket");
 	set_option(ch->router.socket, ZMQ_ROUTER_MANDATORY, 1);
+	set_option(ch->router.socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS_MAX);
 	endpoint_text(endpoint, ip, port);
 	if (zmq_bind(ch->router.socket, endpoint) || !(ch->port = bound_port(ch->router.socket))) {
 		error_set_errno(err, errno, "cannot listen on %s: %s", endpoint,
--- a/src/fescuemilld/node/node_limits.c
+++ b/src/fescuemilld/node/node_limits.c
@@ -5,15 +5,37 @@
 
 #include "fescuemill/base/log.h"
 
+#include <malloc.h>
 #include <string.h>
 
+/* Above the largest answer of the users' downloads (540 KB), which are served as before. */
+#define MAPPED_BLOCK_BYTES (1 << 20)
+
+/* 200 for files, which the users' hosts reserve, and 200 for links to gates and from entries (83 to
+ * 99 connections a node were measured, docs/CAPACITY.md), the store and the backend server. */
+#define DESCRIPTORS_SPARE 400
+
+/* Has large blocks go back to the system when they are freed. By default, malloc() raises its limit
+ * for such blocks to the size of those that were freed, up to 32 MB, and keeps later ones. */
+static void limit_kept_memory(void)
+{
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+	mallopt(M_TRIM_THRESHOLD, 2 * MAPPED_BLOCK_BYTES);
+}
+
 /* Opens the guard of the node's HTTP listeners. Until a configuration states limits, the listeners'
  * own apply. */
 int node_open_guard(struct node *node, struct error *err)
 {
-	static const struct client_rules none;
+	struct client_guard_budget budget = {
+		.memory_bytes_max = node->settings.memory_limit_bytes,
+		.connections_max = node->settings.connections_max,
+		.descriptors_max = node->settings.descriptors_max,
+		.descriptors_spare = DESCRIPTORS_SPARE,
+	};
 
-	return client_guard_open(&node->guard, &node->loop, &none, err);
+	limit_kept_memory();
+	return client_guard_open(&node->guard, &node->loop, &budget, err);
 }
 
 /* Returns the largest body that a caller may send. */
--- a/src/fescuemilld/node/ready.c
+++ b/src/fescuemilld/node/ready.c
@@ -41,6 +41,7 @@
 		.idle_ms = IDLE_MS,
 		.on_request = handle_request,
 		.guard = guard,
+		.is_reserved = true,
 	};
 	struct ready *ready;
 
--- a/test/functional/support/client_places.h
+++ b/test/functional/support/client_places.h
@@ -96,6 +96,8 @@
 		EXPECT_LE(peak_memory_bytes(host.node->id()) / 1024, MEMORY_BOUND_BYTES / 1024)
 			<< "KiB";
 		EXPECT_LE(descriptors, DESCRIPTOR_BOUND);
+		std::cout << "peak memory " << peak_memory_bytes(host.node->id()) / 1024
+			  << " KiB, descriptors " << descriptors << std::endl;
 	}
 
 	FleetOptions options()
--- a/test/unit/http/client_guard_test.cc
+++ b/test/unit/http/client_guard_test.cc
@@ -16,6 +16,8 @@
 {
 constexpr uint32_t HEADER_MS = 400;
 constexpr uint32_t IDLE_MS = 1200;
+constexpr uint64_t MEMORY_BYTES = 1 << 20;
+constexpr uint32_t CONNECTIONS = 20;
 const std::string REQUEST = "GET / HTTP/1.1\r\nhost: test\r\n\r\n";
 const std::string POST = "POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 1000\r\n\r\n";
 
@@ -31,11 +33,13 @@
 	void SetUp() override
 	{
 		client_rules rules = {2000, HEADER_MS, IDLE_MS};
+		client_guard_budget budget = {MEMORY_BYTES, CONNECTIONS, 0, 200};
 		http_server_options options{};
 
 		signal(SIGPIPE, SIG_IGN);
 		uv_loop_init(&loop);
-		ASSERT_EQ(client_guard_open(&guard, &loop, &rules, nullptr), 0);
+		ASSERT_EQ(client_guard_open(&guard, &loop, &budget, nullptr), 0);
+		client_guard_set_rules(guard, &rules);
 		options.ip = INADDR_LOOPBACK;
 		options.body_bytes_max = 100000;
 		options.idle_ms = 60000;
@@ -193,3 +197,85 @@
 	EXPECT_EQ(http_server_connection_count(srv), 0U);
 	(void)fd;
 }
+
+// A paused process finds what its clients sent meanwhile, and must not take them for silent.
+TEST_F(ClientGuard, ClientsThatKeptTheirTimeDuringAPauseAreServed)
+{
+	int idle = client(REQUEST);
+	int half = client("GET / HTTP/1.1\r\nho");
+	int fresh = client("");
+	bool closed;
+
+	run_ms(300);
+	EXPECT_EQ(received(idle, &closed).find("HTTP/1.1 200 "), 0U);
+	EXPECT_EQ(send(idle, REQUEST.data(), REQUEST.size(), MSG_NOSIGNAL),
+		  (ssize_t)REQUEST.size());
+	EXPECT_EQ(send(half, "st: test\r\n\r\n", 12, MSG_NOSIGNAL), 12);
+	EXPECT_EQ(send(fresh, REQUEST.data(), REQUEST.size(), MSG_NOSIGNAL),
+		  (ssize_t)REQUEST.size());
+	usleep(2 * IDLE_MS * 1000);
+	run_ms(300);
+	for (int fd : {idle, half, fresh})
+		EXPECT_EQ(received(fd, &closed).find("HTTP/1.1 200 "), 0U);
+}
+
+// Bodies that stopped just short of their end give way to those that make progress.
+TEST_F(ClientGuard, StalledBodiesAreRefusedWhenMemoryRunsShort)
+{
+	const std::string head = "POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 90000\r\n\r\n";
+	std::vector<int> stalled;
+	int refused = 0;
+	bool closed;
+
+	for (int i = 0; i < 7; i++) {
+		stalled.push_back(client(head + std::string(89999, 'x')));
+		run_ms(10);
+	}
+	run_ms(700);
+	int first = client(head + std::string(80000, 'x'));
+	run_ms(100);
+	int second = client(head + std::string(80000, 'x'));
+	run_ms(100);
+	for (int fd : {first, second}) {
+		EXPECT_EQ(send(fd, std::string(10000, 'x').data(), 10000, MSG_NOSIGNAL), 10000);
+		run_ms(20);
+		EXPECT_EQ(received(fd, &closed).find("HTTP/1.1 200 "), 0U);
+	}
+	for (int fd : stalled)
+		refused += received(fd, &closed).find("HTTP/1.1 503 ") == 0;
+	EXPECT_GE(refused, 1);
+}
+
+TEST_F(ClientGuard, ConnectionsWithoutARequestGiveWayToNewOnes)
+{
+	bool closed;
+	int served = client(REQUEST);
+
+	run_ms(20);
+	EXPECT_EQ(received(served, &closed).find("HTTP/1.1 200 "), 0U);
+	for (uint32_t i = 0; i < 5 * CONNECTIONS; i++) {
+		client("GE");
+		run_ms(2);
+	}
+	EXPECT_LE(http_server_connection_count(srv), CONNECTIONS + 1);
+	int fd = client(REQUEST);
+	run_ms(20);
+	EXPECT_EQ(received(fd, &closed).find("HTTP/1.1 200 "), 0U);
+	EXPECT_EQ(received(served, &closed), "");
+	EXPECT_FALSE(closed);
+}
+
+TEST_F(ClientGuard, BodyThatIsAloneIsServedWhateverItHolds)
+{
+	http_server_set_body_bytes_max(srv, 8 << 20);
+	int fd = client("POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 4000000\r\n\r\n");
+	const std::string piece(10000, 'x');
+	bool closed;
+
+	for (int i = 0; i < 400; i++) {
+		EXPECT_EQ(send(fd, piece.data(), piece.size(), MSG_NOSIGNAL), 10000);
+		run_ms(1);
+	}
+	run_ms(50);
+	EXPECT_EQ(received(fd, &closed).find("HTTP/1.1 200 "), 0U);
+}
--- a/test/unit/platform/template_test.cc
+++ b/test/unit/platform/template_test.cc
@@ -27,6 +27,7 @@
 	text = std::regex_replace(text, std::regex(R"(\{\{ip\}\})"), "10.0.0.1");
 	text = std::regex_replace(text, std::regex(R"(\{\{bounds\.[a-z_]+_ratio\}\})"), "0.2");
 	text = std::regex_replace(text, std::regex(R"(\{\{bounds\.[a-z_]+\}\})"), "62");
+	text = std::regex_replace(text, std::regex(R"(\{\{limits\.max_fds\}\})"), "4100");
 	text = std::regex_replace(text, std::regex(R"(\{\{bootstrap\|json\}\})"), "true");
 	return std::regex_replace(text, std::regex(R"(\{\{[a-z_]+\}\})"), "name");
 }
@@ -54,6 +55,7 @@
 	EXPECT_EQ(62u, set.retry_burst);
 	EXPECT_DOUBLE_EQ(0.2, set.retry_limit_ratio);
 	EXPECT_TRUE(set.fleet_is_new);
+	EXPECT_EQ(4100u, set.descriptors_max);
 }
 
 TEST_F(Template, StopEndsBeforeThePlatformKillsTheNode)
