--- a/src/fescuemill/http/admin.c
+++ b/src/fescuemill/http/admin.c
@@ -492,6 +492,8 @@
 					      .body_bytes_max = RECEIVED_BODY_BYTES_MAX,
 					      .idle_ms = IDLE_MS,
 					      .on_request = on_request,
+					      .guard = node->guard,
+					      .is_reserved = true,
 					      .user = admin};
 
 	if (!admin)
--- a/src/fescuemill/http/admin.h
+++ b/src/fescuemill/http/admin.h
@@ -36,6 +36,7 @@
 	struct member_table *members;
 	struct platform *platform;
 	struct evacuation_table *evacuations; /* NULL: this deployment has none */
+	struct client_guard *guard;	      /* judges the connections; NULL: none */
 	void *user;
 	void (*status)(void *user, struct admin_status *out);
 	void (*drain)(void *user); /* starts a graceful stop */
--- a/src/fescuemilld/node/admin_shell.h
+++ b/src/fescuemilld/node/admin_shell.h
@@ -18,6 +18,7 @@
 	const struct burn_tables *burn;
 	struct platform *platform;
 	struct evacuation_table *evacuations; /* NULL: this deployment has none */
+	struct client_guard *guard;	      /* of the listener; NULL: none */
 	const struct entry *entry;
 	const struct gate_shell *gate;
 	struct gossip *gossip;
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -7,6 +7,7 @@
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
 #include "fescuemilld/node/node_evacuation.h"
+#include "fescuemilld/node/node_limits.h"
 
 #include <string.h>
 
@@ -193,6 +194,7 @@
 	gate_shell_set_cold(node->gate, routed ? routed->cold_rate_milli : 0,
 			    routed ? routed->cold_start_ms : 0);
 	demand_shell_refresh(node->demand, clock_monotonic_us());
+	node_apply_limits(node);
 }
 
 /* Applies a changed announcement of the backend server, or the end of its lease. */
@@ -300,6 +302,26 @@
 	}
 }
 
+/* Handles a call whose body came in pieces. Without the whole body it does not run. */
+static void handle_pieced_call(struct node *node, const struct channel_route *from,
+			       const struct message *msg)
+{
+	struct message call = *msg;
+	struct gathered_body *body =
+		gate_pieces_take(&node->pieces, &msg->id, msg->call.pieced_size);
+
+	call.type = MESSAGE_CALL;
+	if (!body) {
+		gate_shell_refuse_new_call(node->gate, from, &call, REASON_OVERLOAD);
+		return;
+	}
+	call.call.body.data = body->data;
+	call.call.body.size = body->size;
+	call.call.gathered = body;
+	handle_call(node, from, &call);
+	gathered_body_free(body);
+}
+
 /* Handles a message from another node. */
 void node_on_message(void *user, const struct channel_route *from, const struct message *msg)
 {
@@ -309,6 +331,10 @@
 		config_reply_send(&node->config_reply, from, msg);
 	else if (msg->type == MESSAGE_CALL)
 		handle_call(node, from, msg);
+	else if (msg->type == MESSAGE_PIECED_CALL)
+		handle_pieced_call(node, from, msg);
+	else if (msg->type == MESSAGE_PIECE)
+		gate_pieces_add(&node->pieces, msg, clock_monotonic_us());
 	else
 		gate_shell_handle_message(node->gate, from, msg);
 }
@@ -321,6 +347,14 @@
 	gate_shell_set_reading(node->gate, is_reading);
 }
 
+/* Runs housekeeping in the next loop iteration, to apply the changes without waiting a period. */
+void node_on_config_applied(void *user)
+{
+	struct node *node = user;
+
+	uv_timer_start(&node->housekeeping, node->housekeeping.timer_cb, 0, NODE_HOUSEKEEPING_MS);
+}
+
 /* Applies configuration from the platform. */
 void node_on_config_batch(void *user, uint64_t from, json_t *root)
 {
@@ -333,9 +367,7 @@
 	else
 		key_proof_shell_answered(node->key_proof, from == 0,
 					 list_watch_asked_us(node->list_watch));
-	/* Run housekeeping in the next loop iteration, to apply the changes without waiting a
-	 * period. */
-	uv_timer_start(&node->housekeeping, node->housekeeping.timer_cb, 0, NODE_HOUSEKEEPING_MS);
+	node_on_config_applied(node);
 }
 
 /* Returns the name of the node's state in charts/node.json. */
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -8,11 +8,15 @@
 #include "fescuemill/store/client.h"
 #include "fescuemilld/node/node_evacuation.h"
 #include "fescuemilld/node/node_events.h"
+#include "fescuemilld/node/node_limits.h"
 #include "fescuemilld/node/node_proof.h"
 #include "fescuemilld/node/node_stop.h"
 
 #include <string.h>
 
+/* Part of memory_limit_bytes for bodies of attempts to come; a body that is alone has room. */
+#define PIECES_DIVISOR 4
+
 const struct node_dialects native_node_dialects = {
 	.dialect = &native_dialect,
 	.store_dialect = &native_store_dialect,
@@ -47,6 +51,7 @@
 		.port = settings->caller_address.port,
 		.body_bytes_max = settings->body_limit_bytes,
 		.memory_bytes_max = settings->memory_limit_bytes,
+		.guard = node->guard,
 		.dialect = node->dialects.dialect,
 		.on_call = entry_handle_request,
 		.on_disconnect = entry_caller_gone,
@@ -56,6 +61,7 @@
 		.ip = settings->backend_address.ip,
 		.port = settings->backend_address.port,
 		.lease_ms = settings->backend_lease_ms,
+		.guard = node->guard,
 		.dialect = node->dialects.dialect,
 		.on_change = node_on_announcement,
 		.on_heartbeat = node_on_heartbeat,
@@ -67,8 +73,8 @@
 		return -1;
 	if (announce_open(&node->announce, &node->loop, &announce, err) != 0)
 		return -1;
-	return ready_open(&node->ready, &node->loop, &settings->ready_address, node_is_ready, node,
-			  err);
+	return ready_open(&node->ready, &node->loop, &settings->ready_address, node->guard,
+			  node_is_ready, node, err);
 }
 
 /* Opens the entry and the gate, and the channel to other nodes that both use. */
@@ -118,6 +124,7 @@
 	if (channel_open(&node->channel, &node->loop, settings->node_address.ip,
 			 settings->node_address.port, node_on_message, node, err) != 0)
 		return -1;
+	gate_pieces_init(&node->pieces, settings->memory_limit_bytes / PIECES_DIVISOR);
 	node->self.internal.node_port = channel_port(node->channel);
 	entry.channel = node->channel;
 	gate.channel = node->channel;
@@ -181,6 +188,8 @@
 		.evacuations = settings->evacuation_ms ? &node->evacuations : NULL,
 		.region = settings->region,
 		.seed = seed + 2,
+		.on_applied = node_on_config_applied,
+		.user = node,
 	};
 
 	budget_init(&node->budget, settings->node_bytes_per_s, settings->region_link_bytes_per_s,
@@ -224,6 +233,7 @@
 		.burn = &node->burn,
 		.platform = node->store,
 		.evacuations = node->settings.evacuation_ms ? &node->evacuations : NULL,
+		.guard = node->guard,
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
@@ -263,7 +273,7 @@
 	    open_demand(node, err) != 0)
 		return -1;
 	if (open_platform(node, err) != 0 || node_proof_open(node, err) != 0 ||
-	    open_listeners(node, err) != 0)
+	    node_open_guard(node, err) != 0 || open_listeners(node, err) != 0)
 		return -1;
 	if (open_admin(node, err) != 0)
 		return -1;
@@ -293,6 +303,7 @@
 	announce_close(node->announce);
 	ready_close(node->ready);
 	caller_close(node->caller);
+	client_guard_close(node->guard);
 	uv_close((uv_handle_t *)&node->housekeeping, NULL);
 	for (int i = 0; i < NODE_SIGNALS; i++)
 		uv_close((uv_handle_t *)&node->signals[i], NULL);
--- a/test/unit/decide/cold_domain_test.cc
+++ b/test/unit/decide/cold_domain_test.cc
@@ -108,7 +108,9 @@
 					   SLOTS,
 					   (uint8_t)(i < GATES_COLD ? DISTANCE_SAME_DOMAIN
 								    : DISTANCE_OTHER_REGION),
-					   true});
+					   true,
+					   0,
+					   false});
 		choice_default_settings(&settings);
 		settings.own_id = id;
 		settings.service_time_us = SERVICE_US;
@@ -160,7 +162,7 @@
 		uint64_t excluded[ATTEMPTS_MAX];
 
 		for (uint32_t attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
-			choice_query query = {excluded, attempt, 0, 0};
+			choice_query query = {excluded, attempt, 0, 0, nullptr};
 			struct choice_selection picked;
 
 			if (!choice_pick(entry, &query, &rng, now_us, &picked))
--- a/test/unit/platform/template_test.cc
+++ b/test/unit/platform/template_test.cc
@@ -48,6 +48,7 @@
 	text = std::regex_replace(text, std::regex(R"(\{\{ip\}\})"), "10.0.0.1");
 	text = std::regex_replace(text, std::regex(R"(\{\{bounds\.[a-z_]+_ratio\}\})"), "0.2");
 	text = std::regex_replace(text, std::regex(R"(\{\{bounds\.[a-z_]+\}\})"), "62");
+	text = std::regex_replace(text, std::regex(R"(\{\{limits\.max_fds\}\})"), "4100");
 	text = std::regex_replace(text, std::regex(R"(\{\{bootstrap\|json\}\})"), "true");
 	return std::regex_replace(text, std::regex(R"(\{\{[a-z_]+\}\})"), "name");
 }
@@ -75,6 +76,7 @@
 	EXPECT_EQ(62u, set.retry_burst);
 	EXPECT_DOUBLE_EQ(0.2, set.retry_limit_ratio);
 	EXPECT_TRUE(set.fleet_is_new);
+	EXPECT_EQ(4100u, set.descriptors_max);
 }
 
 // An installation whose bounds have no evac_ms asks the platform for nothing more than before.
