--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -555,6 +555,9 @@
 	case CHOICE_RESULT_LOST:
 		update_gate_error_rate(choice, gate, true, now_us);
 		break;
+	case CHOICE_RESULT_EVACUATED:
+		choice_exclude_domain(choice, gate->member.domain, now_us);
+		break;
 	case CHOICE_RESULT_NO_FREE_SLOT:
 	case CHOICE_RESULT_CANCELLED:
 		break;
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -82,6 +82,7 @@
 	CHOICE_RESULT_FAILED,	    /* answered with an HTTP status of 500 or more */
 	CHOICE_RESULT_NO_FREE_SLOT, /* not run: all slots in use, as the load in the result shows */
 	CHOICE_RESULT_NO_BACKEND,   /* not run: the gate has no backend server */
+	CHOICE_RESULT_EVACUATED,    /* not run: the gate's failure domain is being evacuated */
 	CHOICE_RESULT_REFUSED,	    /* not run, for another reason */
 	CHOICE_RESULT_LOST,	    /* outcome unknown, connection lost or timed out */
 	CHOICE_RESULT_CANCELLED,
--- a/src/fescuemill/decide/choice_placement.c
+++ b/src/fescuemill/decide/choice_placement.c
@@ -37,3 +37,13 @@
 	}
 	return reason;
 }
+
+/* Excludes all gates of a failure domain for the time that gossip needs to report its evacuation.
+ * One gate of it has told of that; the others would refuse the call in turn. */
+void choice_exclude_domain(struct choice *choice, uint32_t domain, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < choice->count; i++) {
+		if (choice->gates[i].member.domain == domain)
+			choice->gates[i].excluded_until_us = now_us + CHOICE_DRAINING_EXCLUSION_US;
+	}
+}
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -46,6 +46,7 @@
 };
 
 enum call_reason choice_place(const struct choice_gate *gate, const struct region_set *regions);
+void choice_exclude_domain(struct choice *choice, uint32_t domain, uint64_t now_us);
 bool choice_is_eligible(const struct choice_gate *gate, const struct choice_query *query,
 			uint64_t now_us);
 int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -51,6 +51,8 @@
 	case OUTCOME_NOT_RUN:
 		if (answer->reason == REASON_NO_BACKEND)
 			return CHOICE_RESULT_NO_BACKEND;
+		if (answer->reason == REASON_EVACUATED)
+			return CHOICE_RESULT_EVACUATED;
 		return answer->reason == REASON_OVERLOAD || answer->reason == REASON_EXPIRED
 			       ? CHOICE_RESULT_NO_FREE_SLOT
 			       : CHOICE_RESULT_REFUSED;
--- a/test/functional/evacuation_test.cc
+++ b/test/functional/evacuation_test.cc
@@ -1,6 +1,6 @@
 // Evacuation of a failure domain in a fleet of real nodes: orders through fescuectl and from the
 // store, and what callers see of them.
-#include "functional/support/load_driver.h"
+#include "functional/support/test_entry.h"
 
 #include <cstdio>
 #include <gtest/gtest.h>
@@ -13,6 +13,10 @@
 {
 constexpr int IN_FORCE_MS = 5000; // specified time from the order until no call reaches the domain
 constexpr int CALLERS = 6;
+constexpr const char *ROUTES =
+	R"({"number":1,"routes":[{"name":"r","host":"h","prefix":"/","idempotent":true,)"
+	R"("timeout_ms":2000,"latency_ms":500,"rank":0,"attempts":2,)"
+	R"("services":[{"service":"assay","weight":1}]}],"services":[{"name":"assay"}]})";
 
 // Three domains; the first has four of the six servers, as domains are assigned in turn.
 FleetOptions three_domains()
@@ -181,3 +185,34 @@
 	EXPECT_EQ(ctl("evacuate nowhere", &output), 14) << output;
 	EXPECT_EQ(ctl("evacuate --cancel", &output), 2) << output;
 }
+
+// A call arrives at a gate that is paused, and the domain is evacuated meanwhile. No other node can
+// tell it of the order. When the process goes on, the call is the first thing that it reads: it
+// must not run before the node has asked the store.
+TEST(EvacuationAlone, CallThatAPausedGateReadsFirstIsNotRun)
+{
+	FleetOptions options = three_domains();
+
+	options.services = {{"ledger", 1}};
+	Fleet fleet(options);
+	fleet.start();
+	// A gate that has routes takes calls while it catches up with the configuration.
+	http_json(fleet.platform->port(), "PUT", "/v1/objects/service/routes", ROUTES,
+		  {"if-version: 0"});
+	sleep_ms(1000);
+	TestEntry entry(fleet.hosts[0]);
+
+	ASSERT_EQ(entry.call({}, "before").outcome, OUTCOME_ANSWERED);
+	fleet.hosts[0].node->signal(SIGSTOP);
+	http_json(fleet.platform->port(), "PUT", "/v1/objects/evacuation/north-a", "{}",
+		  {"if-version: 0"});
+	sleep_ms(2500);
+	entry.send({}, "paused");
+	fleet.hosts[0].node->signal(SIGCONT);
+	message_answer answer = entry.wait();
+	EXPECT_EQ(answer.outcome, OUTCOME_NOT_RUN);
+	EXPECT_EQ(answer.reason, REASON_NOT_READY) << call_reason_name(answer.reason);
+	EXPECT_EQ(read_call_starts(fleet)["paused"], 0);
+	EXPECT_TRUE(wait_until([&] { return entry.call({}, "later").reason == REASON_EVACUATED; },
+			       5000));
+}
--- a/test/unit/decide/placement_test.cc
+++ b/test/unit/decide/placement_test.cc
@@ -2,6 +2,7 @@
 // is told when it may go to none.
 #include <gtest/gtest.h>
 
+#include <set>
 #include <vector>
 
 extern "C" {
@@ -186,6 +187,28 @@
 	EXPECT_EQ(REASON_NONE, choice_placement_reason(choice, nullptr, now_us));
 }
 
+// An entry that has not heard of the order: one gate's refusal tells it, and the call does not use
+// up its attempts at the other gates of the domain. The exclusion ends by itself.
+TEST_F(PlacedChoice, RefusalOfOneEvacuatedGateSparesTheOthersOfItsDomain)
+{
+	choice_result result = {};
+
+	for (uint64_t id = 1; id <= 8; id++)
+		add(id, HERE, 1);
+	add(100, THERE, 2);
+	apply();
+	result.kind = CHOICE_RESULT_EVACUATED;
+	choice_record_sent(choice, 3, now_us);
+	choice_record_result(choice, 3, &result, now_us);
+	for (int i = 0; i < 50; i++)
+		ASSERT_EQ(100u, pick(nullptr));
+	now_us += CHOICE_DRAINING_EXCLUSION_US;
+	std::set<uint64_t> picked;
+	for (int i = 0; i < 200; i++)
+		picked.insert(pick(nullptr));
+	EXPECT_EQ(1u, picked.count(1));
+}
+
 TEST_F(PlacedChoice, EvacuationIsTheReasonWhenNoOtherDomainHasAServer)
 {
 	region_set there = only(THERE);
