--- a/src/fescuemilld/gate/gate_admission.c
+++ b/src/fescuemilld/gate/gate_admission.c
@@ -9,7 +9,6 @@
 #include "fescuemilld/gate/gate_attempt.h"
 #include "fescuemilld/gate/gate_key.h"
 #include "fescuemilld/gate/gate_probe.h"
-#include "fescuemilld/gate/gate_state.h"
 
 #include <inttypes.h>
 #include <string.h>
--- a/src/fescuemilld/gate/gate_admission.h
+++ b/src/fescuemilld/gate/gate_admission.h
@@ -8,6 +8,7 @@
 #define FESCUEMILLD_GATE_GATE_ADMISSION_H
 
 #include "fescuemilld/gate/gate_shell_defs.h"
+#include "fescuemilld/gate/gate_state.h"
 
 void gate_admission_init(struct gate_shell *shell);
 
