--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -82,6 +82,28 @@
 	X(DEMAND_SKIPPED, "demand_skipped", "messages", "demand messages left out by the budget")  \
 	X(DEMAND_REPORTED, "demand_reported", "gates",                                             \
 	  "gates whose demand is known, this one too")                                             \
+	X(ALLOTMENT_ADMITTED, "allotment_admitted", "calls",                                       \
+	  "calls of customers with a limit that the entry let through")                            \
+	X(ALLOTMENT_REFUSED, "allotment_refused", "calls",                                         \
+	  "calls that the entry refused because of their customer's limit")                        \
+	X(ALLOTMENT_GIVEN_BACK, "allotment_given_back", "calls",                                   \
+	  "calls let through that then were not run")                                              \
+	X(ALLOTMENT_CUSTOMERS, "allotment_customers", "customers",                                 \
+	  "customers with a limit whose calls the entry counts")                                   \
+	X(ALLOTMENT_LIMITED, "allotment_limited", "customers",                                     \
+	  "customers of which the entry refuses a part of the calls")                              \
+	X(ALLOTMENT_LAPSED, "allotment_lapsed", "customers",                                       \
+	  "customers whose home does not answer, admitted by an equal part")                       \
+	X(ALLOTMENT_HOMED, "allotment_homed", "customers",                                         \
+	  "customers whose use this node counts for all entries")                                  \
+	X(ALLOTMENT_SENT, "allotment_sent", "messages", "allotment messages sent")                 \
+	X(ALLOTMENT_RECEIVED, "allotment_received", "messages", "allotment messages taken")        \
+	X(ALLOTMENT_REJECTED, "allotment_rejected", "messages",                                    \
+	  "allotment messages that do not decode")                                                 \
+	X(ALLOTMENT_SKIPPED, "allotment_skipped", "messages",                                      \
+	  "allotment messages left out by the budget")                                             \
+	X(ALLOTMENT_SPENT, "allotment_spent", "bytes",                                             \
+	  "part of control_spent for the use and shares of customers")                             \
 	X(MEMBERS_ALIVE, "members_alive", "members", "live members that this node knows")
 
 enum counter {
--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -27,6 +27,8 @@
 	 * process at the same address started while the clock was ahead. Returns false if it may
 	 * not yet, and is then called again later. May be NULL: always allowed. */
 	bool (*allow_new_incarnation)(void *user, uint64_t incarnation);
+	/* Called with the allotment message of a member. May be NULL. */
+	void (*allotment)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
 };
 
 /* Opens the gossip of a node and stores its own record in the table. The table and the budget
@@ -72,5 +74,8 @@
  * sent, because the member cannot be reached or the budget does not allow it. */
 bool gossip_send_demand(struct gossip *gsp, uint64_t node_id, const uint8_t *data, size_t size,
 			uint64_t now_us);
+/* The same for an allotment message of at most GOSSIP_ALLOTMENT_BYTES. */
+bool gossip_send_allotment(struct gossip *gsp, uint64_t node_id, const uint8_t *data, size_t size,
+			   uint64_t now_us);
 
 #endif
--- a/src/fescuemill/fleet/gossip_codec.c
+++ b/src/fescuemill/fleet/gossip_codec.c
@@ -84,6 +84,9 @@
 	case GOSSIP_DEMAND:
 		msgpack_pack_bin_with_body(pk, packet->demand.data, packet->demand.size);
 		break;
+	case GOSSIP_ALLOTMENT:
+		msgpack_pack_bin_with_body(pk, packet->allotment.data, packet->allotment.size);
+		break;
 	default:
 		msgpack_pack_nil(pk);
 		break;
@@ -201,6 +204,9 @@
 	case GOSSIP_DEMAND:
 		packet->demand = reader_bytes(rd, GOSSIP_DEMAND_BYTES);
 		return;
+	case GOSSIP_ALLOTMENT:
+		packet->allotment = reader_bytes(rd, GOSSIP_ALLOTMENT_BYTES);
+		return;
 	default:
 		rd->next++;
 		return;
@@ -248,7 +254,8 @@
 	return rd.failed ? -1 : 0;
 }
 
-/* Decodes a packet. The decoded packet's `demand` points into `data`. */
+/* Decodes a packet. The decoded packet's `demand` and `allotment` point into
+ * `data`. */
 int gossip_decode(const uint8_t *data, size_t size, struct gossip_packet *packet, struct error *err)
 {
 	msgpack_unpacked unpacked;
--- a/src/fescuemill/fleet/gossip_packet.c
+++ b/src/fescuemill/fleet/gossip_packet.c
@@ -103,20 +103,52 @@
 	return gossip_packet_send(gsp, to, now_us);
 }
 
+/* Sends gsp->packet to a member that can be reached, and adds the bytes spent to a counter. */
+static bool send_counted(struct gossip *gsp, const struct member *to, enum counter spent,
+			 uint64_t now_us)
+{
+	uint64_t spent_bytes = gsp->budget->node.spent_bytes;
+
+	if (!gossip_packet_send(gsp, to, now_us))
+		return false;
+	counter_add(spent, gsp->budget->node.spent_bytes - spent_bytes);
+	return true;
+}
+
+/* Returns a member that packets can be sent to, or NULL. */
+static const struct member *find_reachable(const struct gossip *gsp, uint64_t node_id)
+{
+	const struct member *to = member_find(gsp->members, node_id);
+
+	if (!to || to->state == MEMBER_DEAD || !gossip_region_is_reachable(gsp, to->region))
+		return NULL;
+	return to;
+}
+
 /* Sends demand reports to a member and counts the bytes spent on them. */
 bool gossip_send_demand(struct gossip *gsp, uint64_t node_id, const uint8_t *data, size_t size,
 			uint64_t now_us)
 {
-	const struct member *to = member_find(gsp->members, node_id);
-	uint64_t spent_bytes = gsp->budget->node.spent_bytes;
+	const struct member *to = find_reachable(gsp, node_id);
 
-	if (!to || to->state == MEMBER_DEAD || !gossip_region_is_reachable(gsp, to->region))
+	if (!to)
 		return false;
 	gossip_packet_start(gsp, GOSSIP_DEMAND, 0);
 	gsp->packet.demand.data = data;
 	gsp->packet.demand.size = (uint32_t)size;
-	if (!gossip_packet_send(gsp, to, now_us))
+	return send_counted(gsp, to, COUNTER_DEMAND_SPENT, now_us);
+}
+
+/* Sends an allotment message to a member and counts the bytes spent on it. */
+bool gossip_send_allotment(struct gossip *gsp, uint64_t node_id, const uint8_t *data, size_t size,
+			   uint64_t now_us)
+{
+	const struct member *to = find_reachable(gsp, node_id);
+
+	if (!to)
 		return false;
-	counter_add(COUNTER_DEMAND_SPENT, gsp->budget->node.spent_bytes - spent_bytes);
-	return true;
+	gossip_packet_start(gsp, GOSSIP_ALLOTMENT, 0);
+	gsp->packet.allotment.data = data;
+	gsp->packet.allotment.size = (uint32_t)size;
+	return send_counted(gsp, to, COUNTER_ALLOTMENT_SPENT, now_us);
 }
--- a/src/fescuemill/fleet/gossip_receive.c
+++ b/src/fescuemill/fleet/gossip_receive.c
@@ -397,6 +397,17 @@
 			       demand->size);
 }
 
+/* Passes an allotment message to the gossip's owner if the sender is a member. */
+static void deliver_allotment(struct gossip *gsp, const struct source *from)
+{
+	const struct wire_bytes *allotment = &gsp->received.allotment;
+
+	counter_add(COUNTER_ALLOTMENT_SPENT, gsp->received_bytes);
+	if (from->member && gsp->io.allotment)
+		gsp->io.allotment(gsp->io.user, from->member->identity.node_id, allotment->data,
+				  allotment->size);
+}
+
 static void handle_kind(struct gossip *gsp, const struct source *from, uint64_t now_us)
 {
 	switch (gsp->received.kind) {
@@ -418,6 +429,9 @@
 	case GOSSIP_DEMAND:
 		deliver_demand(gsp, from);
 		break;
+	case GOSSIP_ALLOTMENT:
+		deliver_allotment(gsp, from);
+		break;
 	case GOSSIP_BUCKET_RECORDS:
 	case GOSSIP_UPDATES:
 	case GOSSIP_KIND_END:
--- a/src/fescuemilld/node/gossip_shell.c
+++ b/src/fescuemilld/node/gossip_shell.c
@@ -1,6 +1,6 @@
 /*
  * Shell of gossip: the UDP socket and the timer with which membership, configuration versions and
- * demands are exchanged.
+ * demands are exchanged, and the use and shares of customers.
  */
 #include "fescuemilld/node/gossip_shell.h"
 
@@ -51,6 +51,14 @@
 	shell->options.on_demand(shell->options.user, node_id, data, size);
 }
 
+static void on_allotment(void *user, uint64_t node_id, const uint8_t *data, size_t size)
+{
+	struct gossip_shell *shell = user;
+
+	if (shell->options.on_allotment)
+		shell->options.on_allotment(shell->options.user, node_id, data, size);
+}
+
 static bool on_new_incarnation(void *user, uint64_t incarnation)
 {
 	struct gossip_shell *shell = user;
@@ -169,7 +177,8 @@
 int gossip_shell_start(struct gossip_shell *shell, const struct member *self, uint64_t seed,
 		       struct error *err)
 {
-	struct gossip_io io = {send_packet, on_newer_config, shell, on_demand, on_new_incarnation};
+	struct gossip_io io = {send_packet, on_newer_config,	shell,
+			       on_demand,   on_new_incarnation, on_allotment};
 	int rc;
 
 	if (gossip_open(&shell->gossip, self, shell->options.members, shell->options.budget, &io,
--- a/src/fescuemilld/node/gossip_shell.h
+++ b/src/fescuemilld/node/gossip_shell.h
@@ -22,6 +22,8 @@
 	void (*on_newer_config)(void *user, uint64_t node_id, uint64_t version);
 	/* Called with the demand message of a member. */
 	void (*on_demand)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
+	/* Called with the allotment message of a member. */
+	void (*on_allotment)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
 	/* Called before this process changes to a later incarnation. Returns false if it may not
 	 * yet. */
 	bool (*allow_new_incarnation)(void *user, uint64_t incarnation);
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -15,6 +15,7 @@
 #include "fescuemilld/gate/demand_shell.h"
 #include "fescuemilld/gate/gate_shell.h"
 #include "fescuemilld/node/admin_shell.h"
+#include "fescuemilld/node/allotment_shell.h"
 #include "fescuemilld/node/config_pull.h"
 #include "fescuemilld/node/config_reply.h"
 #include "fescuemilld/node/gossip_shell.h"
@@ -76,6 +77,7 @@
 	struct entry *entry;
 	struct gate_shell *gate;
 	struct demand_shell *demand;
+	struct allotment_shell *allotment;
 	struct admin_shell *admin;
 };
 
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -173,6 +173,13 @@
 	demand_shell_receive(node->demand, node_id, data, size, clock_monotonic_us());
 }
 
+void node_on_allotment(void *user, uint64_t node_id, const uint8_t *data, size_t size)
+{
+	struct node *node = user;
+
+	allotment_shell_receive(node->allotment, node_id, data, size, clock_monotonic_us());
+}
+
 /* Sets the classes and the health path of this node's service at the gate, and its share of their
  * rates. */
 void node_apply_config(struct node *node)
@@ -189,6 +196,7 @@
 		gate_shell_set_config(node->gate, config);
 	gate_shell_set_health_path(node->gate, routed ? routed->health_path : "");
 	demand_shell_refresh(node->demand, clock_monotonic_us());
+	allotment_shell_refresh(node->allotment, clock_monotonic_us());
 }
 
 /* Applies a changed announcement of the backend server, or the end of its lease. */
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -152,6 +152,7 @@
 		.budget = &node->budget,
 		.on_newer_config = node_on_newer_config,
 		.on_demand = node_on_demand,
+		.on_allotment = node_on_allotment,
 		.allow_new_incarnation = node_on_new_own_incarnation,
 		.user = node,
 	};
@@ -196,6 +197,19 @@
 	return demand_shell_open(&node->demand, &options, clock_monotonic_us(), err);
 }
 
+/* Opens the shell of the customers' limits. */
+static int open_allotment(struct node *node, struct error *err)
+{
+	struct allotment_shell_options options = {
+		.gossip = node->gossip,
+		.members = node->members,
+		.config = node->config,
+		.seed = node->self.identity.node_id ^ node->self.identity.incarnation,
+	};
+
+	return allotment_shell_open(&node->allotment, &node->loop, &options, err);
+}
+
 static int open_admin(struct node *node, struct error *err)
 {
 	struct admin_shell_options options = {
@@ -239,7 +253,7 @@
 	if (key_members_open(&node->key_members, node->members, err) != 0)
 		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0 ||
-	    open_demand(node, err) != 0)
+	    open_demand(node, err) != 0 || open_allotment(node, err) != 0)
 		return -1;
 	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
 		return -1;
@@ -260,6 +274,7 @@
 	config_pull_close(node->pull);
 	config_reply_free(&node->config_reply);
 	demand_shell_close(node->demand);
+	allotment_shell_close(node->allotment);
 	registration_close(node->registration);
 	list_watch_close(node->list_watch);
 	platform_close(node->store);
--- a/test/support/fake_fleet.h
+++ b/test/support/fake_fleet.h
@@ -261,7 +261,8 @@
 	void open_node(Node &node, uint64_t incarnation)
 	{
 		struct member self = member_of(node.index, incarnation);
-		struct gossip_io io = {send, newer_config, &node, nullptr, may_take_incarnation};
+		struct gossip_io io = {send,	newer_config,	      &node,
+				       nullptr, may_take_incarnation, nullptr};
 		uint32_t known = options_.full_tables ? options_.nodes : options_.contacts;
 		struct error err;
 
