--- a/src/fescuemill/fleet/gossip.h
+++ b/src/fescuemill/fleet/gossip.h
@@ -33,6 +33,8 @@
 	uint64_t (*proof_time)(void *user);
 	void (*proof_tell)(void *user, struct key_proof_item *out);
 	void (*proof_hear)(void *user, const struct key_proof_item *proof, uint64_t asked_us);
+	/* Called with the allotment message of a member. May be NULL. */
+	void (*allotment)(void *user, uint64_t node_id, const uint8_t *data, size_t size);
 };
 
 /* Opens the gossip of a node and stores its own record in the table. The table and the budget
@@ -83,5 +85,8 @@
  * sent, because the member cannot be reached or the budget does not allow it. */
 bool gossip_send_demand(struct gossip *gsp, uint64_t node_id, const uint8_t *data, size_t size,
 			uint64_t now_us);
+/* The same for an allotment message of at most GOSSIP_ALLOTMENT_BYTES. */
+bool gossip_send_allotment(struct gossip *gsp, uint64_t node_id, const uint8_t *data, size_t size,
+			   uint64_t now_us);
 
 #endif
--- a/src/fescuemill/http/call_request.c
+++ b/src/fescuemill/http/call_request.c
@@ -371,6 +371,7 @@
 	case REASON_UNKNOWN_KEY:
 		return 401;
 	case REASON_RETRY_BUDGET:
+	case REASON_ALLOTMENT:
 		return 429;
 	default:
 		return 503;
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -9,10 +9,12 @@
 #include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/retry_after.h"
+#include "fescuemilld/entry/entry_allotment.h"
 #include "fescuemilld/entry/entry_burn.h"
 #include "fescuemilld/entry/entry_classify.h"
 #include "fescuemilld/entry/entry_customer.h"
 #include "fescuemilld/entry/entry_defs.h"
+#include "fescuemilld/entry/entry_hold.h"
 #include "fescuemilld/entry/entry_link.h"
 #include "fescuemilld/entry/entry_log.h"
 #include "fescuemilld/entry/entry_placement.h"
@@ -98,14 +100,16 @@
 	entry->free_slots[entry->free_count++] = call->slot;
 }
 
-/* Answers a call that is refused before its first attempt. */
-static void refuse_request(struct entry *entry, struct caller_call *caller,
-			   const struct call_request *req, const struct call_class *class,
-			   enum call_reason reason)
+/* Answers a call that is refused before its first attempt. Without a delay after which to retry,
+ * one that suits the reason is suggested. */
+void entry_refuse_request(struct entry *entry, struct caller_call *caller,
+			  const struct call_request *req, const struct call_class *class,
+			  enum call_reason reason, uint32_t retry_ms)
 {
 	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
 
-	answer.retry_after_ms = retry_after_ms(reason, 0, random_unit(&entry->rng));
+	answer.retry_after_ms =
+		retry_ms ? retry_ms : retry_after_ms(reason, 0, random_unit(&entry->rng));
 	entry_record_burn(&entry->options, req->service, req->class_name, &answer,
 			  clock_monotonic_us());
 	entry_log_refused(req, class, reason, answer.retry_after_ms);
@@ -134,6 +138,8 @@
 		answer.retry_after_ms = retry_after_ms(action->reason, call->wait_us,
 						       random_unit(&call->entry->rng));
 	}
+	if (action->outcome == OUTCOME_NOT_RUN && call->customer && call->entry->allotment)
+		entry_allotment_give_back(call->entry->allotment, call->customer);
 	entry_record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
 			  call->received_us);
 	latency_record(LATENCY_CALL, clock_monotonic_us() - call->received_us);
@@ -395,32 +401,53 @@
 	return call;
 }
 
+/* Starts a call that has been classified. */
+void entry_start_call(struct entry *entry, struct caller_call *caller,
+		      const struct call_request *req, const struct call_class *class)
+{
+	struct attempt_entry_event event = {.type = ENTRY_EVENT_START};
+	struct error err = {0};
+	struct entry_service *service = NULL;
+
+	if (entry->free_count > 0)
+		service = entry_service_get(entry, class->service, &err);
+	if (!service) {
+		log_failure(LOG_WARNING, LOG_PART_ENTRY, "A call could not be started.", &err);
+		if (class->customer && entry->allotment)
+			entry_allotment_give_back(entry->allotment, class->customer->id);
+		entry_refuse_request(entry, caller, req, class, REASON_OVERLOAD, 0);
+		return;
+	}
+	if (!uv_is_active((uv_handle_t *)&entry->timer))
+		uv_timer_start(&entry->timer, on_timer, TICK_MS, TICK_MS);
+	entry_call_step(create_call(entry, caller, req, service, class), &event, &no_input);
+}
+
 /* Starts the call of a caller's request, or refuses it. */
 void entry_handle_request(void *user, struct caller_call *caller, const struct call_request *req)
 {
 	struct entry *entry = user;
-	struct attempt_entry_event event = {.type = ENTRY_EVENT_START};
+	const struct call_request *received = req;
 	struct call_class class;
 	enum call_reason reason = entry_classify(entry, req, &class);
-	struct entry_service *service;
-	struct error err = {0};
+	uint32_t retry_ms = 0;
 
 	if (reason == REASON_NONE)
 		reason = entry_customer_prepare(entry, caller, &class, &req);
 	if (reason != REASON_NONE) {
-		refuse_request(entry, caller, req, &class, reason);
+		entry_refuse_request(entry, caller, req, &class, reason, 0);
 		return;
 	}
-	service = entry_service_get(entry, class.service, &err);
-	if (!service) {
-		log_failure(LOG_WARNING, LOG_PART_ENTRY,
-			    "The state of a service could not be created.", &err);
-		refuse_request(entry, caller, req, &class, REASON_OVERLOAD);
-		return;
+	switch (entry_hold_take(entry, caller, received, req, &class, &retry_ms)) {
+	case HOLD_START:
+		entry_start_call(entry, caller, req, &class);
+		break;
+	case HOLD_REFUSE:
+		entry_refuse_request(entry, caller, req, &class, REASON_ALLOTMENT, retry_ms);
+		break;
+	case HOLD_WAIT:
+		break;
 	}
-	if (!uv_is_active((uv_handle_t *)&entry->timer))
-		uv_timer_start(&entry->timer, on_timer, TICK_MS, TICK_MS);
-	entry_call_step(create_call(entry, caller, req, service, &class), &event, &no_input);
 }
 
 /* Passes the disconnection of a caller to its call, unless the call has ended. */
@@ -429,9 +456,10 @@
 	struct entry_call *call = caller_call_data(caller);
 	struct attempt_entry_event event = {.type = ENTRY_EVENT_CALLER_GONE};
 
-	(void)user;
 	if (call)
 		entry_call_step(call, &event, &no_input);
+	else
+		entry_hold_caller_gone(user, caller);
 }
 
 /* Ends the calls whose deadline has passed. */
@@ -458,7 +486,7 @@
 /* Returns the number of calls in progress. */
 uint32_t entry_call_count(const struct entry *entry)
 {
-	return ENTRY_CALLS_MAX - entry->free_count;
+	return ENTRY_CALLS_MAX - entry->free_count + entry->held_count;
 }
 
 /* Answers all calls in progress, because the process is about to end: as not run if no gate has
@@ -467,6 +495,7 @@
 {
 	struct attempt_entry_event event = {.type = ENTRY_EVENT_NODE_STOPPING};
 
+	entry_hold_end(entry);
 	for (uint32_t slot = 0; slot < ENTRY_CALLS_MAX; slot++) {
 		if (entry->calls[slot])
 			entry_call_step(entry->calls[slot], &event, &no_input);
@@ -501,6 +530,7 @@
 		(settings->silence_ms - settings->heartbeat_ms) * USEC_PER_MSEC;
 	entry_service_settings(settings, options->identity.node_id, &entry->choice_settings);
 	random_seed(&entry->rng, options->identity.node_id ^ options->identity.incarnation);
+	h2o_linklist_init_anchor(&entry->held);
 	for (uint32_t slot = ENTRY_CALLS_MAX; slot > 0; slot--)
 		entry->free_slots[entry->free_count++] = slot - 1;
 	uv_timer_init(loop, &entry->timer);
@@ -540,6 +570,12 @@
 	free(entry);
 }
 
+/* Sets the shell that keeps customers to their allotments; NULL: calls are not limited. */
+void entry_set_allotment(struct entry *entry, struct allotment_shell *allotment)
+{
+	entry->allotment = allotment;
+}
+
 /* Uses a later incarnation of this node in the ids of new attempts. */
 void entry_set_incarnation(struct entry *entry, uint64_t incarnation)
 {
--- a/src/fescuemilld/entry/entry.h
+++ b/src/fescuemilld/entry/entry.h
@@ -73,6 +73,8 @@
 uint32_t entry_call_count(const struct entry *entry);
 /* Uses a later incarnation of this node in the ids of new attempts; attempts in progress keep
  * theirs. */
+struct allotment_shell;
+void entry_set_allotment(struct entry *entry, struct allotment_shell *allotment);
 void entry_set_incarnation(struct entry *entry, uint64_t incarnation);
 
 #endif
--- a/src/fescuemilld/entry/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -20,6 +20,7 @@
 #define ENTRY_CALLS_MAX	  16384 /* sequence % ENTRY_CALLS_MAX is the call's slot */
 
 struct entry_call;
+struct allotment_shell;
 struct gate_link;
 
 /* One of the two connections of a link: for calls or for large bodies. */
@@ -117,6 +118,9 @@
 	struct peer_settings peer_settings;
 	struct choice_settings choice_settings;
 	struct random rng;
+	struct allotment_shell *allotment; /* NULL: calls of customers are not limited */
+	h2o_linklist_t held;		   /* of struct held_call: calls that wait for it */
+	uint32_t held_count;
 	uint64_t sequence_count; /* number of attempt sequences issued */
 	uint32_t connections;	 /* number of connections opened to gates */
 	struct entry_call *calls[ENTRY_CALLS_MAX];
@@ -137,6 +141,12 @@
 	uint32_t held_bytes;		     /* body size of a large answer that the gate holds */
 };
 
+/* Starts a call that was classified, or refuses one. */
+void entry_start_call(struct entry *entry, struct caller_call *caller,
+		      const struct call_request *req, const struct call_class *cls);
+void entry_refuse_request(struct entry *entry, struct caller_call *caller,
+			  const struct call_request *req, const struct call_class *cls,
+			  enum call_reason reason, uint32_t retry_ms);
 void entry_call_step(struct entry_call *call, const struct attempt_entry_event *event,
 		     const struct entry_input *input);
 struct entry_call *entry_find_call(struct entry *entry, const struct attempt_id *id);
--- a/src/fescuemilld/node/gossip_shell.c
+++ b/src/fescuemilld/node/gossip_shell.c
@@ -1,6 +1,6 @@
 /*
  * Shell of gossip: the UDP socket and the timer with which membership, configuration versions and
- * demands are exchanged.
+ * demands are exchanged, and the use and shares of customers.
  */
 #include "fescuemilld/node/gossip_shell.h"
 
@@ -51,6 +51,14 @@
 	shell->options.on_demand(shell->options.user, node_id, data, size);
 }
 
+static void on_allotment(void *user, uint64_t node_id, const uint8_t *data, size_t size)
+{
+	struct gossip_shell *shell = user;
+
+	if (shell->options.on_allotment)
+		shell->options.on_allotment(shell->options.user, node_id, data, size);
+}
+
 static bool on_new_incarnation(void *user, uint64_t incarnation)
 {
 	struct gossip_shell *shell = user;
@@ -194,6 +202,7 @@
 		.newer_config = on_newer_config,
 		.user = shell,
 		.demand = on_demand,
+		.allotment = on_allotment,
 		.allow_new_incarnation = on_new_incarnation,
 		.proof_time = proof_time,
 		.proof_tell = on_proof_tell,
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -18,6 +18,7 @@
 #include "fescuemilld/gate/gate_pieces.h"
 #include "fescuemilld/gate/gate_shell.h"
 #include "fescuemilld/node/admin_shell.h"
+#include "fescuemilld/node/allotment_shell.h"
 #include "fescuemilld/node/config_pull.h"
 #include "fescuemilld/node/config_reply.h"
 #include "fescuemilld/node/gossip_shell.h"
@@ -93,6 +94,7 @@
 	struct list_watch *evacuation_watch; /* NULL: the setting evacuation_ms is not set */
 	struct gate_pieces pieces;	     /* bodies of attempts to come */
 	struct demand_shell *demand;
+	struct allotment_shell *allotment;
 	struct admin_shell *admin;
 };
 
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -174,6 +174,7 @@
 		.budget = &node->budget,
 		.on_newer_config = node_on_newer_config,
 		.on_demand = node_on_demand,
+		.on_allotment = node_on_allotment,
 		.allow_new_incarnation = node_on_new_own_incarnation,
 		.proof_tell = node_proof_tell,
 		.proof_hear = node_proof_hear_gossip,
@@ -224,6 +225,22 @@
 	return demand_shell_open(&node->demand, &options, clock_monotonic_us(), err);
 }
 
+/* Opens the shell of the customers' limits. */
+static int open_allotment(struct node *node, struct error *err)
+{
+	struct allotment_shell_options options = {
+		.gossip = node->gossip,
+		.members = node->members,
+		.config = node->config,
+		.seed = node->self.identity.node_id ^ node->self.identity.incarnation,
+	};
+
+	if (allotment_shell_open(&node->allotment, &node->loop, &options, err) != 0)
+		return -1;
+	entry_set_allotment(node->entry, node->allotment);
+	return 0;
+}
+
 static int open_admin(struct node *node, struct error *err)
 {
 	struct admin_shell_options options = {
@@ -270,7 +287,7 @@
 	if (key_members_open(&node->key_members, node->members, &node->evacuations, err) != 0)
 		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0 ||
-	    open_demand(node, err) != 0)
+	    open_demand(node, err) != 0 || open_allotment(node, err) != 0)
 		return -1;
 	if (open_platform(node, err) != 0 || node_proof_open(node, err) != 0 ||
 	    node_open_guard(node, err) != 0 || open_listeners(node, err) != 0)
@@ -292,6 +309,7 @@
 	config_pull_close(node->pull);
 	config_reply_free(&node->config_reply);
 	demand_shell_close(node->demand);
+	allotment_shell_close(node->allotment);
 	registration_close(node->registration);
 	list_watch_close(node->list_watch);
 	list_watch_close(node->evacuation_watch);
