Configuration: errors of malformed batches no longer quote what was found

The JSON parser's message quotes the text that it did not expect, and went into a log line: "']' expected near '"secret-key-1"'" for a batch with a customer's key. The line and column stay.

The new test of unit-config fails on the code before (both the store's and a peer's batch) and passes now.

--- a/src/fescuemill/fleet/config.c
+++ b/src/fescuemill/fleet/config.c
@@ -409,7 +409,9 @@
 	int result;
 
 	if (!root)
-		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
+		/* The parser's text would quote what it found, which may be a customer's key. */
+		return error_set(err, ERROR_SYNTAX, "batch: line %d, column %d: not JSON",
+				 fault.line, fault.column);
 	result = config_apply_answer(store, from, root, err);
 	json_decref(root);
 	return result;
--- a/src/fescuemill/fleet/config_batch.c
+++ b/src/fescuemill/fleet/config_batch.c
@@ -76,7 +76,9 @@
 	int result;
 
 	if (!root)
-		return error_set(err, ERROR_SYNTAX, "batch: line %d: %s", fault.line, fault.text);
+		/* The parser's text would quote what it found, which may be a customer's key. */
+		return error_set(err, ERROR_SYNTAX, "batch: line %d, column %d: not JSON",
+				 fault.line, fault.column);
 	result = batch_read_root(batch, peer, from, root, err);
 	json_decref(root);
 	return result;
--- a/test/unit/fleet/config_test.cc
+++ b/test/unit/fleet/config_test.cc
@@ -1,5 +1,6 @@
 // Unit tests of the configuration store: its limits, and cases that the property tests rarely draw.
 #include <cstdlib>
+#include <cstring>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -336,3 +337,16 @@
 		  routing_find_route(config_routing(asker.store), "shop.example", 12, "/lots/0/", 8)
 			  ->timeout_ms);
 }
+
+// Guards against a customer's key in the log: a parser quotes what it did not expect.
+TEST(ConfigStore, ErrorsOfMalformedBatchesDoNotQuoteThem)
+{
+	const std::string json = R"({"version":5,"items":[{"keys":["a" "secret-key-1"]}]})";
+	Store store;
+	error err{};
+
+	EXPECT_EQ(-1, store.apply(0, json, &err));
+	EXPECT_EQ(nullptr, strstr(err.detail, "secret")) << err.detail;
+	EXPECT_EQ(-1, config_apply_peer_batch(store.store, 1, json.data(), json.size(), &err));
+	EXPECT_EQ(nullptr, strstr(err.detail, "secret")) << err.detail;
+}
