--- a/src/fescuemilld/entry/entry.h
+++ b/src/fescuemilld/entry/entry.h
@@ -18,6 +18,7 @@
 
 #include <uv.h>
 
+struct allotment_shell;
 struct entry;
 
 struct entry_options {
@@ -71,10 +72,10 @@
 void entry_end_calls(struct entry *entry);
 /* Returns the number of calls in progress. */
 uint32_t entry_call_count(const struct entry *entry);
+/* Sets the shell that keeps customers to their allotments; NULL: calls are not limited. */
+void entry_set_allotment(struct entry *entry, struct allotment_shell *allotment);
 /* Uses a later incarnation of this node in the ids of new attempts; attempts in progress keep
  * theirs. */
-struct allotment_shell;
-void entry_set_allotment(struct entry *entry, struct allotment_shell *allotment);
 void entry_set_incarnation(struct entry *entry, uint64_t incarnation);
 
 #endif
