--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -266,17 +266,31 @@
 /* What an attempt sent to a gate now is expected to take, in microseconds. */
 struct expectation {
 	float wait_us;	/* part of total_us: the wait for a slot or for its rate */
+	float cost_us;	/* part of total_us: the cost of the distance */
 	float total_us; /* completion, with the cost of an error and of the distance */
 };
 
+/* Returns the cost of a distance for a call. With spillover, the typical answer of its class counts
+ * like the body of the request, as it crosses the same links. */
+static float distance_cost_us(const struct choice *choice, const struct choice_query *query,
+			      uint32_t distance)
+{
+	const struct choice_settings *settings = &choice->settings;
+	float bytes = (float)query->body_bytes;
+
+	if (settings->has_spillover)
+		bytes += choice->class_answer_bytes[query->class_index % CLASSES_PER_SERVICE_MAX];
+	return (float)settings->distance_cost_us[distance] +
+	       bytes / 1024 * (float)settings->distance_cost_us_per_kib[distance];
+}
+
 /* Returns what an attempt sent to a gate now is expected to take. */
 static struct expectation expect_completion(const struct choice *choice,
 					    const struct choice_gate *gate,
 					    const struct choice_query *query, uint64_t now_us)
 {
 	uint32_t class_index = query->class_index;
-	uint32_t distance = gate->member.distance;
-	float body_kib = (float)query->body_bytes / 1024;
+	float cost = distance_cost_us(choice, query, gate->member.distance);
 	float slowness = expected_slowness(choice, gate, now_us);
 	float service = slowness * class_typical_us(choice, class_index);
 	float limit = (float)gate->limit;
@@ -286,18 +300,17 @@
 	float wait = fmaxf(slot_wait, rate_wait_us(gate, now_us));
 	float total = expected_round_trip_us(choice, gate, now_us) + wait + service +
 		      host_slowdown_us(gate, service, now_us) +
-		      errors * (float)choice->settings.error_penalty_us +
-		      (float)choice->settings.distance_cost_us[distance] +
-		      body_kib * (float)choice->settings.distance_cost_us_per_kib[distance];
+		      errors * (float)choice->settings.error_penalty_us + cost;
 
-	return (struct expectation){wait, total};
+	return (struct expectation){wait, cost, total};
 }
 
 /* The gates compared so far in one pick. */
 struct comparison {
 	int best; /* index of the best gate; -1 if there is none */
 	struct expectation best_expected;
-	float second_us; /* total_us of the second best; INFINITY if there is none */
+	float second_us;     /* total_us of the second best; INFINITY if there is none */
+	bool limits_leaving; /* only gates of failure domains with room by spillover.h */
 };
 
 /* Adds a gate to a comparison. */
@@ -329,6 +342,10 @@
 		choice->draw_order[i] = number;
 		if (!choice_is_eligible(&choice->gates[number], query, now_us))
 			continue;
+		if (cmp->limits_leaving &&
+		    !spillover_has_room(&choice->spillover, choice->gates[number].member.domain,
+					now_us))
+			continue;
 		drawn++;
 		compare_gate(cmp, number,
 			     expect_completion(choice, &choice->gates[number], query, now_us));
@@ -345,6 +362,43 @@
 	return limit_us < (float)WAIT_LIMIT_US_MAX ? (uint32_t)limit_us : UINT32_MAX;
 }
 
+/* Selects between the best gate of the own failure domain and the best one elsewhere. Without a
+ * gate in the own one, there is nothing to weigh, and any other may be used. */
+static int pick_with_spillover(struct choice *choice, const struct choice_query *query,
+			       struct random *rng, uint64_t now_us, uint32_t *wait_max_us)
+{
+	struct comparison home = {.best = -1, .second_us = INFINITY};
+	struct comparison away = {.best = -1, .second_us = INFINITY};
+	struct spillover_offer offer;
+	float stay_us;
+
+	draw_gates(choice, query, DISTANCE_SAME_DOMAIN, rng, now_us, &home);
+	away.limits_leaving = home.best >= 0;
+	for (uint32_t d = DISTANCE_SAME_REGION; d < DISTANCE_COUNT; d++)
+		draw_gates(choice, query, d, rng, now_us, &away);
+	if (home.best < 0 || away.best < 0) {
+		const struct comparison *only = home.best < 0 ? &away : &home;
+
+		*wait_max_us = wait_limit_us(only);
+		return only->best;
+	}
+	offer = (struct spillover_offer){
+		.home_us = home.best_expected.total_us - home.best_expected.cost_us,
+		.away_us = away.best_expected.total_us - away.best_expected.cost_us,
+		.bytes_us = away.best_expected.cost_us - home.best_expected.cost_us,
+		.objective_us = (float)query->objective_us,
+	};
+	if (spillover_leaves(spillover_judge(&offer))) {
+		away.second_us = fminf(away.second_us, home.best_expected.total_us);
+		*wait_max_us = wait_limit_us(&away);
+		return away.best;
+	}
+	stay_us = offer.away_us + spillover_gain_needed_us(&offer);
+	home.second_us = fminf(home.second_us, stay_us + home.best_expected.cost_us);
+	*wait_max_us = wait_limit_us(&home);
+	return home.best;
+}
+
 /* Selects the gate with the lowest expected completion time. Returns its index, or -1 if none is
  * eligible. */
 static int pick_expected(struct choice *choice, const struct choice_query *query,
@@ -355,11 +409,15 @@
 	choice->trial_tokens += TRIAL_TOKENS_PER_PICK;
 	if (choice->trial_tokens > TRIAL_TOKENS_MAX)
 		choice->trial_tokens = TRIAL_TOKENS_MAX;
-	for (uint32_t d = 0; d < DISTANCE_COUNT; d++)
-		draw_gates(choice, query, d, rng, now_us, &cmp);
+	if (choice->settings.has_spillover) {
+		cmp.best = pick_with_spillover(choice, query, rng, now_us, wait_max_us);
+	} else {
+		for (uint32_t d = 0; d < DISTANCE_COUNT; d++)
+			draw_gates(choice, query, d, rng, now_us, &cmp);
+		*wait_max_us = wait_limit_us(&cmp);
+	}
 	if (cmp.best >= 0 && is_due_for_trial(choice, &choice->gates[cmp.best], now_us))
 		choice->trial_tokens -= TRIAL_TOKEN_COST;
-	*wait_max_us = wait_limit_us(&cmp);
 	return cmp.best;
 }
 
@@ -405,6 +463,8 @@
 		gate->progress_us = now_us;
 	gate->in_flight++;
 	gate->sent_since_load++;
+	if (choice->settings.has_spillover && gate->member.distance != DISTANCE_SAME_DOMAIN)
+		spillover_record_sent(&choice->spillover, gate->member.domain, now_us);
 }
 
 /* Excludes a gate that reports draining or leaving, for the time that gossip needs to report it
@@ -458,6 +518,16 @@
 		weighted_average(choice->typical_us, server_us, 1.0F / TYPICAL_ANSWERS_MAX);
 }
 
+/* Updates the typical size of the answers of a class with a sample. */
+static void update_answer_bytes(struct choice *choice, const struct choice_result *result)
+{
+	uint32_t class_index = result->class_index % CLASSES_PER_SERVICE_MAX;
+	float *typical = &choice->class_answer_bytes[class_index];
+
+	*typical = weighted_average(*typical, (float)result->answer_bytes,
+				    1.0F / (float)(choice->class_answer_count[class_index] + 1));
+}
+
 /* Updates the slowness of a gate from the service time of an answer. Returns true if the service
  * time was not slow for its class. */
 static bool update_gate_slowness(struct choice *choice, struct choice_gate *gate,
@@ -525,6 +595,7 @@
 	bool was_bad = is_slow(gate) || error_excess(choice, gate) > 0;
 
 	gate->progress_us = now_us;
+	update_answer_bytes(choice, result);
 	update_gate_error_rate(choice, gate, false, now_us);
 	if (!update_gate_timing(choice, gate, result, now_us) || !was_bad)
 		return;
@@ -533,6 +604,24 @@
 	choice->trial_tokens = TRIAL_TOKENS_MAX;
 }
 
+/* Returns what a result says of the room of the gate's failure domain. */
+static enum spillover_end spillover_end_of(enum choice_result_kind kind)
+{
+	switch (kind) {
+	case CHOICE_RESULT_ANSWERED:
+	case CHOICE_RESULT_FAILED:
+		return SPILLOVER_TAKEN;
+	case CHOICE_RESULT_NO_FREE_SLOT:
+		return SPILLOVER_NO_ROOM;
+	case CHOICE_RESULT_NO_BACKEND:
+	case CHOICE_RESULT_REFUSED:
+	case CHOICE_RESULT_LOST:
+	case CHOICE_RESULT_CANCELLED:
+		break;
+	}
+	return SPILLOVER_OTHER;
+}
+
 /* Records the result of an attempt. The result is ignored if the gate is not tracked. */
 void choice_record_result(struct choice *choice, uint64_t node_id,
 			  const struct choice_result *result, uint64_t now_us)
@@ -543,6 +632,9 @@
 		return;
 	if (gate->in_flight > 0)
 		gate->in_flight--;
+	if (choice->settings.has_spillover && gate->member.distance != DISTANCE_SAME_DOMAIN)
+		spillover_record_end(&choice->spillover, gate->member.domain,
+				     spillover_end_of(result->kind), now_us);
 	switch (result->kind) {
 	case CHOICE_RESULT_ANSWERED:
 		record_gate_answer(choice, gate, result, now_us);
--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -38,6 +38,7 @@
 	uint32_t trial_interval_us;	  /* minimum time between trials of a slow gate */
 	uint32_t error_trial_interval_us; /* minimum time between trials of a failing gate */
 	uint32_t error_penalty_us;	  /* cost added for an attempt that fails */
+	bool has_spillover;		  /* spillover.h decides what leaves the failure domain */
 };
 
 #define CHOICE_GATES_MAX 256 /* maximum gates tracked in all failure domains together */
@@ -61,8 +62,9 @@
 struct choice_query {
 	const uint64_t *excluded; /* ids of the nodes that must not be selected */
 	uint32_t excluded_count;
-	uint8_t class_index; /* index of the call's class in the service's class list */
-	uint32_t body_bytes; /* size of the request body */
+	uint8_t class_index;   /* index of the call's class in the service's class list */
+	uint32_t body_bytes;   /* size of the request body */
+	uint32_t objective_us; /* what is left of the latency objective; 0: none is known */
 };
 
 /* The selected gate. */
@@ -91,6 +93,7 @@
 	uint32_t elapsed_us;	/* time from sending the attempt to its answer */
 	uint32_t gate_queue_us; /* part of elapsed_us spent queued at the gate */
 	uint32_t server_us;	/* part of elapsed_us spent at the backend server */
+	uint32_t answer_bytes;	/* size of the answer's body */
 };
 
 struct choice;
--- a/src/fescuemill/decide/choice_member.c
+++ b/src/fescuemill/decide/choice_member.c
@@ -99,6 +99,26 @@
 	}
 }
 
+/* Counts the calls in flight in each failure domain anew, as the gates that were dropped had some.
+ */
+static void count_calls_away(struct choice *choice)
+{
+	struct spillover *spillover = &choice->spillover;
+
+	for (uint32_t i = 0; i < spillover->count; i++) {
+		uint32_t domain = spillover->list[i].domain;
+		uint32_t in_flight = 0;
+
+		for (uint32_t j = 0; j < choice->count; j++) {
+			const struct choice_gate *gate = &choice->gates[j];
+
+			if (gate->member.domain == domain)
+				in_flight += gate->in_flight;
+		}
+		spillover_set_in_flight(spillover, domain, in_flight);
+	}
+}
+
 /* Replaces all members of the service. The state of gates that remain is kept. Members with a
  * distance out of range are ignored. Returns -1 with ERROR_MEMORY and leaves the members unchanged
  * if memory runs out. */
@@ -126,6 +146,7 @@
 	qsort(list, used, sizeof(*list), compare_ranked_members);
 	select_gates(choice, list, used, before, before_count);
 	index_distances(choice);
+	count_calls_away(choice);
 	free(list);
 	free(before);
 	return 0;
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -5,6 +5,7 @@
 #define FESCUEMILL_DECIDE_CHOICE_TABLE_H
 
 #include "fescuemill/decide/choice_defs.h"
+#include "fescuemill/decide/spillover.h"
 
 /* State that this entry keeps for one gate. Times are on this node's clock. */
 struct choice_gate {
@@ -36,9 +37,11 @@
 	uint64_t utilization_observed_us; /* last load report of any gate; 0 if none */
 	float class_typical_us[CLASSES_PER_SERVICE_MAX];      /* typical service time */
 	uint32_t class_answer_count[CLASSES_PER_SERVICE_MAX]; /* at most TYPICAL_ANSWERS_MAX */
-	uint32_t measured_count;			      /* gates with has_slowness */
-	uint32_t trial_tokens;	   /* trials allowed now, in thousandths */
-	uint32_t round_robin_next; /* counter of the round robin policy */
+	float class_answer_bytes[CLASSES_PER_SERVICE_MAX];    /* typical size of an answer */
+	struct spillover spillover; /* unused without settings.has_spillover */
+	uint32_t measured_count;    /* gates with has_slowness */
+	uint32_t trial_tokens;	    /* trials allowed now, in thousandths */
+	uint32_t round_robin_next;  /* counter of the round robin policy */
 	uint32_t count;
 	uint32_t distance_start[DISTANCE_COUNT + 1]; /* first gate of each distance */
 	uint16_t draw_order[CHOICE_GATES_MAX];	     /* gate indexes, grouped by distance */
--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -98,6 +98,8 @@
 	 RULE(VALUE_CHOICE_POLICY, choice_policy, 0, 0,
 	      "expected-completion, random, round-robin, least-in-flight, two-random"),
 	 "expected-completion", "how an entry chooses a gate"},
+	{"spillover", RULE(VALUE_BOOL, spillover, 0, 0, ""), "false",
+	 "whether calls leave the failure domain by their objective and the room found elsewhere"},
 	{"body_limit_bytes",
 	 RULE(VALUE_UINT32, body_limit_bytes, 1024, CALL_BODY_BYTES_MAX, "bytes"), "8388608",
 	 "largest body of a call or an answer"},
--- a/src/fescuemill/settings/settings_defs.h
+++ b/src/fescuemill/settings/settings_defs.h
@@ -56,6 +56,7 @@
 	char platform_region[REGION_NAME_BYTES]; /* empty: calls count as region link traffic */
 	enum log_level log_level;
 	enum choice_policy choice_policy;
+	bool spillover;
 	uint32_t body_limit_bytes;
 	uint64_t memory_limit_bytes;
 	uint32_t stop_limit_ms;
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -78,6 +78,7 @@
 		result.load = answer->load;
 		result.gate_queue_us = answer->gate_queue_us;
 		result.server_us = answer->server_us;
+		result.answer_bytes = answer->body.size;
 	}
 	choice_record_result(call->service->choice, call->link->identity.node_id, &result, now_us);
 	entry_link_remove_call(call);
@@ -191,13 +192,22 @@
 	return true;
 }
 
+/* Returns what is left of the latency objective of a call; 0 if it has passed. */
+static uint32_t objective_left_us(const struct entry_call *call)
+{
+	uint64_t spent_us = clock_monotonic_us() - call->received_us;
+
+	return spent_us < call->objective_us ? call->objective_us - (uint32_t)spent_us : 0;
+}
+
 /* Selects a gate by the service's choice, or the owner of the call's key. Returns false when there
  * is none, and also when the best gate has already refused this call for lack of a free slot. */
 static bool select_gate(struct entry_call *call, struct node_incarnation *gate)
 {
 	uint64_t excluded[ENTRY_EXCLUDED_MAX];
 	struct choice_query query = {excluded, attempt_entry_excluded(&call->state, excluded),
-				     call->class_index, call->request->body.size};
+				     call->class_index, call->request->body.size,
+				     objective_left_us(call)};
 	struct choice_selection pick;
 
 	entry_service_refresh(call->entry, call->service);
@@ -436,6 +446,7 @@
 	call->request = req;
 	call->received_us = clock_monotonic_us();
 	call->class_index = class->index;
+	call->objective_us = class->objective_us;
 	call->idempotent = class->idempotent;
 	memcpy(call->class_name, class->name, sizeof(call->class_name));
 	memcpy(call->route, class->route, sizeof(call->route));
--- a/src/fescuemilld/entry/entry_classify.c
+++ b/src/fescuemilld/entry/entry_classify.c
@@ -21,6 +21,7 @@
 	if (!target)
 		return REASON_UNKNOWN_CLASS;
 	out->index = (uint8_t)(target - config->classes);
+	out->objective_us = target->latency_us;
 	return REASON_NONE;
 }
 
--- a/src/fescuemilld/entry/entry_defs.h
+++ b/src/fescuemilld/entry/entry_defs.h
@@ -70,12 +70,13 @@
 	const struct call_request *request;
 	struct gate_link *link; /* of the current attempt; NULL when none is outstanding */
 	struct pending_answer pending_answers[LINK_KIND_COUNT];
-	uint64_t received_us; /* when the whole request had been received */
-	uint64_t sent_us;     /* when the current attempt was sent */
-	uint32_t wait_max_us; /* expected wait at the chosen gate at which another is better */
-	uint32_t wait_us;     /* expected queue wait that the last answering gate reported */
-	uint32_t slot;	      /* index in the entry's calls */
-	uint8_t class_index;  /* index in the service's configuration */
+	uint64_t received_us;  /* when the whole request had been received */
+	uint64_t sent_us;      /* when the current attempt was sent */
+	uint32_t wait_max_us;  /* expected wait at the chosen gate at which another is better */
+	uint32_t wait_us;      /* expected queue wait that the last answering gate reported */
+	uint32_t slot;	       /* index in the entry's calls */
+	uint32_t objective_us; /* latency objective of the class */
+	uint8_t class_index;   /* index in the service's configuration */
 	char class_name[CLASS_NAME_BYTES];
 	char route[ENTRY_ROUTE_BYTES]; /* for the log; empty when the request names its service */
 	bool idempotent;
@@ -89,6 +90,7 @@
 	uint8_t index; /* class index in the service's configuration */
 	bool idempotent;
 	uint32_t servers_max;  /* backend servers that the call may be sent to; 0: no limit */
+	uint32_t objective_us; /* latency objective */
 	uint64_t time_left_us; /* from the request, at most the route's timeout */
 };
 
--- a/src/fescuemilld/entry/entry_service.c
+++ b/src/fescuemilld/entry/entry_service.c
@@ -25,6 +25,7 @@
 	choice_default_settings(out);
 	out->policy = settings->choice_policy;
 	out->own_id = own_id;
+	out->has_spillover = settings->spillover;
 	out->load_decay_us = settings->load_age_ms * USEC_PER_MSEC;
 	out->distance_cost_us_per_kib[DISTANCE_SAME_REGION] = settings->region_body_us_per_kib;
 	out->distance_cost_us_per_kib[DISTANCE_OTHER_REGION] = settings->far_body_us_per_kib;
--- a/test/property/choice_loop.h
+++ b/test/property/choice_loop.h
@@ -188,7 +188,7 @@
 	void arrive()
 	{
 		uint32_t entry = random_below(&rng, setup.entries);
-		choice_query query = {nullptr, 0, 0, 0};
+		choice_query query = {nullptr, 0, 0, 0, 0};
 		choice_selection picked;
 
 		push({now + 1 + (uint64_t)exponential(1e6 / setup.calls_per_s),
--- a/test/property/choice_near_test.cc
+++ b/test/property/choice_near_test.cc
@@ -30,6 +30,7 @@
 					{0, 6, 0, 0, 0, 2, 0, 0, false, 0},
 					0,
 					0,
+					0,
 					0};
 		choice_selection picked;
 
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -69,7 +69,7 @@
 	bool pick(const std::vector<uint64_t> &excluded, node_incarnation *identity)
 	{
 		choice_query query = {excluded.data(), uint32_t(excluded.size()),
-				      uint8_t(random_below(&rng, 20)), 0};
+				      uint8_t(random_below(&rng, 20)), 0, 0};
 
 		struct choice_selection picked = {};
 		bool is_picked = choice_pick(made, &query, &rng, now, &picked);
@@ -147,7 +147,7 @@
 	World world(choice_policy(*rc::gen::inRange<int>(0, CHOICE_POLICY_COUNT)));
 	gate_load draining = {0, 6, 0, 5000, 0, uint8_t(*rc::gen::element(3, 4)), 0, 0, false, 0};
 	gate_load ready = {0, 6, 0, 5000, 0, 2, 0, 0, false, 0};
-	choice_result result = {CHOICE_RESULT_REFUSED, 0, true, draining, 500, 0, 0};
+	choice_result result = {CHOICE_RESULT_REFUSED, 0, true, draining, 500, 0, 0, 0};
 	node_incarnation identity;
 
 	world.set_random_members(*rc::gen::inRange(1, 8), true);
--- a/test/property/decision_cost_test.cc
+++ b/test/property/decision_cost_test.cc
@@ -49,7 +49,7 @@
 	EXPECT_EQ(0, choice_set_members(made, members.data(), gates, &err));
 	random_seed(&rng, 7);
 	double ns = ns_each(200000, [&](int) {
-		choice_query query = {nullptr, 0, 0, 0};
+		choice_query query = {nullptr, 0, 0, 0, 0};
 		choice_result result = {};
 		choice_selection picked = {};
 
