--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -9,10 +9,13 @@
 #include "fescuemill/base/latency.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/decide/retry_after.h"
+#include "fescuemilld/entry/entry_burn.h"
 #include "fescuemilld/entry/entry_classify.h"
+#include "fescuemilld/entry/entry_customer.h"
 #include "fescuemilld/entry/entry_defs.h"
 #include "fescuemilld/entry/entry_link.h"
 #include "fescuemilld/entry/entry_log.h"
+#include "fescuemilld/entry/entry_placement.h"
 #include "fescuemilld/entry/entry_service.h"
 
 #include <stdlib.h>
@@ -94,37 +97,17 @@
 	entry->free_slots[entry->free_count++] = call->slot;
 }
 
-/* Counts a finished call that arrived at `received_us` against its class's latency target. */
-static void record_burn(const struct entry_options *options, const char *service,
-			const char *class_name, const struct caller_answer *answer,
-			uint64_t received_us)
-{
-	const struct service_config *config = config_find(options->config, service);
-	const struct class_target *target = config ? config_find_class(config, class_name) : NULL;
-	uint64_t now_us = clock_monotonic_us();
-	struct burn_call ended = {
-		.service = service,
-		.class_name = class_name,
-		.outcome = answer->outcome,
-		.reason = answer->reason,
-		.failed = answer->status >= HTTP_ERROR_MIN,
-		.latency_us = now_us - received_us,
-		.target_us = target ? target->latency_us : 0,
-	};
-
-	if (target)
-		burn_record(options->burn, &ended, now_us);
-}
-
 /* Answers a call that is refused before its first attempt. */
 static void refuse_request(struct entry *entry, struct caller_call *caller,
-			   const struct call_request *req, enum call_reason reason)
+			   const struct call_request *req, const struct call_class *class,
+			   enum call_reason reason)
 {
 	struct caller_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
 
 	answer.retry_after_ms = retry_after_ms(reason, 0, random_unit(&entry->rng));
-	record_burn(&entry->options, req->service, req->class_name, &answer, clock_monotonic_us());
-	entry_log_refused(req, reason, answer.retry_after_ms);
+	entry_record_burn(&entry->options, req->service, req->class_name, &answer,
+			  clock_monotonic_us());
+	entry_log_refused(req, class, reason, answer.retry_after_ms);
 	caller_answer(caller, &answer);
 }
 
@@ -150,8 +133,8 @@
 		answer.retry_after_ms = retry_after_ms(action->reason, call->wait_us,
 						       random_unit(&call->entry->rng));
 	}
-	record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
-		    call->received_us);
+	entry_record_burn(&call->entry->options, call->service->name, call->class_name, &answer,
+			  call->received_us);
 	latency_record(LATENCY_CALL, clock_monotonic_us() - call->received_us);
 	entry_log_finished(call, &answer);
 	release_slot(call);
@@ -172,98 +155,46 @@
 	return ++call->entry->sequence_count * ENTRY_CALLS_MAX + call->slot;
 }
 
-/* Finds the gate that owns the key of a call. Returns false when no live gate owns it. */
-static bool find_key_owner(const struct entry_call *call, struct node_incarnation *gate)
-{
-	const struct call_request *request = call->request;
-	uint64_t now_ms = clock_wall_us() / USEC_PER_MSEC;
-	const struct member *member;
-	struct key_hash hash;
-	uint64_t node_id;
-	bool is_alive;
-
-	key_hash_of(call->service->name, request->key.data, request->key.size, &hash);
-	if (!key_owner(call->service->keys, &hash, now_ms, &node_id, &is_alive) || !is_alive)
-		return false;
-	member = member_find(call->entry->options.members, node_id);
-	if (!member)
-		return false;
-	*gate = member->identity;
-	return true;
-}
-
-/* Returns what is left of the latency objective of a call; 0 if it has passed. */
-static uint32_t objective_left_us(const struct entry_call *call)
-{
-	uint64_t spent_us = clock_monotonic_us() - call->received_us;
-
-	return spent_us < call->objective_us ? call->objective_us - (uint32_t)spent_us : 0;
-}
-
-/* Selects a gate by the service's choice, or the owner of the call's key. Returns false when there
- * is none, and also when the best gate has already refused this call for lack of a free slot. */
-static bool select_gate(struct entry_call *call, struct node_incarnation *gate)
-{
-	uint64_t excluded[ENTRY_EXCLUDED_MAX];
-	struct choice_query query = {excluded, attempt_entry_excluded(&call->state, excluded),
-				     call->class_index, call->request->body.size,
-				     objective_left_us(call)};
-	struct choice_selection pick;
-
-	entry_service_refresh(call->entry, call->service);
-	if (call->state.keyed) {
-		entry_service_preconnect(call->entry, call->service);
-		return find_key_owner(call, gate);
-	}
-	if (!choice_pick(call->service->choice, &query, &call->entry->rng, clock_monotonic_us(),
-			 &pick))
-		return false;
-	*gate = pick.gate;
-	call->wait_max_us = pick.wait_max_us;
-	return !attempt_entry_gate_was_full(&call->state, gate->node_id);
-}
-
-/* Selects a gate and prepares the connection to it. Returns false when no gate can be used. */
-static bool prepare_target(struct entry_call *call, struct attempt_target *target)
+/* Selects a gate and prepares the connection to it. Returns REASON_NONE, or why no gate can be
+ * used. */
+static enum call_reason prepare_target(struct entry_call *call, struct attempt_target *target)
 {
 	struct entry *entry = call->entry;
+	enum call_reason reason = entry_placement_select(call, &target->gate);
 	struct gate_link *link;
 	struct gate_conn *conn;
 	struct error err;
 
-	if (!select_gate(call, &target->gate))
-		return false;
+	if (reason != REASON_NONE)
+		return reason;
 	link = entry_link_get(entry, &target->gate, &err);
 	if (!link)
-		return false;
+		return entry_placement_last_reason(call);
 	conn = &link->conns[link_kind_for(call->request)];
 	if (entry_link_prepare(conn, &err) != 0) {
 		log_failure(LOG_WARNING, LOG_PART_ENTRY,
 			    "A connection to a gate could not be opened.", &err);
-		return false;
+		return entry_placement_last_reason(call);
 	}
 	target->epoch = conn->peer.epoch;
 	target->id.entry = entry->options.identity;
 	target->id.sequence = next_sequence(call);
 	call->link = link;
-	return true;
+	return REASON_NONE;
 }
 
 /* Chooses a gate for the next attempt and passes the result to the call. */
 static void choose_gate(struct entry_call *call)
 {
 	struct attempt_entry_event event;
+	enum call_reason reason;
 
 	memset(&event, 0, sizeof(event));
 	settle_attempt(call, NULL, CHOICE_RESULT_LOST);
-	if (prepare_target(call, &event.chosen)) {
-		event.type = ENTRY_EVENT_CHOSEN;
-	} else {
-		event.type = ENTRY_EVENT_NO_GATE;
-		event.no_gate.reason = call->state.attempts > 0
-					       ? (enum call_reason)call->state.last_reason
-					       : REASON_NO_BACKEND;
-	}
+	reason = prepare_target(call, &event.chosen);
+	event.type = reason == REASON_NONE ? ENTRY_EVENT_CHOSEN : ENTRY_EVENT_NO_GATE;
+	if (reason != REASON_NONE)
+		event.no_gate.reason = reason;
 	entry_call_step(call, &event, &no_input);
 }
 
@@ -283,12 +214,14 @@
 	msg->call.depth = request->depth;
 	msg->call.retries_left = action->retries_passed;
 	msg->call.idempotent = call->idempotent;
+	msg->call.regions = call->placement.regions;
 	msg->call.has_wait_limit = action->has_wait_limit;
 	msg->call.wait_max_us = call->wait_max_us;
 	msg->call.repeat_permille = action->repeat_permille;
 	notice = notice_table_find(&call->entry->notices, action->target.gate.node_id);
 	if (notice)
 		msg->call.notice = *notice;
+	msg->call.customer = call->customer;
 	msg->call.key = request->key;
 	msg->call.method = request->method;
 	msg->call.path = request->path;
@@ -448,8 +381,11 @@
 	call->class_index = class->index;
 	call->objective_us = class->objective_us;
 	call->idempotent = class->idempotent;
+	call->customer = class->customer ? class->customer->id : 0;
+	call->customer_name = class->customer_name;
 	memcpy(call->class_name, class->name, sizeof(call->class_name));
 	memcpy(call->route, class->route, sizeof(call->route));
+	entry_placement_start(call, class->regions, class->customer);
 	attempt_entry_init(&call->state, &settings);
 	call->slot = entry->free_slots[--entry->free_count];
 	entry->calls[call->slot] = call;
@@ -468,15 +404,17 @@
 	struct entry_service *service;
 	struct error err = {0};
 
+	if (reason == REASON_NONE)
+		reason = entry_customer_prepare(entry, caller, &class, &req);
 	if (reason != REASON_NONE) {
-		refuse_request(entry, caller, req, reason);
+		refuse_request(entry, caller, req, &class, reason);
 		return;
 	}
 	service = entry_service_get(entry, class.service, &err);
 	if (!service) {
 		log_failure(LOG_WARNING, LOG_PART_ENTRY,
 			    "The state of a service could not be created.", &err);
-		refuse_request(entry, caller, req, REASON_OVERLOAD);
+		refuse_request(entry, caller, req, &class, REASON_OVERLOAD);
 		return;
 	}
 	if (!uv_is_active((uv_handle_t *)&entry->timer))
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -25,6 +25,7 @@
 	memcpy(self->name, settings->name, sizeof(self->name));
 	memcpy(self->region, settings->region, sizeof(self->region));
 	memcpy(self->domain, settings->failure_domain, sizeof(self->domain));
+	node->place.region = region_id_of(settings->region);
 	self->identity.node_id = member_id_of(settings->name);
 	/* Never reused: the wall clock does not return to the exact time of an earlier start. */
 	self->identity.incarnation = clock_wall_us();
@@ -79,6 +80,7 @@
 		.burn = node->burn.calls,
 		.budget = &node->budget,
 		.key_members = node->key_members,
+		.customer_header = node->dialects.dialect->customer_header,
 		.refusal = node_refusal_reason,
 		.has_time_for = node_has_time_for,
 		.repeat_permille = node_repeat_permille,
