--- a/src/fescuemill/decide/spillover.c
+++ b/src/fescuemill/decide/spillover.c
@@ -17,8 +17,8 @@
  * many bytes has a far objective, and the wait at home is short beside it. */
 #define BYTES_OBJECTIVE_SHARE 0.25F
 
-#define WINDOW_START 2.0F
-#define WINDOW_MIN   1.0F
+#define WINDOW_START 4.0F
+#define WINDOW_MIN   2.0F
 #define WINDOW_MAX   64.0F
 
 /* The calls of one burst are refused together: the window is halved once for them. */
@@ -26,7 +26,7 @@
 
 /* A window at its minimum closes for this long, and twice as long at each further refusal: a
  * failure domain without room is asked less and less often. */
-#define CLOSED_US_MIN	     (10 * USEC_PER_MSEC)
+#define CLOSED_US_MIN	     (20 * USEC_PER_MSEC)
 #define CLOSED_DOUBLINGS_MAX 2
 
 /* A window that was not used for this long starts anew: what it learnt is out of date. */
--- a/test/property/leaving_loop.h
+++ b/test/property/leaving_loop.h
@@ -44,6 +44,20 @@
 	uint64_t met_by[DOMAINS] = {}, calls_by[DOMAINS] = {};
 	double swing = 0; // mean change of the share that leaves between two steps of 100 ms
 
+	void add(const Outcome &other)
+	{
+		calls += other.calls;
+		met += other.met;
+		left += other.left;
+		crossed_bytes += other.crossed_bytes;
+		refused += other.refused;
+		swing += other.swing;
+		for (uint32_t d = 0; d < DOMAINS; d++) {
+			met_by[d] += other.met_by[d];
+			calls_by[d] += other.calls_by[d];
+		}
+	}
+
 	double met_share() const
 	{
 		return double(met) / double(calls);
--- a/test/property/leaving_test.cc
+++ b/test/property/leaving_test.cc
@@ -6,13 +6,23 @@
 
 namespace
 {
+constexpr uint64_t SEEDS = 8;
+
 struct Pair {
 	Outcome before, after;
 };
 
-Pair play(const char *name, const Scenario &setup)
+// Plays a scenario on several seeds: a single overload ends sooner or later by chance.
+Pair play(const char *name, Scenario setup)
 {
-	Pair pair = {Loop(setup, false).run(), Loop(setup, true).run()};
+	Pair pair;
+
+	for (setup.seed = 1; setup.seed <= SEEDS; setup.seed++) {
+		pair.before.add(Loop(setup, false).run());
+		pair.after.add(Loop(setup, true).run());
+	}
+	pair.before.swing /= SEEDS;
+	pair.after.swing /= SEEDS;
 
 	printf("%-28s %-10s %8s %8s %8s %9s %8s %7s\n", name, "choice", "met", "gap", "left",
 	       "far_kib", "refused", "swing");
