--- a/src/fescuectl/command.c
+++ b/src/fescuectl/command.c
@@ -303,6 +303,35 @@
 	return 0;
 }
 
+/* Prints the customers that are in force at one node, and how current their keys are there. */
+static int show_customers(struct node_client *client, const char *const *words, struct error *err)
+{
+	static const char *const columns[] = {"name", "rank",	 "calls_per_s", "burst",
+					      "keys", "regions", NULL};
+	json_t *json;
+	json_t *age;
+
+	(void)words;
+	if (get_json(client, "/v1/customers", &json, err))
+		return -1;
+	age = json_object_get(json, "proof_age_ms");
+	if (client->options->json) {
+		print_json(json);
+	} else {
+		table_print(columns, json_object_get(json, "customers"));
+		printf("node %s, configuration %lld, bound %lld ms, ",
+		       json_string_value(json_object_get(json, "node")),
+		       (long long)json_integer_value(json_object_get(json, "config_version")),
+		       (long long)json_integer_value(json_object_get(json, "revoke_ms")));
+		if (json_is_integer(age))
+			printf("proof %lld ms old\n", (long long)json_integer_value(age));
+		else
+			puts("no proof");
+	}
+	json_decref(json);
+	return 0;
+}
+
 /* Prints the counters of one node as a table. */
 static int show_counters(struct node_client *client, const char *const *words, struct error *err)
 {
@@ -350,6 +379,42 @@
 	return 0;
 }
 
+/* Shows for each node which evacuations it knows. */
+static int show_evacuations(struct node_client *client, struct error *err)
+{
+	static const char *const columns[] = {"name",  "failure_domain", "evacuated",
+					      "known", "evacuations",	 NULL};
+
+	return query_each_node(client, "/v1/evacuations", columns, err);
+}
+
+/* Orders the evacuation of a failure domain, withdraws it, or shows what the nodes know. */
+static int evacuate(struct node_client *client, const char *const *words, struct error *err)
+{
+	struct node_request request = {.method = client->options->cancel ? "DELETE" : "PUT"};
+	char path[PATH_BYTES];
+	json_t *json;
+
+	if (client->options->word_count == 1 && client->options->cancel)
+		return error_set(err, ERROR_USAGE, "--cancel: which failure domain?");
+	if (client->options->word_count == 1)
+		return show_evacuations(client, err);
+	if (snprintf(path, sizeof(path), "/v1/evacuations/%s", words[0]) >= PATH_BYTES ||
+	    strpbrk(words[0], " /\r\n?#%"))
+		return error_set(err, ERROR_USAGE, "\"%.40s\" is not a name", words[0]);
+	request.path = path;
+	if (node_client_request_any(client, &request, &json, err))
+		return -1;
+	if (client->options->json)
+		print_json(json);
+	else
+		printf("%s %s version %lld\n", words[0],
+		       client->options->cancel ? "withdrawn" : "ordered",
+		       (long long)json_integer_value(json_object_get(json, "version")));
+	json_decref(json);
+	return 0;
+}
+
 static int watch(struct node_client *client, const char *const *words, struct error *err)
 {
 	char *end;
@@ -381,7 +446,9 @@
 	{{"status", NULL}, 0, 0, "", show_status},
 	{{"members", NULL}, 0, 0, "", show_members},
 	{{"counters", NULL}, 0, 0, "", show_counters},
+	{{"customers", NULL}, 0, 0, "", show_customers},
 	{{"drain", NULL}, 0, 0, "", drain},
+	{{"evacuate", NULL}, 0, 1, "[DOMAIN]", evacuate},
 	{{"watch", NULL}, 2, 2, "SERVICE VERSION", watch},
 };
 
--- a/src/fescuemill/base/counter_defs.h
+++ b/src/fescuemill/base/counter_defs.h
@@ -25,6 +25,11 @@
 	X(GATE_RATE, "gate_rate", "calls/1000s", "the gate's part of its classes' calls_per_s")    \
 	X(GATE_RATE_LIMIT, "gate_rate_limit", "calls/1000s",                                       \
 	  "limit that the backend server states on its calls; 0: none, or none taken")             \
+	X(GATE_COLD, "gate_cold", "flag", "1 while calls are limited as the server is cold")       \
+	X(GATE_COLD_STARTED, "gate_cold_started", "attempts",                                      \
+	  "attempts started on the backend server while it counted as cold")                       \
+	X(GATE_REFUSED_COLD, "gate_refused_cold", "attempts",                                      \
+	  "attempts refused as the backend server is cold")                                        \
 	X(GATE_CANCELLED, "gate_cancelled", "attempts", "attempts cancelled")                      \
 	X(GATE_DUPLICATES, "gate_duplicates", "messages", "repeats of a known attempt")            \
 	X(GATE_MISPLACED, "gate_misplaced", "attempts",                                            \
@@ -52,7 +57,18 @@
 	  "requests to peers for configuration that ended without an answer")                      \
 	X(CONFIG_RECEIVED, "config_received", "bytes", "configuration received from peers")        \
 	X(CONFIG_SENT, "config_sent", "bytes", "configuration sent to peers")                      \
+	X(EVACUATIONS, "evacuations", "domains", "failure domains that are being evacuated")       \
+	X(EVACUATIONS_REJECTED, "evacuations_rejected", "objects",                                 \
+	  "objects and messages that are no order to evacuate a failure domain")                   \
 	X(CONFIG_READY, "config_ready", "flag", "1 when the accepted configuration is known")      \
+	X(KEY_PROOF_AGE, "key_proof_age", "ms",                                                    \
+	  "since a question to the store that shows the customers' keys here current")             \
+	X(KEY_PROOF_LOST, "key_proof_lost", "times", "the proof for the keys ran out")             \
+	X(KEY_PROOF_READS, "key_proof_reads", "calls", "calls of the store for the proof")         \
+	X(CALLS_UNKNOWN_KEY, "entry_calls_unknown_key", "calls",                                   \
+	  "calls refused for a key that is missing or unknown")                                    \
+	X(CALLS_KEYS_STALE, "entry_calls_keys_stale", "calls",                                     \
+	  "calls refused because the keys are not proven current")                                 \
 	X(PLATFORM_CALLS, "platform_calls", "calls", "calls sent to the platform")                 \
 	X(PLATFORM_FAILURES, "platform_calls_failed", "calls", "platform calls that failed")       \
 	X(PLATFORM_WATCHES_SILENT, "platform_watches_silent", "calls",                             \
--- a/src/fescuemill/decide/choice.c
+++ b/src/fescuemill/decide/choice.c
@@ -5,6 +5,7 @@
  */
 #include "fescuemill/decide/choice.h"
 
+#include "fescuemill/decide/choice_cold.h"
 #include "fescuemill/decide/choice_table.h"
 #include "fescuemill/decide/slowdown.h"
 #include "fescuemill/fleet/member_defs.h"
@@ -13,33 +14,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ROUND_TRIP_WEIGHT     0.1F
-#define ROUND_TRIP_SAMPLE_MAX 4.0F    /* a longer one counts as this multiple of the expected one */
-#define ROUND_TRIP_DECAY_US   1000000 /* delays of a link or a host last seconds */
-#define SLOWNESS_WEIGHT	      0.2F
-#define ERROR_WEIGHT	      0.2F
-#define ERROR_RATE_TOLERANCE  0.25F /* error rate tolerated above twice the typical one */
+#define ROUND_TRIP_DECAY_US  1000000 /* delays of a link or a host last seconds */
+#define ERROR_RATE_TOLERANCE 0.25F   /* error rate tolerated above twice the typical one */
 
-#define UTILIZATION_WEIGHT   0.125F  /* the typical value covers about the last 8 load reports */
 #define UTILIZATION_DECAY_US 1000000 /* overloads start and end within seconds */
 
-#define SLOW_FACTOR	    2.0F  /* slowness above which a gate counts as slow */
-#define FAST_FACTOR	    0.25F /* slowness below which a gate is fast, and not just by chance */
-#define MEASURED_GATES_MIN  3	  /* with fewer, what is typical says little of the others */
-#define UNTRIED_SLOWNESS    0.5F  /* of a gate without a result; low, as it may be a better one */
-#define TRIAL_WEIGHT	    0.5F  /* of an answer from a slow or failing gate */
-#define TYPICAL_ANSWERS_MAX 64U	  /* the typical values cover about as many answers */
+#define FAST_FACTOR	   0.25F /* slowness below which a gate is fast, and not just by chance */
+#define MEASURED_GATES_MIN 3	 /* with fewer, what is typical says little of the others */
+#define UNTRIED_SLOWNESS   0.5F	 /* of a gate without a result; low, as it may be a better one */
 
 #define WAIT_LIMIT_US_MAX 60000000 /* a longer limit is none */
 
 #define RATE_MILLI_INTERVAL_US 1e9F /* between two calls at a rate of one in 1000 s */
 
-/* A trial costs 1000 tokens and each pick adds 3, so at most 0.3% of the picks are trials that
- * do not find the gate back to normal. */
-#define TRIAL_TOKEN_COST      1000U
-#define TRIAL_TOKENS_PER_PICK 3U
-#define TRIAL_TOKENS_MAX      TRIAL_TOKEN_COST
-
 /* Fills in the defaults. The settings of the node may override them. */
 void choice_default_settings(struct choice_settings *settings)
 {
@@ -113,23 +100,17 @@
 	return expf(-(float)(now_us - observed_us) / (float)decay_us);
 }
 
-/* Updates an exponentially weighted moving average with a sample. */
-static float weighted_average(float value, float sample, float weight)
-{
-	return value + weight * (sample - value);
-}
-
 /* Returns true if the measured slowness of a gate is significant. Smaller differences are random
  * variation of service times. Reacting to them would send the calls of all entries to the gate
  * that happened to be fast last. */
-static bool is_slow(const struct choice_gate *gate)
+bool choice_is_slow(const struct choice_gate *gate)
 {
-	return gate->slowness > SLOW_FACTOR;
+	return gate->slowness > CHOICE_SLOW_FACTOR;
 }
 
 /* Returns by how much the error rate of a gate exceeds the tolerated one. A single error does not
  * exceed it. */
-static float error_excess(const struct choice *choice, const struct choice_gate *gate)
+float choice_error_excess(const struct choice *choice, const struct choice_gate *gate)
 {
 	float excess = gate->error_rate - 2 * choice->typical_error_rate - ERROR_RATE_TOLERANCE;
 
@@ -142,13 +123,13 @@
 static bool is_due_for_trial(const struct choice *choice, const struct choice_gate *gate,
 			     uint64_t now_us)
 {
-	bool is_failing = error_excess(choice, gate) > 0;
+	bool is_failing = choice_error_excess(choice, gate) > 0;
 	uint64_t interval_us = is_failing ? choice->settings.error_trial_interval_us
 					  : choice->settings.trial_interval_us;
 
-	if (!is_failing && !is_slow(gate))
+	if (!is_failing && !choice_is_slow(gate))
 		return false;
-	return gate->in_flight == 0 && choice->trial_tokens >= TRIAL_TOKEN_COST &&
+	return gate->in_flight == 0 && choice->trial_tokens >= CHOICE_TRIAL_TOKEN_COST &&
 	       now_us >= gate->last_result_us + interval_us;
 }
 
@@ -169,8 +150,8 @@
 
 /* Returns the expected round trip to a gate. The measured one shifts to that of the distance as its
  * last sample ages: a gate that is not chosen because of a long round trip gets no new samples. */
-static float expected_round_trip_us(const struct choice *choice, const struct choice_gate *gate,
-				    uint64_t now_us)
+float choice_round_trip_us(const struct choice *choice, const struct choice_gate *gate,
+			   uint64_t now_us)
 {
 	float usual_us = (float)choice->settings.round_trip_us[gate->member.distance];
 	float weight = decayed_weight(gate->round_trip_observed_us, now_us, ROUND_TRIP_DECAY_US);
@@ -198,16 +179,16 @@
 	float slowness = 1;
 	float stalled;
 
-	if (is_fast(gate) || (is_slow(gate) && !is_due_for_trial(choice, gate, now_us)))
+	if (is_fast(gate) || (choice_is_slow(gate) && !is_due_for_trial(choice, gate, now_us)))
 		slowness = gate->slowness;
 	if (is_worth_trying(choice, gate))
 		return UNTRIED_SLOWNESS;
 	if (gate->in_flight == 0 || now_us <= gate->progress_us)
 		return slowness;
-	stalled = ((float)(now_us - gate->progress_us) -
-		   expected_round_trip_us(choice, gate, now_us)) /
-		  choice->typical_us;
-	return stalled > SLOW_FACTOR * slowness ? stalled : slowness;
+	stalled =
+		((float)(now_us - gate->progress_us) - choice_round_trip_us(choice, gate, now_us)) /
+		choice->typical_us;
+	return stalled > CHOICE_SLOW_FACTOR * slowness ? stalled : slowness;
 }
 
 /* Returns the expected number of attempts at a gate whose load is unknown, from the gates that
@@ -267,9 +248,10 @@
 
 /* What an attempt sent to a gate now is expected to take, in microseconds. */
 struct expectation {
-	float wait_us;	/* part of total_us: the wait for a slot or for its rate */
-	float cost_us;	/* part of total_us: the cost of the distance */
-	float total_us; /* completion, with the cost of an error and of the distance */
+	float wait_us;	 /* part of total_us: the wait for a slot or for its rate */
+	float cost_us;	 /* part of total_us: the cost of the distance */
+	float total_us;	 /* completion, with the cost of an error and of the distance */
+	bool is_used_up; /* its cold backend server takes no call now */
 };
 
 /* Returns the cost of a distance for a call. With spillover, the typical answer of its class counts
@@ -297,14 +279,16 @@
 	float service = slowness * class_typical_us(choice, class_index);
 	float limit = (float)gate->limit;
 	float excess = expected_occupancy(choice, gate, now_us) + 1 - limit;
-	float errors = is_due_for_trial(choice, gate, now_us) ? 0 : error_excess(choice, gate);
+	float errors =
+		is_due_for_trial(choice, gate, now_us) ? 0 : choice_error_excess(choice, gate);
 	float slot_wait = excess > 0 ? slowness * choice->typical_us * excess / limit : 0;
-	float wait = fmaxf(slot_wait, rate_wait_us(gate, now_us));
-	float total = expected_round_trip_us(choice, gate, now_us) + wait + service +
+	float wait = fmaxf(slot_wait, gate->has_cold_room ? choice_cold_wait_us(gate, now_us)
+							  : rate_wait_us(gate, now_us));
+	float total = choice_round_trip_us(choice, gate, now_us) + wait + service +
 		      host_slowdown_us(gate, service, now_us) +
 		      errors * (float)choice->settings.error_penalty_us + cost;
 
-	return (struct expectation){wait, cost, total};
+	return (struct expectation){wait, cost, total, choice_cold_is_used_up(gate, now_us)};
 }
 
 /* The gates compared so far in one pick. */
@@ -315,10 +299,19 @@
 	bool limits_leaving; /* only gates of failure domains with room by spillover.h */
 };
 
+/* Returns true if a gate is better than another: one with room is better than a cold one without.
+ */
+static bool is_better(const struct expectation *a, const struct expectation *b)
+{
+	if (a->is_used_up != b->is_used_up)
+		return b->is_used_up;
+	return a->total_us < b->total_us;
+}
+
 /* Adds a gate to a comparison. */
 static void compare_gate(struct comparison *cmp, int number, struct expectation expected)
 {
-	if (cmp->best >= 0 && expected.total_us >= cmp->best_expected.total_us) {
+	if (cmp->best >= 0 && !is_better(&expected, &cmp->best_expected)) {
 		cmp->second_us = fminf(cmp->second_us, expected.total_us);
 		return;
 	}
@@ -358,12 +351,22 @@
  * completed it, had it been sent there instead. */
 static uint32_t wait_limit_us(const struct comparison *cmp)
 {
-	float limit_us =
-		cmp->second_us - (cmp->best_expected.total_us - cmp->best_expected.wait_us);
+	float limit_us = fmaxf(
+		0, cmp->second_us - (cmp->best_expected.total_us - cmp->best_expected.wait_us));
 
 	return limit_us < (float)WAIT_LIMIT_US_MAX ? (uint32_t)limit_us : UINT32_MAX;
 }
 
+/* Returns true if a call leaves for the best gate elsewhere. A cold gate without room does not keep
+ * it, nor does one draw it. */
+static bool leaves(const struct expectation *home, const struct expectation *away,
+		   const struct spillover_offer *offer)
+{
+	if (home->is_used_up != away->is_used_up)
+		return home->is_used_up;
+	return spillover_leaves(spillover_judge(offer));
+}
+
 /* Selects between the best gate of the own failure domain and the best one elsewhere. Without a
  * gate in the own one, there is nothing to weigh, and any other may be used. */
 static int pick_with_spillover(struct choice *choice, const struct choice_query *query,
@@ -390,7 +393,7 @@
 		.bytes_us = away.best_expected.cost_us - home.best_expected.cost_us,
 		.objective_us = (float)query->objective_us,
 	};
-	if (spillover_leaves(spillover_judge(&offer))) {
+	if (leaves(&home.best_expected, &away.best_expected, &offer)) {
 		away.second_us = fminf(away.second_us, home.best_expected.total_us);
 		*wait_max_us = wait_limit_us(&away);
 		return away.best;
@@ -408,9 +411,9 @@
 {
 	struct comparison cmp = {.best = -1, .second_us = INFINITY};
 
-	choice->trial_tokens += TRIAL_TOKENS_PER_PICK;
-	if (choice->trial_tokens > TRIAL_TOKENS_MAX)
-		choice->trial_tokens = TRIAL_TOKENS_MAX;
+	choice->trial_tokens += CHOICE_TRIAL_TOKENS_PER_PICK;
+	if (choice->trial_tokens > CHOICE_TRIAL_TOKENS_MAX)
+		choice->trial_tokens = CHOICE_TRIAL_TOKENS_MAX;
 	if (choice->settings.has_spillover) {
 		cmp.best = pick_with_spillover(choice, query, rng, now_us, wait_max_us);
 	} else {
@@ -419,7 +422,7 @@
 		*wait_max_us = wait_limit_us(&cmp);
 	}
 	if (cmp.best >= 0 && is_due_for_trial(choice, &choice->gates[cmp.best], now_us))
-		choice->trial_tokens -= TRIAL_TOKEN_COST;
+		choice->trial_tokens -= CHOICE_TRIAL_TOKEN_COST;
 	return cmp.best;
 }
 
@@ -444,229 +447,6 @@
 	return true;
 }
 
-/* Finds a gate by its node id. Returns NULL if the gate is not tracked. */
-static struct choice_gate *gate_find(struct choice *choice, uint64_t node_id)
-{
-	for (uint32_t i = 0; i < choice->count; i++) {
-		if (choice->gates[i].member.identity.node_id == node_id)
-			return &choice->gates[i];
-	}
-	return NULL;
-}
-
-/* Records that an attempt was sent to a gate. */
-void choice_record_sent(struct choice *choice, uint64_t node_id, uint64_t now_us)
-{
-	struct choice_gate *gate = gate_find(choice, node_id);
-
-	if (!gate)
-		return;
-	if (gate->in_flight == 0)
-		gate->progress_us = now_us;
-	gate->in_flight++;
-	gate->sent_since_load++;
-	if (choice->settings.has_spillover && gate->member.distance != DISTANCE_SAME_DOMAIN)
-		spillover_record_sent(&choice->spillover, gate->member.domain, now_us);
-}
-
-/* Excludes a gate that reports draining or leaving, for the time that gossip needs to report it
- * too. Any other reported state ends the exclusion at once. */
-static void update_gate_state(struct choice_gate *gate, uint8_t state, uint64_t now_us)
-{
-	bool is_draining = state == BACKEND_DRAINING || state == BACKEND_LEAVING;
-
-	gate->excluded_until_us = is_draining ? now_us + CHOICE_DRAINING_EXCLUSION_US : 0;
-}
-
-/* Updates the typical utilization with the load report of a gate. */
-static void update_utilization(struct choice *choice, const struct gate_load *load, uint64_t now_us)
-{
-	if (load->limit == 0)
-		return;
-	choice->typical_utilization = weighted_average(
-		choice->typical_utilization,
-		(float)(load->in_use + load->queued) / (float)load->limit, UTILIZATION_WEIGHT);
-	choice->utilization_observed_us = now_us;
-}
-
-/* Records the load report of a gate. Its service time is ignored, because it mixes classes and is
- * lowered by fast failures. */
-static void update_gate_load(struct choice *choice, struct choice_gate *gate,
-			     const struct gate_load *load, uint64_t now_us)
-{
-	update_utilization(choice, load, now_us);
-	gate->load_observed_us = now_us;
-	gate->occupancy = load->in_use + load->queued;
-	gate->slowdown_percent = load->slowdown_percent;
-	gate->sent_since_load = 0;
-	update_gate_state(gate, load->state, now_us);
-	gate->rate_limit_milli = load->rate_limit_milli;
-	gate->wait_us = load->wait_us;
-	if (load->limit > 0)
-		gate->limit = load->limit;
-}
-
-/* Updates the typical service times with a sample. For a class, the first answers weigh more. */
-static void update_typical_service_time(struct choice *choice, uint32_t class_index,
-					float server_us)
-{
-	uint32_t *answers = &choice->class_answer_count[class_index];
-	float *typical = &choice->class_typical_us[class_index];
-
-	if (*answers < TYPICAL_ANSWERS_MAX)
-		(*answers)++;
-	*typical = weighted_average(*typical, server_us, 1.0F / (float)*answers);
-	choice->typical_us =
-		weighted_average(choice->typical_us, server_us, 1.0F / TYPICAL_ANSWERS_MAX);
-}
-
-/* Updates the typical size of the answers of a class with a sample. */
-static void update_answer_bytes(struct choice *choice, const struct choice_result *result)
-{
-	uint32_t class_index = result->class_index % CLASSES_PER_SERVICE_MAX;
-	float *typical = &choice->class_answer_bytes[class_index];
-
-	*typical = weighted_average(*typical, (float)result->answer_bytes,
-				    1.0F / (float)(choice->class_answer_count[class_index] + 1));
-}
-
-/* Updates the slowness of a gate from the service time of an answer. Returns true if the service
- * time was not slow for its class. */
-static bool update_gate_slowness(struct choice *choice, struct choice_gate *gate,
-				 const struct choice_result *result)
-{
-	uint32_t class_index = result->class_index % CLASSES_PER_SERVICE_MAX;
-	bool was_slow = is_slow(gate);
-	float ratio;
-
-	update_typical_service_time(choice, class_index, (float)result->server_us);
-	ratio = (float)result->server_us / (choice->class_typical_us[class_index] + 1);
-	if (gate->has_slowness)
-		gate->slowness = weighted_average(gate->slowness, ratio,
-						  was_slow ? TRIAL_WEIGHT : SLOWNESS_WEIGHT);
-	else
-		gate->slowness = ratio;
-	choice->measured_count += !gate->has_slowness;
-	gate->has_slowness = true;
-	return ratio <= SLOW_FACTOR;
-}
-
-/* Updates the round trip of a gate with a sample. The answers to calls that waited for a silent
- * connection to be replaced come all at once, and say little of the next calls: a sample counts for
- * ROUND_TRIP_SAMPLE_MAX times the expected round trip at most. */
-static void update_gate_round_trip(const struct choice *choice, struct choice_gate *gate,
-				   uint32_t sample_us, uint64_t now_us)
-{
-	float expected_us = expected_round_trip_us(choice, gate, now_us);
-	float sample = fminf((float)sample_us, ROUND_TRIP_SAMPLE_MAX * expected_us);
-
-	gate->round_trip_us = weighted_average(expected_us, sample, ROUND_TRIP_WEIGHT);
-	gate->round_trip_observed_us = now_us;
-}
-
-/* Updates the round trip and the slowness of a gate from an answer. Returns true if the service
- * time was not slow for its class. */
-static bool update_gate_timing(struct choice *choice, struct choice_gate *gate,
-			       const struct choice_result *result, uint64_t now_us)
-{
-	uint32_t gate_us = result->gate_queue_us + result->server_us;
-
-	if (result->elapsed_us >= gate_us)
-		update_gate_round_trip(choice, gate, result->elapsed_us - gate_us, now_us);
-	return update_gate_slowness(choice, gate, result);
-}
-
-/* Updates the error rates with the result of an attempt. Errors have a cost of their own because a
- * gate that fails fast would otherwise look better than the others. */
-static void update_gate_error_rate(struct choice *choice, struct choice_gate *gate, bool failed,
-				   uint64_t now_us)
-{
-	float sample = failed ? 1.0F : 0.0F;
-
-	choice->typical_error_rate =
-		weighted_average(choice->typical_error_rate, sample, 1.0F / TYPICAL_ANSWERS_MAX);
-	gate->error_rate = weighted_average(gate->error_rate, sample, ERROR_WEIGHT);
-	gate->last_result_us = now_us;
-}
-
-/* Records an answer. If a slow or failing gate answers in normal time, its error rate is reduced,
- * its next trial is allowed at once, and the trial does not count against the budget. */
-static void record_gate_answer(struct choice *choice, struct choice_gate *gate,
-			       const struct choice_result *result, uint64_t now_us)
-{
-	bool was_bad = is_slow(gate) || error_excess(choice, gate) > 0;
-
-	gate->progress_us = now_us;
-	update_answer_bytes(choice, result);
-	update_gate_error_rate(choice, gate, false, now_us);
-	if (!update_gate_timing(choice, gate, result, now_us) || !was_bad)
-		return;
-	gate->error_rate *= 1 - TRIAL_WEIGHT;
-	gate->last_result_us = 0;
-	choice->trial_tokens = TRIAL_TOKENS_MAX;
-}
-
-/* Returns what a result says of the room of the gate's failure domain. */
-static enum spillover_end spillover_end_of(enum choice_result_kind kind)
-{
-	switch (kind) {
-	case CHOICE_RESULT_ANSWERED:
-	case CHOICE_RESULT_FAILED:
-		return SPILLOVER_TAKEN;
-	case CHOICE_RESULT_NO_FREE_SLOT:
-		return SPILLOVER_NO_ROOM;
-	case CHOICE_RESULT_NO_BACKEND:
-	case CHOICE_RESULT_REFUSED:
-	case CHOICE_RESULT_LOST:
-	case CHOICE_RESULT_CANCELLED:
-		break;
-	}
-	return SPILLOVER_OTHER;
-}
-
-/* Records the result of an attempt. The result is ignored if the gate is not tracked. */
-void choice_record_result(struct choice *choice, uint64_t node_id,
-			  const struct choice_result *result, uint64_t now_us)
-{
-	struct choice_gate *gate = gate_find(choice, node_id);
-
-	if (!gate)
-		return;
-	if (gate->in_flight > 0)
-		gate->in_flight--;
-	if (choice->settings.has_spillover && gate->member.distance != DISTANCE_SAME_DOMAIN)
-		spillover_record_end(&choice->spillover, gate->member.domain,
-				     spillover_end_of(result->kind), now_us);
-	switch (result->kind) {
-	case CHOICE_RESULT_ANSWERED:
-		record_gate_answer(choice, gate, result, now_us);
-		break;
-	case CHOICE_RESULT_NO_BACKEND:
-	case CHOICE_RESULT_FAILED:
-	case CHOICE_RESULT_REFUSED:
-	case CHOICE_RESULT_LOST:
-		update_gate_error_rate(choice, gate, true, now_us);
-		break;
-	case CHOICE_RESULT_NO_FREE_SLOT:
-	case CHOICE_RESULT_CANCELLED:
-		break;
-	}
-	if (result->has_load)
-		update_gate_load(choice, gate, &result->load, now_us);
-	if (result->kind == CHOICE_RESULT_NO_BACKEND)
-		gate->excluded_until_us = now_us + CHOICE_NO_BACKEND_EXCLUSION_US;
-}
-
-/* Records a load report that arrived without a result, such as one in a pong. */
-void choice_update_load(struct choice *choice, uint64_t node_id, const struct gate_load *load,
-			uint64_t now_us)
-{
-	struct choice_gate *gate = gate_find(choice, node_id);
-
-	if (gate)
-		update_gate_load(choice, gate, load, now_us);
-}
-
 /* Returns the number of tracked gates. */
 uint32_t choice_gate_count(const struct choice *choice)
 {
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -7,6 +7,14 @@
 #include "fescuemill/decide/choice_defs.h"
 #include "fescuemill/decide/spillover.h"
 
+#define CHOICE_SLOW_FACTOR 2.0F /* slowness above which a gate counts as slow */
+
+/* A trial costs 1000 tokens and each pick adds 3, so at most 0.3% of the picks are trials that
+ * do not find the gate back to normal. */
+#define CHOICE_TRIAL_TOKEN_COST	     1000U
+#define CHOICE_TRIAL_TOKENS_PER_PICK 3U
+#define CHOICE_TRIAL_TOKENS_MAX	     CHOICE_TRIAL_TOKEN_COST
+
 /* State that this entry keeps for one gate. Times are on this node's clock. */
 struct choice_gate {
 	struct choice_member member;
@@ -22,6 +30,9 @@
 	uint32_t limit;		    /* most slots that it allows in use, as last reported */
 	uint32_t rate_limit_milli;  /* calls per 1000 s that it may start; 0: any number */
 	uint32_t wait_us;	    /* wait of a call that arrived when the load was reported */
+	bool has_cold_room;	    /* its backend server is cold, as last reported */
+	uint32_t cold_room;	    /* calls that it takes then */
+	uint32_t cold_hold_us;	    /* how long a report that it takes no more holds */
 	bool has_slowness;	    /* slowness was measured by at least one answer */
 	float slowness;		    /* service time divided by the typical one of the same class */
 	float round_trip_us;	    /* moving average; network time only */
@@ -51,6 +62,10 @@
 enum call_reason choice_place(const struct choice_gate *gate, const struct region_set *regions);
 bool choice_is_eligible(const struct choice_gate *gate, const struct choice_query *query,
 			uint64_t now_us);
+bool choice_is_slow(const struct choice_gate *gate);
+float choice_error_excess(const struct choice *choice, const struct choice_gate *gate);
+float choice_round_trip_us(const struct choice *choice, const struct choice_gate *gate,
+			   uint64_t now_us);
 int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
 			 struct random *rng, uint64_t now_us);
 
--- a/src/fescuemill/decide/retry_after.c
+++ b/src/fescuemill/decide/retry_after.c
@@ -5,6 +5,7 @@
 
 #define OTHER_SERVER_MS	     50	  /* another node or backend server may accept the call at once */
 #define NODE_STARTING_MS     150  /* a starting node has its configuration after about this time */
+#define EVACUATION_MS	     1000 /* a withdrawal of the order takes about this time to spread */
 #define QUEUE_FULL_MS	     200  /* a full queue has room again after a few service times */
 #define EXPECTED_WAIT_MS_MAX 2000 /* retrying is better than relying on a longer prediction */
 #define SPREAD_FACTOR	     1.0  /* the longest delay exceeds the shortest by this fraction */
@@ -28,14 +29,20 @@
 		if (wait_ms > EXPECTED_WAIT_MS_MAX)
 			wait_ms = EXPECTED_WAIT_MS_MAX;
 		return wait_ms > QUEUE_FULL_MS ? wait_ms : QUEUE_FULL_MS;
+	case REASON_COLD:
+		/* All servers that were asked are cold, and the last one has room after this time.
+		 */
+		if (wait_ms > EXPECTED_WAIT_MS_MAX)
+			wait_ms = EXPECTED_WAIT_MS_MAX;
+		return wait_ms > OTHER_SERVER_MS ? wait_ms : OTHER_SERVER_MS;
 	case REASON_NO_BACKEND:
 	case REASON_REGION:
 	case REASON_KEYS_STALE:
 	case REASON_NOT_READY:
 		return NODE_STARTING_MS;
-	case REASON_DRAINING:
 	case REASON_EVACUATED:
-	case REASON_COLD:
+		return EVACUATION_MS;
+	case REASON_DRAINING:
 	case REASON_INCARNATION:
 	case REASON_STALE_EPOCH:
 	case REASON_CONNECTION_LOST:
--- a/src/fescuemill/fleet/gossip.c
+++ b/src/fescuemill/fleet/gossip.c
@@ -102,6 +102,8 @@
 
 	if (!seq)
 		return probe_is_pending(&gsp->probes, target);
+	if (gsp->io.proof_time)
+		probe_find(&gsp->probes, seq)->asked_us = gsp->io.proof_time(gsp->io.user);
 	if (gossip_send_kind(gsp, member, GOSSIP_PING, seq, now_us))
 		return true;
 	probe_end(&gsp->probes, seq, &unused);
@@ -219,7 +221,8 @@
 	for (int i = 0; i < GOSSIP_UPDATE_FANOUT; i++) {
 		const struct member *member;
 
-		if (rumor_is_empty(&gsp->rumors) && gsp->config_sends_left == 0)
+		if (rumor_is_empty(&gsp->rumors) && gsp->config_sends_left == 0 &&
+		    gsp->evacuation_sends_left == 0)
 			return;
 		if (budget_is_low(gsp->budget, now_us))
 			return;
@@ -228,6 +231,8 @@
 			return;
 		if (gsp->config_sends_left)
 			gsp->config_sends_left--;
+		if (gsp->evacuation_sends_left)
+			gsp->evacuation_sends_left--;
 	}
 }
 
@@ -349,7 +354,7 @@
 		add_regions(gsp, now_us);
 		start_probes(gsp, now_us);
 	}
-	if (now_us >= gsp->push_us + GOSSIP_UPDATE_PERIOD_US) {
+	if (gossip_evacuations_changed(gsp) || now_us >= gsp->push_us + GOSSIP_UPDATE_PERIOD_US) {
 		gsp->push_us = now_us;
 		push_updates(gsp, now_us);
 	}
@@ -448,6 +453,18 @@
 		probe_member(gsp, member, now_us);
 }
 
+/* Pings random members. One that does not answer is suspected, as after a regular probe. */
+void gossip_ask_members(struct gossip *gsp, uint32_t count, uint64_t now_us)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		const struct member *member =
+			pick_mostly_own_region(gsp, PROBE_OTHER_REGION_PERCENT);
+
+		if (!member || !probe_member(gsp, member, now_us))
+			return;
+	}
+}
+
 /* Returns true once the table has matched that of another node. */
 bool gossip_is_joined(const struct gossip *gsp)
 {
--- a/src/fescuemill/fleet/gossip_defs.h
+++ b/src/fescuemill/fleet/gossip_defs.h
@@ -5,6 +5,7 @@
 #define FESCUEMILL_FLEET_GOSSIP_DEFS_H
 
 #include "fescuemill/base/clock.h"
+#include "fescuemill/fleet/evacuation.h"
 #include "fescuemill/fleet/member_defs.h"
 #include "fescuemill/wire/message_defs.h"
 
@@ -72,10 +73,13 @@
 	uint32_t requested_count;
 	uint64_t requested[GOSSIP_REQUESTED_MAX]; /* node ids; in GOSSIP_RECORD_REQUEST */
 	uint64_t buckets[GOSSIP_BUCKETS];	  /* bucket hashes; in GOSSIP_DIGEST */
+	struct key_proof_item proof;		  /* in GOSSIP_ACK */
 	uint32_t update_count;
 	uint32_t fingerprint_count;
+	uint32_t evacuation_count;
 	struct gossip_update updates[GOSSIP_UPDATES_MAX];
-	uint32_t fingerprints[GOSSIP_FINGERPRINTS_MAX]; /* updates sent as hashes of states */
+	uint32_t fingerprints[GOSSIP_FINGERPRINTS_MAX];	 /* updates sent as hashes of states */
+	struct evacuation evacuations[EVACUATIONS_TOLD]; /* orders and recent withdrawals */
 };
 
 #endif
--- a/src/fescuemill/fleet/gossip_packet.c
+++ b/src/fescuemill/fleet/gossip_packet.c
@@ -37,6 +37,7 @@
 	packet->sender = gsp->self.identity;
 	packet->config_version = gsp->config_version;
 	packet->table_hash = gsp->digest.total;
+	gossip_fill_evacuations(gsp);
 }
 
 /* Encodes the packet and returns its size, or 0 on failure. A packet that does not fit is a bug in
@@ -48,6 +49,11 @@
 
 	if (gossip_encode(&gsp->packet, data, &size, &err) == 0)
 		return size;
+	/* A packet full of updates has no room for the proof, which the next one can carry. */
+	if (gsp->packet.proof.is_set) {
+		gsp->packet.proof.is_set = false;
+		return encode(gsp, data);
+	}
 	log_failure(LOG_ERROR, LOG_PART_GOSSIP, "A gossip packet could not be encoded.", &err);
 	return 0;
 }
--- a/src/fescuemill/settings/settings.c
+++ b/src/fescuemill/settings/settings.c
@@ -161,12 +161,20 @@
 	 "nodes of a failure domain that watch the platform; the others get changes from them"},
 	{"platform_timeout_ms", RULE(VALUE_UINT32, platform_timeout_ms, 50, MINUTE_MS, "ms"),
 	 "2000", "timeout of a platform call; for a watch it is added to platform_watch_ms"},
+	{"evacuation_ms", RULE(VALUE_UINT32, evacuation_ms, 0, MINUTE_MS, "ms"), "0",
+	 "time within which an order to evacuate a failure domain must be in force everywhere; 0: "
+	 "the "
+	 "platform is not asked for such orders"},
 	{"platform_watch_ms", RULE(VALUE_UINT32, platform_watch_ms, 100, 5ULL * MINUTE_MS, "ms"),
 	 "1500",
 	 "how long the platform may delay its answer to a watch; a connection that has gone silent "
 	 "is noticed platform_timeout_ms after it, and changes until then come late"},
 	{"platform_backoff_ms", RULE(VALUE_UINT32, platform_backoff_ms, 100, MINUTE_MS, "ms"),
 	 "10000", "longest wait between two retries while platform calls fail"},
+	{"revoke_ms", RULE(VALUE_UINT32, revoke_ms, 0, MINUTE_MS, "ms"), "0",
+	 "a customer's key that was removed works no longer than this after the store acknowledged "
+	 "the removal: without proof that the configuration is that recent, calls with a key are "
+	 "refused; 0: no proof is needed"},
 	{"admin_keys", RULE(VALUE_ADMIN_KEYS, admin_keys, 0, ADMIN_KEYS_MAX, "entries"), "[]",
 	 "keys of the administration API: {\"team\",\"key\"}, key of 16 to 64 bytes"},
 	{"team_rights", RULE(VALUE_TEAM_RIGHTS, team_rights, 0, ADMIN_KEYS_MAX, "entries"), "[]",
--- a/src/fescuemill/store/list_watch.c
+++ b/src/fescuemill/store/list_watch.c
@@ -23,6 +23,8 @@
 	void *user;
 	struct list_watch_call *current; /* the call whose answer is used; NULL: none */
 	uint32_t call_count;		 /* running calls, abandoned ones included */
+	bool lists_next;		 /* the call after the current one is to be a list */
+	uint64_t asked_us;		 /* of the call whose answer is passed to the owner */
 	bool failing; /* the latest call failed; only the first failure is logged */
 	bool closed;
 	bool timer_closed;
@@ -31,6 +33,7 @@
 struct list_watch_call {
 	struct list_watch *list_watch;
 	uint64_t after; /* version that the answer continues from; 0: list */
+	uint64_t asked_us;
 };
 
 static void step(struct list_watch *list_watch);
@@ -99,6 +102,7 @@
 	struct list_watch *list_watch = call->list_watch;
 	bool is_current = list_watch->current == call && !list_watch->closed;
 	uint64_t after = call->after;
+	uint64_t asked_us = call->asked_us;
 
 	free(call);
 	list_watch->call_count--;
@@ -107,6 +111,7 @@
 		return;
 	}
 	list_watch->current = NULL;
+	list_watch->asked_us = asked_us;
 	/* The next call starts from the timer, so that an implementation that answers at once
 	 * cannot recurse. After a change there is a pause, so that changes in quick succession
 	 * arrive in one answer. */
@@ -116,6 +121,8 @@
 		handle_failure(list_watch, &result->err);
 	else
 		handle_answer(list_watch, after, result);
+	list_watch->session.list_needed |= list_watch->lists_next;
+	list_watch->lists_next = false;
 }
 
 static void start_call(struct list_watch *list_watch, const struct session_action *action)
@@ -136,6 +143,7 @@
 	}
 	call->list_watch = list_watch;
 	call->after = action->after;
+	call->asked_us = clock_boottime_us();
 	list_watch->current = call;
 	list_watch->call_count++;
 	platform_start(list_watch->platform, &request, on_done, call);
@@ -213,6 +221,20 @@
 	uv_timer_start(&list_watch->timer, on_timer, 0, 0);
 }
 
+void list_watch_list_again(struct list_watch *list_watch)
+{
+	if (!list_watch->current)
+		list_watch->session.list_needed = true;
+	else
+		list_watch->lists_next = true;
+}
+
+/* Returns when the call was sent whose answer is being passed to the owner. */
+uint64_t list_watch_asked_us(const struct list_watch *list_watch)
+{
+	return list_watch->asked_us;
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct list_watch *list_watch = handle->data;
--- a/src/fescuemill/wire/message_defs.h
+++ b/src/fescuemill/wire/message_defs.h
@@ -5,6 +5,7 @@
 #define FESCUEMILL_WIRE_MESSAGE_DEFS_H
 
 #include "fescuemill/decide/call_defs.h"
+#include "fescuemill/decide/key_proof_defs.h"
 #include "fescuemill/decide/load_defs.h"
 #include "fescuemill/decide/notice_defs.h"
 #include "fescuemill/decide/region_set.h"
@@ -77,6 +78,7 @@
 	struct server_notice notice;
 	struct wire_headers headers;
 	struct wire_bytes body;
+	struct key_proof_item proof;
 };
 
 struct message_held {
@@ -92,6 +94,7 @@
 	uint64_t gate_incarnation;
 	struct gate_load load;
 	struct server_notice notice;
+	struct key_proof_item proof;
 };
 
 struct message_config_pull {
@@ -106,6 +109,8 @@
 	uint64_t ticket;	/* from the CONFIG_PULL that this answers */
 	struct wire_bytes json; /* batch written by config_write_batch() */
 	uint32_t text_size;	/* of the batch, if json is compressed; 0: it is not */
+	/* All evacuations that the sender knows, as JSON; size 0: it does not know them. */
+	struct wire_bytes evacuations;
 };
 
 struct message {
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -16,6 +16,7 @@
 #include "fescuemilld/entry/entry_link.h"
 #include "fescuemilld/entry/entry_log.h"
 #include "fescuemilld/entry/entry_placement.h"
+#include "fescuemilld/entry/entry_proof.h"
 #include "fescuemilld/entry/entry_service.h"
 
 #include <stdlib.h>
@@ -53,9 +54,8 @@
 	case OUTCOME_NOT_RUN:
 		if (answer->reason == REASON_NO_BACKEND)
 			return CHOICE_RESULT_NO_BACKEND;
-		return answer->reason == REASON_OVERLOAD || answer->reason == REASON_EXPIRED
-			       ? CHOICE_RESULT_NO_FREE_SLOT
-			       : CHOICE_RESULT_REFUSED;
+		return call_reason_is_lack_of_room(answer->reason) ? CHOICE_RESULT_NO_FREE_SLOT
+								   : CHOICE_RESULT_REFUSED;
 	default:
 		return CHOICE_RESULT_LOST;
 	}
@@ -242,6 +242,7 @@
 	call->sent_us = clock_monotonic_us();
 	if (call->state.attempts > 1)
 		counter_add(COUNTER_RETRIES_SENT, 1);
+	entry_proof_call_sent(call);
 	entry_log_sent(call, action->time_left_us);
 	choice_record_sent(call->service->choice, conn->owner->identity.node_id, call->sent_us);
 	entry_link_add_call(conn, call);
--- a/src/fescuemilld/gate/gate_shell.h
+++ b/src/fescuemilld/gate/gate_shell.h
@@ -7,6 +7,7 @@
 
 #include "fescuemill/decide/budget.h"
 #include "fescuemill/decide/gate_defs.h"
+#include "fescuemill/decide/key_proof_defs.h"
 #include "fescuemill/http/announce.h"
 #include "fescuemill/wire/channel.h"
 #include "fescuemilld/node/key_members.h"
@@ -41,6 +42,8 @@
 	/* Called when the backend server, in its start at started_ms (0: not known), states that it
 	 * is leaving. May be NULL. */
 	void (*on_leaving)(void *user, uint64_t started_ms);
+	/* Fills in how current this node's configuration is. May be NULL. */
+	void (*get_proof)(void *user, struct key_proof_item *out);
 	void *user;
 };
 
@@ -66,6 +69,11 @@
 /* Sets the path at which the backend server reports its load and slowdown; empty if it reports
  * none. */
 void gate_shell_set_health_path(struct gate_shell *shell, const char *path);
+/* Sets the rate that the backend server bears while it is cold, in calls per 1000 s (0: any), and
+ * how long it is cold after its start (0: unknown). */
+void gate_shell_set_cold(struct gate_shell *shell, uint32_t rate_milli, uint32_t start_ms);
+/* Records what a heartbeat says of how long the backend server remains cold. */
+void gate_shell_hear_heartbeat(struct gate_shell *shell, const struct announcement *heard);
 /* Probes for the backend server while it has not announced itself. */
 void gate_shell_discover_backend(struct gate_shell *shell);
 /* Returns the admission state, for setting the rates of classes. */
@@ -74,6 +82,8 @@
 void gate_shell_set_members(struct gate_shell *shell, const struct key_members *members);
 /* Refuses new attempts from now on, and those that wait. */
 void gate_shell_drain(struct gate_shell *shell);
+/* Refuses new attempts and those that wait while the failure domain is evacuated. */
+void gate_shell_set_evacuated(struct gate_shell *shell, bool is_evacuated);
 /* Accepts attempts addressed to a later incarnation from now on. */
 void gate_shell_set_incarnation(struct gate_shell *shell, uint64_t incarnation);
 
--- a/src/fescuemilld/node/node_defs.h
+++ b/src/fescuemilld/node/node_defs.h
@@ -20,6 +20,7 @@
 #include "fescuemilld/node/config_reply.h"
 #include "fescuemilld/node/gossip_shell.h"
 #include "fescuemilld/node/key_members.h"
+#include "fescuemilld/node/key_proof_shell.h"
 #include "fescuemilld/node/ready.h"
 
 #include "fescuemilld/node/node.h"
@@ -71,12 +72,19 @@
 	struct gossip_shell *gossip_shell;
 	struct gossip *gossip;
 	struct config_pull *pull;
+	struct key_proof_shell *key_proof; /* NULL until the parts that it uses are open */
 	struct config_reply config_reply;
 	struct key_members *key_members;
 	uint64_t keys_applied_us; /* when the owners of keys were last updated */
 	struct entry *entry;
 	struct gate_shell *gate;
-	struct placement_gate place; /* of this node's gate */
+	struct placement_gate place;	     /* of this node's gate */
+	enum backend_state announced_state;  /* of the backend server, latest */
+	struct evacuation_table evacuations; /* orders in force, as far as known */
+	uint64_t evacuations_revision;	     /* revision that was applied last */
+	bool evacuations_were_current;	     /* at the latest housekeeping */
+	uint64_t evacuations_listed_us;	     /* when the latest list of them was asked for */
+	struct list_watch *evacuation_watch; /* NULL: the setting evacuation_ms is not set */
 	struct demand_shell *demand;
 	struct admin_shell *admin;
 };
--- a/src/fescuemilld/node/node_events.c
+++ b/src/fescuemilld/node/node_events.c
@@ -6,7 +6,7 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/base/log.h"
 #include "fescuemill/chart/chart.h"
-#include "fescuemilld/gate/gate_placement.h"
+#include "fescuemilld/node/node_evacuation.h"
 
 #include <string.h>
 
@@ -46,6 +46,7 @@
 		  (unsigned long long)elapsed_us);
 	config_mark_stale(node->config);
 	list_watch_refresh(node->list_watch);
+	node_evacuation_paused(node, now_us);
 	node_apply_input(node, NODE_INPUT_TIME_SKIPPED);
 }
 
@@ -144,7 +145,7 @@
 bool node_on_new_own_incarnation(void *user, uint64_t incarnation)
 {
 	struct node *node = user;
-	struct member self = *gossip_self(node->gossip);
+	struct member self = node_evacuation_roster_entry(node);
 
 	if (gate_shell_live_count(node->gate) + gate_shell_record_count(node->gate) > 0)
 		return false;
@@ -174,8 +175,8 @@
 	demand_shell_receive(node->demand, node_id, data, size, clock_monotonic_us());
 }
 
-/* Sets the classes and the health path of this node's service at the gate, and its share of their
- * rates. */
+/* Sets the classes, the health path and the cold rate of this node's service at the gate, and its
+ * share of their rates. */
 void node_apply_config(struct node *node)
 {
 	const struct member *self = gossip_self(node->gossip);
@@ -189,6 +190,8 @@
 	if (config)
 		gate_shell_set_config(node->gate, config);
 	gate_shell_set_health_path(node->gate, routed ? routed->health_path : "");
+	gate_shell_set_cold(node->gate, routed ? routed->cold_rate_milli : 0,
+			    routed ? routed->cold_start_ms : 0);
 	demand_shell_refresh(node->demand, clock_monotonic_us());
 }
 
@@ -196,16 +199,28 @@
 void node_on_announcement(void *user, const struct announcement *now)
 {
 	struct node *node = user;
+	struct member self;
 
 	log_write(LOG_INFO, LOG_PART_GATE, "The backend server's announcement has changed.",
 		  "service=%s port=%u slots=%u state=%s", now->service, now->port, now->slots,
 		  backend_state_name(now->state));
-	gossip_set_backend(node->gossip, now->service, now->state, now->slots);
-	registration_set_self(node->registration, gossip_self(node->gossip));
+	node->announced_state = now->state;
+	gossip_set_backend(node->gossip, now->service, node_evacuation_backend_state(node),
+			   now->slots);
+	self = node_evacuation_roster_entry(node);
+	registration_set_self(node->registration, &self);
 	node_apply_config(node);
 	gate_shell_set_backend(node->gate, now);
 }
 
+/* Passes on what each announcement of the backend server says, whether or not it has changed. */
+void node_on_heartbeat(void *user, const struct announcement *heard)
+{
+	struct node *node = user;
+
+	gate_shell_hear_heartbeat(node->gate, heard);
+}
+
 /* Uses the backend server from the settings after a probe found it, so that a restarted node does
  * not wait for its next announcement. */
 void node_on_backend_found(void *user, const struct backend_load *load)
@@ -261,14 +276,14 @@
 }
 
 /* Passes a call from another node to the gate. The gate refuses a new call while this node is not
- * ready and has no routes yet. A call read within STALL_READ_US after a stall may have waited for
- * the whole stall, and its entry may have given it up. The stall is therefore subtracted from its
- * remaining time. */
+ * ready and has no routes yet, and a call that may not run here. A call read within STALL_READ_US
+ * after a stall may have waited for the whole stall, and its entry may have given it up. The stall
+ * is therefore subtracted from its remaining time. */
 static void handle_call(struct node *node, const struct channel_route *from,
 			const struct message *msg)
 {
 	enum call_reason reason = node_refusal_reason(node);
-	enum call_reason misplaced = gate_placement_refusal(&node->place, msg);
+	enum call_reason misplaced = node_evacuation_refusal(node, msg);
 	struct message call = *msg;
 
 	if (reason == REASON_NOT_READY && !config_routing(node->config))
@@ -315,6 +330,9 @@
 	if (config_apply_answer(node->config, from, root, &err) != 0)
 		log_failure(LOG_WARNING, LOG_PART_CONFIG,
 			    "Configuration from the platform was rejected.", &err);
+	else
+		key_proof_shell_answered(node->key_proof, from == 0,
+					 list_watch_asked_us(node->list_watch));
 	/* Run housekeeping in the next loop iteration, to apply the changes without waiting a
 	 * period. */
 	uv_timer_start(&node->housekeeping, node->housekeeping.timer_cb, 0, NODE_HOUSEKEEPING_MS);
--- a/src/fescuemilld/node/node_parts.c
+++ b/src/fescuemilld/node/node_parts.c
@@ -6,7 +6,9 @@
 #include "fescuemill/base/clock.h"
 #include "fescuemill/chart/chart.h"
 #include "fescuemill/store/client.h"
+#include "fescuemilld/node/node_evacuation.h"
 #include "fescuemilld/node/node_events.h"
+#include "fescuemilld/node/node_proof.h"
 #include "fescuemilld/node/node_stop.h"
 
 #include <string.h>
@@ -56,6 +58,7 @@
 		.lease_ms = settings->backend_lease_ms,
 		.dialect = node->dialects.dialect,
 		.on_change = node_on_announcement,
+		.on_heartbeat = node_on_heartbeat,
 		.in_use = node_slots_in_use,
 		.user = node,
 	};
@@ -81,6 +84,9 @@
 		.budget = &node->budget,
 		.key_members = node->key_members,
 		.customer_header = node->dialects.dialect->customer_header,
+		.evacuations = &node->evacuations,
+		.keys_are_fresh = node_keys_are_fresh,
+		.on_proof = settings->revoke_ms ? node_proof_hear : NULL,
 		.refusal = node_refusal_reason,
 		.has_time_for = node_has_time_for,
 		.repeat_permille = node_repeat_permille,
@@ -105,6 +111,7 @@
 		.on_backend_refused = node_on_backend_refused,
 		.on_unreachable = node_on_backend_unreachable,
 		.on_leaving = node_on_backend_leaving,
+		.get_proof = node_proof_tell,
 		.user = node,
 	};
 
@@ -127,10 +134,14 @@
 {
 	const struct settings *settings = &node->settings;
 	uint64_t seed = node->self.identity.node_id ^ node->self.identity.incarnation;
-	struct session_limits limits =
-		session_limits_for(settings->platform_calls_per_minute, settings->platform_watchers,
-				   settings->platform_watch_ms);
+	uint32_t calls_per_minute = settings->platform_calls_per_minute;
+	struct session_limits limits;
 
+	/* The evacuations take one more session, within the same budget of calls. */
+	if (settings->evacuation_ms)
+		calls_per_minute = calls_per_minute / (SESSIONS_PER_NODE + 1) * SESSIONS_PER_NODE;
+	limits = session_limits_for(calls_per_minute, settings->platform_watchers,
+				    settings->platform_watch_ms);
 	limits.backoff_max_us = settings->platform_backoff_ms * USEC_PER_MSEC;
 	if (platform_client_open(&node->store, &node->loop, settings, node->dialects.store_dialect,
 				 &node->budget, err) != 0)
@@ -138,6 +149,8 @@
 	if (list_watch_open(&node->list_watch, &node->loop, node->store, CONFIG_KIND, &limits, seed,
 			    node_on_config_batch, node, err) != 0)
 		return -1;
+	if (node_evacuation_open(node, &limits, seed + 4, err) != 0)
+		return -1;
 	return registration_open(&node->registration, &node->loop, node->store, node->members,
 				 &limits, seed + 1, err);
 }
@@ -155,6 +168,8 @@
 		.on_newer_config = node_on_newer_config,
 		.on_demand = node_on_demand,
 		.allow_new_incarnation = node_on_new_own_incarnation,
+		.proof_tell = node_proof_tell,
+		.proof_hear = node_proof_hear_gossip,
 		.user = node,
 	};
 	struct config_pull_options pull = {
@@ -163,6 +178,7 @@
 		.members = node->members,
 		.budget = &node->budget,
 		.self_id = node->self.identity.node_id,
+		.evacuations = settings->evacuation_ms ? &node->evacuations : NULL,
 		.region = settings->region,
 		.seed = seed + 2,
 	};
@@ -171,6 +187,7 @@
 		    clock_monotonic_us());
 	node->config_reply.channel = node->channel;
 	node->config_reply.config = node->config;
+	node->config_reply.evacuations = pull.evacuations;
 	node->config_reply.budget = &node->budget;
 	if (config_pull_open(&node->pull, &pull, err) != 0)
 		return -1;
@@ -206,9 +223,11 @@
 		.members = node->members,
 		.burn = &node->burn,
 		.platform = node->store,
+		.evacuations = node->settings.evacuation_ms ? &node->evacuations : NULL,
 		.entry = node->entry,
 		.gate = node->gate,
 		.gossip = node->gossip,
+		.key_proof = node->key_proof,
 		.state = node_state_name,
 		.self = node_self,
 		.drain = node_on_drain,
@@ -238,12 +257,13 @@
 		return -1;
 	if (member_table_open(&node->members, err) != 0 || open_burn(node, err) != 0)
 		return -1;
-	if (key_members_open(&node->key_members, node->members, err) != 0)
+	if (key_members_open(&node->key_members, node->members, &node->evacuations, err) != 0)
 		return -1;
 	if (open_roles(node, err) != 0 || open_gossip(node, err) != 0 ||
 	    open_demand(node, err) != 0)
 		return -1;
-	if (open_platform(node, err) != 0 || open_listeners(node, err) != 0)
+	if (open_platform(node, err) != 0 || node_proof_open(node, err) != 0 ||
+	    open_listeners(node, err) != 0)
 		return -1;
 	if (open_admin(node, err) != 0)
 		return -1;
@@ -264,6 +284,8 @@
 	demand_shell_close(node->demand);
 	registration_close(node->registration);
 	list_watch_close(node->list_watch);
+	list_watch_close(node->evacuation_watch);
+	key_proof_shell_close(node->key_proof);
 	platform_close(node->store);
 	entry_close(node->entry);
 	gate_shell_close(node->gate);
