--- a/src/fescuemill/decide/choice_defs.h
+++ b/src/fescuemill/decide/choice_defs.h
@@ -39,6 +39,7 @@
 	uint32_t trial_interval_us;	  /* minimum time between trials of a slow gate */
 	uint32_t error_trial_interval_us; /* minimum time between trials of a failing gate */
 	uint32_t error_penalty_us;	  /* cost added for an attempt that fails */
+	bool has_spillover;		  /* spillover.h decides what leaves the failure domain */
 };
 
 #define CHOICE_GATES_MAX 256 /* maximum gates tracked in all failure domains together */
@@ -67,6 +68,7 @@
 	uint8_t class_index; /* index of the call's class in the service's class list */
 	uint32_t body_bytes; /* size of the request body */
 	const struct region_set *regions; /* in which the call may be served; NULL: any */
+	uint32_t objective_us; /* what is left of the latency objective; 0: none is known */
 };
 
 /* The selected gate. */
@@ -96,6 +98,7 @@
 	uint32_t elapsed_us;	/* time from sending the attempt to its answer */
 	uint32_t gate_queue_us; /* part of elapsed_us spent queued at the gate */
 	uint32_t server_us;	/* part of elapsed_us spent at the backend server */
+	uint32_t answer_bytes;	/* size of the answer's body */
 };
 
 struct choice;
--- a/src/fescuemill/decide/choice_table.h
+++ b/src/fescuemill/decide/choice_table.h
@@ -5,6 +5,15 @@
 #define FESCUEMILL_DECIDE_CHOICE_TABLE_H
 
 #include "fescuemill/decide/choice_defs.h"
+#include "fescuemill/decide/spillover.h"
+
+#define CHOICE_SLOW_FACTOR 2.0F /* slowness above which a gate counts as slow */
+
+/* A trial costs 1000 tokens and each pick adds 3, so at most 0.3% of the picks are trials that
+ * do not find the gate back to normal. */
+#define CHOICE_TRIAL_TOKEN_COST	     1000U
+#define CHOICE_TRIAL_TOKENS_PER_PICK 3U
+#define CHOICE_TRIAL_TOKENS_MAX	     CHOICE_TRIAL_TOKEN_COST
 
 /* State that this entry keeps for one gate. Times are on this node's clock. */
 struct choice_gate {
@@ -39,9 +48,11 @@
 	uint64_t utilization_observed_us; /* last load report of any gate; 0 if none */
 	float class_typical_us[CLASSES_PER_SERVICE_MAX];      /* typical service time */
 	uint32_t class_answer_count[CLASSES_PER_SERVICE_MAX]; /* at most TYPICAL_ANSWERS_MAX */
-	uint32_t measured_count;			      /* gates with has_slowness */
-	uint32_t trial_tokens;	   /* trials allowed now, in thousandths */
-	uint32_t round_robin_next; /* counter of the round robin policy */
+	float class_answer_bytes[CLASSES_PER_SERVICE_MAX];    /* typical size of an answer */
+	struct spillover spillover; /* unused without settings.has_spillover */
+	uint32_t measured_count;    /* gates with has_slowness */
+	uint32_t trial_tokens;	    /* trials allowed now, in thousandths */
+	uint32_t round_robin_next;  /* counter of the round robin policy */
 	uint32_t count;
 	uint32_t distance_start[DISTANCE_COUNT + 1]; /* first gate of each distance */
 	uint16_t draw_order[CHOICE_GATES_MAX];	     /* gate indexes, grouped by distance */
@@ -52,6 +63,10 @@
 void choice_exclude_domain(struct choice *choice, uint32_t domain, uint64_t now_us);
 bool choice_is_eligible(const struct choice_gate *gate, const struct choice_query *query,
 			uint64_t now_us);
+bool choice_is_slow(const struct choice_gate *gate);
+float choice_error_excess(const struct choice *choice, const struct choice_gate *gate);
+float choice_round_trip_us(const struct choice *choice, const struct choice_gate *gate,
+			   uint64_t now_us);
 int choice_pick_baseline(struct choice *choice, const struct choice_query *query,
 			 struct random *rng, uint64_t now_us);
 
--- a/src/fescuemilld/entry/entry.c
+++ b/src/fescuemilld/entry/entry.c
@@ -85,6 +85,7 @@
 		result.load = answer->load;
 		result.gate_queue_us = answer->gate_queue_us;
 		result.server_us = answer->server_us;
+		result.answer_bytes = answer->body.size;
 	}
 	choice_record_result(call->service->choice, call->link->identity.node_id, &result, now_us);
 	entry_link_remove_call(call);
@@ -387,6 +388,7 @@
 	call->request = req;
 	call->received_us = clock_monotonic_us();
 	call->class_index = class->index;
+	call->objective_us = class->objective_us;
 	call->idempotent = class->idempotent;
 	call->customer = class->customer ? class->customer->id : 0;
 	call->customer_name = class->customer_name;
--- a/src/fescuemilld/entry/entry_placement.c
+++ b/src/fescuemilld/entry/entry_placement.c
@@ -143,6 +143,14 @@
 	return place_at(call, member);
 }
 
+/* Returns what is left of the latency objective of a call; 0 if it has passed. */
+static uint32_t objective_left_us(const struct entry_call *call, uint64_t now_us)
+{
+	uint64_t spent_us = now_us - call->received_us;
+
+	return spent_us < call->objective_us ? call->objective_us - (uint32_t)spent_us : 0;
+}
+
 /* Selects the gate of the next attempt: by the service's choice, or the owner of the call's key.
  * There is none, too, when the best gate has already refused this call for lack of a free slot. */
 enum call_reason entry_placement_select(struct entry_call *call, struct node_incarnation *gate)
@@ -159,6 +167,7 @@
 	refresh_regions(call);
 	query.excluded_count = attempt_entry_excluded(&call->state, excluded);
 	query.regions = limited_regions(call);
+	query.objective_us = objective_left_us(call, now_us);
 	entry_service_refresh(entry, call->service);
 	if (call->state.keyed) {
 		entry_service_preconnect(entry, call->service);
--- a/test/unit/decide/cold_domain_test.cc
+++ b/test/unit/decide/cold_domain_test.cc
@@ -162,7 +162,7 @@
 		uint64_t excluded[ATTEMPTS_MAX];
 
 		for (uint32_t attempt = 0; attempt < ATTEMPTS_MAX; attempt++) {
-			choice_query query = {excluded, attempt, 0, 0, nullptr};
+			choice_query query = {excluded, attempt, 0, 0, nullptr, 0};
 			struct choice_selection picked;
 
 			if (!choice_pick(entry, &query, &rng, now_us, &picked))
--- a/test/unit/decide/placement_test.cc
+++ b/test/unit/decide/placement_test.cc
@@ -122,7 +122,7 @@
 	// Returns the id of the chosen gate, or 0.
 	uint64_t pick(const region_set *regions, std::vector<uint64_t> excluded = {})
 	{
-		choice_query query = {excluded.data(), uint32_t(excluded.size()), 0, 0, regions};
+		choice_query query = {excluded.data(), uint32_t(excluded.size()), 0, 0, regions, 0};
 		choice_selection picked = {};
 
 		if (!choice_pick(choice, &query, &rng, now_us, &picked))
--- a/test/unit/platform/template_test.cc
+++ b/test/unit/platform/template_test.cc
@@ -84,7 +84,7 @@
 {
 	std::string with = render_template("evac_ms");
 	std::string without = render_template();
-	std::string line = ",\n\t\"evacuation_ms\": 62";
+	std::string line = ",\n\t\"evacuation_ms\": 62,\n\t\"spillover\": true";
 	settings asked{};
 	error err{};
 
@@ -92,6 +92,8 @@
 	ASSERT_EQ(0, settings_parse(with.data(), with.size(), "node.json", &asked, &err))
 		<< err.detail;
 	EXPECT_EQ(62u, asked.evacuation_ms);
+	EXPECT_TRUE(asked.spillover);
+	EXPECT_FALSE(set.spillover);
 	size_t at = with.find(line);
 	ASSERT_NE(std::string::npos, at);
 	with.erase(at, line.size());
