Allotments: homes hear more often, give less unasked and a part of a large burst at once

Cause: what 66 entries admit before their next report, and a full burst on top. A home near a limit now asks for 64 reports a second in place of 16, entries far below it may admit a quarter of a window unasked in place of a half, the credit takes a fifth of the slack in place of two fifths, and of a burst above 40 half is given at once.

--- a/src/fescuemill/decide/allotment_home.c
+++ b/src/fescuemill/decide/allotment_home.c
@@ -32,10 +32,10 @@
 #define FIRST_S		 0.4 /* intervals of an entry start at this and double */
 #define INTERVAL_SPARE	 1.5 /* the credit lasts for this many intervals */
 #define INTERVAL_MORE_S	 0.3
-#define FAR_PART	 0.5   /* part of a window that entries far below may admit unasked */
-#define NEAR_REPORTS_S	 16.0  /* reports a second that a home asks for; 250 bytes each way */
+#define FAR_PART	 0.25  /* part of a window that entries far below may admit unasked */
+#define NEAR_REPORTS_S	 64.0  /* reports a second that a home asks for; 250 bytes each way */
 #define REPORTS_BURST	 400.0 /* reports beyond that, after a time of few */
-#define CREDIT_SLACK	 0.4   /* part of the slack that is given as credit */
+#define CREDIT_SLACK	 0.2   /* part of the slack that is given as credit */
 #define REPORTER_IDLE_US (60 * USEC_PER_SEC)
 #define SILENT_US	 (400 * USEC_PER_MSEC) /* beyond an interval: the entry has no calls */
 #define GAP_MAX_S	 5.0
@@ -46,8 +46,12 @@
 #define PUSH_IDLE_US	 (60 * USEC_PER_SEC)
 #define PUSH_DIVISOR	 4 /* a share that differs by more than this part is pushed */
 #define DEMAND_MIN	 1e-3
-#define CALL_MILLI	 1e-9 /* rate_milli x microseconds -> calls */
-#define REPORTERS_MIN	 16
+/* Of a large burst only a part is given at once: what many entries admit before their next report
+ * comes on top. */
+#define BURST_WHOLE   20.0
+#define BURST_PART    0.5
+#define CALL_MILLI    1e-9 /* rate_milli x microseconds -> calls */
+#define REPORTERS_MIN 16
 
 /* Opens the accounts of at most `capacity` customers. Errors: ERROR_MEMORY. */
 int allotment_home_init(struct allotment_home *home, uint32_t capacity, struct error *err)
@@ -112,12 +116,20 @@
 	return account->limit.rate_milli * 1e-3 * part_of(home);
 }
 
+/* Returns the most calls that this home gives at once. */
+static double burst_of(const struct allotment_home *home, const struct allotment_account *account)
+{
+	double burst = account->limit.burst;
+
+	return fmin(burst, fmax(BURST_WHOLE, BURST_PART * burst)) * part_of(home);
+}
+
 /* Adds the calls of the rate to the bucket and takes those that the entries are assumed to admit
  * until they report. */
 static void refill(const struct allotment_home *home, struct allotment_account *account,
 		   uint64_t now_us)
 {
-	double most = account->limit.burst * part_of(home);
+	double most = burst_of(home, account);
 	double passed_s = (double)(now_us - account->refill_us) / USEC_PER_SEC;
 
 	account->level += (rate_of(home, account) - account->use) * passed_s;
@@ -149,7 +161,7 @@
 	double rate = rate_of(home, account);
 	double time_s =
 		fmax(LEVEL_TIME_S, LEVEL_INTERVALS * near_interval_s(home, account->share < 1));
-	double spare = fmax(0, account->level - NEAR_LEVEL * account->limit.burst * part_of(home));
+	double spare = fmax(0, account->level - NEAR_LEVEL * burst_of(home, account));
 	double target = rate + (account->level - spare) / time_s + spare / LEVEL_TIME_S;
 
 	if (now_us < account->settled_us && account->was_limited && target > rate * SETTLE_PART)
@@ -174,7 +186,7 @@
 	account->refill_us = now_us;
 	account->swept_us = now_us;
 	account->settled_us = now_us + SETTLE_US;
-	account->level = limit->burst * part_of(home);
+	account->level = burst_of(home, account);
 	account->past = rate_of(home, account) * (double)ALLOTMENT_WINDOW_US / USEC_PER_SEC;
 	account->share = 1;
 	return account;
@@ -383,7 +395,7 @@
 static bool is_near(const struct allotment_home *home, const struct allotment_account *account)
 {
 	return account->share < 1 || account->demand > NEAR_DEMAND * rate_of(home, account) ||
-	       account->level < NEAR_LEVEL * account->limit.burst * part_of(home);
+	       account->level < NEAR_LEVEL * burst_of(home, account);
 }
 
 /* Returns the time after which entries are to report. Entries far below the limit may admit a part
--- a/test/property/choice_property_test.cc
+++ b/test/property/choice_property_test.cc
@@ -74,8 +74,12 @@
 
 	bool pick(const std::vector<uint64_t> &excluded, node_incarnation *identity)
 	{
-		choice_query query = {excluded.data(), uint32_t(excluded.size()),
-				      uint8_t(random_below(&rng, 20)), 0, nullptr, 0};
+		choice_query query = {excluded.data(),
+				      uint32_t(excluded.size()),
+				      uint8_t(random_below(&rng, 20)),
+				      0,
+				      nullptr,
+				      0};
 
 		struct choice_selection picked = {};
 		bool is_picked = choice_pick(made, &query, &rng, now, &picked);
