Test of allotments with real processes

Four nodes, one customer at a limit of 20 calls/s and a burst of 10, called over all entries in turn, and a customer without a limit beside it: the calls served in a window stay within the allotment, those beyond it get 429, not run, and the other customer is served.

--- /dev/null
+++ b/test/functional/allotment_test.cc
@@ -0,0 +1,106 @@
+// Allotments of customers, through separate processes: the calls of a customer over several
+// entries, and another customer beside it.
+#include "functional/support/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <thread>
+
+using support::Fleet;
+using support::FleetOptions;
+using support::Host;
+using support::http_json;
+using support::HttpAnswer;
+using support::Json;
+
+namespace
+{
+using Clock = std::chrono::steady_clock;
+
+constexpr int CONFIG_TIMEOUT_MS = 5000;
+constexpr int RATE = 20;
+constexpr int BURST = 10;
+constexpr double WINDOW_S = 5;
+// The allotment and its tolerance, in any window of 5 s.
+constexpr double WINDOW_CALLS = (RATE * WINDOW_S + BURST) * 1.1 + 20;
+
+class Allotment : public ::testing::Test
+{
+      protected:
+	Fleet fleet{FleetOptions::small(4)};
+
+	void SetUp() override
+	{
+		fleet.start();
+		http_json(fleet.platform->port(), "PUT", "/v1/objects/service/customers",
+			  R"({"number":1,"routes":[],"services":[],"customers":[)"
+			  R"({"name":"large","keys":["key-large"],"calls_per_s":)" +
+				  std::to_string(RATE) + R"(,"burst":)" + std::to_string(BURST) +
+				  R"(},{"name":"free","keys":["key-free"]}]})",
+			  {"if-version: 0"});
+		for (const Host &host : fleet.hosts)
+			ASSERT_EQ(200, wait_for_status(host, "key-free", 200)) << host.name;
+	}
+
+	HttpAnswer call(const Host &entry, const std::string &key)
+	{
+		return fleet.call(entry, "GET", "/ledger/balance", "balance", "",
+				  {"authorization: Bearer " + key});
+	}
+
+	// Without customers in force any key is served, so an unknown one is refused first.
+	int wait_for_status(const Host &entry, const std::string &key, int status)
+	{
+		auto deadline = Clock::now() + std::chrono::milliseconds(CONFIG_TIMEOUT_MS);
+		int last = 0;
+
+		while (Clock::now() < deadline && call(entry, "unknown").status != 401)
+			std::this_thread::sleep_for(std::chrono::milliseconds(20));
+		while (Clock::now() < deadline && last != status) {
+			last = call(entry, key).status;
+			std::this_thread::sleep_for(std::chrono::milliseconds(20));
+		}
+		return last;
+	}
+};
+
+// Guards against a customer that gets its allotment at each entry, against one that gets nothing
+// beyond it, and against a limit that is felt by other customers.
+TEST_F(Allotment, BindsOverAllEntriesAndNobodyElse)
+{
+	auto start = Clock::now();
+	auto end = start + std::chrono::milliseconds((int)(1000 * WINDOW_S) - 500);
+	int sent = 0, served = 0, refused = 0;
+	std::string retry_reason;
+
+	while (Clock::now() < end) {
+		HttpAnswer answer = call(fleet.hosts[sent++ % fleet.hosts.size()], "key-large");
+
+		served += answer.status == 200;
+		refused += answer.status == 429;
+		if (answer.status == 429)
+			retry_reason = answer.headers["x-fescue-reason"];
+	}
+	EXPECT_LE(served, WINDOW_CALLS) << sent;
+	EXPECT_GE(served, BURST) << sent;
+	EXPECT_EQ(sent, served + refused);
+	EXPECT_GT(refused, 0) << sent;
+	EXPECT_EQ("allotment", retry_reason);
+	for (const Host &host : fleet.hosts)
+		EXPECT_EQ(200, call(host, "key-free").status) << host.name;
+}
+
+// Guards against a customer that stays limited after its load has ended.
+TEST_F(Allotment, HasRoomAgainAfterAPause)
+{
+	int served = 0;
+
+	for (int i = 0; i < 200; i++)
+		call(fleet.hosts[(size_t)i % fleet.hosts.size()], "key-large");
+	std::this_thread::sleep_for(std::chrono::milliseconds((int)(1000 * WINDOW_S)));
+	for (const Host &host : fleet.hosts)
+		served += call(host, "key-large").status == 200;
+	EXPECT_EQ((int)fleet.hosts.size(), served);
+}
+} // namespace
