--- a/test/functional/allotment_test.cc
+++ b/test/functional/allotment_test.cc
@@ -1,6 +1,7 @@
 // Allotments of customers, through separate processes: the calls of a customer over several
 // entries, and another customer beside it.
 #include "functional/support/fleet.h"
+#include "support/connect.h"
 
 #include <gtest/gtest.h>
 
@@ -91,6 +92,29 @@
 		EXPECT_EQ(200, call(host, "key-free").status) << host.name;
 }
 
+// Guards against a call that is held for the customer's home, and touched after its caller has
+// left.
+TEST_F(Allotment, CallersThatLeaveWhileTheirCallsAreHeld)
+{
+	const std::string request = "GET /ledger/balance HTTP/1.1\r\nhost: x\r\n"
+				    "x-fescue-class: balance\r\n"
+				    "authorization: Bearer key-large\r\n\r\n";
+
+	for (int i = 0; i < 400; i++) {
+		const Host &host = fleet.hosts[(size_t)i % fleet.hosts.size()];
+		int fd = support::connect_to((uint16_t)host.node->port("caller_port"));
+
+		ASSERT_GE(fd, 0);
+		ASSERT_EQ((ssize_t)request.size(), write(fd, request.data(), request.size()));
+		if (i % 3 == 0)
+			std::this_thread::sleep_for(std::chrono::milliseconds(i % 20));
+		close(fd);
+	}
+	std::this_thread::sleep_for(std::chrono::milliseconds(500));
+	for (const Host &host : fleet.hosts)
+		EXPECT_EQ(200, call(host, "key-free").status) << host.name;
+}
+
 // Guards against a customer that stays limited after its load has ended.
 TEST_F(Allotment, HasRoomAgainAfterAPause)
 {
