Held calls: drop what points into a configuration that is no longer in force

Found by reading: a call that is held until its customer's home answers keeps the customer by which it was classified; when another configuration came into force meanwhile and the call was then refused, its log line read the customer's name from memory that was freed. Change: such a call drops these pointers, and the log takes the copy of the name.

--- a/src/fescuemilld/entry/entry_hold.c
+++ b/src/fescuemilld/entry/entry_hold.c
@@ -24,6 +24,23 @@
 	uint64_t received_us;
 };
 
+static bool is_outdated(const struct held_call *held)
+{
+	return config_revision(held->entry->options.config) != held->config_revision;
+}
+
+/* Refuses a call that was held. What points into a configuration that is no longer in force is gone
+ * with it. */
+static void refuse_held(struct held_call *held, enum call_reason reason, uint32_t retry_after_ms)
+{
+	if (is_outdated(held)) {
+		held->class.customer = NULL;
+		held->class.regions = NULL;
+	}
+	entry_refuse_request(held->entry, held->caller, held->req, &held->class, reason,
+			     retry_after_ms);
+}
+
 /* Removes a call from the held ones. */
 static void unlink_held(struct held_call *held)
 {
@@ -38,8 +55,9 @@
 	struct entry *entry = held->entry;
 	enum call_reason reason;
 
-	if (config_revision(entry->options.config) == held->config_revision)
+	if (!is_outdated(held))
 		return REASON_NONE;
+	held->config_revision = config_revision(entry->options.config);
 	held->req = held->received;
 	reason = entry_classify(entry, held->req, &held->class);
 	if (reason != REASON_NONE)
@@ -61,8 +79,7 @@
 			entry_allotment_give_back(entry->allotment, held->waiter.limit.customer);
 	}
 	if (reason != REASON_NONE) {
-		entry_refuse_request(entry, held->caller, held->req, &held->class, reason,
-				     retry_after_ms);
+		refuse_held(held, reason, retry_after_ms);
 		return;
 	}
 	held->class.time_left_us -=
@@ -120,7 +137,7 @@
 			continue;
 		entry_allotment_cancel(&held->waiter);
 		unlink_held(held);
-		entry_refuse_request(entry, caller, held->req, &held->class, REASON_CANCELLED, 0);
+		refuse_held(held, REASON_CANCELLED, 0);
 		return true;
 	}
 	return false;
@@ -133,7 +150,6 @@
 
 		entry_allotment_cancel(&held->waiter);
 		unlink_held(held);
-		entry_refuse_request(entry, held->caller, held->req, &held->class, REASON_DRAINING,
-				     0);
+		refuse_held(held, REASON_DRAINING, 0);
 	}
 }
--- a/src/fescuemilld/entry/entry_log.c
+++ b/src/fescuemilld/entry/entry_log.c
@@ -43,8 +43,11 @@
 {
 	const struct wire_bytes *key = &req->credential;
 
-	customer_field(class->customer ? class->customer->name : NULL, out);
-	if (class->hides_keys && !class->customer && key->size > 0)
+	customer_field(class->customer_name ? class->customer_name
+		       : class->customer    ? class->customer->name
+					    : NULL,
+		       out);
+	if (class->hides_keys && !class->customer && !class->customer_name && key->size > 0)
 		snprintf(out, CUSTOMER_FIELD_BYTES, " key_fingerprint=%06x",
 			 customer_key_fingerprint(key->data, key->size));
 	return out;
--- a/test/functional/allotment_test.cc
+++ b/test/functional/allotment_test.cc
@@ -5,8 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
 #include <thread>
+#include <vector>
 
 using support::Fleet;
 using support::FleetOptions;
@@ -22,6 +24,7 @@
 constexpr int CONFIG_TIMEOUT_MS = 5000;
 constexpr int RATE = 20;
 constexpr int BURST = 10;
+constexpr int MANY = 150; // customers
 constexpr double WINDOW_S = 5;
 // The allotment and its tolerance, in any window of 5 s.
 constexpr double WINDOW_CALLS = (RATE * WINDOW_S + BURST) * 1.1 + 20;
@@ -30,20 +33,41 @@
 {
       protected:
 	Fleet fleet{FleetOptions::small(4)};
+	int64_t version = 0;
 
 	void SetUp() override
 	{
 		fleet.start();
-		http_json(fleet.platform->port(), "PUT", "/v1/objects/service/customers",
-			  R"({"number":1,"routes":[],"services":[],"customers":[)"
-			  R"({"name":"large","keys":["key-large"],"calls_per_s":)" +
-				  std::to_string(RATE) + R"(,"burst":)" + std::to_string(BURST) +
-				  R"(},{"name":"free","keys":["key-free"]}]})",
-			  {"if-version: 0"});
+		Json answer = http_json(
+			fleet.platform->port(), "PUT", "/v1/objects/service/customers",
+			R"({"number":1,"routes":[],"services":[],"customers":[)"
+			R"({"name":"large","keys":["key-large"],"calls_per_s":)" +
+				std::to_string(RATE) + R"(,"burst":)" + std::to_string(BURST) +
+				R"(},{"name":"free","keys":["key-free"]}]})",
+			{"if-version: 0"});
+
+		version = json_integer_value(json_object_get(answer.get(), "version"));
 		for (const Host &host : fleet.hosts)
 			ASSERT_EQ(200, wait_for_status(host, "key-free", 200)) << host.name;
 	}
 
+	// Puts many customers with small limits in force: their calls are held at most entries.
+	void put_many(int number)
+	{
+		std::string customers = R"({"name":"free","keys":["key-free"]})";
+
+		for (int i = 0; i < MANY; i++)
+			customers += R"(,{"name":"c)" + std::to_string(i) + R"(","keys":["key-)" +
+				     std::to_string(i) + R"("],"calls_per_s":1,"burst":1})";
+		Json answer = http_json(
+			fleet.platform->port(), "PUT", "/v1/objects/service/customers",
+			R"({"number":)" + std::to_string(number) +
+				R"(,"routes":[],"services":[],"customers":[)" + customers + "]}",
+			{"if-version: " + std::to_string(version)});
+
+		version = json_integer_value(json_object_get(answer.get(), "version"));
+	}
+
 	HttpAnswer call(const Host &entry, const std::string &key)
 	{
 		return fleet.call(entry, "GET", "/ledger/balance", "balance", "",
@@ -115,6 +139,33 @@
 		EXPECT_EQ(200, call(host, "key-free").status) << host.name;
 }
 
+// Guards against a held call that still points into the configuration by which it was classified
+// when another one comes into force.
+TEST_F(Allotment, TheConfigurationChangesWhileCallsAreHeld)
+{
+	std::atomic<bool> is_done{false};
+	std::thread operators([&] {
+		for (int number = 2; !is_done; number++) {
+			put_many(number);
+			std::this_thread::sleep_for(std::chrono::milliseconds(5));
+		}
+	});
+	std::vector<std::thread> callers;
+
+	for (size_t i = 0; i < fleet.hosts.size(); i++)
+		callers.emplace_back([&, i] {
+			for (int round = 0; round < 3; round++)
+				for (int customer = 0; customer < MANY; customer++)
+					call(fleet.hosts[i], "key-" + std::to_string(customer));
+		});
+	for (std::thread &thread : callers)
+		thread.join();
+	is_done = true;
+	operators.join();
+	for (const Host &host : fleet.hosts)
+		EXPECT_EQ(200, call(host, "key-free").status) << host.name;
+}
+
 // Guards against a customer that stays limited after its load has ended.
 TEST_F(Allotment, HasRoomAgainAfterAPause)
 {
