--- a/review/standin-2/fleet.c
+++ b/review/standin-2/fleet.c
@@ -217,8 +217,11 @@
 	uint64_t end_ms = net_now_ms() + READY_LIMIT_MS;
 
 	for (uint32_t i = 0; i < fleet->count; i++) {
-		if (server_start(&fleet->nodes[i].server) != 0 ||
-		    start_process(&fleet->nodes[i]) != 0)
+		struct server *server = &fleet->nodes[i].server;
+
+		if (!server->is_delayed && server_start(server) != 0)
+			return -1;
+		if (start_process(&fleet->nodes[i]) != 0)
 			return -1;
 	}
 	for (uint32_t i = 0; i < fleet->count; i++) {
--- a/review/standin-2/net.c
+++ b/review/standin-2/net.c
@@ -99,6 +99,8 @@
 		struct service *service;
 		int on = 1;
 
+		if (fd < 0 && errno == EINVAL)
+			break;
 		if (fd < 0)
 			continue;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -107,6 +109,8 @@
 		service->fd = fd;
 		start_thread(serve_one, service);
 	}
+	close(listener->fd);
+	free(listener);
 	return NULL;
 }
 
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -22,7 +22,8 @@
 void net_sleep_ms(uint64_t ms);
 
 int net_listen(const char *ip, uint16_t port);
-/* Serves each connection of a listener with fn in a thread of its own. */
+/* Serves each connection of a listener with fn in a thread of its own, until shutdown() of the
+ * listener, which is closed then. */
 void net_serve(int listener, void (*fn)(int fd, void *user), void *user);
 /* Connects. With receive_bytes, the receive buffer, the connection has the segments of a usual
  * link; 0: as loopback has them. Returns -1 if refused. */
--- a/review/standin-2/server.c
+++ b/review/standin-2/server.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -89,6 +90,18 @@
 	return result;
 }
 
+/* Counts a request that arrives too late. */
+static void count_late(struct server *server, const char *id)
+{
+	uint64_t limit_ms = server->limit_ms;
+
+	if (limit_ms == 0 || net_now_ms() <= limit_ms)
+		return;
+	server->late_count++;
+	record_line("server %s gets %s %" PRIu64 " ms too late", server->instance, id,
+		    net_now_ms() - limit_ms);
+}
+
 static int handle(int fd, struct server *server, const struct net_head *head)
 {
 	uint64_t size = net_header_number(head, "content-length", 0);
@@ -106,48 +119,67 @@
 	if (net_header(head, HEADER_EXPECTED_INSTANCE, expected, sizeof(expected)) &&
 	    strcmp(expected, server->instance) != 0)
 		return reject(fd, server, 421, id);
+	count_late(server, id);
 	if (!take_slot(server))
 		return reject(fd, server, 503, id);
 	return run(fd, server, id, body_bytes);
 }
 
+/* Adds or removes a connection. */
+static void exchange_connection(struct server *server, int from, int to)
+{
+	pthread_mutex_lock(&server->mutex);
+	for (uint32_t i = 0; i < SERVER_CONNECTIONS_MAX; i++) {
+		if (server->connections[i] == from) {
+			server->connections[i] = to;
+			break;
+		}
+	}
+	pthread_mutex_unlock(&server->mutex);
+}
+
 static void serve(int fd, void *user)
 {
+	struct server *server = user;
 	struct net_head head;
 
+	exchange_connection(server, 0, fd);
 	while (net_read_head(fd, &head) == 0) {
-		if (handle(fd, user, &head) != 0)
-			return;
+		if (handle(fd, server, &head) != 0)
+			break;
 	}
+	exchange_connection(server, fd, 0);
 }
 
-/* Sends one report to the server's own node. */
-static void send_report(const struct server *server, json_t *report)
+/* Sends a report to the server's own node. Returns the status of the answer, or 0. */
+static int send_report(const struct server *server, const char *path, json_t *report)
 {
 	int fd = net_connect(server->ip, server->report_port, 0);
 	struct net_head head;
+	int status = 0;
 	char *text;
 
 	if (fd < 0)
-		return;
+		return 0;
 	net_set_timeout(fd, REPORT_LIMIT_MS);
 	text = json_dumps(report, JSON_COMPACT);
 	net_printf(fd,
-		   "POST " PATH_HEARTBEAT "%s HTTP/1.1\r\nhost: node\r\n"
-		   "content-type: application/json\r\ncontent-length: %zu\r\n\r\n%s",
-		   server->instance, strlen(text), text);
-	if (net_read_head(fd, &head) != 0 || net_status(&head) != 200)
-		record_line("a report of server %s was not acknowledged", server->instance);
+		   "POST %s%s HTTP/1.1\r\nhost: node\r\ncontent-type: application/json\r\n"
+		   "content-length: %zu\r\n\r\n%s",
+		   path, server->instance, strlen(text), text);
+	if (net_read_head(fd, &head) == 0)
+		status = net_status(&head);
 	free(text);
 	close(fd);
+	return status;
 }
 
-static void *report_always(void *user)
+/* Sends a report of the server's state. */
+static int send_state(struct server *server)
 {
-	const struct server *server = user;
 	json_t *report = json_load_file(server->report, 0, NULL);
-	json_int_t born_ms = (json_int_t)time(NULL) * 1000;
 	char address[64];
+	int status;
 
 	if (!report) {
 		fprintf(stderr, "no file %s\n", server->report);
@@ -157,10 +189,24 @@
 	json_object_set_new(report, "service", json_string(server->service));
 	json_object_set_new(report, "address", json_string(address));
 	json_object_set_new(report, "slots", json_integer(server->slots));
-	json_object_set_new(report, "born", json_integer(born_ms));
-	for (json_int_t sequence = 1;; sequence++) {
-		json_object_set_new(report, "sequence", json_integer(sequence));
-		send_report(server, report);
+	json_object_set_new(report, "born", json_integer((json_int_t)server->born_ms));
+	json_object_set_new(report, "sequence", json_integer((json_int_t)++server->sequence));
+	if (server->is_leaving)
+		json_object_set_new(report, "state", json_string("draining"));
+	status = send_report(server, PATH_HEARTBEAT, report);
+	json_decref(report);
+	return status;
+}
+
+/* Reports the state regularly until the server's next start or its end. */
+static void *report_always(void *user)
+{
+	struct server *server = user;
+	uint32_t life = server->life;
+
+	while (server->life == life) {
+		if (send_state(server) != 200)
+			record_line("a report of server %s was not acknowledged", server->instance);
 		net_sleep_ms(REPORT_PERIOD_MS);
 	}
 	return NULL;
@@ -168,13 +214,66 @@
 
 int server_start(struct server *server)
 {
-	int fd = net_listen(server->ip, server->port);
 	pthread_t thread;
 
-	if (fd < 0)
+	server->listener = net_listen(server->ip, server->port);
+	if (server->listener < 0)
 		return -1;
-	pthread_mutex_init(&server->mutex, NULL);
-	pthread_cond_init(&server->freed, NULL);
-	net_serve(fd, serve, server);
+	if (server->life == 0) {
+		pthread_mutex_init(&server->mutex, NULL);
+		pthread_cond_init(&server->freed, NULL);
+	}
+	server->life++;
+	server->sequence = 0;
+	if (server->born_ms == 0)
+		server->born_ms = server_clock_ms();
+	net_serve(server->listener, serve, server);
 	return pthread_create(&thread, NULL, report_always, server) == 0 ? 0 : -1;
 }
+
+int64_t server_clock_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+void server_crash(struct server *server)
+{
+	struct linger at_once = {1, 0};
+
+	record_line("server %s ends, with %u requests at work", server->instance, server->running);
+	server->life++;
+	shutdown(server->listener, SHUT_RDWR);
+	pthread_mutex_lock(&server->mutex);
+	for (uint32_t i = 0; i < SERVER_CONNECTIONS_MAX; i++) {
+		int fd = server->connections[i];
+
+		if (fd == 0)
+			continue;
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+		shutdown(fd, SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&server->mutex);
+}
+
+int server_drain(struct server *server)
+{
+	int status;
+
+	server->is_leaving = true;
+	status = send_state(server);
+	record_line("server %s reports that it is draining: %d", server->instance, status);
+	return status;
+}
+
+int server_deregister(const struct server *server)
+{
+	json_t *report = json_pack("{s:I}", "born", (json_int_t)server->born_ms);
+	int status = send_report(server, PATH_DEREGISTER, report);
+
+	json_decref(report);
+	record_line("server %s reports that it is gone: %d", server->instance, status);
+	return status;
+}
--- a/review/standin-2/server.h
+++ b/review/standin-2/server.h
@@ -7,8 +7,11 @@
 
 #include <pthread.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdint.h>
 
+#define SERVER_CONNECTIONS_MAX 512
+
 struct server {
 	char ip[32];
 	uint16_t port;	      /* requests */
@@ -20,6 +23,15 @@
 	uint32_t queue;
 	uint64_t work_ms;
 	uint64_t answer_bytes;
+	bool is_delayed;	/* fleet_start() leaves its start to the case */
+	int64_t born_ms;	/* start by the clock of its machine; 0: the real time */
+	atomic_bool is_leaving; /* it reports `draining` */
+	atomic_ullong limit_ms; /* requests that arrive later are counted in late_count; 0: none */
+	atomic_uint late_count;
+	atomic_ullong sequence;
+	int listener;
+	atomic_uint life;			 /* starts so far */
+	int connections[SERVER_CONNECTIONS_MAX]; /* 0: free */
 	atomic_uint running;
 	atomic_uint waiting;
 	atomic_uint run_count; /* requests that it has begun to work on */
@@ -29,5 +41,14 @@
 
 /* Starts the server and its reports. Returns -1 if the address is in use. */
 int server_start(struct server *server);
+/* Returns the real time in Unix milliseconds. */
+int64_t server_clock_ms(void);
+/* Ends the server as a crash does: its connections are reset. It may be started again. */
+void server_crash(struct server *server);
+/* Reports to the node that the server is draining, and from then on. Returns the status of the
+ * node's answer, or 0. */
+int server_drain(struct server *server);
+/* Reports that the server is gone. Returns the status of the node's answer, or 0. */
+int server_deregister(const struct server *server);
 
 #endif
