--- a/review/standin-2/fleet.c
+++ b/review/standin-2/fleet.c
@@ -176,7 +176,7 @@
 }
 
 /* Starts the process of a node, whose log goes to a file beside its settings. */
-static int start_process(struct fleet_node *node)
+int fleet_start_process(struct fleet_node *node)
 {
 	char variable[300];
 	char log[300];
@@ -221,7 +221,7 @@
 
 		if (!server->is_delayed && server_start(server) != 0)
 			return -1;
-		if (start_process(&fleet->nodes[i]) != 0)
+		if (fleet_start_process(&fleet->nodes[i]) != 0)
 			return -1;
 	}
 	for (uint32_t i = 0; i < fleet->count; i++) {
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -39,6 +39,8 @@
 struct fleet_node *fleet_add(struct fleet *fleet, const char *service);
 /* Starts the servers and the nodes, and waits until all are ready. Returns -1 if one is not. */
 int fleet_start(struct fleet *fleet);
+/* Starts the process of a node that has ended. Returns 0, or an error. */
+int fleet_start_process(struct fleet_node *node);
 /* Asks the node's ready address. */
 bool fleet_is_ready(const struct fleet_node *node);
 /* Returns the highest resident memory of a node's process so far; 0 if it has ended. */
--- a/review/standin-2/server.c
+++ b/review/standin-2/server.c
@@ -174,8 +174,8 @@
 	return status;
 }
 
-/* Sends a report of the server's state. */
-static int send_state(struct server *server)
+/* Sends a report of a state. */
+static int send_state(struct server *server, uint64_t sequence, bool is_draining)
 {
 	json_t *report = json_load_file(server->report, 0, NULL);
 	char address[64];
@@ -190,8 +190,8 @@
 	json_object_set_new(report, "address", json_string(address));
 	json_object_set_new(report, "slots", json_integer(server->slots));
 	json_object_set_new(report, "born", json_integer((json_int_t)server->born_ms));
-	json_object_set_new(report, "sequence", json_integer((json_int_t)++server->sequence));
-	if (server->is_leaving)
+	json_object_set_new(report, "sequence", json_integer((json_int_t)sequence));
+	if (is_draining)
 		json_object_set_new(report, "state", json_string("draining"));
 	status = send_report(server, PATH_HEARTBEAT, report);
 	json_decref(report);
@@ -205,7 +205,8 @@
 	uint32_t life = server->life;
 
 	while (server->life == life) {
-		if (send_state(server) != 200)
+		if (!server->is_silent &&
+		    send_state(server, ++server->sequence, server->is_leaving) != 200)
 			record_line("a report of server %s was not acknowledged", server->instance);
 		net_sleep_ms(REPORT_PERIOD_MS);
 	}
@@ -263,11 +264,19 @@
 	int status;
 
 	server->is_leaving = true;
-	status = send_state(server);
+	status = send_state(server, ++server->sequence, true);
 	record_line("server %s reports that it is draining: %d", server->instance, status);
 	return status;
 }
 
+int server_report_late(struct server *server, uint64_t sequence)
+{
+	int status = send_state(server, sequence, false);
+
+	record_line("a report of server %s from before arrives late: %d", server->instance, status);
+	return status;
+}
+
 int server_deregister(const struct server *server)
 {
 	json_t *report = json_pack("{s:I}", "born", (json_int_t)server->born_ms);
--- a/review/standin-2/server.h
+++ b/review/standin-2/server.h
@@ -26,6 +26,7 @@
 	bool is_delayed;	/* fleet_start() leaves its start to the case */
 	int64_t born_ms;	/* start by the clock of its machine; 0: the real time */
 	atomic_bool is_leaving; /* it reports `draining` */
+	atomic_bool is_silent;	/* its regular reports don't arrive */
 	atomic_ullong limit_ms; /* requests that arrive later are counted in late_count; 0: none */
 	atomic_uint late_count;
 	atomic_ullong sequence;
@@ -48,6 +49,10 @@
 /* Reports to the node that the server is draining, and from then on. Returns the status of the
  * node's answer, or 0. */
 int server_drain(struct server *server);
+/* Delivers a report `ready` with a sequence from before. Returns the status of the node's answer,
+ * or 0.
+ */
+int server_report_late(struct server *server, uint64_t sequence);
 /* Reports that the server is gone. Returns the status of the node's answer, or 0. */
 int server_deregister(const struct server *server);
 
